--- /dev/null
+++ b/crates/core/src/document.rs
@@ -0,0 +1,34 @@
+//! The configuration document that operators keep in the platform's key-value service.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Account, Model, Pool, Route};
+
+/// Everything operators decide: models, accounts, pools and routes.
+///
+/// Read it with [`parse_document`](crate::parse_document), which checks it too.
+///
+/// # Examples
+///
+/// ```
+/// let text = r#"{"models":[{"name":"tickets","version":"v1","layers":4}]}"#;
+/// let doc = heathpitch_core::parse_document(text)?;
+/// assert_eq!(doc.models[0].layers, 4);
+/// # Ok::<(), heathpitch_core::ConfigError>(())
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Models in use.
+    #[serde(default)]
+    pub models: Vec<Model>,
+    /// Client accounts.
+    #[serde(default)]
+    pub accounts: Vec<Account>,
+    /// Pools of engines or services.
+    #[serde(default)]
+    pub pools: Vec<Pool>,
+    /// Routes in order of precedence.
+    #[serde(default)]
+    pub routes: Vec<Route>,
+}
--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,64 @@
+//! Numbers that order things: revisions, epochs, attempts, incarnations.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// A point in time or a span, in milliseconds of the caller's monotone clock.
+pub type Millis = u64;
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident($int:ty)) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $int);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+    };
+}
+
+number! {
+    /// The platform's own monotone number of a stored value; 0 means absent.
+    Revision(u64)
+}
+number! {
+    /// Number of a placement: orders of an older epoch are refused.
+    Epoch(u64)
+}
+number! {
+    /// Number of an attempt within one request, from 1.
+    Attempt(u32)
+}
+number! {
+    /// One life of a node process, drawn at random at start.
+    Incarnation(u64)
+}
+
+impl Attempt {
+    /// The attempt after this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// An id that the node mints for each request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestId {
+    /// Node life that minted the id.
+    pub node: Incarnation,
+    /// Count within that life.
+    pub serial: u64,
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}-{:x}", self.node.0, self.serial)
+    }
+}
--- /dev/null
+++ b/crates/core/src/layers.rs
@@ -0,0 +1,32 @@
+//! Ranges of model layers.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Layers `first..end` of a model; `end` is not included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct LayerRange {
+    /// First layer held.
+    pub first: u32,
+    /// One past the last layer held.
+    pub end: u32,
+}
+
+impl LayerRange {
+    /// Layers `first..end`.
+    pub fn new(first: u32, end: u32) -> Self {
+        Self { first, end }
+    }
+
+    /// Number of layers.
+    pub fn count(self) -> u32 {
+        self.end.saturating_sub(self.first)
+    }
+}
+
+impl fmt::Display for LayerRange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}..{}", self.first, self.end)
+    }
+}
--- /dev/null
+++ b/crates/fakes/examples/fake_platform.rs
@@ -0,0 +1,33 @@
+//! A stand-in platform as a process of its own, its list of VMs read from a file.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use gumdrop::Options;
+use heathpitch_core::Vm;
+use heathpitch_fakes::{FakePlatform, PlatformSetup};
+
+#[derive(Debug, Options)]
+struct Arguments {
+    /// Prints this help.
+    help: bool,
+    /// Address, ip:port.
+    #[options(required, meta = "ADDRESS")]
+    listen: String,
+    /// List of VMs, JSON.
+    #[options(required, meta = "FILE")]
+    vms: PathBuf,
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let a = Arguments::parse_args_default_or_exit();
+    let address = a.listen.parse::<SocketAddr>()?;
+    let platform = FakePlatform::spawn(PlatformSetup { address, ..PlatformSetup::default() })?;
+    let vms: Vec<Vm> = serde_json::from_str(&std::fs::read_to_string(&a.vms)?)?;
+    println!("platform at {}, {} VMs listed", platform.address(), vms.len());
+    platform.list(vms);
+    loop {
+        std::thread::park();
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/checker.rs
@@ -0,0 +1,165 @@
+//! A caller that reads answers and checks them against the right ones.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use heathpitch_core::Name;
+use heathpitch_net::{self as body, Client, EdgeError};
+use http_body_util::BodyExt;
+use hyper::Request;
+use serde_json::{Value, json};
+
+/// Largest whole answer read, bytes.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// A caller of one client account.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: Client,
+    account: Name,
+}
+
+/// A streamed answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Answer {
+    /// Text of each event.
+    pub pieces: Vec<String>,
+    /// Whether it ended with its explicit end.
+    pub whole: bool,
+    /// Error event or body, if any.
+    pub error: Option<Value>,
+    /// HTTP status.
+    pub status: u16,
+    /// Time to the first token.
+    pub first: Duration,
+    /// Longest time between two tokens.
+    pub gap: Duration,
+}
+
+/// A whole response.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of Retry-After, seconds.
+    pub retry_after: Option<u64>,
+    /// Body, null if it is not JSON.
+    pub json: Value,
+}
+
+/// Why a call gave no response.
+pub type CallError = EdgeError;
+
+/// # Calls
+impl Caller {
+    /// A caller for `account`.
+    pub fn new(account: Name) -> Self {
+        Self { client: Client::new(), account }
+    }
+
+    /// Sends any request and reads the whole response.
+    ///
+    /// # Errors
+    ///
+    /// [`EdgeError`] if there is none.
+    pub async fn post(
+        &self,
+        node: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        content: impl Into<Bytes>,
+    ) -> Result<Reply, CallError> {
+        let request = self.request(node, path, headers, content.into())?;
+        let response = self.client.send(request, true).await?;
+        let status = response.status().as_u16();
+        let after = response.headers().get("retry-after").and_then(|v| v.to_str().ok());
+        let retry_after = after.and_then(|v| v.parse().ok());
+        let bytes = body::read(response.into_body(), MAX_ANSWER).await;
+        let bytes = bytes.map_err(|e| EdgeError::Lost(e.to_string()))?;
+        let json = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+        Ok(Reply { status, retry_after, json })
+    }
+
+    /// Asks for a completion and streams it.
+    ///
+    /// # Errors
+    ///
+    /// [`EdgeError`] if no response comes.
+    pub async fn stream(
+        &self,
+        node: SocketAddr,
+        model: &Name,
+        prompt: &str,
+        wanted: u32,
+    ) -> Result<Answer, CallError> {
+        let ask = json!({ "model": model, "prompt": prompt, "max_tokens": wanted, "stream": true });
+        let request = self.request(node, "/v1/completions", &[], ask.to_string().into())?;
+        let start = Instant::now();
+        let response = self.client.send(request, true).await?;
+        let mut answer = Answer { status: response.status().as_u16(), ..Answer::default() };
+        if answer.status != 200 {
+            let bytes = body::read(response.into_body(), MAX_ANSWER).await.unwrap_or_default();
+            answer.error = serde_json::from_slice(&bytes).ok();
+            return Ok(answer);
+        }
+        let mut content = response.into_body();
+        let mut text = Vec::new();
+        let mut last = start;
+        while let Some(Ok(frame)) = content.frame().await {
+            text.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d));
+            while let Some(end) = text.windows(2).position(|w| w == b"\n\n") {
+                let event: Vec<u8> = text.drain(..end + 2).collect();
+                let event = String::from_utf8_lossy(&event).into_owned();
+                if answer.take(&event) {
+                    let gap = last.elapsed();
+                    last = Instant::now();
+                    match answer.pieces.len() {
+                        1 => answer.first = gap,
+                        _ => answer.gap = answer.gap.max(gap),
+                    }
+                }
+            }
+        }
+        Ok(answer)
+    }
+
+    fn request(
+        &self,
+        node: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        content: Bytes,
+    ) -> Result<Request<body::Body>, CallError> {
+        let mut builder = Request::post(format!("http://{node}{path}"))
+            .header("content-type", "application/json")
+            .header("x-heathpitch-account", self.account.as_str());
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        builder.body(body::full(content)).map_err(|e| EdgeError::Malformed(e.to_string()))
+    }
+}
+
+impl Answer {
+    /// Takes one server-sent event; true if it held a token.
+    fn take(&mut self, event: &str) -> bool {
+        let data = event.trim().strip_prefix("data: ").unwrap_or_default();
+        let value: Value = serde_json::from_str(data).unwrap_or(Value::Null);
+        match value["choices"][0]["text"].as_str() {
+            _ if data == "[DONE]" => {
+                self.whole = true;
+                false
+            }
+            _ if !value["error"].is_null() => {
+                self.error = Some(value);
+                false
+            }
+            Some(text) if !text.is_empty() => {
+                self.pieces.push(text.to_owned());
+                true
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/heathpitch/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator's command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/heathpitchd/src/control/claims.rs
@@ -0,0 +1,86 @@
+//! Claims on keys: the state machine's calls on the platform.
+
+use std::rc::Rc;
+
+use heathpitch_core::{Name, Revision};
+use heathpitch_net::{EdgeError, PutError};
+use heathpitch_policy::{ClaimAction, ClaimEvent, ClaimPage, Verdict};
+use rand::Rng;
+use tokio::sync::oneshot;
+
+use super::config::note;
+use super::state::Control;
+use crate::clock::wall;
+
+/// Takes a request's question.
+pub(super) fn ask(control: &Rc<Control>, digest: Name, body: u64, reply: oneshot::Sender<Verdict>) {
+    let id = control.next_ask.get();
+    control.next_ask.set(id + 1);
+    control.replies.borrow_mut().insert(id, reply);
+    let nonce = control.rng.borrow_mut().random();
+    on(control, ClaimEvent::Ask { id, digest, body, nonce });
+}
+
+/// Looks at timers.
+pub(super) fn tick(control: &Rc<Control>) {
+    if !control.replies.borrow().is_empty() {
+        on(control, ClaimEvent::Tick);
+    }
+}
+
+fn on(control: &Rc<Control>, event: ClaimEvent) {
+    let actions = control.claims.borrow_mut().on(event, control.now(), wall());
+    for action in actions {
+        match action {
+            ClaimAction::Read(page) => {
+                tokio::task::spawn_local(read(control.clone(), page));
+            }
+            ClaimAction::Write(page, expect, content) => {
+                tokio::task::spawn_local(write(control.clone(), page, expect, content));
+            }
+            ClaimAction::Answer(id, verdict) => {
+                if let Some(reply) = control.replies.borrow_mut().remove(&id) {
+                    // A request that has gone leaves its claim unused.
+                    let _ = reply.send(verdict);
+                }
+            }
+        }
+    }
+}
+
+fn key(page: u32) -> String {
+    format!("claims/{page}")
+}
+
+async fn read(control: Rc<Control>, page: u32) {
+    let answer = control.edges.platform.get(&key(page)).await;
+    note(&control, "claims_read", &answer);
+    let event = match answer {
+        Ok(Some(stored)) => match serde_json::from_str(&stored.value) {
+            Ok(content) => ClaimEvent::Read(page, stored.revision, Some(content)),
+            Err(e) => {
+                log::error!("claims page {page} cannot be read: {e}");
+                ClaimEvent::ReadFailed(page)
+            }
+        },
+        Ok(None) => ClaimEvent::Read(page, Revision(0), None),
+        Err(_) => ClaimEvent::ReadFailed(page),
+    };
+    on(&control, event);
+}
+
+async fn write(control: Rc<Control>, page: u32, expect: Revision, content: ClaimPage) {
+    let text = serde_json::to_string(&content).unwrap_or_default();
+    let answer = control.edges.platform.put(&key(page), expect, text).await;
+    let counted = match &answer {
+        Ok(_) | Err(PutError::Conflict(_)) => Ok(()),
+        Err(PutError::Refused(e) | PutError::Unsure(e)) => Err::<(), EdgeError>(e.clone()),
+    };
+    note(&control, "claims_write", &counted);
+    let event = match answer {
+        Ok(revision) => ClaimEvent::Written(page, revision),
+        Err(PutError::Conflict(_)) => ClaimEvent::Conflict(page),
+        Err(PutError::Refused(_) | PutError::Unsure(_)) => ClaimEvent::Unsure(page),
+    };
+    on(&control, event);
+}
--- /dev/null
+++ b/crates/heathpitchd/src/control/exchange.rs
@@ -0,0 +1,94 @@
+//! Exchanges with peers: members, reports, configuration and list of VMs.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use heathpitch_core::{Name, Revision};
+use heathpitch_net::{Packed, Update, exchange};
+use heathpitch_policy::HealthEvent;
+
+use super::config;
+use super::state::Control;
+
+/// Members passed on in an exchange.
+const MEMBERS: usize = 16;
+/// Reports passed on in an exchange.
+const REPORTS: usize = 24;
+/// Peers told at once of a new revision.
+const EAGER: usize = 2;
+/// Time for an exchange.
+const LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Exchanges with a random peer in every period, and with more at once when there is news.
+pub(super) async fn run(control: Rc<Control>) {
+    let period = Duration::from_millis(control.shared.settings.timing.peer_ms);
+    loop {
+        let news = tokio::time::timeout(period, control.news.notified()).await.is_ok();
+        let count = if news { EAGER } else { 1 };
+        for _ in 0..count {
+            let now = control.now();
+            let peer = control.members.borrow().pick(now, &mut *control.rng.borrow_mut());
+            if let Some(peer) = peer {
+                tokio::task::spawn_local(with(control.clone(), peer));
+            }
+        }
+    }
+}
+
+/// Answers a peer's update with this node's own.
+pub(super) fn answer(control: &Control, update: Update) -> Update {
+    let (config, vms) = (update.config.revision, update.vms.revision);
+    take(control, update);
+    own(control, config, vms)
+}
+
+async fn with(control: Rc<Control>, peer: Name) {
+    let Ok(address) = peer.as_str().parse::<SocketAddr>() else { return };
+    let number = Revision(u64::MAX);
+    let sent = own(&control, number, number);
+    let answer = exchange(address, &sent, LIMIT).await;
+    let result = if answer.is_ok() { "ok" } else { "error" };
+    control.shared.metrics.exchanges.with_label_values(&[result]).inc();
+    let Ok(answer) = answer else { return };
+    let (config, vms) = (answer.config.revision, answer.vms.revision);
+    take(&control, answer);
+    // The peer told an older number than this node has: a second exchange brings it the document.
+    let behind = config < sent.config.revision || vms < sent.vms.revision;
+    if behind {
+        let second = own(&control, config, vms);
+        if let Ok(answer) = exchange(address, &second, LIMIT).await {
+            take(&control, answer);
+        }
+    }
+}
+
+/// What this node tells a peer that has these numbers: documents only if the peer is behind.
+fn own(control: &Control, config: Revision, vms: Revision) -> Update {
+    let now = control.now();
+    let pack = |mine: &Packed, theirs: Revision| match mine.revision > theirs {
+        true => mine.clone(),
+        false => Packed { revision: mine.revision, bytes: [].into() },
+    };
+    let reports = control.health.borrow().newest(REPORTS);
+    Update {
+        members: control.members.borrow().freshest(MEMBERS, now),
+        reports: reports.iter().map(|r| (**r).clone()).collect(),
+        config: pack(&control.config.borrow(), config),
+        vms: pack(&control.vms.borrow(), vms),
+        demand: Vec::new(),
+        epoch: 0,
+    }
+}
+
+fn take(control: &Control, update: Update) {
+    let now = control.now();
+    control.members.borrow_mut().merge(update.members, now);
+    config::from_peer(control, &update.config, &update.vms);
+    for report in update.reports {
+        let changed = control.health.borrow_mut().on(HealthEvent::Reported(report), now);
+        if changed {
+            control.fleet_dirty.set(true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/heathpitchd/src/control/health.rs
@@ -0,0 +1,58 @@
+//! Health of upstreams: shared polls, and failures told by requests.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use heathpitch_core::{Name, Vm};
+use heathpitch_policy::HealthEvent;
+
+use super::state::Control;
+
+/// Polls of other failure domains are this many times rarer.
+const FAR: u64 = 2;
+/// Polls started in one tick.
+const MAX_POLLS: usize = 64;
+
+/// Starts the polls that are due.
+pub(super) fn poll_due(control: &Rc<Control>) {
+    let now = control.now();
+    let targets: Vec<Arc<Vm>> = control.health.borrow().targets().cloned().collect();
+    let period = control.shared.settings.timing.engine_ms;
+    let mut due = control.due.borrow_mut();
+    due.retain(|name, _| targets.iter().any(|t| t.name == *name));
+    let mut started = 0;
+    for vm in targets {
+        let at = due.entry(vm.name.clone()).or_insert(now);
+        if *at > now || started == MAX_POLLS {
+            continue;
+        }
+        let near = vm.domain == control.shared.settings.domain;
+        let period = if near { period } else { period * FAR };
+        *at = now + control.wait(period);
+        started += 1;
+        tokio::task::spawn_local(poll(control.clone(), vm));
+    }
+}
+
+async fn poll(control: Rc<Control>, vm: Arc<Vm>) {
+    let answer = control.edges.engine.report(&vm.address).await;
+    let result = if answer.is_ok() { "ok" } else { "error" };
+    control.shared.metrics.polls.with_label_values(&[result]).inc();
+    let event = match answer {
+        Ok(report) if report.engine == vm.name => HealthEvent::Reported(report),
+        Ok(_) | Err(_) => HealthEvent::PollFailed(vm.name.clone()),
+    };
+    let now = control.now();
+    if control.health.borrow_mut().on(event, now) {
+        control.fleet_dirty.set(true);
+    }
+}
+
+/// Takes note of a failure that a request saw, and polls the upstream at once.
+pub(super) fn failed(control: &Rc<Control>, name: Name) {
+    let now = control.now();
+    control.health.borrow_mut().on(HealthEvent::RequestFailed(name.clone()), now);
+    if let Some(at) = control.due.borrow_mut().get_mut(&name) {
+        *at = now;
+    }
+}
--- /dev/null
+++ b/crates/heathpitchd/src/control/mod.rs
@@ -0,0 +1,108 @@
+//! The control thread: a set of controllers on one current-thread runtime.
+//!
+//! Each controller owns its state, takes events and publishes a snapshot. They share nothing with
+//! traffic threads but the snapshots in [`Shared`](crate::shared::Shared).
+
+mod claims;
+mod config;
+mod exchange;
+mod health;
+mod members;
+mod state;
+
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use heathpitch_net::{EngineEdge, PeerServer, PlatformEdge};
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::shared::{Shared, ToControl};
+use state::Control;
+
+/// Period in which timers of the controllers are looked at and snapshots published.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Addresses this node is reached at.
+#[derive(Clone, Debug)]
+pub(crate) struct Addresses {
+    pub(crate) caller: heathpitch_core::Name,
+    pub(crate) admin: heathpitch_core::Name,
+    pub(crate) peer: heathpitch_core::Name,
+}
+
+/// Edges that the controllers use.
+#[derive(Clone)]
+pub(crate) struct Edges {
+    pub(crate) engine: Arc<dyn EngineEdge>,
+    pub(crate) platform: Arc<dyn PlatformEdge>,
+}
+
+/// Starts the control thread; it ends when `stop` turns true.
+///
+/// # Errors
+///
+/// What the system says if the thread cannot be started.
+pub(crate) fn spawn(
+    shared: Arc<Shared>,
+    edges: Edges,
+    addresses: Addresses,
+    peers: std::net::TcpListener,
+    inbox: mpsc::Receiver<ToControl>,
+    mut stop: watch::Receiver<bool>,
+) -> io::Result<thread::JoinHandle<()>> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    thread::Builder::new().name("control".to_owned()).spawn(move || {
+        let local = LocalSet::new();
+        local.block_on(&runtime, async move {
+            let control = Rc::new(Control::new(shared, edges, addresses));
+            start(&control, peers, inbox);
+            let _ = stop.wait_for(|s| *s).await;
+        });
+    })
+}
+
+fn start(control: &Rc<Control>, peers: std::net::TcpListener, inbox: mpsc::Receiver<ToControl>) {
+    let c = control.clone();
+    let server = PeerServer::new(Rc::new(move |update| exchange::answer(&c, update)));
+    match TcpListener::from_std(peers) {
+        Ok(socket) => {
+            spawn_local(server.serve(socket));
+        }
+        Err(e) => log::error!("peers cannot be served: {e}"),
+    }
+    spawn_local(config::poll_config(control.clone()));
+    spawn_local(config::poll_list(control.clone()));
+    spawn_local(exchange::run(control.clone()));
+    spawn_local(receive(control.clone(), inbox));
+    spawn_local(tick(control.clone()));
+}
+
+/// Takes messages of traffic threads.
+async fn receive(control: Rc<Control>, mut inbox: mpsc::Receiver<ToControl>) {
+    while let Some(message) = inbox.recv().await {
+        match message {
+            ToControl::Claim { digest, body, reply } => {
+                claims::ask(&control, digest, body, reply);
+            }
+            ToControl::Failed(name) => health::failed(&control, name),
+        }
+    }
+}
+
+/// Looks at timers and publishes.
+async fn tick(control: Rc<Control>) {
+    let mut ticks = tokio::time::interval(TICK);
+    loop {
+        ticks.tick().await;
+        claims::tick(&control);
+        health::poll_due(&control);
+        members::beat(&control);
+        control.publish();
+    }
+}
--- /dev/null
+++ b/crates/heathpitchd/src/lib.rs
@@ -0,0 +1,23 @@
+//! The heathpitch node.
+//!
+//! One control thread owns configuration, membership, health and claims and publishes immutable
+//! snapshots; traffic threads read them and run each request through a chain of filters.
+
+mod admin;
+mod clock;
+mod control;
+mod event;
+mod filters;
+mod logs;
+mod metrics;
+mod node;
+mod shared;
+mod snapshot;
+mod start_error;
+mod traffic;
+
+pub use event::Event;
+pub use logs::{LogError, init as init_logs};
+pub use metrics::METRICS;
+pub use node::Node;
+pub use start_error::StartError;
--- /dev/null
+++ b/crates/heathpitchd/src/snapshot.rs
@@ -0,0 +1,74 @@
+//! What the control thread publishes about nodes.
+
+use heathpitch_core::{Name, Revision};
+use heathpitch_policy::{Member, MemberState, Standing};
+use serde::Serialize;
+
+/// Nodes and upstreams as the control thread sees them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct View {
+    /// Other nodes that are alive.
+    pub(crate) members: Vec<Member>,
+    /// Nodes of the fleet that can be reached, itself among them; at least 1.
+    pub(crate) nodes: u32,
+    /// Standing of each listed upstream.
+    pub(crate) upstreams: Vec<(Name, Standing)>,
+    /// Number of the list of VMs.
+    pub(crate) list: Revision,
+}
+
+/// Answer to `GET /status`.
+#[derive(Debug, Serialize)]
+pub(crate) struct Status {
+    pub(crate) node: Name,
+    pub(crate) domain: Name,
+    pub(crate) life: u64,
+    pub(crate) ready: bool,
+    pub(crate) draining: bool,
+    pub(crate) config: Revision,
+    pub(crate) list: Revision,
+    pub(crate) open: usize,
+    pub(crate) members: Vec<MemberStatus>,
+    pub(crate) upstreams: Vec<UpstreamStatus>,
+}
+
+/// One node in a [`Status`].
+#[derive(Debug, Serialize)]
+pub(crate) struct MemberStatus {
+    pub(crate) node: Name,
+    pub(crate) domain: Name,
+    pub(crate) admin: Name,
+    pub(crate) config: Revision,
+    pub(crate) leaving: bool,
+}
+
+/// One engine or service in a [`Status`].
+#[derive(Debug, Serialize)]
+pub(crate) struct UpstreamStatus {
+    pub(crate) name: Name,
+    pub(crate) standing: &'static str,
+}
+
+impl From<&Member> for MemberStatus {
+    fn from(m: &Member) -> Self {
+        Self {
+            node: m.node.clone(),
+            domain: m.domain.clone(),
+            admin: m.admin.clone(),
+            config: m.config,
+            leaving: m.state == MemberState::Leaving,
+        }
+    }
+}
+
+impl From<&(Name, Standing)> for UpstreamStatus {
+    fn from((name, standing): &(Name, Standing)) -> Self {
+        let standing = match standing {
+            Standing::Up => "up",
+            Standing::New => "new",
+            Standing::Down => "down",
+            Standing::Leaving => "leaving",
+        };
+        Self { name: name.clone(), standing }
+    }
+}
--- /dev/null
+++ b/crates/heathpitchd/src/traffic.rs
@@ -0,0 +1,80 @@
+//! Traffic threads: the caller listener and the chains behind it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use heathpitch_core::Name;
+use heathpitch_net::{Body, Client, EngineEdge, json};
+use heathpitch_policy::{Gate, Ledger, Meter, RetryBudget, Ticket};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+
+use crate::filters::{self, AskKind, Context, Refusal, RefusalKind};
+use crate::shared::Shared;
+
+/// Limits of accounts and of this node.
+#[derive(Debug, Default)]
+pub(crate) struct Limits {
+    pub(crate) meter: Meter,
+    pub(crate) gates: HashMap<Name, Gate>,
+    pub(crate) budget: RetryBudget,
+}
+
+/// What traffic threads share among themselves.
+pub(crate) struct Traffic {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) engine: Arc<dyn EngineEdge>,
+    pub(crate) client: Client,
+    pub(crate) limits: Mutex<Limits>,
+    pub(crate) ledger: Mutex<Ledger>,
+}
+
+impl Traffic {
+    /// Traffic that has seen no request.
+    pub(crate) fn new(shared: Arc<Shared>, engine: Arc<dyn EngineEdge>, client: Client) -> Self {
+        let (limits, ledger) = (Mutex::default(), Mutex::default());
+        Self { shared, engine, client, limits, ledger }
+    }
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn handle(traffic: Arc<Traffic>, request: Request<Incoming>) -> Response<Body> {
+    let method = request.method().clone();
+    match (method, request.uri().path()) {
+        (Method::POST, "/v1/completions") => {
+            filters::generate(&traffic, AskKind::Completion, request).await
+        }
+        (Method::POST, "/v1/chat/completions") => {
+            filters::generate(&traffic, AskKind::Chat, request).await
+        }
+        (Method::GET, "/v1/models") => Response::new(json(&models(&traffic))),
+        (Method::POST, "/v1/tickets") => Response::new(json(&mint(&traffic))),
+        (_, path) if path.starts_with("/services/") => filters::service(&traffic, request).await,
+        (method, path) => {
+            let message = format!("{method} {path} is not part of this API");
+            let cx = Context::new(traffic);
+            Refusal::not_run(RefusalKind::UnknownPath, message).respond(&cx)
+        }
+    }
+}
+
+fn models(traffic: &Traffic) -> Value {
+    let index = traffic.shared.index.load();
+    let mut names: Vec<&Name> = index.models.keys().collect();
+    names.sort();
+    let model = |name: &&Name| json!({ "id": name, "object": "model", "created": 0, "owned_by": "heathpitch" });
+    json!({ "object": "list", "data": names.iter().map(model).collect::<Vec<_>>() })
+}
+
+/// Mints a ticket: a key that only this life of this node may use.
+fn mint(traffic: &Traffic) -> Value {
+    let id = traffic.shared.mint();
+    let node = traffic.shared.settings.node.clone();
+    let ticket = Ticket { node, life: id.node, serial: id.serial }.to_string();
+    if let Ok(key) = ticket.parse() {
+        traffic.ledger.lock().mint(key);
+    }
+    json!({ "ticket": ticket })
+}
--- /dev/null
+++ b/crates/net/src/client.rs
@@ -0,0 +1,142 @@
+//! One HTTP client for every upstream of a process.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Method, Request};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::{Body, EdgeError, body};
+
+/// Time to make a connection.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Idle connections kept for each upstream.
+const IDLE: usize = 64;
+/// Time an idle connection is kept.
+const IDLE_TIME: Duration = Duration::from_secs(20);
+/// Largest JSON answer read, bytes.
+const MAX_JSON: usize = 4 << 20;
+
+/// Response of an upstream, its body not read yet.
+pub type Response = hyper::Response<Incoming>;
+
+/// Speaks HTTP/1.1; cheap to clone.
+///
+/// A connection whose answer was not read to its end is closed, never reused, and no request is
+/// ever sent a second time by the client itself.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pooled: legacy::Client<HttpConnector, Body>,
+    single: legacy::Client<HttpConnector, Body>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// # Construction
+impl Client {
+    /// A client with no connections yet.
+    pub fn new() -> Self {
+        Self { pooled: build(IDLE), single: build(0) }
+    }
+}
+
+fn build(idle: usize) -> legacy::Client<HttpConnector, Body> {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(CONNECT));
+    connector.set_nodelay(true);
+    legacy::Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(idle)
+        .pool_idle_timeout(IDLE_TIME)
+        .pool_timer(TokioTimer::new())
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
+/// # Calls
+impl Client {
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// With `fresh`, a connection of its own is made, so that [`EdgeError::Connect`] proves that
+    /// nothing left this process.
+    ///
+    /// # Errors
+    ///
+    /// [`EdgeError::Connect`] or [`EdgeError::Lost`].
+    pub async fn send(&self, request: Request<Body>, fresh: bool) -> Result<Response, EdgeError> {
+        let client = if fresh { &self.single } else { &self.pooled };
+        client.request(request).await.map_err(|e| match e.is_connect() {
+            true => EdgeError::Connect(e.to_string()),
+            false => EdgeError::Lost(e.to_string()),
+        })
+    }
+
+    /// Sends JSON, or nothing, and reads JSON within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Any [`EdgeError`]; [`EdgeError::Status`] for a status other than 200.
+    pub async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        method: Method,
+        uri: &str,
+        content: Option<&Q>,
+        limit: Duration,
+    ) -> Result<A, EdgeError> {
+        let (status, bytes) = self.exchange(method, uri, content, limit).await?;
+        match status {
+            200 => parse(&bytes),
+            other => Err(EdgeError::Status(other)),
+        }
+    }
+
+    /// Sends JSON, or nothing, and reads status and body within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Any [`EdgeError`] but [`EdgeError::Status`].
+    pub async fn exchange<Q: Serialize>(
+        &self,
+        method: Method,
+        uri: &str,
+        content: Option<&Q>,
+        limit: Duration,
+    ) -> Result<(u16, Bytes), EdgeError> {
+        let request = request(method, uri, content.map_or_else(body::empty, body::json))?;
+        let work = async {
+            let response = self.send(request, false).await?;
+            let status = response.status().as_u16();
+            let bytes = body::read(response.into_body(), MAX_JSON).await;
+            match bytes {
+                Ok(bytes) => Ok((status, bytes)),
+                Err(body::BodyError::TooLarge) => Err(EdgeError::TooLarge(MAX_JSON)),
+                Err(e) => Err(EdgeError::Lost(e.to_string())),
+            }
+        };
+        let late = |_| EdgeError::Lost("no answer in time".to_owned());
+        tokio::time::timeout(limit, work).await.map_err(late)?
+    }
+}
+
+/// A request with a JSON body.
+pub(crate) fn request(method: Method, uri: &str, body: Body) -> Result<Request<Body>, EdgeError> {
+    Request::builder()
+        .method(method)
+        .uri(uri)
+        .header(hyper::header::CONTENT_TYPE, "application/json")
+        .body(body)
+        .map_err(|e| EdgeError::Malformed(e.to_string()))
+}
+
+/// JSON of an answer.
+pub(crate) fn parse<A: DeserializeOwned>(bytes: &[u8]) -> Result<A, EdgeError> {
+    serde_json::from_slice(bytes).map_err(|e| EdgeError::Malformed(e.to_string()))
+}
--- /dev/null
+++ b/crates/net/src/peer.rs
@@ -0,0 +1,120 @@
+//! Peers over capnp-rpc. Both sides run on the control thread.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use capnp_rpc::{RpcSystem, new_client};
+use futures::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::peer_capnp::peer;
+use crate::{EdgeError, Update, peer_codec};
+
+/// Connections from peers at once.
+const MAX_CONNECTIONS: usize = 64;
+/// Longest time a peer may hold a connection.
+const HOLD: Duration = Duration::from_secs(30);
+/// Time to wait after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Largest message, eight-byte words.
+const MAX_WORDS: usize = 1 << 20;
+
+/// Answers peers.
+///
+/// Holds the function that takes a peer's update and gives this node's own.
+#[derive(Clone)]
+pub struct PeerServer {
+    answer: Rc<dyn Fn(Update) -> Update>,
+}
+
+impl PeerServer {
+    /// A server that answers with `answer`.
+    pub fn new(answer: Rc<dyn Fn(Update) -> Update>) -> Self {
+        Self { answer }
+    }
+
+    /// Serves peers on `socket` until the task is dropped; must run in a `LocalSet`.
+    pub async fn serve(self, socket: TcpListener) {
+        let room = Rc::new(Semaphore::new(MAX_CONNECTIONS));
+        let client: peer::Client = new_client(self);
+        loop {
+            let Ok(permit) = room.clone().acquire().await.map(|p| p.forget()) else { return };
+            let Ok((stream, _)) = socket.accept().await else {
+                room.add_permits(1);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let () = permit;
+            let room = room.clone();
+            let client = client.clone();
+            tokio::task::spawn_local(async move {
+                let served = RpcSystem::new(network(stream, Side::Server), Some(client.client));
+                // A peer that breaks off has said all it will; the next exchange starts anew.
+                let _ = tokio::time::timeout(HOLD, served).await;
+                room.add_permits(1);
+            });
+        }
+    }
+}
+
+impl peer::Server for PeerServer {
+    async fn exchange(
+        self: Rc<Self>,
+        params: peer::ExchangeParams,
+        mut results: peer::ExchangeResults,
+    ) -> Result<(), capnp::Error> {
+        let update = peer_codec::read(params.get()?.get_update()?)?;
+        let answer = (self.answer)(update);
+        peer_codec::write(&answer, results.get().init_update());
+        Ok(())
+    }
+}
+
+/// Exchanges updates with a peer; must run in a `LocalSet`.
+///
+/// # Errors
+///
+/// [`EdgeError::Connect`] or [`EdgeError::Lost`].
+pub async fn exchange(
+    address: SocketAddr,
+    update: &Update,
+    limit: Duration,
+) -> Result<Update, EdgeError> {
+    let work = async {
+        let connect = TcpStream::connect(address).await;
+        let stream = connect.map_err(|e| EdgeError::Connect(e.to_string()))?;
+        call(stream, update).await.map_err(|e| EdgeError::Lost(e.to_string()))
+    };
+    let late = |_| EdgeError::Lost("no answer in time".to_owned());
+    tokio::time::timeout(limit, work).await.map_err(late)?
+}
+
+async fn call(stream: TcpStream, update: &Update) -> Result<Update, capnp::Error> {
+    let mut system = RpcSystem::new(network(stream, Side::Client), None);
+    let client: peer::Client = system.bootstrap(Side::Server);
+    let disconnector = system.get_disconnector();
+    let running = tokio::task::spawn_local(system);
+    let mut request = client.exchange_request();
+    peer_codec::write(update, request.get().init_update());
+    let answer = request.send().promise.await;
+    let answer = answer.and_then(|a| peer_codec::read(a.get()?.get_update()?));
+    let _ = disconnector.await;
+    running.abort();
+    answer
+}
+
+type Network = VatNetwork<futures::io::ReadHalf<tokio_util::compat::Compat<TcpStream>>>;
+
+fn network(stream: TcpStream, side: Side) -> Box<Network> {
+    // Without it an exchange may wait for a delayed acknowledgement; it still works.
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.compat().split();
+    let mut options = capnp::message::ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_WORDS));
+    Box::new(VatNetwork::new(reader, writer, side, options))
+}
--- /dev/null
+++ b/crates/policy/src/duty.rs
@@ -0,0 +1,44 @@
+//! Sharing of polls among the nodes of a failure domain.
+//!
+//! Each node waits in proportion to the number of nodes alive beside it, so that together they
+//! poll a target at a fixed rate whatever their number. Nothing is elected: a node that sees no
+//! peers polls as often as all of them would.
+
+use heathpitch_core::Millis;
+use rand::Rng;
+
+/// Polls of all nodes together per period.
+const POLLS: u64 = 2;
+/// Longest wait, in periods.
+const MAX_PERIODS: u64 = 120;
+
+/// How often one node polls a target that all nodes of its failure domain share.
+///
+/// # Examples
+///
+/// ```
+/// use heathpitch_policy::Duty;
+/// use rand::{SeedableRng, rngs::SmallRng};
+///
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// let wait = Duty::new(1_000).wait(70, &mut rng);
+/// assert!((17_500..=52_500).contains(&wait));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Duty {
+    period: Millis,
+}
+
+impl Duty {
+    /// A duty of two polls per `period` over all nodes.
+    pub fn new(period: Millis) -> Self {
+        Self { period }
+    }
+
+    /// Time until this node's next poll, with `nodes` alive, itself among them.
+    pub fn wait(self, nodes: usize, rng: &mut impl Rng) -> Millis {
+        let mean = self.period * (nodes.max(1) as u64) / POLLS;
+        let mean = mean.clamp(1, self.period * MAX_PERIODS);
+        rng.random_range(mean / 2..=mean + mean / 2)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/engine.rs
@@ -0,0 +1,60 @@
+//! What engines say of themselves.
+
+use heathpitch_core::{Epoch, Incarnation, LayerRange, Millis, Name};
+use serde::{Deserialize, Serialize};
+
+/// Which phase of a request an engine takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum EngineRole {
+    /// Prefill and decode.
+    #[default]
+    Both,
+    /// Prefill only; its KV cache is handed on.
+    Prefill,
+    /// Decode only.
+    Decode,
+}
+
+/// An engine's report of what it holds and how loaded it is; it lags.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EngineReport {
+    /// Name of the engine.
+    pub engine: Name,
+    /// Its life; grows with each start.
+    pub life: Incarnation,
+    /// Number of the report within that life.
+    pub serial: u64,
+    /// Model held, if any.
+    pub model: Option<Name>,
+    /// Version of the weights.
+    pub version: Name,
+    /// Layers held.
+    pub layers: LayerRange,
+    /// Epoch of the order that loaded them.
+    pub epoch: Epoch,
+    /// Phase it takes.
+    #[serde(default)]
+    pub role: EngineRole,
+    /// Whether it will stop.
+    pub leaving: bool,
+    /// Requests it batches at once.
+    pub slots: u32,
+    /// Requests in the batch.
+    pub running: u32,
+    /// Requests waiting.
+    pub queued: u32,
+    /// Prompt tokens it prefills per second.
+    pub prefill: f64,
+    /// Time of one decode step, microseconds.
+    pub step: u64,
+    /// Mean time of a finished request, milliseconds.
+    pub service: Millis,
+}
+
+impl EngineReport {
+    /// Whether this report is newer than `other` of the same engine.
+    pub fn newer(&self, other: &EngineReport) -> bool {
+        (self.life, self.serial) > (other.life, other.serial)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/fleet.rs
@@ -0,0 +1,67 @@
+//! The upstreams as the request path sees them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use heathpitch_core::{Labels, Millis, Name, Vm};
+
+use crate::{EngineReport, Gauge};
+
+/// A model engine that may take new work.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// Its VM.
+    pub vm: Arc<Vm>,
+    /// Newest report.
+    pub report: Arc<EngineReport>,
+    /// When the report was received.
+    pub seen: Millis,
+    /// Own open requests at that time.
+    pub then: u32,
+    /// Own counts now.
+    pub gauge: Arc<Gauge>,
+}
+
+/// A plain service that may take new work.
+#[derive(Clone, Debug)]
+pub struct ServiceView {
+    /// Its VM.
+    pub vm: Arc<Vm>,
+    /// Own counts now.
+    pub gauge: Arc<Gauge>,
+    /// Load it reported: requests running and waiting.
+    pub load: u32,
+}
+
+/// One immutable view of the upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// Engines by the model they hold.
+    pub engines: HashMap<Name, Vec<Upstream>>,
+    /// Plain services.
+    pub services: Vec<ServiceView>,
+}
+
+impl Fleet {
+    /// Engines that hold a layer of `model`.
+    pub fn holding(&self, model: &Name) -> &[Upstream] {
+        self.engines.get(model).map_or(&[], Vec::as_slice)
+    }
+
+    /// Number of engines that may take new work.
+    pub fn len(&self) -> usize {
+        self.engines.values().map(Vec::len).sum()
+    }
+
+    /// Whether no engine may take new work.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl Upstream {
+    /// Labels of the VM, which pools look at.
+    pub fn labels(&self) -> &Labels {
+        &self.vm.labels
+    }
+}
--- /dev/null
+++ b/crates/policy/src/health.rs
@@ -0,0 +1,220 @@
+//! Which upstreams may take new work.
+//!
+//! The platform's list, the engine's own reports and failures seen here disagree and lag. Any one
+//! of them is enough to keep new work away; coming back needs a newer word from the same source.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use heathpitch_core::{Millis, Name, Revision, Violation, Vm, VmRole, VmState, check};
+
+use crate::{EngineReport, Fleet, Gauge, ServiceView, Upstream};
+
+/// Failed polls in a row after which an upstream is down.
+const MAX_FAILS: u32 = 2;
+/// Time without any report after which an upstream is down, milliseconds.
+const SILENCE: Millis = 10_000;
+/// Time for which a failure seen by a request keeps new work away, milliseconds.
+const DOUBT: Millis = 3_000;
+
+/// Something heard about an upstream.
+#[derive(Clone, Debug)]
+pub enum HealthEvent {
+    /// The platform's list of VMs, with its number.
+    Listed(Revision, Vec<Vm>),
+    /// A report, from the engine itself or passed on by a peer.
+    Reported(EngineReport),
+    /// A poll that failed.
+    PollFailed(Name),
+    /// A request that failed there.
+    RequestFailed(Name),
+}
+
+/// Whether an upstream may take new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It may.
+    Up,
+    /// It has not been heard yet.
+    New,
+    /// It is silent or fails.
+    Down,
+    /// It will stop.
+    Leaving,
+}
+
+#[derive(Debug)]
+struct Entry {
+    vm: Arc<Vm>,
+    report: Option<Arc<EngineReport>>,
+    seen: Millis,
+    then: u32,
+    fails: u32,
+    gauge: Arc<Gauge>,
+}
+
+/// The standing of every listed upstream.
+///
+/// # Examples
+///
+/// ```
+/// use heathpitch_policy::Health;
+///
+/// let health = Health::new();
+/// assert!(health.fleet(0).is_empty());
+/// ```
+#[derive(Debug, Default)]
+pub struct Health {
+    list: Revision,
+    entries: HashMap<Name, Entry>,
+    early: HashMap<Name, EngineReport>,
+}
+
+/// # Construction and reading
+impl Health {
+    /// Health of nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Number of the newest list.
+    pub fn list(&self) -> Revision {
+        self.list
+    }
+
+    /// Standing of an upstream, if it is listed.
+    pub fn standing(&self, name: &str, now: Millis) -> Option<Standing> {
+        self.entries.get(name).map(|e| e.standing(now))
+    }
+
+    /// Upstreams to poll.
+    pub fn targets(&self) -> impl Iterator<Item = &Arc<Vm>> {
+        self.entries.values().map(|e| &e.vm)
+    }
+
+    /// Reports newest first by time of arrival, to pass on to peers.
+    pub fn newest(&self, most: usize) -> Vec<Arc<EngineReport>> {
+        let mut known: Vec<_> =
+            self.entries.values().filter_map(|e| Some((e.seen, e.report.clone()?))).collect();
+        known.sort_unstable_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.engine.cmp(&b.1.engine)));
+        known.into_iter().take(most).map(|(_, r)| r).collect()
+    }
+
+    /// The upstreams that may take new work at `now`.
+    pub fn fleet(&self, now: Millis) -> Fleet {
+        let mut fleet = Fleet::default();
+        for e in self.entries.values().filter(|e| e.standing(now) == Standing::Up) {
+            check(Violation::LeavingEngine, e.vm.state == VmState::Live);
+            let Some(report) = &e.report else { continue };
+            match &report.model {
+                Some(model) => {
+                    fleet.engines.entry(model.clone()).or_default().push(e.upstream(report));
+                }
+                None if e.vm.role == VmRole::Service => fleet.services.push(e.service(report)),
+                None => {}
+            }
+        }
+        fleet.engines.values_mut().for_each(|l| l.sort_by(|a, b| a.vm.name.cmp(&b.vm.name)));
+        fleet.services.sort_by(|a, b| a.vm.name.cmp(&b.vm.name));
+        fleet
+    }
+}
+
+/// # Events
+impl Health {
+    /// Takes an event; true if the fleet may have changed.
+    pub fn on(&mut self, event: HealthEvent, now: Millis) -> bool {
+        match event {
+            HealthEvent::Listed(number, _) if number <= self.list => false,
+            HealthEvent::Listed(number, vms) => {
+                self.list = number;
+                self.listed(vms, now);
+                true
+            }
+            HealthEvent::Reported(report) => self.reported(report, now),
+            HealthEvent::PollFailed(name) => match self.entries.get_mut(&name) {
+                Some(e) => {
+                    e.fails = e.fails.saturating_add(1);
+                    e.fails == MAX_FAILS
+                }
+                None => false,
+            },
+            HealthEvent::RequestFailed(name) => match self.entries.get(&name) {
+                Some(e) => {
+                    e.gauge.doubt(now + DOUBT);
+                    false
+                }
+                None => false,
+            },
+        }
+    }
+
+    fn listed(&mut self, vms: Vec<Vm>, now: Millis) {
+        let upstream = vms.into_iter().filter(|v| v.role != VmRole::Entry);
+        let mut fresh = HashMap::new();
+        for vm in upstream {
+            let name = vm.name.clone();
+            let entry = match self.entries.remove(&name) {
+                Some(e) if e.vm.address == vm.address => Entry { vm: Arc::new(vm), ..e },
+                Some(_) | None => Entry::new(vm, now),
+            };
+            fresh.insert(name, entry);
+        }
+        self.entries = fresh;
+        for (_, report) in std::mem::take(&mut self.early) {
+            self.reported(report, now);
+        }
+    }
+
+    fn reported(&mut self, report: EngineReport, now: Millis) -> bool {
+        let Some(e) = self.entries.get_mut(&report.engine) else {
+            if self.entries.is_empty() && self.early.len() < 1_024 {
+                self.early.insert(report.engine.clone(), report);
+            }
+            return false;
+        };
+        match &e.report {
+            Some(old) if !report.newer(old) => false,
+            _ => {
+                e.report = Some(Arc::new(report));
+                e.seen = now;
+                e.then = e.gauge.count();
+                e.fails = 0;
+                true
+            }
+        }
+    }
+}
+
+impl Entry {
+    fn new(vm: Vm, now: Millis) -> Self {
+        let gauge = Arc::new(Gauge::default());
+        Self { vm: Arc::new(vm), report: None, seen: now, then: 0, fails: 0, gauge }
+    }
+
+    fn standing(&self, now: Millis) -> Standing {
+        match &self.report {
+            _ if self.vm.state == VmState::Leaving => Standing::Leaving,
+            Some(r) if r.leaving => Standing::Leaving,
+            None => Standing::New,
+            _ if self.fails >= MAX_FAILS => Standing::Down,
+            _ if now.saturating_sub(self.seen) > SILENCE => Standing::Down,
+            Some(_) => Standing::Up,
+        }
+    }
+
+    fn upstream(&self, report: &Arc<EngineReport>) -> Upstream {
+        Upstream {
+            vm: self.vm.clone(),
+            report: report.clone(),
+            seen: self.seen,
+            then: self.then,
+            gauge: self.gauge.clone(),
+        }
+    }
+
+    fn service(&self, report: &EngineReport) -> ServiceView {
+        let load = report.running + report.queued;
+        ServiceView { vm: self.vm.clone(), gauge: self.gauge.clone(), load }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,45 @@
+//! Decisions of heathpitch as state machines.
+//!
+//! Each module takes typed events and a time and gives typed actions back. None of them reads a
+//! clock, opens a socket, starts a task or draws from an unseeded generator, so a test, a
+//! simulator or another daemon can drive them.
+
+mod bucket;
+mod budget;
+mod claims;
+mod claims_page;
+mod duty;
+mod engine;
+mod fleet;
+mod gate;
+mod gauge;
+mod health;
+mod ledger;
+mod members;
+mod meter;
+mod pace;
+mod predict;
+mod relay;
+mod replica;
+mod router;
+mod ticket;
+
+pub use bucket::Bucket;
+pub use budget::{RetryBudget, come_back};
+pub use claims::{ClaimAction, ClaimEvent, Claims, Verdict};
+pub use claims_page::{ClaimEntry, ClaimPage};
+pub use duty::Duty;
+pub use engine::{EngineReport, EngineRole};
+pub use fleet::{Fleet, ServiceView, Upstream};
+pub use gate::{Gate, Shed};
+pub use gauge::Gauge;
+pub use health::{Health, HealthEvent, Standing};
+pub use ledger::{Ledger, Record, Start};
+pub use members::{Member, MemberState, Members};
+pub use meter::{Meter, Over};
+pub use pace::Pace;
+pub use predict::{Need, predict};
+pub use relay::{Broken, EndReason, Relay, RelayAction, RelayEvent, RelayPlan, Repeat};
+pub use replica::{Adoption, Replica};
+pub use router::{Ask, NoPath, Strategy, choose};
+pub use ticket::{Ticket, TicketError};
--- /dev/null
+++ b/crates/policy/src/router.rs
@@ -0,0 +1,172 @@
+//! Choice of a path through a model's engines.
+//!
+//! Engines that hold the same layers are candidates for the same stage. A strategy picks one
+//! candidate per range; a shortest-path search over layer boundaries then joins the ranges.
+
+use std::collections::BTreeMap;
+
+use heathpitch_core::{LayerRange, Millis, Model, Name, Path, Stage};
+use rand::Rng;
+
+use crate::{Need, Upstream, predict};
+
+/// Cost of one more stage on a path, milliseconds.
+const HOP: f64 = 0.5;
+
+/// How a stage is picked among engines that hold the same layers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Strategy {
+    /// The better predicted of two picked at random.
+    #[default]
+    TwoChoices,
+    /// The best predicted of all.
+    Best,
+    /// The least reported load; a baseline.
+    LeastReported,
+    /// Any; a baseline.
+    Random,
+}
+
+/// A request as the choice sees it.
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    /// Model to run.
+    pub model: &'a Model,
+    /// Failure domain of the node.
+    pub domain: &'a Name,
+    /// Prompt tokens, those of a resumed answer included.
+    pub tokens: u32,
+    /// Engines that failed this request already.
+    pub avoid: &'a [Name],
+    /// Time of the choice.
+    pub now: Millis,
+    /// How stages are picked.
+    pub strategy: Strategy,
+}
+
+/// Why there is no path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NoPath {
+    /// No engine admitted by the route holds a layer of the model.
+    #[error("no engine of the route's pools holds the model")]
+    NoEngine,
+    /// The engines left do not hold every layer between them.
+    #[error("the engines left do not hold every layer")]
+    Incomplete,
+}
+
+type Pick<'a> = (&'a Upstream, f64);
+
+/// Chooses the path with the least predicted time to first token.
+///
+/// `admits` says whether the route's pools hold an engine.
+///
+/// # Errors
+///
+/// [`NoPath`] if the engines that may be used do not hold every layer.
+pub fn choose<'a>(
+    engines: &'a [Upstream],
+    admits: impl Fn(&Upstream) -> bool,
+    ask: &Ask<'_>,
+    rng: &mut impl Rng,
+) -> Result<(Path, f64), NoPath> {
+    let usable = |u: &&Upstream| {
+        u.report.version == ask.model.version
+            && !ask.avoid.contains(&u.vm.name)
+            && !u.gauge.doubted(ask.now)
+            && admits(u)
+    };
+    let mut groups: BTreeMap<LayerRange, Vec<&'a Upstream>> = BTreeMap::new();
+    for u in engines.iter().filter(usable) {
+        groups.entry(u.report.layers).or_default().push(u);
+    }
+    if groups.is_empty() {
+        return Err(NoPath::NoEngine);
+    }
+    let need = Need { tokens: ask.tokens, domain: ask.domain, now: ask.now };
+    let picks: Vec<(LayerRange, Pick<'a>)> =
+        groups.iter().map(|(l, g)| (*l, pick(g, &need, ask.strategy, rng))).collect();
+    join(&picks, ask.model).ok_or(NoPath::Incomplete)
+}
+
+fn pick<'a>(
+    group: &[&'a Upstream],
+    need: &Need<'_>,
+    strategy: Strategy,
+    rng: &mut impl Rng,
+) -> Pick<'a> {
+    let with_cost = |u: &'a Upstream| (u, predict(u, need));
+    let least = |a: Pick<'a>, b: Pick<'a>| if b.1 < a.1 { b } else { a };
+    let any = rng.random_range(0..group.len());
+    match strategy {
+        Strategy::Random => with_cost(group[any]),
+        Strategy::TwoChoices if group.len() > 1 => {
+            let step = rng.random_range(1..group.len());
+            let other = (any + step) % group.len();
+            least(with_cost(group[any]), with_cost(group[other]))
+        }
+        Strategy::LeastReported => {
+            let reported = |u: &&&Upstream| u.report.running + u.report.queued;
+            with_cost(group.iter().min_by_key(reported).copied().unwrap_or(group[any]))
+        }
+        Strategy::TwoChoices | Strategy::Best => {
+            group.iter().map(|u| with_cost(u)).fold(with_cost(group[any]), least)
+        }
+    }
+}
+
+/// Joins picked ranges into the cheapest path; a stage may run part of what its engine holds.
+fn join(picks: &[(LayerRange, Pick<'_>)], model: &Model) -> Option<(Path, f64)> {
+    let ends = picks.iter().flat_map(|(l, _)| [l.first, l.end]);
+    let mut cuts: Vec<u32> = ends.filter(|c| *c <= model.layers).chain([0]).collect();
+    cuts.sort_unstable();
+    cuts.dedup();
+    let mut best: Vec<Option<(f64, usize, usize)>> = vec![None; cuts.len()];
+    best[0] = Some((0.0, 0, 0));
+    for at in 0..cuts.len() {
+        let Some((so_far, ..)) = best[at] else {
+            continue;
+        };
+        for (p, (held, (_, cost))) in picks.iter().enumerate() {
+            if held.first > cuts[at] {
+                continue;
+            }
+            let reach = (at + 1..cuts.len()).take_while(|to| cuts[*to] <= held.end);
+            for to in reach {
+                let part = f64::from(cuts[to] - cuts[at]) / f64::from(held.count().max(1));
+                let total = so_far + cost * part.max(0.5) + HOP;
+                match best[to] {
+                    Some((old, ..)) if old <= total => {}
+                    _ => best[to] = Some((total, at, p)),
+                }
+            }
+        }
+    }
+    let goal = cuts.iter().position(|c| *c == model.layers)?;
+    let total = best[goal]?.0;
+    let stages = trace(&best, &cuts, picks, goal)?;
+    Path::new(model, stages).ok().map(|path| (path, total))
+}
+
+fn trace(
+    best: &[Option<(f64, usize, usize)>],
+    cuts: &[u32],
+    picks: &[(LayerRange, Pick<'_>)],
+    goal: usize,
+) -> Option<Vec<Stage>> {
+    let mut stages = Vec::new();
+    let mut at = goal;
+    while at > 0 {
+        let (_, from, p) = best[at]?;
+        let (_, (u, _)) = picks[p];
+        stages.push(Stage {
+            engine: u.vm.name.clone(),
+            address: u.vm.address.clone(),
+            layers: LayerRange::new(cuts[from], cuts[at]),
+            epoch: u.report.epoch,
+        });
+        at = from;
+    }
+    stages.reverse();
+    Some(stages)
+}
