Operator's command line: validate, get, diff, apply, label, route, status, wait, drain, key

Cause: operators had no way to drive a fleet but the key-value service itself. Change: heathpitch stores a document by compare-and-swap over the revision it was made from; a write whose answer is lost is looked up by its change id and written again only over the same revision; single edits are made again on whatever stands. A 5xx of the platform now counts as 'may have taken effect'.

--- /dev/null
+++ b/crates/core/src/diff.rs
@@ -0,0 +1,83 @@
+//! Differences between two configuration documents.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use crate::Document;
+
+/// One difference, at a path such as `routes.desk.settings.attempts`.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Change {
+    /// Where; the entries of a list are named, not numbered.
+    pub path: String,
+    /// Value before, if there was one.
+    pub before: Option<Value>,
+    /// Value after, if there is one.
+    pub after: Option<Value>,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (&self.before, &self.after) {
+            (Some(b), Some(a)) => write!(f, "~ {}: {b} -> {a}", self.path),
+            (None, Some(a)) => write!(f, "+ {}: {a}", self.path),
+            (Some(b), None) => write!(f, "- {}: {b}", self.path),
+            (None, None) => write!(f, "  {}", self.path),
+        }
+    }
+}
+
+/// What changes from `before` to `after`, by path.
+///
+/// # Examples
+///
+/// ```
+/// use heathpitch_core::{diff, parse_document};
+///
+/// let one = parse_document(r#"{"models":[{"name":"m","version":"v1","layers":4}]}"#)?;
+/// let two = parse_document(r#"{"models":[{"name":"m","version":"v2","layers":4}]}"#)?;
+/// assert_eq!(diff(&one, &two)[0].to_string(), r#"~ models.m.version: "v1" -> "v2""#);
+/// # Ok::<(), heathpitch_core::ConfigError>(())
+/// ```
+pub fn diff(before: &Document, after: &Document) -> Vec<Change> {
+    let mut changes = Vec::new();
+    walk("", Some(plain(before)), Some(plain(after)), &mut changes);
+    changes
+}
+
+fn plain(document: &Document) -> Value {
+    let bare = Document { changes: Vec::new(), revision: None, ..document.clone() };
+    serde_json::to_value(&bare).unwrap_or(Value::Null)
+}
+
+fn walk(path: &str, before: Option<Value>, after: Option<Value>, changes: &mut Vec<Change>) {
+    match (before.map(by_name), after.map(by_name)) {
+        (before, after) if before == after => {}
+        (Some(Value::Object(mut b)), Some(Value::Object(mut a))) => {
+            let keys: BTreeSet<String> = b.keys().chain(a.keys()).cloned().collect();
+            for key in keys {
+                let below = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+                walk(&below, b.remove(&key), a.remove(&key), changes);
+            }
+        }
+        (before, after) => changes.push(Change { path: path.to_owned(), before, after }),
+    }
+}
+
+/// Turns a list of named entries into a map, with their order as an entry of its own.
+fn by_name(value: Value) -> Value {
+    let name = |v: &Value| v.get("name").and_then(Value::as_str).map(str::to_owned);
+    match value {
+        Value::Array(list) if !list.is_empty() && list.iter().all(|v| name(v).is_some()) => {
+            let order = list.iter().filter_map(|v| name(v).map(Value::from)).collect();
+            let entries = list.into_iter().filter_map(|v| Some((name(&v)?, v)));
+            let mut map: Map<String, Value> = entries.collect();
+            map.insert("(order)".to_owned(), Value::Array(order));
+            Value::Object(map)
+        }
+        other => other,
+    }
+}
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Account, Model, Pool, Route};
+use crate::{Account, Model, Name, Pool, Revision, Route};
 
 /// Everything operators decide: models, accounts, pools and routes.
 ///
@@ -31,4 +31,23 @@
     /// Routes in order of precedence.
     #[serde(default)]
     pub routes: Vec<Route>,
+    /// Ids of the newest changes, newest last; kept by the command line.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub changes: Vec<Name>,
+    /// Revision the document was read at; never stored.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<Revision>,
+}
+
+impl Document {
+    /// Changes remembered; a change older than this can no longer be found.
+    pub const MAX_CHANGES: usize = 64;
+
+    /// Adds a change id to those of `base`, forgetting the oldest.
+    pub fn record(&mut self, base: &Document, id: Name) {
+        self.changes = base.changes.clone();
+        self.changes.push(id);
+        let extra = self.changes.len().saturating_sub(Self::MAX_CHANGES);
+        self.changes.drain(..extra);
+    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! write and the settings file that a node reads. Nothing here does input or output.
 
 mod account;
+mod diff;
 mod digest;
 mod document;
 mod error;
@@ -26,6 +27,7 @@
 mod vm;
 
 pub use account::Account;
+pub use diff::{Change, diff};
 pub use digest::digest;
 pub use document::Document;
 pub use error::{ConfigError, ErrorKind};
--- /dev/null
+++ b/crates/heathpitch/src/command/mod.rs
@@ -0,0 +1,65 @@
+//! Commands: arguments, dispatch and exit codes.
+
+mod apply;
+mod arguments;
+mod edit;
+mod error;
+mod fleet;
+mod output;
+mod read;
+mod store;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use tokio::runtime::Builder;
+
+use arguments::{Arguments, Command};
+use error::CommandError;
+
+/// Runs the command line.
+pub(crate) fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let arguments = match Arguments::parse_args_default(&words) {
+        Ok(arguments) => arguments,
+        Err(e) => return end(&CommandError::usage(&e.to_string(), &words)),
+    };
+    if arguments.version {
+        println!("heathpitch {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    if let Some(help) = arguments::help(&arguments) {
+        println!("{help}");
+        return ExitCode::SUCCESS;
+    }
+    let done = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(CommandError::Runtime)
+        .and_then(|runtime| runtime.block_on(run(&arguments)));
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => end(&e),
+    }
+}
+
+async fn run(arguments: &Arguments) -> Result<(), CommandError> {
+    let Some(command) = &arguments.command else { return Err(CommandError::NoCommand) };
+    match command {
+        Command::Validate(c) => read::validate(arguments, c),
+        Command::Get(_) => read::get(arguments).await,
+        Command::Diff(c) => read::diff(arguments, c).await,
+        Command::Apply(c) => apply::apply(arguments, c).await,
+        Command::Label(c) => edit::label(arguments, c).await,
+        Command::Route(c) => edit::route(arguments, c).await,
+        Command::Status(c) => fleet::status(arguments, c).await,
+        Command::Wait(c) => fleet::wait(arguments, c).await,
+        Command::Drain(c) => fleet::drain(arguments, c).await,
+        Command::Key(c) => read::key(arguments, c),
+    }
+}
+
+fn end(error: &CommandError) -> ExitCode {
+    eprintln!("heathpitch: {error}");
+    ExitCode::from(error.code())
+}
--- a/crates/heathpitch/src/main.rs
+++ b/crates/heathpitch/src/main.rs
@@ -1,3 +1,9 @@
 //! The operator's command line.
 
-fn main() {}
+mod command;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    command::main()
+}
--- a/crates/net/src/platform.rs
+++ b/crates/net/src/platform.rs
@@ -23,7 +23,7 @@
     /// The key has another revision; nothing was written.
     #[error("the value changed, it is at revision {0} now")]
     Conflict(Revision),
-    /// The platform turned the call away; nothing was written.
+    /// The platform turned the call away, or was not reached; nothing was written.
     #[error("the platform turned the write away: {0}")]
     Refused(EdgeError),
     /// The answer was lost; the write may have taken effect.
--- a/crates/net/src/platform_http.rs
+++ b/crates/net/src/platform_http.rs
@@ -122,7 +122,7 @@
                     let read = parse::<PutAnswer>(&bytes).map_err(PutError::Unsure)?;
                     Err(PutError::Conflict(read.revision))
                 }
-                Ok((status @ (400..=499 | 503), _)) => {
+                Ok((status @ (400..=407 | 410..=499), _)) => {
                     Err(PutError::Refused(EdgeError::Status(status)))
                 }
                 Ok((status, _)) => Err(PutError::Unsure(EdgeError::Status(status))),
