--- a/crates/heathpitchd/src/filters/repeat.rs
+++ b/crates/heathpitchd/src/filters/repeat.rs
@@ -7,7 +7,7 @@
 
 use heathpitch_core::{Account, Incarnation, Millis, Name, Outcome, digest};
 use heathpitch_net::Body;
-use heathpitch_policy::{ClaimEntry, Start, Ticket, TicketError, Verdict};
+use heathpitch_policy::{Settlement, Start, Ticket, TicketError, Verdict, settle as policy_settle};
 use hyper::Response;
 use tokio::sync::oneshot;
 
@@ -104,27 +104,26 @@
         Begun::Answer(response) => return Ok(Settled::Answer(response)),
     };
     let hold = keyed::Hold::new(cx.traffic.clone(), key.clone());
-    match claim(cx, key, body).await {
-        Verdict::Granted => Ok(Settled::Run(Granted::Keyed(hold))),
-        Verdict::Taken(entry) if entry.body != body => {
+    let verdict = claim(cx, key, body).await;
+    match policy_settle(verdict, idle, cx.traffic.shared.life, body) {
+        Settlement::Run => Ok(Settled::Run(Granted::Keyed(hold))),
+        Settlement::Mismatch => {
             hold.forget();
             Err(mismatch())
         }
-        // This life claimed the key before and certainly never dispatched it.
-        Verdict::Taken(entry) if mine(cx, &entry) && idle => Ok(Settled::Run(Granted::Keyed(hold))),
-        Verdict::Taken(entry) if mine(cx, &entry) => {
+        Settlement::Spent(outcome) => {
             hold.forget();
-            Err(spent(Outcome::Unknown))
+            Err(spent(outcome))
         }
-        Verdict::Taken(entry) => {
+        Settlement::PassOn { node, life } => {
             hold.forget();
-            pass_on(cx, head, &entry.node, entry.life).await
+            pass_on(cx, head, &node, life).await
         }
-        Verdict::Unavailable => {
+        Settlement::Unavailable => {
             let message = "the platform does not answer, so the key cannot be claimed";
             Err(Refusal::not_run(RefusalKind::ClaimsAway, message).back(BACK))
         }
-        Verdict::Full => {
+        Settlement::Full => {
             let message = "no more keys can be claimed for now; tickets still can be used";
             Err(Refusal::not_run(RefusalKind::ClaimsAway, message).back(BACK))
         }
@@ -189,10 +188,6 @@
     Settled::Run(Granted::Keyed(keyed::Hold::new(cx.traffic.clone(), key.clone())))
 }
 
-fn mine(cx: &Context, entry: &ClaimEntry) -> bool {
-    entry.life == cx.traffic.shared.life
-}
-
 fn mismatch() -> Refusal {
     let message = "the key was used with another request";
     Refusal::not_run(RefusalKind::KeyMismatch, message)
--- a/crates/policy/src/claims.rs
+++ b/crates/policy/src/claims.rs
@@ -10,6 +10,7 @@
 use heathpitch_core::{Incarnation, Millis, Name, Revision};
 
 use crate::claims_page::MAX_CLAIMS;
+use crate::switch::{Mechanism, on};
 use crate::{ClaimEntry, ClaimPage};
 
 /// Time a claim may wait for the platform, milliseconds.
@@ -134,6 +135,10 @@
             }
             ClaimEvent::Written(page, revision) => self.written(page, revision, &mut actions),
             ClaimEvent::Conflict(page) => self.forget(page, Call::None),
+            ClaimEvent::Unsure(page) if !on(Mechanism::ClaimReadBack) => {
+                let revision = self.slots.get(&page).and_then(|s| s.known.as_ref()).map(|k| k.0);
+                self.written(page, revision.unwrap_or_default(), &mut actions);
+            }
             ClaimEvent::ReadFailed(page) | ClaimEvent::Unsure(page) => {
                 self.forget(page, Call::Paused(now + PAUSE));
             }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -8,6 +8,7 @@
 
 use heathpitch_core::{Millis, Name, Revision, Violation, Vm, VmRole, VmState, check};
 
+use crate::switch::{Mechanism, on};
 use crate::{EngineReport, Fleet, Gauge, ServiceView, Upstream};
 
 /// Failed polls in a row after which an upstream is down.
@@ -125,7 +126,9 @@
     /// Takes an event; true if the fleet may have changed.
     pub fn on(&mut self, event: HealthEvent, now: Millis) -> bool {
         match event {
-            HealthEvent::Listed(number, _) if number <= self.list => false,
+            HealthEvent::Listed(number, _) if number <= self.list && on(Mechanism::ListOrder) => {
+                false
+            }
             HealthEvent::Listed(number, vms) => {
                 self.list = number;
                 self.listed(vms, now);
@@ -195,7 +198,7 @@
     fn standing(&self, now: Millis) -> Standing {
         match &self.report {
             _ if self.vm.state == VmState::Leaving => Standing::Leaving,
-            Some(r) if r.leaving => Standing::Leaving,
+            Some(r) if r.leaving && on(Mechanism::LeavingWord) => Standing::Leaving,
             None => Standing::New,
             _ if self.fails >= MAX_FAILS => Standing::Down,
             _ if now.saturating_sub(self.seen) > SILENCE => Standing::Down,
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -7,6 +7,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
+use crate::switch::{Mechanism, on};
 use heathpitch_core::{Millis, Name, NotRun, Outcome, Violation, check};
 
 /// Time an answer is kept, milliseconds.
@@ -77,19 +78,32 @@
 /// assert_eq!(ledger.start(&key, 2), Start::Mismatch);
 /// # Ok::<(), heathpitch_core::NameError>(())
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Ledger {
+    keys: usize,
     entries: HashMap<Name, Entry>,
     order: VecDeque<Name>,
     ended: VecDeque<(Millis, Name)>,
     bytes: usize,
 }
 
+impl Default for Ledger {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// # Before the dispatch
 impl Ledger {
-    /// A ledger of nothing.
+    /// A ledger of nothing, with room for 100 000 keys.
     pub fn new() -> Self {
-        Self::default()
+        Self::with_room(MAX_KEYS)
+    }
+
+    /// A ledger of nothing, with room for `keys` keys.
+    pub fn with_room(keys: usize) -> Self {
+        let (entries, order, ended) = Default::default();
+        Self { keys, entries, order, ended, bytes: 0 }
     }
 
     /// Number of keys remembered.
@@ -111,7 +125,11 @@
     pub fn start(&mut self, key: &Name, body: u64) -> Start {
         match self.entries.get_mut(key) {
             Some(e) if e.body.is_some_and(|b| b != body) => Start::Mismatch,
-            Some(Entry { state: State::Claiming | State::Dispatched, .. }) => Start::Running,
+            Some(Entry { state: State::Claiming | State::Dispatched, .. })
+                if on(Mechanism::LedgerOnce) =>
+            {
+                Start::Running
+            }
             Some(Entry { state: State::Finished(r), .. }) => Start::Finished(r.clone()),
             Some(Entry { state: State::Spent(o), .. }) => Start::Spent(*o),
             Some(e) => {
@@ -200,7 +218,7 @@
     fn insert(&mut self, key: Name, entry: Entry) {
         self.order.push_back(key.clone());
         self.entries.insert(key, entry);
-        for _ in 0..self.order.len().saturating_sub(MAX_KEYS) {
+        for _ in 0..self.order.len().saturating_sub(self.keys) {
             self.forget_oldest();
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,8 @@
 mod relay;
 mod replica;
 mod router;
+mod settle;
+mod switch;
 mod ticket;
 
 pub use bucket::Bucket;
@@ -42,4 +44,8 @@
 pub use relay::{Broken, EndReason, Relay, RelayAction, RelayEvent, RelayPlan, Repeat};
 pub use replica::{Adoption, Replica};
 pub use router::{Ask, NoPath, Strategy, choose};
+pub use settle::{Settlement, settle};
+pub use switch::Mechanism;
+#[cfg(feature = "switches")]
+pub use switch::without;
 pub use ticket::{Ticket, TicketError};
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -5,6 +5,8 @@
 
 use heathpitch_core::{Attempt, Evidence, Name, Outcome, Path, Violation, check};
 
+use crate::switch::{Mechanism, on};
+
 /// Whether a request may be dispatched again once it may have started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
@@ -196,17 +198,17 @@
             (Phase::Choosing, RelayEvent::NoPath) => self.give_up(),
             (_, RelayEvent::Chosen(_) | RelayEvent::NoPath) => vec![],
             (Phase::Running, RelayEvent::Token { attempt, position, token, layers })
-                if attempt == self.attempt =>
+                if self.current(attempt) =>
             {
                 self.token(position, token, layers)
             }
             (Phase::Running, RelayEvent::Ended { attempt, count, reason })
-                if attempt == self.attempt =>
+                if self.current(attempt) =>
             {
                 self.ended(count, reason)
             }
             (Phase::Running, RelayEvent::Broken { attempt, how, engine })
-                if attempt == self.attempt =>
+                if self.current(attempt) =>
             {
                 self.broken(how, engine)
             }
@@ -222,6 +224,10 @@
         }
     }
 
+    fn current(&self, attempt: Attempt) -> bool {
+        attempt == self.attempt || !on(Mechanism::AttemptNumbers)
+    }
+
     fn dispatch(&mut self, path: Path) -> Vec<RelayAction> {
         check(
             Violation::AtMostOnce,
@@ -238,7 +244,9 @@
         self.seen.started();
         let due = self.sent.len() as u32;
         match position {
-            p if p == due && due < self.plan.wanted && layers == self.plan.layers => {
+            p if (p == due && due < self.plan.wanted && layers == self.plan.layers)
+                || !on(Mechanism::Positions) =>
+            {
                 self.sent.push(token);
                 check(Violation::TokenOrder, self.sent.len() as u32 == position + 1);
                 vec![RelayAction::Emit(token)]
@@ -252,7 +260,7 @@
     }
 
     fn ended(&mut self, count: u32, reason: EndReason) -> Vec<RelayAction> {
-        match count == self.sent.len() as u32 {
+        match count == self.sent.len() as u32 || !on(Mechanism::ExplicitEnd) {
             true => {
                 self.seen.started();
                 self.phase = Phase::Over;
@@ -281,11 +289,14 @@
                 self.seen.started();
                 self.seen.lost();
             }
-            Broken::Lost => self.seen.lost(),
+            Broken::Lost if on(Mechanism::Evidence) => self.seen.lost(),
+            Broken::Lost => self.seen.refused(),
         }
         self.phase = Phase::Choosing;
         self.shun(engine);
-        let again = self.plan.repeat == Repeat::Allowed || self.seen.not_run().is_some();
+        let again = self.plan.repeat == Repeat::Allowed
+            || self.seen.not_run().is_some()
+            || !on(Mechanism::NoRepeat);
         match self.attempt.0 < self.plan.attempts && again {
             true => vec![RelayAction::Choose],
             false => self.give_up(),
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use crate::switch::{Mechanism, on};
 use heathpitch_core::{ConfigError, Index, Revision, Violation, check, parse_document};
 
 /// What became of an offered revision.
@@ -48,7 +49,7 @@
     /// Takes a document read from the store or sent by a peer.
     pub fn offer(&mut self, revision: Revision, text: &str) -> Adoption {
         let before = self.revision();
-        if revision <= before || revision <= self.refused {
+        if (revision <= before || revision <= self.refused) && on(Mechanism::RevisionOrder) {
             return Adoption::Old;
         }
         match parse_document(text) {
--- /dev/null
+++ b/crates/proof/tests/matrix.rs
@@ -0,0 +1,44 @@
+//! Every fault at every step of a request.
+
+use std::fmt::Write;
+
+use heathpitch_proof::{Cell, Fault, Step, cells, run_cell};
+
+#[test]
+fn every_cell_keeps_every_promise() {
+    let all = cells();
+    let failed: Vec<String> =
+        all.iter().filter_map(|c| run_cell(*c).err().map(|e| e.to_string())).collect();
+    println!("{} cells, {} failed", all.len(), failed.len());
+    assert_eq!(failed, Vec::<String>::new());
+    let (steps, faults) = (Step::ALL.len(), Fault::ALL.len());
+    let (late, true_late) = (steps - 2, faults - 2);
+    let possible = 2 * faults * (faults + 1) + late * true_late * (true_late + 1);
+    assert_eq!(all.len(), 2 * possible);
+}
+
+/// Outcome, executions and tokens of each single fault: what callers see.
+#[test]
+fn outcomes_of_single_faults() {
+    let mut table = String::new();
+    for never in [false, true] {
+        let word = if never { "may not be repeated" } else { "may be repeated" };
+        writeln!(table, "{word}").unwrap();
+        for first in Fault::ALL.iter().copied() {
+            write!(table, "  {:<13}", format!("{first:?}")).unwrap();
+            for step in Step::ALL.iter().copied() {
+                let cell = Cell { step, first, second: None, never };
+                let text = match cell.possible() {
+                    true => {
+                        let v = run_cell(cell).unwrap();
+                        format!("{}/{}/{}", v.outcome, v.executions, v.tokens)
+                    }
+                    false => "-".to_owned(),
+                };
+                write!(table, " {text:>11}").unwrap();
+            }
+            table.push('\n');
+        }
+    }
+    insta::assert_snapshot!(table);
+}
--- /dev/null
+++ b/crates/proof/tests/worlds.rs
@@ -0,0 +1,59 @@
+//! Short randomised runs of every world. `PROPTEST_RNG_SEED` replays one.
+
+use std::cell::Cell;
+
+use heathpitch_proof::{Tally, World};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+/// Seed used if none is given.
+const SEED: u64 = 20_261_202;
+const CASES: u32 = 300;
+const LENGTH: usize = 400;
+
+fn holds(world: World) {
+    let seed = std::env::var("PROPTEST_RNG_SEED").ok().and_then(|s| s.parse().ok());
+    let seed = seed.unwrap_or(SEED);
+    println!("seed {seed}");
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..Config::default()
+    };
+    let total = Cell::new(0);
+    let result = TestRunner::new(config).run(&vec(any::<u64>(), 1..LENGTH), |operations| {
+        let mut tally = Tally::default();
+        let ran = world.run_caught(&operations, &mut tally);
+        total.set(total.get() + tally.operations);
+        ran.map_err(|b| TestCaseError::fail(b.to_string()))
+    });
+    println!("{world:?}: {} operations", total.get());
+    assert!(result.is_ok(), "{world:?}: {result:?}");
+}
+
+#[test]
+fn requests_keep_their_promises() {
+    holds(World::Requests);
+}
+
+#[test]
+fn keys_are_dispatched_at_most_once() {
+    holds(World::Keys);
+}
+
+#[test]
+fn configuration_never_reverts() {
+    holds(World::Config);
+}
+
+#[test]
+fn leaving_upstreams_get_no_work() {
+    holds(World::Upstreams);
+}
+
+#[test]
+fn members_find_each_other() {
+    holds(World::Members);
+}
