--- a/crates/fakes/src/host.rs
+++ b/crates/fakes/src/host.rs
@@ -1,7 +1,7 @@
 //! A runtime that can be killed, with an HTTP listener on it.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener as StdListener};
+use std::net::SocketAddr;
 
 use heathpitch_net::{Body, Bounds, Listener, serve};
 use hyper::body::Incoming;
@@ -26,23 +26,20 @@
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
-        let probe = StdListener::bind(address)?;
-        let address = probe.local_addr()?;
-        drop(probe);
-        let (stop, stopped) = watch::channel(false);
-        let (bound, ready) = std::sync::mpsc::channel();
-        runtime.spawn(async move {
-            match Listener::bind(address).await {
-                Ok(listener) => {
-                    let _ = bound.send(Ok(()));
-                    serve(listener, Bounds::default(), stopped, handler).await;
-                }
-                Err(e) => {
-                    let _ = bound.send(Err(e));
-                }
+        let bound = {
+            let _inside = runtime.enter();
+            Listener::bind(address)
+        };
+        let listener = match bound {
+            Ok(listener) => listener,
+            Err(e) => {
+                runtime.shutdown_background();
+                return Err(e);
             }
-        });
-        ready.recv().unwrap_or_else(|_| Err(io::Error::other("the listener did not start")))?;
+        };
+        let address = listener.address();
+        let (stop, stopped) = watch::channel(false);
+        runtime.spawn(serve(listener, Bounds::default(), stopped, handler));
         Ok(Self { runtime: Mutex::new(Some(runtime)), address, _stop: stop })
     }
 
--- a/crates/heathpitchd/src/node.rs
+++ b/crates/heathpitchd/src/node.rs
@@ -65,8 +65,8 @@
             .enable_all()
             .build()?;
         let bind = |listener: &'static str, address: SocketAddr| {
-            let bound = runtime.block_on(Listener::bind(address));
-            bound.map_err(|source| StartError::Bind { listener, address, source })
+            let _inside = runtime.enter();
+            Listener::bind(address).map_err(|source| StartError::Bind { listener, address, source })
         };
         let callers = bind("listen", settings.listen)?;
         let operators = bind("admin", settings.admin)?;
--- /dev/null
+++ b/crates/heathpitchd/tests/overload.rs
@@ -0,0 +1,85 @@
+//! More than can be served: refused at once, with when to come back; priorities and shares kept.
+
+#![allow(clippy::unwrap_used, reason = "what fails here fails its test")]
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{deployment_with, desk, name, wait};
+use heathpitch_fakes::{Caller, Deployment, Reply};
+use serde_json::json;
+use tokio::task::JoinSet;
+
+/// Answers of `count` requests sent at once.
+async fn burst(
+    d: &Deployment,
+    caller: &Caller,
+    priority: &'static str,
+    count: usize,
+) -> Vec<Reply> {
+    let mut tasks = JoinSet::new();
+    for i in 0..count {
+        let (caller, node) = (caller.clone(), d.nodes[i % d.nodes.len()].listen);
+        tasks.spawn(async move {
+            let prompt = format!("{priority} {i}");
+            let ask = json!({ "model": "tickets", "prompt": prompt, "max_tokens": 30 });
+            let headers = [("x-heathpitch-priority", priority)];
+            caller.post(node, "/v1/completions", &headers, ask.to_string()).await.unwrap()
+        });
+    }
+    tasks.join_all().await
+}
+
+fn served(replies: &[Reply]) -> usize {
+    replies.iter().filter(|r| r.status == 200).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_burst_is_refused_at_once_with_when_to_come_back() {
+    let d = deployment_with(1, 1, |_| {}).await;
+    let start = Instant::now();
+    let replies = burst(&d, &desk(), "normal", 400).await;
+    assert!(served(&replies) > 0);
+    let refused: Vec<&Reply> = replies.iter().filter(|r| r.status != 200).collect();
+    assert!(!refused.is_empty());
+    for r in &refused {
+        assert_eq!(r.json["error"]["outcome"], "not_run", "{r:?}");
+        assert!(r.retry_after.is_some(), "{r:?}");
+    }
+    let back: std::collections::BTreeSet<u64> =
+        refused.iter().filter_map(|r| r.json["error"]["retry_after_ms"].as_u64()).collect();
+    assert!(back.len() > refused.len() / 4, "the times to come back are not spread");
+    println!("{} refused, {} served in {:?}", refused.len(), served(&replies), start.elapsed());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn high_priority_is_served_while_low_is_shed() {
+    let d = deployment_with(1, 1, |_| {}).await;
+    let (desk, night) = (desk(), Caller::new(name("isar-night")));
+    let low = {
+        let burst = burst(&d, &night, "low", 300);
+        let high = async {
+            tokio::time::sleep(Duration::from_millis(60)).await;
+            self::burst(&d, &desk, "high", 10).await
+        };
+        let (low, high) = tokio::join!(burst, high);
+        assert_eq!(served(&high), 10);
+        low
+    };
+    assert!(served(&low) < 300);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flood_of_bad_requests_leaves_the_node_answering() {
+    let d = deployment_with(1, 1, |_| {}).await;
+    let mut tasks = JoinSet::new();
+    for _ in 0..500 {
+        let node = d.nodes[0].listen;
+        tasks.spawn(async move { desk().post(node, "/v1/completions", &[], "{").await });
+    }
+    let all = tasks.join_all().await;
+    assert!(all.iter().flatten().all(|r| r.status == 400));
+    assert_eq!(served(&burst(&d, &desk(), "normal", 3).await), 3);
+    wait("nothing is open", || async { d.nodes[0].status().await["open"] == 0 }).await;
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -74,8 +74,8 @@
     pub async fn send(&self, request: Request<Body>, fresh: bool) -> Result<Response, EdgeError> {
         let client = if fresh { &self.single } else { &self.pooled };
         client.request(request).await.map_err(|e| match e.is_connect() {
-            true => EdgeError::Connect(e.to_string()),
-            false => EdgeError::Lost(e.to_string()),
+            true => EdgeError::Connect(chain(&e)),
+            false => EdgeError::Lost(chain(&e)),
         })
     }
 
@@ -126,6 +126,12 @@
     }
 }
 
+/// An error and its causes.
+fn chain(error: &dyn std::error::Error) -> String {
+    let causes = std::iter::successors(Some(error), |e| e.source());
+    causes.map(ToString::to_string).collect::<Vec<_>>().join(": ")
+}
+
 /// A request with a JSON body.
 pub(crate) fn request(method: Method, uri: &str, body: Body) -> Result<Request<Body>, EdgeError> {
     Request::builder()
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{Semaphore, watch};
 
 use crate::Body;
@@ -20,6 +20,9 @@
 /// Time to wait after an accept that failed, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 4_096;
+
 /// Bounds of a listener.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -45,13 +48,22 @@
 }
 
 impl Listener {
-    /// Binds an address; port 0 takes a free one.
+    /// Binds an address, port 0 taking a free one; must be called in a runtime.
+    ///
+    /// The queue of connections not accepted yet is long: the usual 128 overflows in a burst, and
+    /// a connection dropped there is tried again only after a second.
     ///
     /// # Errors
     ///
     /// What the system says, such as that the port is in use.
-    pub async fn bind(address: SocketAddr) -> io::Result<Self> {
-        let socket = TcpListener::bind(address).await?;
+    pub fn bind(address: SocketAddr) -> io::Result<Self> {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        let socket = socket.listen(BACKLOG)?;
         let address = socket.local_addr()?;
         Ok(Self { socket, address })
     }
