Demand averaging for fleet-wide limits, prefix index with affinity, placement plans

Cause: limits were split evenly over nodes whatever came to each; replicas were picked blind to prompt prefixes; layers were only where engines had been started with them. Change: Demand averages each account's rate between peers (bounded messages, no coordinator) and a node's share follows its own demand; PrefixIndex takes engines' cache events, distrusts an engine from a gap until it was read whole, and Strategy::Affinity prefers the engine that a prefix is assigned to by rendezvous hashing, or that holds it, unless a random one is clearly better; plan() and split() place layers on unequal engines. Placement is not driven by the node yet.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -49,6 +49,10 @@
     pub fenced: bool,
     /// Megabytes a second at which weights are loaded.
     pub weights: f64,
+    /// Memory for weights, megabytes.
+    pub memory: u64,
+    /// Time an activation takes to the next stage.
+    pub link: Duration,
 }
 
 impl EngineSetup {
@@ -67,7 +71,9 @@
             cache: 4_096,
             lag: Duration::from_millis(100),
             fenced: true,
-            weights: 10_000.0,
+            weights: 20_000.0,
+            memory: 6_000,
+            link: Duration::ZERO,
         }
     }
 }
@@ -266,6 +272,9 @@
         prefill: setup.prefill,
         step: setup.step.as_micros() as u64,
         service: (setup.step * 32).as_millis() as u64,
+        memory: setup.memory,
+        layer: (setup.step.as_micros() as u64) / u64::from(setup.layers.count().max(1)),
+        link: setup.link.as_micros() as u64,
     }
 }
 
--- a/crates/fakes/src/engine_http.rs
+++ b/crates/fakes/src/engine_http.rs
@@ -7,6 +7,7 @@
 use heathpitch_core::{Attempt, LayerRange};
 use heathpitch_net as body;
 use heathpitch_net::{Body, BodyError, Frame, GenerateCall, Order, RefusalKind};
+use heathpitch_policy::{BLOCK, blocks, prompt_tokens};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use parking_lot::Mutex;
@@ -17,8 +18,7 @@
 
 use crate::engine::Engine;
 use crate::faults::Fault;
-use crate::model::{embed, piece, stops, tokens_of};
-use crate::prefix::{BLOCK, blocks};
+use crate::model::{embed, piece, stops};
 use crate::stage::{Closer, Open, Opened, Step, Stepped};
 
 /// Largest request read, bytes.
@@ -112,7 +112,7 @@
     if faults.reset {
         return broken();
     }
-    let mut tokens = tokens_of(&call.prompt);
+    let mut tokens = prompt_tokens(&call.prompt);
     tokens.extend(&call.resumed);
     let chain = blocks(&call.account, &call.model, &tokens[..tokens.len() - 1]);
     let open = Open {
@@ -154,7 +154,7 @@
 impl Run {
     /// Decodes until the answer is whole, a stage fails or the router has gone.
     async fn drive(mut self, hit: usize, lose: bool) {
-        let start = tokens_of(&self.call.prompt).len();
+        let start = prompt_tokens(&self.call.prompt).len();
         let mut from = (hit * BLOCK).min(self.tokens.len() - 1);
         let mut skip = hit;
         let mut held = None;
@@ -205,7 +205,7 @@
     /// Sends a token, as the faults in force have it; false once there is nobody to send to.
     async fn emit(&self, frame: Frame, held: &mut Option<Frame>, lose: bool) -> bool {
         let faults = self.engine.faults.lock().clone();
-        let sent = self.tokens.len() - tokens_of(&self.call.prompt).len();
+        let sent = self.tokens.len() - prompt_tokens(&self.call.prompt).len();
         match frame {
             _ if lose => true,
             _ if faults.cut.is_some_and(|n| sent > n as usize) => false,
@@ -230,7 +230,7 @@
 
     async fn end(&self, stopped: bool, lose: bool) {
         self.engine.finished.fetch_add(1, Relaxed);
-        let count = (self.tokens.len() - tokens_of(&self.call.prompt).len()) as u32;
+        let count = (self.tokens.len() - prompt_tokens(&self.call.prompt).len()) as u32;
         let request = self.call.request.clone();
         if !lose {
             self.write(&Frame::End { request, attempt: self.call.attempt, count, stopped }).await;
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -21,7 +21,7 @@
 pub use deployment::{Deployment, DeploymentError, NodeProcess};
 pub use engine::{EngineSetup, FakeEngine};
 pub use faults::Fault;
-pub use model::{Answered, Kv, answer, piece, tokens_of};
+pub use model::{Answered, Kv, answer, piece};
 pub use platform::{Calls, FakePlatform, PlatformFault, PlatformSetup};
 pub use samples::sample;
 pub use service::FakeService;
--- a/crates/fakes/src/model.rs
+++ b/crates/fakes/src/model.rs
@@ -5,9 +5,8 @@
 //! seen, which is its KV cache. A layer skipped, repeated or swapped gives another answer.
 
 use heathpitch_core::{LayerRange, Name};
+use heathpitch_policy::prompt_tokens;
 
-/// Token that starts every prompt.
-const START: u32 = 256;
 /// Number of tokens in the vocabulary.
 const VOCABULARY: u64 = 50_021;
 /// One token in this many ends an answer.
@@ -52,7 +51,7 @@
 /// The right answer, computed by one process that holds every layer.
 pub fn answer(model: &Name, version: &Name, layers: u32, prompt: &str, wanted: u32) -> Answered {
     let mut kv = Kv::new(model, version, LayerRange::new(0, layers));
-    let mut tokens = tokens_of(prompt);
+    let mut tokens = prompt_tokens(prompt);
     let mut last = 0;
     for (at, token) in tokens.iter().enumerate() {
         last = kv.run(embed(*token, at as u32));
@@ -69,11 +68,6 @@
     Answered { tokens: tokens.split_off(start), stopped: false }
 }
 
-/// Tokens of a prompt: its bytes after a start token.
-pub fn tokens_of(prompt: &str) -> Vec<u32> {
-    std::iter::once(START).chain(prompt.bytes().map(u32::from)).collect()
-}
-
 /// Text of a token of an answer.
 pub fn piece(token: u32) -> String {
     format!(" w{token}")
--- a/crates/fakes/src/prefix.rs
+++ b/crates/fakes/src/prefix.rs
@@ -2,33 +2,20 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use heathpitch_core::{LayerRange, Name};
-use heathpitch_net::{CacheEvent, CacheEvents};
+use heathpitch_core::LayerRange;
+use heathpitch_net::CacheEvents;
+use heathpitch_policy::BlockEvent;
 
-use crate::model::{hash, mix};
-
-/// Tokens in a block.
-pub(crate) const BLOCK: usize = 16;
 /// Events kept in the log.
 const LOG: usize = 1_024;
 
-/// Chained hashes of the whole blocks of a prompt, salted by account.
-pub(crate) fn blocks(account: &Name, model: &Name, tokens: &[u32]) -> Vec<u64> {
-    let salt = hash(account.as_str().as_bytes(), hash(model.as_str().as_bytes(), 3));
-    let chain = tokens.chunks_exact(BLOCK).scan(salt, |h, block| {
-        *h = block.iter().fold(*h, |h, t| mix(h, u64::from(*t) + 1));
-        Some(*h)
-    });
-    chain.collect()
-}
-
 /// KV digests at block boundaries.
 #[derive(Debug, Default)]
 pub(crate) struct PrefixCache {
     room: usize,
     held: HashMap<(u64, LayerRange), Vec<u64>>,
     order: VecDeque<(u64, LayerRange)>,
-    log: VecDeque<CacheEvent>,
+    log: VecDeque<BlockEvent>,
     serial: u64,
 }
 
@@ -66,7 +53,7 @@
     /// Events after `serial`; the whole content if some are no longer there.
     pub(crate) fn events(&self, after: u64, layers: LayerRange) -> CacheEvents {
         let first = self.log.front().map_or(self.serial + 1, |e| e.serial);
-        let events = self.log.iter().filter(|e| e.serial > after).cloned().collect();
+        let events = self.log.iter().filter(|e| e.serial > after).copied().collect();
         let whole = || self.order.iter().map(|(b, _)| *b).collect();
         let snapshot = (after + 1 < first).then(whole);
         CacheEvents { events, snapshot, serial: self.serial, layers: Some(layers) }
@@ -79,7 +66,7 @@
 
     fn note(&mut self, block: u64, added: bool) {
         self.serial += 1;
-        self.log.push_back(CacheEvent { serial: self.serial, block, added });
+        self.log.push_back(BlockEvent { serial: self.serial, block, added });
         if self.log.len() > LOG {
             self.log.pop_front();
         }
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -114,6 +114,9 @@
             prefill: 0.0,
             step: 0,
             service: self.work.as_millis() as u64,
+            memory: 0,
+            layer: 0,
+            link: 0,
         }
     }
 }
--- a/crates/fakes/src/stage.rs
+++ b/crates/fakes/src/stage.rs
@@ -5,13 +5,13 @@
 
 use heathpitch_core::{Attempt, LayerRange, Name, Priority};
 use heathpitch_net::{EdgeError, Hop, Refusal, RefusalKind};
+use heathpitch_policy::BLOCK;
 use hyper::Method;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
 use crate::engine::Engine;
 use crate::model::{Kv, token_of};
-use crate::prefix::BLOCK;
 use crate::slots::Place;
 
 /// Longest time a stage waits for the next one.
@@ -123,6 +123,7 @@
             let last = outputs.last().copied().unwrap_or_default();
             return Stepped::Token(token_of(last), layers);
         };
+        tokio::time::sleep(self.setup.link).await;
         let uri = format!("http://{}/v1/stage/step", next.address);
         let call = Step { inputs: outputs, ..step };
         match self.client.call(Method::POST, &uri, Some(&call), NEXT).await {
--- a/crates/heathpitchd/src/control/exchange.rs
+++ b/crates/heathpitchd/src/control/exchange.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use heathpitch_core::{Name, Revision};
-use heathpitch_net::{Packed, Update, exchange};
+use heathpitch_net::{Demand, Packed, Update, exchange};
 use heathpitch_policy::HealthEvent;
 
 use super::config;
@@ -39,8 +39,10 @@
 /// Answers a peer's update with this node's own.
 pub(super) fn answer(control: &Control, update: Update) -> Update {
     let (config, vms) = (update.config.revision, update.vms.revision);
+    // Told before it is heard, so that both sides take the same mean.
+    let demand = control.demand.borrow().tell();
     take(control, update);
-    own(control, config, vms)
+    Update { epoch: demand.0, demand: told(demand.1), ..own(control, config, vms) }
 }
 
 async fn with(control: Rc<Control>, peer: Name) {
@@ -56,7 +58,7 @@
     // The peer told an older number than this node has: a second exchange brings it the document.
     let behind = config < sent.config.revision || vms < sent.vms.revision;
     if behind {
-        let second = own(&control, config, vms);
+        let second = Update { demand: Vec::new(), epoch: 0, ..own(&control, config, vms) };
         if let Ok(answer) = exchange(address, &second, LIMIT).await {
             take(&control, answer);
         }
@@ -71,20 +73,27 @@
         false => Packed { revision: mine.revision, bytes: [].into() },
     };
     let reports = control.health.borrow().newest(REPORTS);
+    let (epoch, values) = control.demand.borrow().tell();
     Update {
         members: control.members.borrow().freshest(MEMBERS, now),
         reports: reports.iter().map(|r| (**r).clone()).collect(),
         config: pack(&control.config.borrow(), config),
         vms: pack(&control.vms.borrow(), vms),
-        demand: Vec::new(),
-        epoch: 0,
+        demand: told(values),
+        epoch,
     }
 }
 
+fn told(values: Vec<(u64, f32)>) -> Vec<Demand> {
+    values.into_iter().map(|(account, rate)| Demand { account, rate }).collect()
+}
+
 fn take(control: &Control, update: Update) {
     let now = control.now();
     control.members.borrow_mut().merge(update.members, now);
     config::from_peer(control, &update.config, &update.vms);
+    let told: Vec<(u64, f32)> = update.demand.iter().map(|d| (d.account, d.rate)).collect();
+    control.demand.borrow_mut().hear(update.epoch, &told);
     for report in update.reports {
         let changed = control.health.borrow_mut().on(HealthEvent::Passed(report), now);
         if changed {
--- a/crates/heathpitchd/src/control/health.rs
+++ b/crates/heathpitchd/src/control/health.rs
@@ -3,13 +3,15 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use heathpitch_core::{Name, Vm};
+use heathpitch_core::{Incarnation, Name, Vm};
 use heathpitch_policy::HealthEvent;
 
 use super::state::Control;
 
 /// Polls of other failure domains are this many times rarer.
 const FAR: u64 = 2;
+/// Bytes of a cache event on the wire.
+const EVENT_BYTES: usize = 56;
 /// Polls started in one tick.
 const MAX_POLLS: usize = 64;
 
@@ -17,6 +19,7 @@
 pub(super) fn poll_due(control: &Rc<Control>) {
     let now = control.now();
     let targets: Vec<Arc<Vm>> = control.health.borrow().targets().cloned().collect();
+    control.prefixes.borrow_mut().retain(|name| targets.iter().any(|t| t.name.as_str() == name));
     let period = control.shared.settings.timing.engine_ms;
     let mut due = control.due.borrow_mut();
     due.retain(|name, _| targets.iter().any(|t| t.name == *name));
@@ -42,10 +45,33 @@
         Ok(report) if report.engine == vm.name => HealthEvent::Polled(report),
         Ok(_) | Err(_) => HealthEvent::PollFailed(vm.name.clone()),
     };
+    let life = match &event {
+        HealthEvent::Polled(report) if report.model.is_some() => Some(report.life),
+        _ => None,
+    };
     let now = control.now();
     if control.health.borrow_mut().on(event, now) {
         control.fleet_dirty.set(true);
     }
+    if let Some(life) = life.filter(|_| vm.domain == control.shared.settings.domain) {
+        read_events(&control, &vm, life).await;
+    }
+}
+
+/// Reads an engine's cache events, as far as the bound on control traffic allows.
+async fn read_events(control: &Control, vm: &Vm, life: Incarnation) {
+    if control.reading.borrow_mut().take(control.now()).is_err() {
+        return;
+    }
+    let after = control.prefixes.borrow().position(vm.name.as_str(), life);
+    let Ok(read) = control.edges.engine.events(&vm.address, after).await else { return };
+    let count = read.events.len() + read.snapshot.as_ref().map_or(0, Vec::len);
+    control.reading.borrow_mut().spend((count * EVENT_BYTES) as f64 / 1_000.0);
+    let mut prefixes = control.prefixes.borrow_mut();
+    match read.snapshot {
+        Some(blocks) => prefixes.replace(&vm.name, life, read.serial, &blocks),
+        None => prefixes.events(&vm.name, life, &read.events),
+    }
 }
 
 /// Takes note of a failure that a request saw, and polls the upstream at once.
--- a/crates/heathpitchd/src/control/mod.rs
+++ b/crates/heathpitchd/src/control/mod.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::clock::wall;
 use crate::shared::{Shared, ToControl};
 use state::Control;
 
@@ -91,6 +92,7 @@
                 claims::ask(&control, digest, body, reply);
             }
             ToControl::Failed(name) => health::failed(&control, name),
+            ToControl::Demand(account) => control.demand.borrow_mut().count(account),
         }
     }
 }
@@ -103,6 +105,7 @@
         claims::tick(&control);
         health::poll_due(&control);
         members::beat(&control);
+        control.demand.borrow_mut().tick(control.now(), wall());
         control.publish();
     }
 }
--- a/crates/heathpitchd/src/control/state.rs
+++ b/crates/heathpitchd/src/control/state.rs
@@ -7,7 +7,10 @@
 
 use heathpitch_core::{Millis, Name, Revision, VmRole, VmState};
 use heathpitch_net::Packed;
-use heathpitch_policy::{Claims, Duty, Health, Member, MemberState, Members, Replica, Verdict};
+use heathpitch_policy::{
+    Bucket, Claims, Demand, Duty, Health, Member, MemberState, Members, PrefixIndex, Replica,
+    Verdict,
+};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::{Notify, oneshot};
@@ -16,6 +19,10 @@
 use crate::shared::Shared;
 use crate::snapshot::View;
 
+/// Cache events read per second, in kilobytes.
+const EVENT_RATE: f64 = 4.0;
+/// Cache events read at once, in kilobytes.
+const EVENT_BURST: f64 = 256.0;
 /// Time between two snapshots of nodes, milliseconds.
 const VIEW_PERIOD: Millis = 200;
 /// Time after which the fleet is published anew although nothing was heard, milliseconds.
@@ -32,6 +39,9 @@
     pub(super) members: RefCell<Members>,
     pub(super) claims: RefCell<Claims>,
     pub(super) replies: RefCell<HashMap<u64, oneshot::Sender<Verdict>>>,
+    pub(super) demand: RefCell<Demand>,
+    pub(super) prefixes: RefCell<PrefixIndex>,
+    pub(super) reading: RefCell<Bucket>,
     pub(super) due: RefCell<HashMap<Name, Millis>>,
     pub(super) entries: RefCell<HashMap<Name, u32>>,
     pub(super) rng: RefCell<SmallRng>,
@@ -72,6 +82,9 @@
             members: RefCell::new(members),
             claims: RefCell::new(Claims::new(settings.node.clone(), shared.life)),
             replies: RefCell::default(),
+            demand: RefCell::default(),
+            prefixes: RefCell::default(),
+            reading: RefCell::new(Bucket::new(EVENT_RATE, EVENT_BURST, 0)),
             due: RefCell::default(),
             entries: RefCell::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
@@ -127,6 +140,7 @@
             let count = fleet.len() + fleet.services.len();
             self.shared.metrics.upstreams.set(count as i64);
             self.shared.fleet.store(Arc::new(fleet));
+            self.shared.prefixes.store(Arc::new(self.prefixes.borrow().clone()));
         }
         if now >= self.viewed.get() + VIEW_PERIOD {
             self.viewed.set(now);
@@ -143,7 +157,9 @@
         upstreams.sort_by(|a, b| a.0.cmp(&b.0));
         let members: Vec<Member> = self.members.borrow().alive(now).into_iter().cloned().collect();
         self.shared.metrics.members.set(members.len() as i64 + 1);
-        View { members, nodes: self.nodes(now), upstreams, list: health.list() }
+        let nodes = self.nodes(now);
+        let shares = self.demand.borrow().shares(nodes);
+        View { members, nodes, shares, upstreams, list: health.list() }
     }
 
     /// Peers to try: those of the settings and the entry VMs listed as live.
--- a/crates/heathpitchd/src/filters/attempts.rs
+++ b/crates/heathpitchd/src/filters/attempts.rs
@@ -10,7 +10,8 @@
 use heathpitch_core::{Account, Attempt, Millis, Name, Outcome, Path, Stage};
 use heathpitch_net::{Body, FrameStream, GenerateCall, Hop, SendError};
 use heathpitch_policy::{
-    Broken, EndReason, Pace, Relay, RelayAction, RelayEvent, RelayPlan, Strategy, choose,
+    Broken, EndReason, Pace, Relay, RelayAction, RelayEvent, RelayPlan, Strategy, blocks, choose,
+    prompt_tokens,
 };
 use hyper::Response;
 use tokio::sync::oneshot;
@@ -82,6 +83,7 @@
     pace: Pace,
     warned: Option<JoinHandle<Vec<Name>>>,
     text: String,
+    chain: Vec<u64>,
     reason: Reason,
     why: RefusalKind,
     back: Millis,
@@ -107,6 +109,8 @@
         let renderer = Renderer::new(&cx.id, &job.ask, job.ask.prompt.len() as u32 + 1);
         let output = Output::new(renderer, reply, job.ask.stream, keyed);
         cx.traffic.limits.lock().budget.earn();
+        let tokens = prompt_tokens(&job.ask.prompt);
+        let chain = blocks(&job.account.name, &job.route.model.name, &tokens);
         Self {
             account: job.account,
             matched: job.route,
@@ -122,6 +126,7 @@
             pace: Pace::new(0, 0, cx.start),
             warned: None,
             text: String::new(),
+            chain,
             reason: Reason::First,
             why: RefusalKind::NoPath,
             back: BACK,
@@ -243,6 +248,7 @@
     fn look(&mut self, retry: bool) -> Option<Path> {
         let shared = &self.cx.traffic.shared;
         let fleet = shared.fleet.load();
+        let prefixes = shared.prefixes.load();
         let engines = fleet.holding(&self.matched.model.name);
         let admits = |u: &heathpitch_policy::Upstream| {
             self.matched.index.admits(&self.matched.route, u.labels())
@@ -251,9 +257,11 @@
             model: &self.matched.model,
             domain: &shared.settings.domain,
             tokens: (self.ask.prompt.len() + 1 + self.relay.sent().len()) as u32,
+            chain: &self.chain,
+            prefixes: &prefixes,
             avoid: self.relay.avoid(),
             now: shared.now(),
-            strategy: Strategy::TwoChoices,
+            strategy: Strategy::Affinity,
         };
         let mut chosen = choose(engines, admits, &ask, &mut rand::rng());
         if chosen.is_err() && retry {
--- a/crates/heathpitchd/src/filters/limit.rs
+++ b/crates/heathpitchd/src/filters/limit.rs
@@ -1,11 +1,12 @@
 //! Filter: limits of the account, and room on the node.
 
 use heathpitch_core::{Account, Name, Priority};
-use heathpitch_policy::{Fleet, Over, Shed};
+use heathpitch_policy::{Demand, Fleet, Over, Shed};
 
 use super::guard::Permit;
 use super::route::Matched;
 use super::{Ask, Context, Refusal, RefusalKind};
+use crate::shared::ToControl;
 
 /// Requests admitted for each place in the engines' batches.
 const OVERCOMMIT: f64 = 2.0;
@@ -36,7 +37,14 @@
     room: u32,
 ) -> Result<Permit, Refusal> {
     let shared = &cx.traffic.shared;
-    let share = 1.0 / f64::from(shared.view.load().nodes.max(1));
+    let limited = account.rate.is_some() || account.streams.is_some();
+    let key = Demand::key(&account.name);
+    if limited {
+        shared.tell(ToControl::Demand(key));
+    }
+    let view = shared.view.load();
+    let equal = 1.0 / f64::from(view.nodes.max(1));
+    let share = view.shares.get(&key).copied().unwrap_or(equal);
     let mut limits = cx.traffic.limits.lock();
     limits.meter.open(account, share, shared.now()).map_err(over)?;
     let entered = limits.gates.entry(gate.clone()).or_default().enter(account, at, room);
--- a/crates/heathpitchd/src/shared.rs
+++ b/crates/heathpitchd/src/shared.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use heathpitch_core::{Incarnation, Index, Millis, Name, RequestId, Settings};
-use heathpitch_policy::{Fleet, Verdict};
+use heathpitch_policy::{Fleet, PrefixIndex, Verdict};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::Clock;
@@ -29,6 +29,8 @@
     },
     /// A request failed at an upstream.
     Failed(Name),
+    /// A request came of an account that has limits.
+    Demand(u64),
 }
 
 /// Shared by all threads of a node.
@@ -41,6 +43,7 @@
     pub(crate) index: ArcSwap<Index>,
     pub(crate) fleet: ArcSwap<Fleet>,
     pub(crate) view: ArcSwap<View>,
+    pub(crate) prefixes: ArcSwap<PrefixIndex>,
     pub(crate) draining: AtomicBool,
     pub(crate) open: AtomicUsize,
     pub(crate) beat: AtomicU64,
@@ -64,6 +67,7 @@
             index: ArcSwap::default(),
             fleet: ArcSwap::default(),
             view: ArcSwap::default(),
+            prefixes: ArcSwap::default(),
             draining: AtomicBool::new(false),
             open: AtomicUsize::new(0),
             beat: AtomicU64::new(0),
--- a/crates/heathpitchd/src/snapshot.rs
+++ b/crates/heathpitchd/src/snapshot.rs
@@ -1,5 +1,7 @@
 //! What the control thread publishes about nodes.
 
+use std::collections::HashMap;
+
 use heathpitch_core::{Name, Revision};
 use heathpitch_policy::{Member, MemberState, Standing};
 use serde::Serialize;
@@ -11,6 +13,8 @@
     pub(crate) members: Vec<Member>,
     /// Nodes of the fleet that can be reached, itself among them; at least 1.
     pub(crate) nodes: u32,
+    /// Share of its limits that each account with demand has on this node.
+    pub(crate) shares: HashMap<u64, f64>,
     /// Standing of each listed upstream.
     pub(crate) upstreams: Vec<(Name, Standing)>,
     /// Number of the list of VMs.
--- a/crates/net/schema/peer.capnp
+++ b/crates/net/schema/peer.capnp
@@ -34,6 +34,9 @@
   prefill @13 :Float64;
   step @14 :UInt64;
   service @15 :UInt64;
+  memory @16 :UInt64;
+  layer @17 :UInt64;
+  link @18 :UInt64;
 }
 
 struct Document {
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -3,7 +3,7 @@
 use futures::future::BoxFuture;
 use futures::stream::BoxStream;
 use heathpitch_core::{Attempt, LayerRange, Millis, Name};
-use heathpitch_policy::EngineReport;
+use heathpitch_policy::{BlockEvent, EngineReport};
 use serde::{Deserialize, Serialize};
 
 use crate::{EdgeError, Frame, GenerateCall, Order, OrderError};
@@ -53,22 +53,11 @@
     Edge(#[from] EdgeError),
 }
 
-/// A change of an engine's prefix cache.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CacheEvent {
-    /// Number within the engine's life; a gap means events were lost.
-    pub serial: u64,
-    /// Chained hash of the block.
-    pub block: u64,
-    /// Whether the block was added, rather than dropped.
-    pub added: bool,
-}
-
 /// Cache events after a number.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheEvents {
     /// Events in order.
-    pub events: Vec<CacheEvent>,
+    pub events: Vec<BlockEvent>,
     /// Whole content instead, if events were lost.
     pub snapshot: Option<Vec<u64>>,
     /// Number of the newest event.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -23,9 +23,7 @@
 pub use client::{Client, Response};
 pub use deflate::{deflate, inflate};
 pub use edge_error::EdgeError;
-pub use engine::{
-    CacheEvent, CacheEvents, EngineEdge, FrameStream, Refusal, RefusalKind, SendError,
-};
+pub use engine::{CacheEvents, EngineEdge, FrameStream, Refusal, RefusalKind, SendError};
 pub use engine_http::HttpEngine;
 pub use frame::{Frame, GenerateCall, Hop};
 pub use generated::peer_capnp;
--- a/crates/net/src/peer_codec.rs
+++ b/crates/net/src/peer_codec.rs
@@ -110,6 +110,9 @@
     to.set_prefill(from.prefill);
     to.set_step(from.step);
     to.set_service(from.service);
+    to.set_memory(from.memory);
+    to.set_layer(from.layer);
+    to.set_link(from.link);
 }
 
 fn read_report(from: report::Reader<'_>) -> Result<EngineReport> {
@@ -134,6 +137,9 @@
         prefill: from.get_prefill(),
         step: from.get_step(),
         service: from.get_service(),
+        memory: from.get_memory(),
+        layer: from.get_layer(),
+        link: from.get_link(),
     })
 }
 
--- a/crates/policy/src/bucket.rs
+++ b/crates/policy/src/bucket.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Takes any amount; what is not there is owed.
+    pub fn spend(&mut self, amount: f64) {
+        self.level -= amount;
+    }
+
     /// Puts one back that was not used.
     pub fn untake(&mut self) {
         self.level = (self.level + 1.0).min(self.burst);
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -50,6 +50,12 @@
     pub step: u64,
     /// Mean time of a finished request, milliseconds.
     pub service: Millis,
+    /// Memory for weights, megabytes.
+    pub memory: u64,
+    /// Time of one layer for one step, microseconds.
+    pub layer: u64,
+    /// Time an activation takes to the next stage, microseconds.
+    pub link: u64,
 }
 
 impl EngineReport {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,10 +4,12 @@
 //! clock, opens a socket, starts a task or draws from an unseeded generator, so a test, a
 //! simulator or another daemon can drive them.
 
+mod blocks;
 mod bucket;
 mod budget;
 mod claims;
 mod claims_page;
+mod demand;
 mod duty;
 mod engine;
 mod fleet;
@@ -18,18 +20,23 @@
 mod members;
 mod meter;
 mod pace;
+mod placement;
 mod predict;
+mod prefix;
 mod relay;
 mod replica;
 mod router;
 mod settle;
+mod split;
 mod switch;
 mod ticket;
 
+pub use blocks::{BLOCK, blocks, prompt_tokens};
 pub use bucket::Bucket;
 pub use budget::{RetryBudget, come_back};
 pub use claims::{ClaimAction, ClaimEvent, Claims, Verdict};
 pub use claims_page::{ClaimEntry, ClaimPage};
+pub use demand::Demand;
 pub use duty::Duty;
 pub use engine::{EngineReport, EngineRole};
 pub use fleet::{Fleet, ServiceView, Upstream};
@@ -40,11 +47,14 @@
 pub use members::{Member, MemberState, Members};
 pub use meter::{Meter, Over};
 pub use pace::Pace;
+pub use placement::{Holding, Move, MoveReason, Placeable, Wanted, gaps, plan};
 pub use predict::{Need, predict};
+pub use prefix::{BlockEvent, PrefixIndex};
 pub use relay::{Broken, EndReason, Relay, RelayAction, RelayEvent, RelayPlan, Repeat};
 pub use replica::{Adoption, Replica};
 pub use router::{Ask, NoPath, Strategy, choose};
 pub use settle::{Settlement, settle};
+pub use split::{Capable, Split, split};
 pub use switch::Mechanism;
 #[cfg(feature = "switches")]
 pub use switch::without;
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,308 @@
+//! Placement: which engine of a failure domain holds which layers of which model.
+//!
+//! A plan changes as little as it can. Models that no path runs through come first, then idle
+//! engines are given to whatever is most in need, then at most one engine is moved from plenty to
+//! need.
+
+use std::collections::BTreeSet;
+
+use heathpitch_core::{LayerRange, Model, Name};
+
+use crate::{Capable, split};
+
+/// How many times better off a model must be to give an engine to another.
+const PLENTY: f64 = 3.0;
+
+/// Layers of a model on an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holding {
+    /// Model.
+    pub model: Name,
+    /// Version of the weights.
+    pub version: Name,
+    /// Layers.
+    pub layers: LayerRange,
+}
+
+/// An engine that a plan may use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placeable {
+    /// Engine.
+    pub engine: Name,
+    /// Memory for weights, megabytes.
+    pub memory: u64,
+    /// Time of one layer for one step, microseconds.
+    pub layer: u64,
+    /// Time an activation takes to the next stage, microseconds.
+    pub link: u64,
+    /// What it holds, or is loading.
+    pub holding: Option<Holding>,
+}
+
+/// A model and how much it is asked for, in any unit that all models share.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wanted {
+    /// Model.
+    pub model: Model,
+    /// Demand, above 0.
+    pub demand: f64,
+}
+
+/// One engine that is to hold other layers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Move {
+    /// Engine.
+    pub engine: Name,
+    /// What it is to hold.
+    pub holding: Holding,
+    /// Weights to load, megabytes.
+    pub megabytes: u64,
+    /// Why.
+    pub reason: MoveReason,
+}
+
+/// Why an engine is to hold other layers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MoveReason {
+    /// No path ran through the model.
+    Uncovered,
+    /// The engine was idle and the model most in need.
+    Idle,
+    /// Another model had plenty.
+    Balance,
+}
+
+/// Plans the next moves of a failure domain.
+///
+/// # Examples
+///
+/// ```
+/// use heathpitch_core::Model;
+/// use heathpitch_policy::{Placeable, Wanted, plan};
+///
+/// let model = Model::new("m".parse()?, "v1".parse()?, 4);
+/// let wanted = [Wanted { model, demand: 1.0 }];
+/// let engine = |name: &str| -> Result<Placeable, heathpitch_core::NameError> {
+///     Ok(Placeable { engine: name.parse()?, memory: 1_000, layer: 100, link: 10, holding: None })
+/// };
+/// let moves = plan(&wanted, &[engine("a")?, engine("b")?]);
+/// let ends: Vec<_> = moves.iter().map(|m| m.holding.layers.to_string()).collect();
+/// assert_eq!(ends, ["0..2", "2..4"]);
+/// # Ok::<(), heathpitch_core::NameError>(())
+/// ```
+pub fn plan(wanted: &[Wanted], engines: &[Placeable]) -> Vec<Move> {
+    let mut planner = Planner { wanted, engines: engines.to_vec(), moves: Vec::new() };
+    planner.cover();
+    planner.use_idle();
+    if planner.moves.is_empty() {
+        planner.balance();
+    }
+    planner.moves
+}
+
+struct Planner<'a> {
+    wanted: &'a [Wanted],
+    engines: Vec<Placeable>,
+    moves: Vec<Move>,
+}
+
+/// # Steps
+impl Planner<'_> {
+    /// Closes the gaps of models that no path runs through, the most wanted first.
+    fn cover(&mut self) {
+        let mut order: Vec<&Wanted> = self.wanted.iter().collect();
+        order.sort_by(|a, b| b.demand.total_cmp(&a.demand).then(a.model.name.cmp(&b.model.name)));
+        for w in order {
+            for gap in gaps(&self.engines, &w.model) {
+                self.close(&w.model, gap);
+            }
+        }
+    }
+
+    /// Closes a gap with idle engines; if they do not hold it, with spare ones as well.
+    fn close(&mut self, model: &Model, gap: LayerRange) {
+        let mut usable: Vec<usize> = self.idle().collect();
+        loop {
+            let capable: Vec<Capable> =
+                usable.iter().map(|i| capable(&self.engines[*i], model)).collect();
+            if let Some(split) = split(&capable, gap.count()) {
+                let mut at = gap.first;
+                for (engine, count) in split.parts {
+                    let layers = LayerRange::new(at, at + count);
+                    at += count;
+                    self.place(&engine, model, layers, MoveReason::Uncovered);
+                }
+                return;
+            }
+            match self.spare(&usable, model) {
+                Some(next) => usable.push(next),
+                None => return,
+            }
+        }
+    }
+
+    /// Gives idle engines to the weakest layers of whatever model is most in need.
+    fn use_idle(&mut self) {
+        loop {
+            let idle: Vec<usize> = self.idle().collect();
+            let covered = |w: &&Wanted| gaps(&self.engines, &w.model).is_empty();
+            let Some(w) = self
+                .wanted
+                .iter()
+                .filter(covered)
+                .min_by(|a, b| self.plenty(a).total_cmp(&self.plenty(b)))
+            else {
+                return;
+            };
+            let model = &w.model;
+            let fits = |i: &usize| capable(&self.engines[*i], model).room > 0;
+            let fastest = idle.into_iter().filter(fits).min_by_key(|i| self.engines[*i].layer);
+            let Some(at) = fastest else { return };
+            let room = capable(&self.engines[at], model).room;
+            let layers = self.weakest(model, room);
+            let engine = self.engines[at].engine.clone();
+            self.place(&engine, model, layers, MoveReason::Idle);
+        }
+    }
+
+    /// Moves one engine from a model with plenty to the one most in need.
+    fn balance(&mut self) {
+        let by_plenty = |a: &&Wanted, b: &&Wanted| self.plenty(a).total_cmp(&self.plenty(b));
+        let (Some(poor), Some(rich)) =
+            (self.wanted.iter().min_by(by_plenty), self.wanted.iter().max_by(by_plenty))
+        else {
+            return;
+        };
+        if self.plenty(rich) < self.plenty(poor) * PLENTY {
+            return;
+        }
+        let model = &poor.model;
+        let gives = |i: &usize| {
+            let e = &self.engines[*i];
+            let holds = e.holding.as_ref().is_some_and(|h| h.model == rich.model.name);
+            holds && capable(e, model).room > 0 && self.can_spare(*i)
+        };
+        let Some(at) = (0..self.engines.len()).find(gives) else { return };
+        let room = capable(&self.engines[at], model).room;
+        let layers = self.weakest(model, room);
+        let engine = self.engines[at].engine.clone();
+        self.place(&engine, model, layers, MoveReason::Balance);
+    }
+}
+
+/// # Looking
+impl Planner<'_> {
+    fn idle(&self) -> impl Iterator<Item = usize> {
+        (0..self.engines.len()).filter(|i| self.is_idle(&self.engines[*i]))
+    }
+
+    fn is_idle(&self, engine: &Placeable) -> bool {
+        let Some(h) = &engine.holding else { return true };
+        let same = |w: &Wanted| w.model.name == h.model && w.model.version == h.version;
+        !self.wanted.iter().any(same)
+    }
+
+    /// An engine whose model keeps a path without it, of the model with most plenty.
+    fn spare(&self, taken: &[usize], model: &Model) -> Option<usize> {
+        let plenty = |i: &usize| {
+            let name = self.engines[*i].holding.as_ref().map(|h| &h.model);
+            let of = self.wanted.iter().find(|w| Some(&w.model.name) == name);
+            of.map_or(f64::INFINITY, |w| self.plenty(w))
+        };
+        let free = |i: &usize| {
+            !taken.contains(i) && capable(&self.engines[*i], model).room > 0 && self.can_spare(*i)
+        };
+        let spare = (0..self.engines.len()).filter(free);
+        spare.max_by(|a, b| plenty(a).total_cmp(&plenty(b)))
+    }
+
+    fn can_spare(&self, at: usize) -> bool {
+        let Some(holding) = &self.engines[at].holding else { return true };
+        let Some(w) = self.wanted.iter().find(|w| w.model.name == holding.model) else {
+            return true;
+        };
+        let mut without = self.engines.clone();
+        without.remove(at);
+        gaps(&without, &w.model).is_empty()
+    }
+
+    /// Steps per second that the weakest layer of a model can run, by its demand.
+    fn plenty(&self, w: &Wanted) -> f64 {
+        let layers = 0..w.model.layers;
+        let least = layers.map(|l| self.strength(&w.model, l)).min_by(f64::total_cmp);
+        least.unwrap_or(0.0) / w.demand.max(f64::MIN_POSITIVE)
+    }
+
+    fn strength(&self, model: &Model, layer: u32) -> f64 {
+        let holds = |h: &&Holding| holds_layer(h, model, layer);
+        let time =
+            |e: &Placeable, h: &Holding| u64::from(h.layers.count()) * e.layer.max(1) + e.link;
+        let of = |e: &Placeable| {
+            e.holding.as_ref().filter(holds).map(|h| 1_000_000.0 / time(e, h) as f64)
+        };
+        self.engines.iter().filter_map(of).sum()
+    }
+
+    /// The weakest layers of a model, at most `room` of them; the range of a stage if it fits.
+    fn weakest(&self, model: &Model, room: u32) -> LayerRange {
+        let strength = |l: &u32| self.strength(model, *l);
+        let layer =
+            (0..model.layers).min_by(|a, b| strength(a).total_cmp(&strength(b))).unwrap_or(0);
+        let stages = self.engines.iter().filter_map(|e| e.holding.as_ref());
+        let around = stages.filter(|h| holds_layer(h, model, layer)).map(|h| h.layers);
+        let smallest = around.min_by_key(|l| l.count());
+        match smallest {
+            Some(l) if l.count() <= room => l,
+            _ => LayerRange::new(layer, (layer + room).min(model.layers)),
+        }
+    }
+
+    fn place(&mut self, engine: &Name, model: &Model, layers: LayerRange, reason: MoveReason) {
+        let Some(e) = self.engines.iter_mut().find(|e| e.engine == *engine) else { return };
+        let (name, version) = (model.name.clone(), model.version.clone());
+        let holding = Holding { model: name, version, layers };
+        let before = e.holding.as_ref().filter(|h| h.model == holding.model);
+        let kept = before.map_or(0, |h| overlap(h.layers, layers));
+        let megabytes = u64::from(layers.count() - kept) * u64::from(model.layer_mb);
+        e.holding = Some(holding.clone());
+        self.moves.push(Move { engine: engine.clone(), holding, megabytes, reason });
+    }
+}
+
+/// Layers of a model that no engine holds.
+pub fn gaps(engines: &[Placeable], model: &Model) -> Vec<LayerRange> {
+    let mut held = BTreeSet::new();
+    for h in engines.iter().filter_map(|e| e.holding.as_ref()) {
+        if h.model == model.name && h.version == model.version {
+            held.extend(h.layers.first..h.layers.end);
+        }
+    }
+    let mut gaps: Vec<LayerRange> = Vec::new();
+    for layer in (0..model.layers).filter(|l| !held.contains(l)) {
+        match gaps.last_mut() {
+            Some(gap) if gap.end == layer => gap.end += 1,
+            _ => gaps.push(LayerRange::new(layer, layer + 1)),
+        }
+    }
+    gaps
+}
+
+fn capable(engine: &Placeable, model: &Model) -> Capable {
+    Capable {
+        engine: engine.engine.clone(),
+        room: (engine.memory / u64::from(model.layer_mb.max(1))).min(u32::MAX.into()) as u32,
+        layer: engine.layer,
+        link: engine.link,
+    }
+}
+
+fn holds_layer(h: &Holding, model: &Model, layer: u32) -> bool {
+    h.model == model.name
+        && h.version == model.version
+        && (h.layers.first..h.layers.end).contains(&layer)
+}
+
+fn overlap(a: LayerRange, b: LayerRange) -> u32 {
+    a.end.min(b.end).saturating_sub(a.first.max(b.first))
+}
--- a/crates/policy/src/predict.rs
+++ b/crates/policy/src/predict.rs
@@ -37,5 +37,6 @@
     let prefill = f64::from(need.tokens) / r.prefill.max(1.0) * 1_000.0;
     let step = r.step as f64 / 1_000.0;
     let far = if stage.vm.domain == *need.domain { 0.0 } else { FAR };
-    wait + prefill * (1.0 + busy) + step * (1.0 + busy) + far
+    let link = r.link as f64 / 1_000.0;
+    wait + prefill * (1.0 + busy) + step * (1.0 + busy) + link + far
 }
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -8,16 +8,22 @@
 use heathpitch_core::{LayerRange, Millis, Model, Name, Path, Stage};
 use rand::Rng;
 
-use crate::{Need, Upstream, predict};
+use crate::blocks::{mix, text};
+use crate::{BLOCK, Need, PrefixIndex, Upstream, predict};
 
+/// Part by which the engine that a prefix is assigned to may be worse and still be taken.
+const LOYALTY: f64 = 0.25;
 /// Cost of one more stage on a path, milliseconds.
 const HOP: f64 = 0.5;
 
 /// How a stage is picked among engines that hold the same layers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Strategy {
-    /// The better predicted of two picked at random.
+    /// The best predicted of the engine that the prompt's prefix is assigned to, the one known to
+    /// hold most of it, and one picked at random.
     #[default]
+    Affinity,
+    /// The better predicted of two picked at random.
     TwoChoices,
     /// The best predicted of all.
     Best,
@@ -36,6 +42,10 @@
     pub domain: &'a Name,
     /// Prompt tokens, those of a resumed answer included.
     pub tokens: u32,
+    /// Chained hashes of the prompt's blocks.
+    pub chain: &'a [u64],
+    /// Engines known to hold prompt blocks.
+    pub prefixes: &'a PrefixIndex,
     /// Engines that failed this request already.
     pub avoid: &'a [Name],
     /// Time of the choice.
@@ -83,38 +93,58 @@
     if groups.is_empty() {
         return Err(NoPath::NoEngine);
     }
-    let need = Need { tokens: ask.tokens, domain: ask.domain, now: ask.now };
     let picks: Vec<(LayerRange, Pick<'a>)> =
-        groups.iter().map(|(l, g)| (*l, pick(g, &need, ask.strategy, rng))).collect();
+        groups.iter().map(|(l, g)| (*l, pick(g, ask, rng))).collect();
     join(&picks, ask.model).ok_or(NoPath::Incomplete)
 }
 
-fn pick<'a>(
-    group: &[&'a Upstream],
-    need: &Need<'_>,
-    strategy: Strategy,
-    rng: &mut impl Rng,
-) -> Pick<'a> {
-    let with_cost = |u: &'a Upstream| (u, predict(u, need));
+fn pick<'a>(group: &[&'a Upstream], ask: &Ask<'_>, rng: &mut impl Rng) -> Pick<'a> {
+    let with_cost = |u: &'a Upstream| (u, cost(u, ask));
     let least = |a: Pick<'a>, b: Pick<'a>| if b.1 < a.1 { b } else { a };
     let any = rng.random_range(0..group.len());
-    match strategy {
+    let other = match group.len() {
+        1 => any,
+        n => (any + rng.random_range(1..n)) % n,
+    };
+    match ask.strategy {
         Strategy::Random => with_cost(group[any]),
-        Strategy::TwoChoices if group.len() > 1 => {
-            let step = rng.random_range(1..group.len());
-            let other = (any + step) % group.len();
-            least(with_cost(group[any]), with_cost(group[other]))
-        }
+        Strategy::TwoChoices => least(with_cost(group[any]), with_cost(group[other])),
         Strategy::LeastReported => {
             let reported = |u: &&&Upstream| u.report.running + u.report.queued;
             with_cost(group.iter().min_by_key(reported).copied().unwrap_or(group[any]))
         }
-        Strategy::TwoChoices | Strategy::Best => {
-            group.iter().map(|u| with_cost(u)).fold(with_cost(group[any]), least)
-        }
+        Strategy::Best => group.iter().map(|u| with_cost(u)).fold(with_cost(group[any]), least),
+        Strategy::Affinity => match ask.chain.first() {
+            Some(prefix) => loyal(group, *prefix, ask, with_cost(group[any])),
+            None => least(with_cost(group[any]), with_cost(group[other])),
+        },
     }
 }
 
+/// The engine that the prefix is assigned to or that holds most of it, unless `any` is better.
+///
+/// The assignment is by rendezvous hashing: every node comes to the same one without a message.
+fn loyal<'a>(group: &[&'a Upstream], prefix: u64, ask: &Ask<'_>, any: Pick<'a>) -> Pick<'a> {
+    let rank = |u: &&&Upstream| mix(prefix, text(&u.vm.name, 5));
+    let hit = |u: &&&Upstream| ask.prefixes.hit(u.vm.name.as_str(), ask.chain);
+    let assigned = group.iter().max_by_key(rank).copied().map(|u| (u, cost(u, ask)));
+    let holder = group.iter().filter(|u| hit(u) > 0).max_by_key(hit).copied();
+    let holder = holder.map(|u| (u, cost(u, ask)));
+    let best = match (assigned, holder) {
+        (Some(a), Some(h)) if h.1 <= a.1 => h,
+        (Some(a), _) => a,
+        (None, _) => any,
+    };
+    if best.1 <= any.1 * (1.0 + LOYALTY) { best } else { any }
+}
+
+/// Predicted cost of an engine, its prefix hit taken off.
+fn cost(u: &Upstream, ask: &Ask<'_>) -> f64 {
+    let hit = ask.prefixes.hit(u.vm.name.as_str(), ask.chain) * BLOCK;
+    let tokens = ask.tokens.saturating_sub(hit as u32);
+    predict(u, &Need { tokens, domain: ask.domain, now: ask.now })
+}
+
 /// Joins picked ranges into the cheapest path; a stage may run part of what its engine holds.
 fn join(picks: &[(LayerRange, Pick<'_>)], model: &Model) -> Option<(Path, f64)> {
     let ends = picks.iter().flat_map(|(l, _)| [l.first, l.end]);
--- /dev/null
+++ b/crates/policy/src/split.rs
@@ -0,0 +1,120 @@
+//! Split of consecutive layers over unequal engines.
+
+use heathpitch_core::Name;
+
+/// Engines up to which every choice of engines is looked at.
+const EXACT: usize = 10;
+
+/// What an engine can do for a split.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Capable {
+    /// Engine.
+    pub engine: Name,
+    /// Layers its memory takes.
+    pub room: u32,
+    /// Time of one layer for one step, microseconds.
+    pub layer: u64,
+    /// Time an activation takes to the next stage, microseconds.
+    pub link: u64,
+}
+
+/// Layers given to each engine, in order, and the time of the slowest stage, microseconds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Split {
+    /// Engines with their number of layers, none of them 0.
+    pub parts: Vec<(Name, u32)>,
+    /// Time of the slowest stage.
+    pub slowest: u64,
+}
+
+/// Splits `layers` over as few engines as hold them, so that the slowest stage is as fast as can
+/// be.
+///
+/// Fewer stages mean fewer hops for each token, and leave engines for whole replicas, which bring
+/// the same throughput. With up to ten engines the result is exact; beyond that the fastest that
+/// fit are taken.
+///
+/// # Examples
+///
+/// ```
+/// use heathpitch_policy::{Capable, split};
+///
+/// let engine = |name: &str, room, layer| -> Result<Capable, heathpitch_core::NameError> {
+///     Ok(Capable { engine: name.parse()?, room, layer, link: 0 })
+/// };
+/// let both = [engine("quick", 20, 100)?, engine("slow", 20, 300)?];
+/// let split = split(&both, 24).expect("both together hold 24 layers");
+/// assert_eq!(split.parts.iter().map(|p| p.1).collect::<Vec<_>>(), [18, 6]);
+/// assert_eq!(split.slowest, 1_800);
+/// # Ok::<(), heathpitch_core::NameError>(())
+/// ```
+pub fn split(engines: &[Capable], layers: u32) -> Option<Split> {
+    if layers == 0 {
+        return None;
+    }
+    (1..=engines.len()).find_map(|count| match engines.len() {
+        n if n <= EXACT => best_subset(engines, layers, count),
+        _ => likely_subset(engines, layers, count),
+    })
+}
+
+/// The best of all choices of `count` engines.
+fn best_subset(engines: &[Capable], layers: u32, count: usize) -> Option<Split> {
+    let masks = (1_u32..1 << engines.len()).filter(|m| m.count_ones() as usize == count);
+    let chosen = |mask: u32| -> Vec<&Capable> {
+        engines.iter().enumerate().filter(|(i, _)| mask >> i & 1 == 1).map(|(_, e)| e).collect()
+    };
+    masks.filter_map(|m| fill(&chosen(m), layers)).min_by_key(|s| s.slowest)
+}
+
+/// The better of the `count` fastest and the `count` roomiest engines.
+fn likely_subset(engines: &[Capable], layers: u32, count: usize) -> Option<Split> {
+    let mut fastest: Vec<&Capable> = engines.iter().collect();
+    fastest.sort_by_key(|e| (e.layer, e.link));
+    let mut roomiest: Vec<&Capable> = engines.iter().collect();
+    roomiest.sort_by_key(|e| (std::cmp::Reverse(e.room), e.layer));
+    let tried = [&fastest[..count], &roomiest[..count]];
+    tried.into_iter().filter_map(|c| fill(c, layers)).min_by_key(|s| s.slowest)
+}
+
+/// Gives each engine as many layers as it runs in the least time that places them all.
+fn fill(engines: &[&Capable], layers: u32) -> Option<Split> {
+    let total: u64 = engines.iter().map(|e| u64::from(e.room)).sum();
+    if total < u64::from(layers) || engines.len() > layers as usize {
+        return None;
+    }
+    let fits = |time: u64| -> u64 { engines.iter().map(|e| u64::from(takes(e, time))).sum() };
+    let (mut low, mut high) = (0, longest(engines));
+    while low < high {
+        let middle = low + (high - low) / 2;
+        match fits(middle) >= u64::from(layers) {
+            true => high = middle,
+            false => low = middle + 1,
+        }
+    }
+    let mut parts: Vec<(usize, u32)> = engines.iter().map(|e| takes(e, low)).enumerate().collect();
+    let mut extra = parts.iter().map(|p| p.1).sum::<u32>().saturating_sub(layers);
+    // What is too much is taken from the slowest first, since it was the last to fit.
+    while extra > 0 {
+        let time = |p: &(usize, u32)| u64::from(p.1) * engines[p.0].layer + engines[p.0].link;
+        let part = parts.iter_mut().filter(|p| p.1 > 0).max_by_key(|p| time(p))?;
+        part.1 -= 1;
+        extra -= 1;
+    }
+    let used = |p: &&(usize, u32)| p.1 > 0;
+    let time = |p: &(usize, u32)| u64::from(p.1) * engines[p.0].layer + engines[p.0].link;
+    let slowest = parts.iter().filter(used).map(time).max()?;
+    let named = parts.iter().filter(used).map(|p| (engines[p.0].engine.clone(), p.1));
+    Some(Split { parts: named.collect(), slowest })
+}
+
+/// Layers an engine runs within `time`.
+fn takes(engine: &Capable, time: u64) -> u32 {
+    let layers = time.saturating_sub(engine.link) / engine.layer.max(1);
+    layers.min(engine.room.into()) as u32
+}
+
+fn longest(engines: &[&Capable]) -> u64 {
+    let time = |e: &&Capable| u64::from(e.room) * e.layer.max(1) + e.link;
+    engines.iter().map(time).max().unwrap_or(0)
+}
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -45,6 +45,9 @@
         prefill: 10_000.0,
         step: 10_000,
         service: 500,
+        memory: 8_000,
+        layer: 1_000,
+        link: 100,
     }
 }
 
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -6,7 +6,7 @@
 
 use common::{model, name, report, upstream};
 use heathpitch_core::{LayerRange, Name, Path};
-use heathpitch_policy::{Ask, NoPath, Strategy, Upstream, choose};
+use heathpitch_policy::{Ask, NoPath, PrefixIndex, Strategy, Upstream, choose};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -14,7 +14,17 @@
 fn path(engines: &[Upstream], layers: u32, avoid: &[Name]) -> Result<Path, NoPath> {
     let (model, domain) = (model(layers), name("d"));
     let strategy = Strategy::Best;
-    let ask = Ask { model: &model, domain: &domain, tokens: 10, avoid, now: 1_000, strategy };
+    let prefixes = PrefixIndex::new();
+    let ask = Ask {
+        model: &model,
+        domain: &domain,
+        tokens: 10,
+        chain: &[],
+        prefixes: &prefixes,
+        avoid,
+        now: 1_000,
+        strategy,
+    };
     choose(engines, |_| true, &ask, &mut SmallRng::seed_from_u64(1)).map(|p| p.0)
 }
 
@@ -93,8 +103,18 @@
             .map(|(i, l)| upstream(report(&format!("e{i}"), l.first, l.end)))
             .collect();
         let (model, domain) = (model(12), name("d"));
-        let strategy = Strategy::TwoChoices;
-        let ask = Ask { model: &model, domain: &domain, tokens: 1, avoid: &[], now: 1_000, strategy };
+        let strategy = Strategy::Affinity;
+        let prefixes = PrefixIndex::new();
+        let ask = Ask {
+            model: &model,
+            domain: &domain,
+            tokens: 1,
+            chain: &[7],
+            prefixes: &prefixes,
+            avoid: &[],
+            now: 1_000,
+            strategy,
+        };
         let chosen = choose(&all, |_| true, &ask, &mut SmallRng::seed_from_u64(seed));
         let mut covered = 0;
         while let Some(l) = held.iter().filter(|l| l.first <= covered && l.end > covered).max_by_key(|l| l.end) {
--- a/crates/proof/src/upstreams.rs
+++ b/crates/proof/src/upstreams.rs
@@ -173,5 +173,8 @@
         prefill: 1.0,
         step: 1,
         service: 1,
+        memory: 0,
+        layer: 1,
+        link: 1,
     }
 }
