Routing strategy as a route setting; bytes of control traffic counted

Cause: baselines could not be run beside the default, and control bytes were not known. Change: settings.strategy (affinity, two_choices, best, least_reported, random) and heathpitch_control_bytes_total.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 mod route;
 mod selector;
 mod settings;
+mod strategy;
 mod validate;
 mod vm;
 
@@ -46,5 +47,6 @@
 pub use route::{Route, RouteKind, RouteSettings};
 pub use selector::{Match, Selector};
 pub use settings::{PeerSettings, Settings, Timing};
+pub use strategy::Strategy;
 pub use validate::validate;
 pub use vm::{Vm, VmRole, VmState};
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Match, Millis, Name, Selector};
+use crate::{Match, Millis, Name, Selector, Strategy};
 
 /// What a route leads to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,10 +49,19 @@
     pub stall_ms: Millis,
     /// Requests waiting or running on one node over this route.
     pub max_open: u32,
+    /// How engines are picked among those that hold the same layers.
+    pub strategy: Strategy,
 }
 
 impl Default for RouteSettings {
     fn default() -> Self {
-        Self { deadline_ms: 60_000, attempts: 4, first_ms: 5_000, stall_ms: 400, max_open: 2_000 }
+        Self {
+            deadline_ms: 60_000,
+            attempts: 4,
+            first_ms: 5_000,
+            stall_ms: 400,
+            max_open: 2_000,
+            strategy: Strategy::Affinity,
+        }
     }
 }
--- a/crates/heathpitchd/src/control/exchange.rs
+++ b/crates/heathpitchd/src/control/exchange.rs
@@ -52,14 +52,16 @@
     let answer = exchange(address, &sent, LIMIT).await;
     let result = if answer.is_ok() { "ok" } else { "error" };
     control.shared.metrics.exchanges.with_label_values(&[result]).inc();
-    let Ok(answer) = answer else { return };
+    let Ok((answer, bytes)) = answer else { return };
+    control.shared.metrics.bytes.with_label_values(&["peers"]).inc_by(bytes);
     let (config, vms) = (answer.config.revision, answer.vms.revision);
     take(&control, answer);
     // The peer told an older number than this node has: a second exchange brings it the document.
     let behind = config < sent.config.revision || vms < sent.vms.revision;
     if behind {
         let second = Update { demand: Vec::new(), epoch: 0, ..own(&control, config, vms) };
-        if let Ok(answer) = exchange(address, &second, LIMIT).await {
+        if let Ok((answer, bytes)) = exchange(address, &second, LIMIT).await {
+            control.shared.metrics.bytes.with_label_values(&["peers"]).inc_by(bytes);
             take(&control, answer);
         }
     }
--- a/crates/heathpitchd/src/control/mod.rs
+++ b/crates/heathpitchd/src/control/mod.rs
@@ -17,7 +17,7 @@
 use std::thread;
 use std::time::Duration;
 
-use heathpitch_net::{EngineEdge, PeerServer, PlatformEdge};
+use heathpitch_net::{Client, EngineEdge, PeerServer, PlatformEdge};
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::sync::{mpsc, watch};
@@ -43,6 +43,7 @@
 pub(crate) struct Edges {
     pub(crate) engine: Arc<dyn EngineEdge>,
     pub(crate) platform: Arc<dyn PlatformEdge>,
+    pub(crate) client: Client,
 }
 
 /// Starts the control thread; it ends when `stop` turns true.
--- a/crates/heathpitchd/src/control/state.rs
+++ b/crates/heathpitchd/src/control/state.rs
@@ -144,6 +144,9 @@
         }
         if now >= self.viewed.get() + VIEW_PERIOD {
             self.viewed.set(now);
+            let polled = self.edges.client.bytes();
+            let counter = self.shared.metrics.bytes.with_label_values(&["polls"]);
+            counter.inc_by(polled.saturating_sub(counter.get()));
             self.shared.view.store(Arc::new(self.view(now)));
         }
     }
--- a/crates/heathpitchd/src/filters/attempts.rs
+++ b/crates/heathpitchd/src/filters/attempts.rs
@@ -10,7 +10,7 @@
 use heathpitch_core::{Account, Attempt, Millis, Name, Outcome, Path, Stage};
 use heathpitch_net::{Body, FrameStream, GenerateCall, Hop, SendError};
 use heathpitch_policy::{
-    Broken, EndReason, Pace, Relay, RelayAction, RelayEvent, RelayPlan, Strategy, blocks, choose,
+    Broken, EndReason, Pace, Relay, RelayAction, RelayEvent, RelayPlan, blocks, choose,
     prompt_tokens,
 };
 use hyper::Response;
@@ -261,7 +261,7 @@
             prefixes: &prefixes,
             avoid: self.relay.avoid(),
             now: shared.now(),
-            strategy: Strategy::Affinity,
+            strategy: self.matched.route.settings.strategy,
         };
         let mut chosen = choose(engines, admits, &ask, &mut rand::rng());
         if chosen.is_err() && retry {
--- a/crates/heathpitchd/src/metrics.rs
+++ b/crates/heathpitchd/src/metrics.rs
@@ -6,7 +6,7 @@
 };
 
 /// Every metric: name, help.
-pub const METRICS: [(&str, &str); 14] = [
+pub const METRICS: [(&str, &str); 15] = [
     ("heathpitch_requests_total", "Requests ended, by outcome"),
     ("heathpitch_refusals_total", "Requests refused, by kind"),
     ("heathpitch_attempts_total", "Attempts ended, by result"),
@@ -21,6 +21,7 @@
     ("heathpitch_peer_exchanges_total", "Exchanges with peers, by result"),
     ("heathpitch_engine_polls_total", "Polls of engines and services, by result"),
     ("heathpitch_control_dropped_total", "Messages to the control thread dropped for want of room"),
+    ("heathpitch_control_bytes_total", "Bytes of exchanges begun and of polls, by kind"),
 ];
 
 /// Bounds of the first-token histogram, seconds.
@@ -46,6 +47,7 @@
     pub(crate) exchanges: IntCounterVec,
     pub(crate) polls: IntCounterVec,
     pub(crate) dropped: IntCounter,
+    pub(crate) bytes: IntCounterVec,
 }
 
 impl Metrics {
@@ -75,6 +77,7 @@
             exchanges: IntCounterVec::new(opts(11), &["result"])?,
             polls: IntCounterVec::new(opts(12), &["result"])?,
             dropped: IntCounter::with_opts(opts(13))?,
+            bytes: IntCounterVec::new(opts(14), &["kind"])?,
         };
         metrics.register()?;
         Ok(metrics)
@@ -95,7 +98,8 @@
         r.register(Box::new(self.platform.clone()))?;
         r.register(Box::new(self.exchanges.clone()))?;
         r.register(Box::new(self.polls.clone()))?;
-        r.register(Box::new(self.dropped.clone()))
+        r.register(Box::new(self.dropped.clone()))?;
+        r.register(Box::new(self.bytes.clone()))
     }
 
     /// All metrics in the text format.
--- a/crates/heathpitchd/src/node.rs
+++ b/crates/heathpitchd/src/node.rs
@@ -76,9 +76,11 @@
         let (shared, inbox) = Shared::new(settings, clock::incarnation(), metrics);
 
         let client = Client::new();
-        let engine = Arc::new(HttpEngine::new(client.clone()));
         let platform = Arc::new(HttpPlatform::new(client.clone(), &shared.settings.platform));
-        let edges = Edges { engine: engine.clone(), platform };
+        let engine = Arc::new(HttpEngine::new(client.clone()));
+        let edges = Edges { engine, platform, client };
+        let client = Client::new();
+        let engine = Arc::new(HttpEngine::new(client.clone()));
         let (stop_traffic, traffic_stopped) = watch::channel(false);
         let (stop_control, control_stopped) = watch::channel(false);
         let addresses = Addresses { caller: listen.into(), admin: admin.into(), peer: peer.into() };
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,5 +1,7 @@
 //! One HTTP client for every upstream of a process.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +21,8 @@
 const IDLE: usize = 64;
 /// Time an idle connection is kept.
 const IDLE_TIME: Duration = Duration::from_secs(20);
+/// Bytes counted for the heads of a call and its answer, with TCP and IP.
+const HEAD_BYTES: usize = 450;
 /// Largest JSON answer read, bytes.
 const MAX_JSON: usize = 4 << 20;
 
@@ -33,6 +37,7 @@
 pub struct Client {
     pooled: legacy::Client<HttpConnector, Body>,
     single: legacy::Client<HttpConnector, Body>,
+    bytes: Arc<AtomicU64>,
 }
 
 impl Default for Client {
@@ -43,9 +48,14 @@
 
 /// # Construction
 impl Client {
+    /// Bytes of the bodies of all whole calls so far, sent and received.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Relaxed)
+    }
+
     /// A client with no connections yet.
     pub fn new() -> Self {
-        Self { pooled: build(IDLE), single: build(0) }
+        Self { pooled: build(IDLE), single: build(0), bytes: Arc::default() }
     }
 }
 
@@ -110,13 +120,18 @@
         content: Option<&Q>,
         limit: Duration,
     ) -> Result<(u16, Bytes), EdgeError> {
-        let request = request(method, uri, content.map_or_else(body::empty, body::json))?;
+        let sent = content.map_or_else(Vec::new, |c| serde_json::to_vec(c).unwrap_or_default());
+        self.bytes.fetch_add((sent.len() + HEAD_BYTES) as u64, Relaxed);
+        let request = request(method, uri, body::full(sent))?;
         let work = async {
             let response = self.send(request, false).await?;
             let status = response.status().as_u16();
             let bytes = body::read(response.into_body(), MAX_JSON).await;
             match bytes {
-                Ok(bytes) => Ok((status, bytes)),
+                Ok(bytes) => {
+                    self.bytes.fetch_add(bytes.len() as u64, Relaxed);
+                    Ok((status, bytes))
+                }
                 Err(body::BodyError::TooLarge) => Err(EdgeError::TooLarge(MAX_JSON)),
                 Err(e) => Err(EdgeError::Lost(e.to_string())),
             }
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -21,6 +21,10 @@
 const HOLD: Duration = Duration::from_secs(30);
 /// Time to wait after an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Bytes of a word.
+const WORD: u64 = 8;
+/// Bytes of an exchange beside its updates: connection, bootstrap, call and return.
+const OVERHEAD: u64 = 900;
 /// Largest message, eight-byte words.
 const MAX_WORDS: usize = 1 << 20;
 
@@ -77,6 +81,8 @@
 
 /// Exchanges updates with a peer; must run in a `LocalSet`.
 ///
+/// Gives the answer and the bytes of both updates.
+///
 /// # Errors
 ///
 /// [`EdgeError::Connect`] or [`EdgeError::Lost`].
@@ -84,7 +90,7 @@
     address: SocketAddr,
     update: &Update,
     limit: Duration,
-) -> Result<Update, EdgeError> {
+) -> Result<(Update, u64), EdgeError> {
     let work = async {
         let connect = TcpStream::connect(address).await;
         let stream = connect.map_err(|e| EdgeError::Connect(e.to_string()))?;
@@ -94,15 +100,20 @@
     tokio::time::timeout(limit, work).await.map_err(late)?
 }
 
-async fn call(stream: TcpStream, update: &Update) -> Result<Update, capnp::Error> {
+async fn call(stream: TcpStream, update: &Update) -> Result<(Update, u64), capnp::Error> {
     let mut system = RpcSystem::new(network(stream, Side::Client), None);
     let client: peer::Client = system.bootstrap(Side::Server);
     let disconnector = system.get_disconnector();
     let running = tokio::task::spawn_local(system);
     let mut request = client.exchange_request();
     peer_codec::write(update, request.get().init_update());
+    let sent = request.get().into_reader().total_size()?.word_count;
     let answer = request.send().promise.await;
-    let answer = answer.and_then(|a| peer_codec::read(a.get()?.get_update()?));
+    let answer = answer.and_then(|a| {
+        let update = a.get()?.get_update()?;
+        let words = sent + update.total_size()?.word_count;
+        Ok((peer_codec::read(update)?, words * WORD + OVERHEAD))
+    });
     let _ = disconnector.await;
     running.abort();
     answer
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -52,7 +52,7 @@
 pub use prefix::{BlockEvent, PrefixIndex};
 pub use relay::{Broken, EndReason, Relay, RelayAction, RelayEvent, RelayPlan, Repeat};
 pub use replica::{Adoption, Replica};
-pub use router::{Ask, NoPath, Strategy, choose};
+pub use router::{Ask, NoPath, choose};
 pub use settle::{Settlement, settle};
 pub use split::{Capable, Split, split};
 pub use switch::Mechanism;
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use heathpitch_core::{LayerRange, Millis, Model, Name, Path, Stage};
+use heathpitch_core::{LayerRange, Millis, Model, Name, Path, Stage, Strategy};
 use rand::Rng;
 
 use crate::blocks::{mix, text};
@@ -16,23 +16,6 @@
 /// Cost of one more stage on a path, milliseconds.
 const HOP: f64 = 0.5;
 
-/// How a stage is picked among engines that hold the same layers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Strategy {
-    /// The best predicted of the engine that the prompt's prefix is assigned to, the one known to
-    /// hold most of it, and one picked at random.
-    #[default]
-    Affinity,
-    /// The better predicted of two picked at random.
-    TwoChoices,
-    /// The best predicted of all.
-    Best,
-    /// The least reported load; a baseline.
-    LeastReported,
-    /// Any; a baseline.
-    Random,
-}
-
 /// A request as the choice sees it.
 #[derive(Clone, Debug)]
 pub struct Ask<'a> {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -178,10 +178,7 @@
 /// A model with a gap still has replicas to spare: the gap does not make every layer precious.
 #[test]
 fn a_spare_replica_closes_a_gap_of_its_own_model() {
-    let engines = [
-        engine(0, 1_000, Some(("m", 0, 4))),
-        engine(1, 1_000, Some(("m", 0, 4))),
-    ];
+    let engines = [engine(0, 1_000, Some(("m", 0, 4))), engine(1, 1_000, Some(("m", 0, 4)))];
     let moves = plan(&[wanted("m", 8, 1.0)], &engines);
     assert_eq!(moves.len(), 1);
     assert_eq!(moves[0].holding.layers, LayerRange::new(4, 8));
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -5,8 +5,8 @@
 mod common;
 
 use common::{model, name, report, upstream};
-use heathpitch_core::{LayerRange, Name, Path};
-use heathpitch_policy::{Ask, NoPath, PrefixIndex, Strategy, Upstream, choose};
+use heathpitch_core::{LayerRange, Name, Path, Strategy};
+use heathpitch_policy::{Ask, NoPath, PrefixIndex, Upstream, choose};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
