Recovery: look for silent engines early, check a path before a retry

Cause: after a frozen stage the next path often held another frozen engine, and the new attempt's first token was waited for 5 s (first_ms) before anyone looked; after two killed stages the four attempts went on paths with further dead engines. Ruled out: the stall floor (417 ms median was right), the planner (replicas were there). Change: half-way to a stall, or when a predicted first token is late, every engine that a path could be made of is asked whether it lives; the path is left as soon as one of its engines is silent, and all silent ones are avoided; a retry is dispatched only over a path whose engines answer.

--- /dev/null
+++ b/crates/fakes/examples/cost.rs
@@ -0,0 +1,208 @@
+//! The router's own cost, beside direct calls to the stand-in engine in the same run.
+//!
+//! `cargo build --release --bins && cargo run --release -p heathpitch-fakes --example cost`
+
+use std::error::Error;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use futures::StreamExt;
+use heathpitch_core::{Attempt, Epoch, LayerRange, Name, Priority};
+use heathpitch_fakes::{Answer, Caller, Deployment, EngineSetup, NodeProcess, sample};
+use heathpitch_net::{Client, EngineEdge, Frame, GenerateCall, Hop, HttpEngine};
+use tokio::task::JoinSet;
+
+const LAYERS: u32 = 4;
+const ROUNDS: usize = 300;
+const TOKENS: u32 = 20;
+/// Streams held open for the memory figure.
+const STREAMS: usize = 1_000;
+/// Clock ticks of a second in /proc.
+const TICKS: f64 = 100.0;
+
+type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let mut d = Deployment::open(&beside()?)?;
+    let layers = LayerRange::new(0, LAYERS);
+    let mut setup = EngineSetup::new("e".parse()?, "tickets".parse()?, "v1".parse()?, layers);
+    setup.step = Duration::from_millis(5);
+    setup.slots = 4_096;
+    setup.queue = 4_096;
+    d.engine(setup, "memphis")?;
+    d.node("n1", "memphis", |_| {})?;
+    d.list();
+    let mut document = sample(LAYERS)?;
+    document.routes[0].settings.max_open = 100_000;
+    let revision = d.configure(&document).await?;
+    if !d.ready(revision, 1, Duration::from_secs(20)).await {
+        return Err("the node did not become ready".into());
+    }
+    let (node, engine) = (d.nodes[0].listen, d.engines[0].0.address());
+    latency(node, engine).await?;
+    cpu(&d.nodes[0]).await?;
+    memory(&d.nodes[0]).await
+}
+
+/// Time to the first token and between tokens, routed and direct in turn.
+async fn latency(node: SocketAddr, engine: SocketAddr) -> Result<()> {
+    let caller = Caller::new("memphis-desk".parse()?);
+    let edge = HttpEngine::new(Client::new());
+    let (mut routed, mut direct) = (Vec::new(), Vec::new());
+    for round in 0..ROUNDS {
+        let prompt = format!("round {round}");
+        let start = Instant::now();
+        let answer = caller.stream(node, &"tickets".parse()?, &prompt, TOKENS).await?;
+        routed.push(timed(&answer, start.elapsed()));
+        direct.push(straight(&edge, engine, &prompt).await?);
+    }
+    let of = |v: &[(f64, f64)], f: fn(&(f64, f64)) -> f64| {
+        let mut all: Vec<f64> = v.iter().map(f).collect();
+        all.sort_by(f64::total_cmp);
+        (all[all.len() / 2], all[all.len() * 95 / 100])
+    };
+    println!("| | routed p50 ms | routed p95 | direct p50 | direct p95 | added p50 |");
+    println!("|---|---|---|---|---|---|");
+    for (name, f) in [("first token", (|x| x.0) as fn(&(f64, f64)) -> f64), ("per token", |x| x.1)]
+    {
+        let (r, d) = (of(&routed, f), of(&direct, f));
+        println!(
+            "| {name} | {:.2} | {:.2} | {:.2} | {:.2} | {:.2} |",
+            r.0,
+            r.1,
+            d.0,
+            d.1,
+            r.0 - d.0
+        );
+    }
+    Ok(())
+}
+
+fn timed(answer: &Answer, whole: Duration) -> (f64, f64) {
+    let first = answer.first.as_secs_f64() * 1_000.0;
+    let rest = whole.as_secs_f64() * 1_000.0 - first;
+    (first, rest / (answer.pieces.len().max(2) - 1) as f64)
+}
+
+async fn straight(edge: &HttpEngine, engine: SocketAddr, prompt: &str) -> Result<(f64, f64)> {
+    let start = Instant::now();
+    let address: Name = engine.into();
+    let call = GenerateCall {
+        request: format!("direct {prompt}"),
+        attempt: Attempt(1),
+        model: "tickets".parse()?,
+        version: "v1".parse()?,
+        account: "memphis-desk".parse()?,
+        priority: Priority::Normal,
+        prompt: prompt.to_owned(),
+        resumed: vec![],
+        wanted: TOKENS,
+        options: serde_json::Value::Null,
+        hops: vec![Hop {
+            engine: "e".parse()?,
+            address: address.clone(),
+            layers: LayerRange::new(0, LAYERS),
+            epoch: Epoch(0),
+        }],
+    };
+    let mut frames = edge.generate(&address, call).await?;
+    let (mut first, mut last, mut count) = (None, start, 0);
+    while let Some(frame) = frames.next().await {
+        if let Frame::Token { .. } = frame? {
+            last = Instant::now();
+            first.get_or_insert(last);
+            count += 1;
+        }
+    }
+    let first = first.unwrap_or(last);
+    let ms = |d: Duration| d.as_secs_f64() * 1_000.0;
+    Ok((ms(first - start), ms(last - first) / (count.max(2) - 1) as f64))
+}
+
+/// Processor time of the node for each request and token, from two lengths of answers.
+async fn cpu(node: &NodeProcess) -> Result<()> {
+    let idle = ticks(node)?;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let control = (ticks(node)? - idle) / TICKS / 2.0;
+    println!("\ncontrol: {:.2} % of a core with no traffic", control * 100.0);
+    let mut figures = Vec::new();
+    for tokens in [1_u32, 64] {
+        let (count, start, before) = (4_000, Instant::now(), ticks(node)?);
+        let done = flood(node.listen, count, tokens).await?;
+        let used = (ticks(node)? - before) / TICKS;
+        let each = used / count as f64 * 1e6;
+        let rate = done as f64 / start.elapsed().as_secs_f64();
+        println!(
+            "{tokens} tokens: {done} of {count} whole, {rate:.0} requests/s, {each:.0} us of processor each"
+        );
+        figures.push(each);
+    }
+    println!(
+        "processor time: {:.0} us a request, {:.1} us a token",
+        figures[0],
+        (figures[1] - figures[0]) / 63.0
+    );
+    Ok(())
+}
+
+async fn flood(node: SocketAddr, count: usize, tokens: u32) -> Result<usize> {
+    let mut tasks = JoinSet::new();
+    const WORKERS: usize = 64;
+    for worker in 0..WORKERS {
+        let caller = Caller::new("memphis-desk".parse()?);
+        let model: Name = "tickets".parse()?;
+        tasks.spawn(async move {
+            let mut whole = 0;
+            for n in 0..count / WORKERS {
+                let prompt = format!("{worker} {n}");
+                let got = caller.stream(node, &model, &prompt, tokens).await;
+                whole += usize::from(got.is_ok_and(|a| a.whole));
+            }
+            whole
+        });
+    }
+    Ok(tasks.join_all().await.into_iter().sum())
+}
+
+/// Memory of the node with a thousand streams held open.
+async fn memory(node: &NodeProcess) -> Result<()> {
+    let before = resident(node)?;
+    let mut tasks = JoinSet::new();
+    for i in 0..STREAMS {
+        let caller = Caller::new("memphis-desk".parse()?);
+        let (listen, model) = (node.listen, "tickets".parse::<Name>()?);
+        tasks
+            .spawn(async move { caller.stream(listen, &model, &format!("open {i}"), 1_500).await });
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let open = node.status().await["open"].as_u64().unwrap_or(0);
+    let with = resident(node)?;
+    println!(
+        "\nresident memory: {before} kB before, {with} kB with {open} streams open: {} kB each",
+        (with.saturating_sub(before)) / open.max(1)
+    );
+    tasks.abort_all();
+    Ok(())
+}
+
+fn ticks(node: &NodeProcess) -> Result<f64> {
+    let stat = fs::read_to_string(format!("/proc/{}/stat", node.pid()))?;
+    let rest = stat.rsplit_once(')').ok_or("no stat")?.1;
+    let fields: Vec<&str> = rest.split_whitespace().collect();
+    Ok(fields[11].parse::<f64>()? + fields[12].parse::<f64>()?)
+}
+
+fn resident(node: &NodeProcess) -> Result<u64> {
+    let status = fs::read_to_string(format!("/proc/{}/status", node.pid()))?;
+    let line = status.lines().find(|l| l.starts_with("VmRSS")).ok_or("no VmRSS")?;
+    Ok(line.split_whitespace().nth(1).ok_or("no figure")?.parse()?)
+}
+
+fn beside() -> Result<PathBuf> {
+    let me = std::env::current_exe()?;
+    let folder = me.parent().and_then(|p| p.parent()).ok_or("no folder above the example")?;
+    Ok(folder.join("heathpitchd"))
+}
--- /dev/null
+++ b/crates/fakes/examples/experiment.rs
@@ -0,0 +1,265 @@
+//! Experiments on real nodes and stand-in engines: throughput beside the hardware's bound under
+//! each routing strategy, and recovery from lost stages as the caller sees it.
+//!
+//! `cargo build --release --bins && cargo run --release -p heathpitch-fakes --example experiment`
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use gumdrop::Options;
+use heathpitch_core::{LayerRange, Name, Strategy};
+use heathpitch_fakes::{Answer, Caller, Deployment, EngineSetup, Fault, sample};
+use tokio::task::JoinSet;
+
+const LAYERS: u32 = 24;
+const STAGES: u32 = 3;
+const SLOTS: u32 = 8;
+/// Groups of callers that share a long prefix.
+const GROUPS: usize = 10;
+/// Step of a fast and of a slow engine.
+const STEPS: [Duration; 2] = [Duration::from_millis(10), Duration::from_millis(20)];
+/// Prompt tokens a second of a fast engine; a slow one does half.
+const PREFILL: f64 = 20_000.0;
+
+type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+#[derive(Debug, Options)]
+struct Arguments {
+    /// Prints this help.
+    help: bool,
+    /// Seconds of each run.
+    #[options(default = "8", no_short, meta = "S")]
+    seconds: u64,
+    /// Rounds of each recovery experiment.
+    #[options(default = "12", no_short, meta = "N")]
+    rounds: u32,
+    /// What to run: throughput, recovery or all.
+    #[options(default = "all", no_short, meta = "WHAT")]
+    only: String,
+    /// The node's binary.
+    #[options(no_short, meta = "FILE")]
+    binary: Option<PathBuf>,
+}
+
+/// Load of one run.
+#[derive(Clone, Copy, Debug)]
+enum Load {
+    Steady,
+    Mixed,
+    Bursts,
+    Prefixes,
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let binary = match &arguments.binary {
+        Some(path) => path.clone(),
+        None => beside()?,
+    };
+    if arguments.only != "recovery" {
+        throughput(&binary, arguments.seconds).await?;
+    }
+    if arguments.only != "throughput" {
+        recovery(&binary, arguments.rounds).await?;
+    }
+    Ok(())
+}
+
+async fn throughput(binary: &std::path::Path, seconds: u64) -> Result<()> {
+    println!(
+        "| load | strategy | tokens/s | of bound | first p50 ms | first p95 ms | gap p95 ms | refused |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
+    for load in [Load::Steady, Load::Mixed, Load::Bursts, Load::Prefixes] {
+        for strategy in
+            [Strategy::Affinity, Strategy::TwoChoices, Strategy::LeastReported, Strategy::Random]
+        {
+            let d = deployment(binary, 4, strategy).await?;
+            run(&d, load, strategy, seconds).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Half of the replicas are fast, half slow, behind four nodes.
+async fn deployment(
+    binary: &std::path::Path,
+    nodes: usize,
+    strategy: Strategy,
+) -> Result<Deployment> {
+    let mut d = Deployment::open(binary)?;
+    for replica in 0..4_u32 {
+        for stage in 0..STAGES {
+            let layers = LayerRange::new(LAYERS * stage / STAGES, LAYERS * (stage + 1) / STAGES);
+            let name = format!("e{stage}{replica}").parse()?;
+            let mut setup = EngineSetup::new(name, "tickets".parse()?, "v1".parse()?, layers);
+            let slow = (replica % 2) as usize;
+            setup.step = STEPS[slow];
+            setup.prefill = PREFILL / (slow as f64 + 1.0);
+            setup.slots = SLOTS;
+            setup.cache = 600;
+            setup.lag = Duration::from_millis(500);
+            d.engine(setup, "memphis")?;
+        }
+    }
+    for i in 0..nodes {
+        d.node(&format!("n{i}"), "memphis", |_| {})?;
+    }
+    d.list();
+    let mut document = sample(LAYERS)?;
+    document.routes[0].settings.strategy = strategy;
+    let revision = d.configure(&document).await?;
+    match d.ready(revision, d.engines.len(), Duration::from_secs(20)).await {
+        true => Ok(d),
+        false => Err("the nodes did not become ready".into()),
+    }
+}
+
+/// Tokens a second of the hardware, if every path held engines of one speed and none ever waited.
+fn bound() -> f64 {
+    let row = |step: Duration| f64::from(SLOTS) / (step.as_secs_f64() * f64::from(STAGES));
+    2.0 * (row(STEPS[0]) + row(STEPS[1]))
+}
+
+async fn run(d: &Deployment, load: Load, strategy: Strategy, seconds: u64) -> Result<()> {
+    let start = Instant::now();
+    let end = start + Duration::from_secs(seconds);
+    let workers = match load {
+        Load::Bursts => 48,
+        _ => 30,
+    };
+    let mut tasks = JoinSet::new();
+    for worker in 0..workers {
+        let node = d.nodes[worker % d.nodes.len()].listen;
+        tasks.spawn(work(node, worker, load, end));
+    }
+    let all: Vec<Answer> = tasks.join_all().await.into_iter().flatten().collect();
+    let took = start.elapsed().as_secs_f64();
+    let tokens: usize = all.iter().map(|a| a.pieces.len()).sum();
+    let good: Vec<&Answer> = all.iter().filter(|a| a.whole).collect();
+    let firsts = sorted(good.iter().map(|a| a.first));
+    let gaps = sorted(good.iter().map(|a| a.gap));
+    let rate = tokens as f64 / took;
+    println!(
+        "| {load:?} | {strategy:?} | {rate:.0} | {:.2} | {:.0} | {:.0} | {:.0} | {} |",
+        rate / bound(),
+        at(&firsts, 0.5),
+        at(&firsts, 0.95),
+        at(&gaps, 0.95),
+        all.len() - good.len()
+    );
+    Ok(())
+}
+
+/// Asks until the time is over; the load decides lengths, pauses and prompts.
+async fn work(node: SocketAddr, worker: usize, load: Load, end: Instant) -> Vec<Answer> {
+    let accounts = ["memphis-desk", "adviser-1", "isar-night"];
+    // Workers of one group share a prefix, so they are of one account.
+    let account = accounts[worker % GROUPS % 3];
+    let (Ok(account), Ok(model)) = (account.parse::<Name>(), "tickets".parse()) else {
+        return Vec::new();
+    };
+    let caller = Caller::new(account);
+    let mut answers = Vec::new();
+    let mut n = 0;
+    while Instant::now() < end {
+        n += 1;
+        let (prompt, tokens) = ask(load, worker, n);
+        if matches!(load, Load::Bursts) && n % 4 == 0 {
+            tokio::time::sleep(Duration::from_millis(900)).await;
+        }
+        let got = caller.stream(node, &model, &prompt, tokens).await.unwrap_or_default();
+        if !got.whole {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        answers.push(got);
+    }
+    answers
+}
+
+fn ask(load: Load, worker: usize, n: usize) -> (String, u32) {
+    match load {
+        Load::Steady | Load::Bursts => (format!("{worker}/{n} {}", "crash report ".repeat(20)), 16),
+        Load::Mixed if n.is_multiple_of(3) => {
+            (format!("{worker}/{n} {}", "stack trace ".repeat(250)), 40)
+        }
+        Load::Mixed => (format!("{worker}/{n} short"), 8),
+        Load::Prefixes => {
+            let group = worker % GROUPS;
+            let notes = format!("account notes {group} ").repeat(200);
+            (format!("{notes} order {worker}/{n}"), 8)
+        }
+    }
+}
+
+async fn recovery(binary: &std::path::Path, rounds: u32) -> Result<()> {
+    println!("\n| fault | answers | whole | stall p50 ms | p95 ms | max ms |");
+    println!("|---|---|---|---|---|---|");
+    let cases = [
+        ("none", None, 0),
+        ("killed stage", Some(Fault::Die), 1),
+        ("frozen stage", Some(Fault::Freeze), 1),
+        ("stage 30 times slower", Some(Fault::Slow(30.0)), 1),
+        ("two killed stages", Some(Fault::Die), 2),
+        ("two frozen stages", Some(Fault::Freeze), 2),
+    ];
+    for (name, fault, count) in cases {
+        let mut gaps = Vec::new();
+        let (mut whole, mut total) = (0, 0);
+        for round in 0..rounds.div_ceil(4) {
+            let d = deployment(binary, 2, Strategy::Affinity).await?;
+            let mut tasks = JoinSet::new();
+            for i in 0..4_usize {
+                let node = d.nodes[i % 2].listen;
+                let model = "tickets".parse()?;
+                let caller = Caller::new("memphis-desk".parse()?);
+                let prompt = format!("round {round} answer {i}");
+                tasks.spawn(async move { caller.stream(node, &model, &prompt, 40).await });
+            }
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            if let Some(fault) = fault {
+                hit(&d, fault, count);
+            }
+            for got in tasks.join_all().await {
+                let got = got.unwrap_or_default();
+                total += 1;
+                whole += u32::from(got.whole);
+                gaps.push(got.gap);
+            }
+        }
+        let gaps = sorted(gaps.into_iter());
+        let (p50, p95, max) = (at(&gaps, 0.5), at(&gaps, 0.95), at(&gaps, 1.0));
+        println!("| {name} | {total} | {whole} | {p50:.0} | {p95:.0} | {max:.0} |");
+    }
+    Ok(())
+}
+
+/// Shows the fault in the busiest engine of the middle stage, and of the last for a second.
+fn hit(d: &Deployment, fault: Fault, count: u32) {
+    for stage in (1..STAGES).take(count as usize) {
+        let of_stage =
+            d.engines.iter().filter(|(e, _)| e.name().as_str().starts_with(&format!("e{stage}")));
+        // All but one replica of the stage: whatever path an answer is on, it is most likely hit.
+        of_stage.take(3).for_each(|(e, _)| e.fault(fault));
+    }
+}
+
+fn sorted(times: impl Iterator<Item = Duration>) -> Vec<f64> {
+    let mut times: Vec<f64> = times.map(|t| t.as_secs_f64() * 1_000.0).collect();
+    times.sort_by(f64::total_cmp);
+    times
+}
+
+fn at(sorted: &[f64], part: f64) -> f64 {
+    let last = sorted.len().saturating_sub(1);
+    sorted.get((last as f64 * part).round() as usize).copied().unwrap_or(f64::NAN)
+}
+
+fn beside() -> Result<PathBuf> {
+    let me = std::env::current_exe()?;
+    let folder = me.parent().and_then(|p| p.parent()).ok_or("no folder above the example")?;
+    Ok(folder.join("heathpitchd"))
+}
--- a/crates/heathpitchd/src/filters/attempts.rs
+++ b/crates/heathpitchd/src/filters/attempts.rs
@@ -78,10 +78,11 @@
     dispatched: Option<Dispatched>,
     keyed: bool,
     live: Option<Live>,
-    path: Option<Path>,
+    current: Option<Path>,
     opened: Option<Opened>,
     pace: Pace,
-    warned: Option<JoinHandle<Vec<Name>>>,
+    look: Option<JoinHandle<Vec<Name>>>,
+    warn: Millis,
     text: String,
     chain: Vec<u64>,
     reason: Reason,
@@ -121,10 +122,11 @@
             dispatched: None,
             keyed,
             live: None,
-            path: None,
+            current: None,
             opened: None,
             pace: Pace::new(0, 0, cx.start),
-            warned: None,
+            look: None,
+            warn: 0,
             text: String::new(),
             chain,
             reason: Reason::First,
@@ -179,9 +181,9 @@
         loop {
             let clock = self.cx.traffic.shared.clock;
             let stall = self.pace.stalls_at();
-            let warn = stall - (stall - self.pace.last().min(stall)) / 2;
-            let timer = if self.warned.is_some() { stall } else { warn };
-            let due = timer.min(self.matched.deadline);
+            let timer =
+                if self.look.is_some() { stall } else { self.warn.max(self.pace.warns_at()) };
+            let due = timer.min(stall).min(self.matched.deadline);
             tokio::select! {
                 biased;
                 arrival = Self::receive(&mut self.live, &self.cx.id, self.relay.attempt()) => {
@@ -191,21 +193,33 @@
                     }
                 }
                 () = self.output.gone(), if !self.keyed => return RelayEvent::Abandoned,
+                silent = Self::looked(&mut self.look) => {
+                    if let Some(event) = self.found(silent) {
+                        return event;
+                    }
+                }
                 () = tokio::time::sleep_until(clock.instant(due)) => {}
             }
             let now = self.cx.traffic.shared.now();
-            match self.warned.take() {
+            match now {
                 _ if now >= self.matched.deadline => {
                     self.why = RefusalKind::Expired;
                     return RelayEvent::Expired;
                 }
-                Some(found) if now >= stall => return self.stalled(found).await,
-                None if now >= warn => self.warned = self.probe(),
-                found => self.warned = found,
+                _ if now >= stall => return self.stalled(Vec::new()),
+                _ if now >= timer && self.look.is_none() => self.look = Some(self.start_look()),
+                _ => {}
             }
         }
     }
 
+    async fn looked(look: &mut Option<JoinHandle<Vec<Name>>>) -> Vec<Name> {
+        match look {
+            Some(handle) => handle.await.unwrap_or_default(),
+            None => std::future::pending().await,
+        }
+    }
+
     async fn receive(live: &mut Option<Live>, id: &str, attempt: Attempt) -> Option<Arrival> {
         match live {
             Some(Live::Opening(opening)) => match opening.await {
@@ -232,8 +246,9 @@
         }
         let start = self.cx.traffic.shared.now();
         loop {
-            match self.look(retry) {
-                Some(path) => return RelayEvent::Chosen(path),
+            match self.path(retry) {
+                Some(path) if !retry || self.alive(&path).await => return RelayEvent::Chosen(path),
+                Some(_) => continue,
                 None if !retry => return RelayEvent::NoPath,
                 None => {}
             }
@@ -245,7 +260,14 @@
         }
     }
 
-    fn look(&mut self, retry: bool) -> Option<Path> {
+    /// Whether every engine of a path answers; those that do not are avoided from now on.
+    async fn alive(&mut self, path: &Path) -> bool {
+        let silent = probe::silent(self.cx.traffic.clone(), probe::stages(path)).await;
+        silent.iter().for_each(|name| self.doubt(name));
+        silent.is_empty()
+    }
+
+    fn path(&mut self, retry: bool) -> Option<Path> {
         let shared = &self.cx.traffic.shared;
         let fleet = shared.fleet.load();
         let prefixes = shared.prefixes.load();
@@ -294,12 +316,14 @@
         self.opened = Some(Opened::new(on_path.map(|u| u.gauge.clone()).collect()));
         let settings = &self.matched.route.settings;
         let first = settings.first_ms.max((self.predicted * PATIENCE) as Millis);
-        self.pace = Pace::new(settings.stall_ms, first, shared.now());
-        self.warned = None;
+        let soon = (self.predicted * PATIENCE) as Millis;
+        self.pace = Pace::new(settings.stall_ms, first, shared.now()).expecting(soon);
+        self.look = None;
+        self.warn = 0;
         let call = self.call(attempt, &path);
         let address = path.head().address.clone();
         self.live = Some(Live::Opening(self.cx.traffic.engine.generate(&address, call)));
-        self.path = Some(path);
+        self.current = Some(path);
         None
     }
 
@@ -328,7 +352,7 @@
     fn cancel(&mut self, attempt: Attempt) {
         self.live = None;
         self.opened = None;
-        if let Some(path) = &self.path {
+        if let Some(path) = &self.current {
             let request = self.cx.id.clone();
             let engine = &self.cx.traffic.engine;
             tokio::spawn(engine.cancel(&path.head().address, request, attempt));
@@ -361,7 +385,8 @@
             _ => shared.metrics.gap.observe(seconds(now.saturating_sub(self.pace.last()))),
         }
         self.pace.token(now);
-        self.warned = None;
+        self.look = None;
+        self.warn = 0;
     }
 
     fn broke(&mut self, how: Broken, engine: Option<&Name>) {
@@ -373,7 +398,7 @@
         };
         let attempts = &self.cx.traffic.shared.metrics.attempts;
         attempts.with_label_values(&[self.why.as_str()]).inc();
-        let head = self.path.as_ref().map(|p| &p.head().engine);
+        let head = self.current.as_ref().map(|p| &p.head().engine);
         if let Some(name) = engine.or(head).filter(|_| how != Broken::Refused) {
             self.doubt(name);
         }
@@ -392,14 +417,28 @@
         shared.tell(ToControl::Failed(name.clone()));
     }
 
-    fn probe(&self) -> Option<JoinHandle<Vec<Name>>> {
-        let path = self.path.clone()?;
-        Some(tokio::spawn(probe::silent(self.cx.traffic.clone(), path)))
+    /// Looks at every engine that a path could be made of, so that the next path avoids them all.
+    fn start_look(&self) -> JoinHandle<Vec<Name>> {
+        let fleet = self.cx.traffic.shared.fleet.load();
+        let engines = fleet.holding(&self.matched.model.name).iter();
+        let admitted =
+            engines.filter(|u| self.matched.index.admits(&self.matched.route, u.labels()));
+        let targets = probe::candidates(admitted);
+        tokio::spawn(probe::silent(self.cx.traffic.clone(), targets))
     }
 
-    async fn stalled(&mut self, found: JoinHandle<Vec<Name>>) -> RelayEvent {
-        let silent = found.await.unwrap_or_default();
+    /// Leaves the path at once if one of its engines does not answer; else waits on.
+    fn found(&mut self, silent: Vec<Name>) -> Option<RelayEvent> {
+        self.look = None;
+        let now = self.cx.traffic.shared.now();
+        self.warn = now + self.matched.route.settings.stall_ms;
         silent.iter().for_each(|name| self.doubt(name));
+        let on_path = |n: &Name| self.current.as_ref().is_some_and(|p| p.uses(n.as_str()));
+        let silent: Vec<Name> = silent.into_iter().filter(on_path).collect();
+        (!silent.is_empty()).then(|| self.stalled(silent))
+    }
+
+    fn stalled(&mut self, silent: Vec<Name>) -> RelayEvent {
         self.reason = Reason::Stalled;
         self.why = RefusalKind::Broken;
         self.cx.traffic.shared.metrics.attempts.with_label_values(&["stalled"]).inc();
--- a/crates/heathpitchd/src/filters/probe.rs
+++ b/crates/heathpitchd/src/filters/probe.rs
@@ -1,21 +1,34 @@
-//! Search for the silent stage of a path.
+//! Search for engines that do not answer.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::join_all;
 use heathpitch_core::{Name, Path};
+use heathpitch_policy::Upstream;
 
 use crate::traffic::Traffic;
 
-/// Time for a stage to show that it lives.
+/// Time for an engine to show that it lives.
 const LIMIT: Duration = Duration::from_millis(150);
 
-/// Engines of the path that do not answer.
-pub(crate) async fn silent(traffic: Arc<Traffic>, path: Path) -> Vec<Name> {
-    let asked = path.stages().iter().map(|stage| {
-        let report = traffic.engine.report(&stage.address);
-        let engine = stage.engine.clone();
+/// Name and address of an engine to look at.
+pub(crate) type Target = (Name, Name);
+
+/// Stages of a path.
+pub(crate) fn stages(path: &Path) -> Vec<Target> {
+    path.stages().iter().map(|s| (s.engine.clone(), s.address.clone())).collect()
+}
+
+/// Engines that a path could be made of.
+pub(crate) fn candidates<'a>(engines: impl Iterator<Item = &'a Upstream>) -> Vec<Target> {
+    engines.map(|u| (u.vm.name.clone(), u.vm.address.clone())).collect()
+}
+
+/// Those of the engines that do not answer.
+pub(crate) async fn silent(traffic: Arc<Traffic>, targets: Vec<Target>) -> Vec<Name> {
+    let asked = targets.into_iter().map(|(engine, address)| {
+        let report = traffic.engine.report(&address);
         async move {
             let answer = tokio::time::timeout(LIMIT, report).await;
             (!matches!(answer, Ok(Ok(_)))).then_some(engine)
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -23,6 +23,7 @@
 pub struct Pace {
     floor: Millis,
     first: Millis,
+    soon: Millis,
     last: Millis,
     mean: f64,
     dev: f64,
@@ -33,7 +34,13 @@
     /// A stream dispatched at `now` that may take `first` to its first token; later silences
     /// shorter than `floor` never count as a stall.
     pub fn new(floor: Millis, first: Millis, now: Millis) -> Self {
-        Self { floor, first, last: now, mean: 0.0, dev: 0.0, tokens: 0 }
+        Self { floor, first, soon: first, last: now, mean: 0.0, dev: 0.0, tokens: 0 }
+    }
+
+    /// Expects the first token `soon` after the dispatch, so that a look is taken then.
+    #[must_use]
+    pub fn expecting(self, soon: Millis) -> Self {
+        Self { soon: soon.max(self.floor / 2), ..self }
     }
 
     /// Records a token.
@@ -54,6 +61,16 @@
         self.last = now;
     }
 
+    /// When silence is worth a look at whether the engines live: half-way to a stall, and sooner
+    /// for a first token that was predicted sooner.
+    pub fn warns_at(&self) -> Millis {
+        let span = self.stalls_at().saturating_sub(self.last);
+        match self.tokens {
+            0 => self.last + (span / 2).min(self.soon),
+            _ => self.last + span / 2,
+        }
+    }
+
     /// When the last token arrived, or the attempt was dispatched.
     pub fn last(&self) -> Millis {
         self.last
--- /dev/null
+++ b/crates/proof/examples/slopes.rs
@@ -0,0 +1,356 @@
+//! Slopes of processor time, memory and message size of each controller, at sizes up to the
+//! design's in one process.
+//!
+//! `cargo run --release -p heathpitch-proof --example slopes`
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Instant;
+
+use heathpitch_core::{
+    Account, Document, Epoch, Incarnation, Index, Labels, LayerRange, Model, Name, Revision,
+    Strategy, Vm, VmRole, VmState, digest,
+};
+use heathpitch_policy::{
+    Ask, ClaimEntry, ClaimPage, Demand, EngineReport, EngineRole, Gate, Gauge, Health, HealthEvent,
+    Holding, Ledger, Member, MemberState, Members, Meter, Placeable, PrefixIndex, Record, Upstream,
+    Wanted, choose, plan,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const LAYERS: u32 = 48;
+const MODELS: usize = 17;
+
+fn main() {
+    println!("| what | sizes | time | memory or bytes |");
+    println!("|---|---|---|---|");
+    routing();
+    fleet();
+    configuration();
+    membership();
+    demand();
+    prefixes();
+    limits();
+    ledger();
+    claims();
+    placement();
+}
+
+fn name(text: &str) -> Name {
+    // Every text here is a name.
+    text.parse().unwrap_or_else(|_| digest(&[text.as_bytes()]))
+}
+
+/// Median time of a call, nanoseconds.
+fn time(calls: usize, mut call: impl FnMut()) -> f64 {
+    let mut samples: Vec<f64> = (0..7)
+        .map(|_| {
+            let start = Instant::now();
+            (0..calls).for_each(|_| call());
+            start.elapsed().as_nanos() as f64 / calls as f64
+        })
+        .collect();
+    samples.sort_by(f64::total_cmp);
+    samples[3]
+}
+
+/// Bytes of resident memory that `copies` of a value take, each.
+fn memory<T>(copies: usize, make: impl Fn() -> T) -> usize {
+    let before = resident();
+    let all: Vec<T> = (0..copies).map(|_| make()).collect();
+    let after = resident();
+    drop(black_box(all));
+    after.saturating_sub(before) / copies
+}
+
+fn resident() -> usize {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|p| p.parse::<usize>().ok());
+    pages.unwrap_or(0) * 4_096
+}
+
+fn row(what: &str, size: usize, ns: f64, bytes: usize) {
+    println!("| {what} | {size} | {:.1} us | {bytes} |", ns / 1_000.0);
+}
+
+fn report(i: usize, model: &Name, layers: LayerRange) -> EngineReport {
+    EngineReport {
+        engine: name(&format!("engine-{i}")),
+        life: Incarnation(1),
+        serial: 1,
+        model: Some(model.clone()),
+        version: name("v1"),
+        layers,
+        epoch: Epoch(1),
+        role: EngineRole::Both,
+        leaving: false,
+        slots: 32,
+        running: (i * 7 % 32) as u32,
+        queued: 0,
+        prefill: 20_000.0,
+        step: 10_000,
+        service: 500,
+        memory: 12_000,
+        layer: 800,
+        link: 50,
+    }
+}
+
+fn vm(i: usize) -> Vm {
+    Vm {
+        name: name(&format!("engine-{i}")),
+        role: VmRole::Engine,
+        address: name("127.0.0.1:9000"),
+        domain: name(&format!("d{}", i % 6)),
+        accelerator: Some(name("a100")),
+        labels: Labels::try_from([("kind", "engine"), ("hall", "memphis")]).unwrap_or_default(),
+        state: VmState::Live,
+    }
+}
+
+fn stage(i: usize) -> LayerRange {
+    let at = (i % 4) as u32 * LAYERS / 4;
+    LayerRange::new(at, at + LAYERS / 4)
+}
+
+fn routing() {
+    let model = Model::new(name("m"), name("v1"), LAYERS);
+    let (domain, prefixes) = (name("d0"), PrefixIndex::new());
+    // All engines of one model is the worst case; at the design's size a model has about 35.
+    for engines in [35, 40, 150, 300, 600] {
+        let all: Vec<Upstream> = (0..engines)
+            .map(|i| Upstream {
+                vm: Arc::new(vm(i)),
+                report: Arc::new(report(i, &model.name, stage(i))),
+                seen: 900,
+                then: 0,
+                gauge: Arc::new(Gauge::default()),
+            })
+            .collect();
+        let mut rng = SmallRng::seed_from_u64(1);
+        let ask = Ask {
+            model: &model,
+            domain: &domain,
+            tokens: 500,
+            chain: &[1, 2, 3],
+            prefixes: &prefixes,
+            avoid: &[],
+            now: 1_000,
+            strategy: Strategy::Affinity,
+        };
+        let ns = time(500, || drop(black_box(choose(&all, |_| true, &ask, &mut rng))));
+        row("routing decision, engines of one model", engines, ns, 0);
+    }
+}
+
+fn health(engines: usize) -> Health {
+    let mut health = Health::new();
+    health.on(HealthEvent::Listed(Revision(1), (0..engines).map(vm).collect()), 0);
+    for i in 0..engines {
+        let model = name(&format!("m{}", i % MODELS));
+        health.on(HealthEvent::Polled(report(i, &model, stage(i))), 1);
+    }
+    health
+}
+
+fn fleet() {
+    for engines in [40, 150, 300, 600] {
+        let of = health(engines);
+        let ns = time(50, || drop(black_box(of.fleet(10))));
+        row("fleet snapshot, engines", engines, ns, memory(20, || health(engines)));
+    }
+}
+
+fn document(accounts: usize) -> Document {
+    let mut document = Document::default();
+    for i in 0..MODELS {
+        document.models.push(Model::new(name(&format!("m{i}")), name("v1"), LAYERS));
+    }
+    for i in 0..accounts {
+        let mut account = Account::new(name(&format!("account-{i}")));
+        account.labels = Labels::try_from([("user", "desk")]).unwrap_or_default();
+        account.rate = Some(10.0);
+        document.accounts.push(account);
+    }
+    document
+}
+
+fn configuration() {
+    for accounts in [10, 500, 2_000, 5_500] {
+        let doc = document(accounts);
+        let text = serde_json::to_string(&doc).unwrap_or_default();
+        let ns = time(5, || drop(black_box(heathpitch_core::parse_document(&text))));
+        row("configuration read and checked, accounts", accounts, ns, text.len());
+        let ns = time(5, || drop(black_box(Index::new(Revision(1), &doc))));
+        let bytes = memory(10, || Index::new(Revision(1), &doc));
+        row("configuration indexed, accounts", accounts, ns, bytes);
+    }
+}
+
+fn member(i: usize) -> Member {
+    Member {
+        node: name(&format!("node-{i}")),
+        life: Incarnation(1),
+        beat: 1,
+        domain: name(&format!("d{}", i % 6)),
+        peer: name("10.0.0.1:7000"),
+        caller: name("10.0.0.1:8000"),
+        admin: name("10.0.0.1:9000"),
+        state: MemberState::Ready,
+        config: Revision(1),
+        age: 0,
+    }
+}
+
+fn members(nodes: usize) -> Members {
+    let mut members = Members::new(member(0), 1_000);
+    members.merge((1..nodes).map(member).collect(), 1);
+    members
+}
+
+fn membership() {
+    for nodes in [8, 100, 200, 410] {
+        let mut of = members(nodes);
+        let mut beat = 2;
+        let ns = time(200, || {
+            beat += 1;
+            let fresh = (1..17).map(|i| Member { beat, ..member(i * 6) }).collect();
+            of.merge(fresh, 1_000);
+            black_box(of.freshest(16, 1_000));
+        });
+        row("exchange of members, nodes", nodes, ns, memory(50, || members(nodes)));
+    }
+}
+
+fn demanded(accounts: usize) -> Demand {
+    let mut demand = Demand::new();
+    (0..accounts as u64).for_each(|a| demand.count(a));
+    demand.tick(1_000, 80_000);
+    demand
+}
+
+fn demand() {
+    for accounts in [10, 500, 2_000, 5_500] {
+        let mut of = demanded(accounts);
+        let (round, told) = of.tell();
+        let ns = time(50, || {
+            of.hear(round, &told);
+            black_box(of.tell());
+        });
+        row("exchange of demand, accounts", accounts, ns, memory(20, || demanded(accounts)));
+    }
+}
+
+fn prefixes() {
+    for blocks in [1_000_u64, 2_000, 4_000] {
+        let index = |_: &()| {
+            let mut index = PrefixIndex::new();
+            let held: Vec<u64> = (0..blocks).map(|b| b * 7_919).collect();
+            index.replace(&name("e"), Incarnation(1), 1, &held);
+            index
+        };
+        let of = index(&());
+        let chain: Vec<u64> = (0..64).map(|b| b * 7_919).collect();
+        let ns = time(1_000, || {
+            black_box(of.hit("e", &chain));
+        });
+        let bytes = memory(50, || index(&()));
+        row("prefix look-up of 64 blocks, blocks of one engine", blocks as usize, ns, bytes);
+    }
+}
+
+fn limits() {
+    for accounts in [10, 500, 2_000, 5_500] {
+        let all: Vec<Account> = (0..accounts)
+            .map(|i| {
+                let mut account = Account::new(name(&format!("account-{i}")));
+                account.rate = Some(1e9);
+                account
+            })
+            .collect();
+        let make = || {
+            let (mut meter, mut gate) = (Meter::new(), Gate::new());
+            for a in &all {
+                let _ = (meter.open(a, 1.0, 0), gate.enter(a, Default::default(), 1 << 20));
+            }
+            (meter, gate)
+        };
+        let (mut meter, mut gate) = make();
+        let mut i = 0;
+        let ns = time(2_000, || {
+            i = (i + 1) % all.len();
+            let _ = (meter.open(&all[i], 1.0, 1), gate.enter(&all[i], Default::default(), 1 << 20));
+            meter.close(&all[i].name);
+            gate.leave(&all[i].name);
+        });
+        row("limit and gate, accounts", accounts, ns, memory(10, make));
+    }
+}
+
+fn ledger() {
+    for keys in [1_000, 10_000, 50_000, 100_000] {
+        let make = || {
+            let mut ledger = Ledger::new();
+            for i in 0..keys {
+                let key = digest(&[&(i as u64).to_le_bytes()]);
+                ledger.start(&key, 1);
+                ledger.dispatch(&key);
+                let body: Arc<[u8]> = vec![0; 200].into();
+                let (media, outcome) = (String::new(), heathpitch_core::Outcome::Done);
+                ledger.finish(&key, Record { status: 200, media, body, outcome }, 1);
+            }
+            ledger
+        };
+        let mut of = make();
+        let key = digest(&[b"another"]);
+        let ns = time(2_000, || {
+            black_box(of.start(&key, 1));
+            of.release(&key);
+        });
+        row("ledger look-up, keys", keys, ns, memory(1, make));
+    }
+}
+
+fn claims() {
+    for claims in [500, 2_000, 4_000, 8_000] {
+        let mut page = ClaimPage::default();
+        for i in 0..claims as u64 {
+            let (node, life) = (name("node-1"), Incarnation(u64::MAX / 3));
+            let entry = ClaimEntry { node, life, nonce: i * 7, at: 1_700_000_000_000, body: i };
+            page.entries.insert(digest(&[&i.to_le_bytes()]), entry);
+        }
+        let text = serde_json::to_string(&page).unwrap_or_default();
+        let ns = time(5, || drop(black_box(serde_json::to_string(&page))));
+        row("claims page written, claims", claims, ns, text.len());
+    }
+}
+
+fn placement() {
+    for engines in [10, 40, 70, 100] {
+        let wanted: Vec<Wanted> = (0..MODELS)
+            .map(|i| Wanted {
+                model: Model::new(name(&format!("m{i}")), name("v1"), LAYERS),
+                demand: 1.0 + i as f64,
+                allowed: None::<BTreeSet<Name>>,
+            })
+            .collect();
+        let all: Vec<Placeable> = (0..engines)
+            .map(|i| Placeable {
+                engine: name(&format!("engine-{i}")),
+                memory: 12_000,
+                layer: 500 + 100 * (i % 3) as u64,
+                link: [50, 500, 5_000][i % 3],
+                holding: (i % 10 != 0).then(|| Holding {
+                    model: name(&format!("m{}", i % MODELS)),
+                    version: name("v1"),
+                    layers: stage(i / MODELS),
+                }),
+            })
+            .collect();
+        let ns = time(1, || drop(black_box(plan(&wanted, &all))));
+        row("plan of a failure domain, engines", engines, ns, 0);
+    }
+}
