--- /dev/null
+++ b/crates/heathpitch/examples/claim_a_key.rs
@@ -0,0 +1,43 @@
+//! Cookbook: two nodes claim the same key; the store decides, and only one may dispatch.
+
+use heathpitch::core::{Incarnation, Revision, digest};
+use heathpitch::policy::{ClaimAction, ClaimEvent, ClaimPage, Claims, Verdict, settle};
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let (one, two) = (Incarnation(1), Incarnation(2));
+    let mut first = Claims::new("n1".parse()?, one);
+    let mut second = Claims::new("n2".parse()?, two);
+    let key = digest(&[b"memphis-desk", b"order-7"]);
+    let ask = |nonce| ClaimEvent::Ask { id: 1, digest: key.clone(), body: 9, nonce };
+
+    // Both read the page while it is empty, and both want to write it.
+    let [ClaimAction::Read(page)] = first.on(ask(11), 0, 0)[..] else { return Err("read".into()) };
+    second.on(ask(22), 0, 0);
+    let empty = |claims: &mut Claims| claims.on(ClaimEvent::Read(page, Revision(0), None), 1, 1);
+    let written = content(empty(&mut first))?;
+    empty(&mut second);
+
+    // The store takes the first write; the second is a conflict and reads the page again.
+    let granted = first.on(ClaimEvent::Written(page, Revision(1)), 2, 2);
+    second.on(ClaimEvent::Conflict(page), 2, 2);
+    let taken = second.on(ClaimEvent::Read(page, Revision(1), Some(written)), 3, 3);
+    println!("n1: {:?}", settle(verdict(granted)?, false, one, 9));
+    println!("n2: {:?}", settle(verdict(taken)?, false, two, 9));
+    Ok(())
+}
+
+fn content(actions: Vec<ClaimAction>) -> Result<ClaimPage, &'static str> {
+    let write = actions.into_iter().find_map(|a| match a {
+        ClaimAction::Write(_, _, content) => Some(content),
+        _ => None,
+    });
+    write.ok_or("no write")
+}
+
+fn verdict(actions: Vec<ClaimAction>) -> Result<Verdict, &'static str> {
+    let answer = actions.into_iter().find_map(|a| match a {
+        ClaimAction::Answer(_, verdict) => Some(verdict),
+        _ => None,
+    });
+    answer.ok_or("no answer")
+}
--- /dev/null
+++ b/crates/heathpitch/examples/share_a_limit.rs
@@ -0,0 +1,23 @@
+//! Cookbook: three nodes share an account's limit by their own demand, without a coordinator.
+
+use heathpitch::policy::Demand;
+
+fn main() {
+    let mut nodes: Vec<Demand> = [60, 20, 0].into_iter().map(node).collect();
+    for (a, b) in [(0, 1), (1, 2), (2, 0), (0, 1), (1, 2)] {
+        let (round, sent) = nodes[a].tell();
+        let (_, answer) = nodes[b].tell();
+        nodes[b].hear(round, &sent);
+        nodes[a].hear(round, &answer);
+    }
+    for (i, node) in nodes.iter().enumerate() {
+        println!("node {i} admits {:.0} % of the limit", node.share(7, 3) * 100.0);
+    }
+}
+
+fn node(requests: u32) -> Demand {
+    let mut demand = Demand::new();
+    (0..requests).for_each(|_| demand.count(7));
+    demand.tick(1_000, 80_000);
+    demand
+}
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -200,7 +200,7 @@
             (Phase::Running, RelayEvent::Token { attempt, position, token, layers })
                 if self.current(attempt) =>
             {
-                self.token(position, token, layers)
+                self.token(attempt, position, token, layers)
             }
             (Phase::Running, RelayEvent::Ended { attempt, count, reason })
                 if self.current(attempt) =>
@@ -240,7 +240,13 @@
         vec![RelayAction::Dispatch { attempt: self.attempt, path }]
     }
 
-    fn token(&mut self, position: u32, token: u32, layers: u32) -> Vec<RelayAction> {
+    fn token(
+        &mut self,
+        attempt: Attempt,
+        position: u32,
+        token: u32,
+        layers: u32,
+    ) -> Vec<RelayAction> {
         self.seen.started();
         let due = self.sent.len() as u32;
         match position {
@@ -248,6 +254,8 @@
                 || !on(Mechanism::Positions) =>
             {
                 self.sent.push(token);
+                check(Violation::OneAttempt, attempt == self.attempt);
+                check(Violation::LayerCoverage, layers == self.plan.layers);
                 check(Violation::TokenOrder, self.sent.len() as u32 == position + 1);
                 vec![RelayAction::Emit(token)]
             }
