Twins in examples and tests unified; first apply names its entries; unfenced engines tested

Cause: duplicates listed the same readings of /proc in two examples and the same search in two tests; the first apply printed whole lists as one change. Change: NodeProcess gives processor time and memory, node_binary finds the node; diff takes an empty list as an empty map beside named entries (documents.rs). A process test shows that engines labelled fence=no get no order once the planner's lease has lapsed, and are served again after the outage.

--- a/crates/core/src/diff.rs
+++ b/crates/core/src/diff.rs
@@ -54,7 +54,7 @@
 }
 
 fn walk(path: &str, before: Option<Value>, after: Option<Value>, changes: &mut Vec<Change>) {
-    match (before.map(by_name), after.map(by_name)) {
+    match like(before.map(by_name), after.map(by_name)) {
         (before, after) if before == after => {}
         (Some(Value::Object(mut b)), Some(Value::Object(mut a))) => {
             let keys: BTreeSet<String> = b.keys().chain(a.keys()).cloned().collect();
@@ -67,6 +67,16 @@
     }
 }
 
+/// Takes an empty list as an empty map where the other side is a list of named entries.
+fn like(before: Option<Value>, after: Option<Value>) -> (Option<Value>, Option<Value>) {
+    let none = |v: Value| if v == Value::Array(vec![]) { Value::Object(Map::new()) } else { v };
+    match (&before, &after) {
+        (Some(Value::Object(_)), _) => (before, after.map(none)),
+        (_, Some(Value::Object(_))) => (before.map(none), after),
+        _ => (before, after),
+    }
+}
+
 /// Turns a list of named entries into a map, with their order as an entry of its own.
 fn by_name(value: Value) -> Value {
     let name = |v: &Value| v.get("name").and_then(Value::as_str).map(str::to_owned);
--- a/crates/core/tests/documents.rs
+++ b/crates/core/tests/documents.rs
@@ -90,6 +90,14 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+#[test]
+fn entries_of_a_list_that_was_empty_are_named_one_by_one() {
+    let doc = parse_document(r#"{"models":[{"name":"m","version":"v1","layers":4}]}"#).unwrap();
+    let changes = diff(&Document::default(), &doc);
+    let paths: Vec<&str> = changes.iter().map(|c| c.path.as_str()).collect();
+    assert_eq!(paths, ["models.(order)", "models.m"]);
+}
+
 #[test]
 fn an_outcome_is_the_worst_of_its_attempts() {
     let mut seen = Evidence::new();
--- a/crates/fakes/examples/control.rs
+++ b/crates/fakes/examples/control.rs
@@ -4,18 +4,14 @@
 //! `cargo build --release --bins && cargo run --release -p heathpitch-fakes --example control`
 
 use std::error::Error;
-use std::fs;
-use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use heathpitch_core::{LayerRange, Timing};
-use heathpitch_fakes::{Deployment, EngineSetup, NodeProcess, sample};
+use heathpitch_fakes::{Deployment, EngineSetup, NodeProcess, node_binary, sample};
 use hyper::Method;
 
 /// Time measured.
 const SPAN: Duration = Duration::from_secs(10);
-/// Clock ticks of a second in /proc.
-const TICKS: f64 = 100.0;
 
 type Result<T> = std::result::Result<T, Box<dyn Error>>;
 
@@ -30,7 +26,7 @@
 }
 
 async fn measure(nodes: usize, engines: usize) -> Result<()> {
-    let mut d = Deployment::open(&beside()?)?;
+    let mut d = Deployment::open(&node_binary()?)?;
     for i in 0..engines {
         let at = (i % 3) as u32 * 4;
         let layers = LayerRange::new(at, at + 4);
@@ -48,13 +44,14 @@
     if !d.ready(revision, engines, Duration::from_secs(60)).await {
         return Err("the nodes did not become ready".into());
     }
-    let (cpu, bytes, reads) = (total(&d, ticks)?, bytes(&d).await, d.platform.calls().reads);
+    let (cpu, bytes, reads) =
+        (total(&d, NodeProcess::processor)?, bytes(&d).await, d.platform.calls().reads);
     tokio::time::sleep(SPAN).await;
     let span = SPAN.as_secs_f64();
-    let cpu = (total(&d, ticks)? - cpu) / TICKS / span / nodes as f64 * 100.0;
+    let cpu = (total(&d, NodeProcess::processor)? - cpu) / span / nodes as f64 * 100.0;
     let bytes = (self::bytes(&d).await - bytes) / span / nodes as f64 / 1_000.0;
     let reads = (d.platform.calls().reads - reads) as f64 / span;
-    let memory = total(&d, resident)? / nodes as f64 / 1_000.0;
+    let memory = total(&d, |n| n.memory().map(|m| m as f64))? / nodes as f64 / 1_000.0;
     document.accounts[0].weight = 7;
     let revision = d.configure(&document).await?;
     let start = Instant::now();
@@ -66,8 +63,8 @@
     Ok(())
 }
 
-fn total(d: &Deployment, of: fn(&NodeProcess) -> Result<f64>) -> Result<f64> {
-    d.nodes.iter().map(of).sum()
+fn total(d: &Deployment, of: fn(&NodeProcess) -> std::io::Result<f64>) -> Result<f64> {
+    Ok(d.nodes.iter().map(of).sum::<std::io::Result<f64>>()?)
 }
 
 /// Bytes of control traffic of all nodes; exchanges count at the node that began them.
@@ -88,22 +85,3 @@
     }
     sum
 }
-
-fn ticks(node: &NodeProcess) -> Result<f64> {
-    let stat = fs::read_to_string(format!("/proc/{}/stat", node.pid()))?;
-    let rest = stat.rsplit_once(')').ok_or("no stat")?.1;
-    let fields: Vec<&str> = rest.split_whitespace().collect();
-    Ok(fields[11].parse::<f64>()? + fields[12].parse::<f64>()?)
-}
-
-fn resident(node: &NodeProcess) -> Result<f64> {
-    let status = fs::read_to_string(format!("/proc/{}/status", node.pid()))?;
-    let line = status.lines().find(|l| l.starts_with("VmRSS")).ok_or("no VmRSS")?;
-    Ok(line.split_whitespace().nth(1).ok_or("no figure")?.parse()?)
-}
-
-fn beside() -> Result<PathBuf> {
-    let me = std::env::current_exe()?;
-    let folder = me.parent().and_then(|p| p.parent()).ok_or("no folder above the example")?;
-    Ok(folder.join("heathpitchd"))
-}
--- a/crates/fakes/examples/cost.rs
+++ b/crates/fakes/examples/cost.rs
@@ -3,14 +3,14 @@
 //! `cargo build --release --bins && cargo run --release -p heathpitch-fakes --example cost`
 
 use std::error::Error;
-use std::fs;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use futures::StreamExt;
 use heathpitch_core::{Attempt, Epoch, LayerRange, Name, Priority};
-use heathpitch_fakes::{Answer, Caller, Deployment, EngineSetup, Fault, NodeProcess, sample};
+use heathpitch_fakes::{
+    Answer, Caller, Deployment, EngineSetup, Fault, NodeProcess, node_binary, sample,
+};
 use heathpitch_net::{Client, EngineEdge, Frame, GenerateCall, Hop, HttpEngine};
 use tokio::task::JoinSet;
 
@@ -19,14 +19,12 @@
 const TOKENS: u32 = 20;
 /// Streams held open for the memory figure.
 const STREAMS: usize = 1_000;
-/// Clock ticks of a second in /proc.
-const TICKS: f64 = 100.0;
 
 type Result<T> = std::result::Result<T, Box<dyn Error>>;
 
 #[tokio::main]
 async fn main() -> Result<()> {
-    let mut d = Deployment::open(&beside()?)?;
+    let mut d = Deployment::open(&node_binary()?)?;
     let layers = LayerRange::new(0, LAYERS);
     let mut setup = EngineSetup::new("e".parse()?, "tickets".parse()?, "v1".parse()?, layers);
     setup.step = Duration::from_millis(5);
@@ -126,15 +124,15 @@
 
 /// Processor time of the node for each request and token, from two lengths of answers.
 async fn cpu(node: &NodeProcess) -> Result<()> {
-    let idle = ticks(node)?;
+    let idle = node.processor()?;
     tokio::time::sleep(Duration::from_secs(2)).await;
-    let control = (ticks(node)? - idle) / TICKS / 2.0;
+    let control = (node.processor()? - idle) / 2.0;
     println!("\ncontrol: {:.2} % of a core with no traffic", control * 100.0);
     let mut figures = Vec::new();
     for tokens in [1_u32, 64] {
-        let (count, start, before) = (4_000, Instant::now(), ticks(node)?);
+        let (count, start, before) = (4_000, Instant::now(), node.processor()?);
         let done = flood(node.listen, count, tokens).await?;
-        let used = (ticks(node)? - before) / TICKS;
+        let used = node.processor()? - before;
         let each = used / count as f64 * 1e6;
         let rate = done as f64 / start.elapsed().as_secs_f64();
         println!(
@@ -171,7 +169,7 @@
 
 /// Memory of the node with a thousand streams held open.
 async fn memory(node: &NodeProcess) -> Result<()> {
-    let before = resident(node)?;
+    let before = node.memory()?;
     let mut tasks = JoinSet::new();
     for i in 0..STREAMS {
         let caller = Caller::new("memphis-desk".parse()?);
@@ -181,7 +179,7 @@
     }
     tokio::time::sleep(Duration::from_secs(4)).await;
     let open = node.status().await["open"].as_u64().unwrap_or(0);
-    let with = resident(node)?;
+    let with = node.memory()?;
     println!(
         "\nresident memory: {before} kB before, {with} kB with {open} streams open: {} kB each",
         (with.saturating_sub(before)) / open.max(1)
@@ -189,22 +187,3 @@
     tasks.abort_all();
     Ok(())
 }
-
-fn ticks(node: &NodeProcess) -> Result<f64> {
-    let stat = fs::read_to_string(format!("/proc/{}/stat", node.pid()))?;
-    let rest = stat.rsplit_once(')').ok_or("no stat")?.1;
-    let fields: Vec<&str> = rest.split_whitespace().collect();
-    Ok(fields[11].parse::<f64>()? + fields[12].parse::<f64>()?)
-}
-
-fn resident(node: &NodeProcess) -> Result<u64> {
-    let status = fs::read_to_string(format!("/proc/{}/status", node.pid()))?;
-    let line = status.lines().find(|l| l.starts_with("VmRSS")).ok_or("no VmRSS")?;
-    Ok(line.split_whitespace().nth(1).ok_or("no figure")?.parse()?)
-}
-
-fn beside() -> Result<PathBuf> {
-    let me = std::env::current_exe()?;
-    let folder = me.parent().and_then(|p| p.parent()).ok_or("no folder above the example")?;
-    Ok(folder.join("heathpitchd"))
-}
--- a/crates/fakes/examples/demo.rs
+++ b/crates/fakes/examples/demo.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use gumdrop::Options;
-use heathpitch_fakes::{Answer, Caller, Deployment, answer, piece, sample};
+use heathpitch_fakes::{Answer, Caller, Deployment, answer, node_binary, piece, sample};
 
 /// Layers of the sample models.
 const LAYERS: u32 = 24;
@@ -36,7 +36,7 @@
     let arguments = Arguments::parse_args_default_or_exit();
     let binary = match &arguments.binary {
         Some(path) => path.clone(),
-        None => beside()?,
+        None => node_binary()?,
     };
     let mut d = Deployment::open(&binary)?;
     d.engines(&"tickets".parse()?, LAYERS, 3, 2, "memphis")?;
@@ -103,9 +103,3 @@
     }
     answers
 }
-
-fn beside() -> Result<PathBuf, Box<dyn Error>> {
-    let me = std::env::current_exe()?;
-    let folder = me.parent().and_then(|p| p.parent()).ok_or("no folder above the example")?;
-    Ok(folder.join("heathpitchd"))
-}
--- a/crates/fakes/examples/experiment.rs
+++ b/crates/fakes/examples/experiment.rs
@@ -10,7 +10,7 @@
 
 use gumdrop::Options;
 use heathpitch_core::{LayerRange, Name, Strategy};
-use heathpitch_fakes::{Answer, Caller, Deployment, EngineSetup, Fault, sample};
+use heathpitch_fakes::{Answer, Caller, Deployment, EngineSetup, Fault, node_binary, sample};
 use tokio::task::JoinSet;
 
 const LAYERS: u32 = 24;
@@ -60,7 +60,7 @@
     let arguments = Arguments::parse_args_default_or_exit();
     let binary = match &arguments.binary {
         Some(path) => path.clone(),
-        None => beside()?,
+        None => node_binary()?,
     };
     if arguments.only != "recovery" {
         throughput(&binary, &arguments).await?;
@@ -265,9 +265,3 @@
     let last = sorted.len().saturating_sub(1);
     sorted.get((last as f64 * part).round() as usize).copied().unwrap_or(f64::NAN)
 }
-
-fn beside() -> Result<PathBuf> {
-    let me = std::env::current_exe()?;
-    let folder = me.parent().and_then(|p| p.parent()).ok_or("no folder above the example")?;
-    Ok(folder.join("heathpitchd"))
-}
--- a/crates/fakes/src/deployment.rs
+++ b/crates/fakes/src/deployment.rs
@@ -17,6 +17,8 @@
 
 use crate::{EngineSetup, FakeEngine, FakePlatform, FakeService, PlatformSetup};
 
+/// Clock ticks of a second in /proc.
+const TICKS: f64 = 100.0;
 /// Time for a node to start.
 const START: Duration = Duration::from_secs(10);
 
@@ -280,6 +282,33 @@
         self.child.id()
     }
 
+    /// Processor time it has used, seconds.
+    ///
+    /// # Errors
+    ///
+    /// What the system says, or that /proc does not have the figure.
+    pub fn processor(&self) -> io::Result<f64> {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.pid()))?;
+        let fields = stat.rsplit_once(')').map_or("", |(_, rest)| rest).split_whitespace();
+        let ticks: Vec<f64> = fields.skip(11).take(2).filter_map(|f| f.parse().ok()).collect();
+        match ticks[..] {
+            [user, system] => Ok((user + system) / TICKS),
+            _ => Err(io::Error::other("no processor time in /proc")),
+        }
+    }
+
+    /// Its resident memory, kilobytes.
+    ///
+    /// # Errors
+    ///
+    /// What the system says, or that /proc does not have the figure.
+    pub fn memory(&self) -> io::Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.pid()))?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let figure = line.and_then(|l| l.split_whitespace().next()).and_then(|f| f.parse().ok());
+        figure.ok_or_else(|| io::Error::other("no resident memory in /proc"))
+    }
+
     /// Ends it at once.
     pub fn kill(&mut self) {
         // A process that has ended already needs no more ending.
@@ -337,6 +366,17 @@
     }
 }
 
+/// The node's binary, where it was built beside the example that runs.
+///
+/// # Errors
+///
+/// What the system says of the path of the running program.
+pub fn node_binary() -> io::Result<PathBuf> {
+    let me = std::env::current_exe()?;
+    let folder = me.parent().and_then(Path::parent);
+    folder.map(|f| f.join("heathpitchd")).ok_or_else(|| io::Error::other("no folder above"))
+}
+
 fn vm(name: Name, role: VmRole, address: SocketAddr, domain: &str) -> Result<Vm, NameError> {
     let kind = match role {
         VmRole::Entry => "entry",
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -18,7 +18,7 @@
 mod stage;
 
 pub use checker::{Answer, CallError, Caller, Reply};
-pub use deployment::{Deployment, DeploymentError, NodeProcess};
+pub use deployment::{Deployment, DeploymentError, NodeProcess, node_binary};
 pub use engine::{EngineSetup, FakeEngine};
 pub use faults::Fault;
 pub use model::{Answered, Kv, answer, piece};
--- a/crates/heathpitchd/tests/placement.rs
+++ b/crates/heathpitchd/tests/placement.rs
@@ -5,6 +5,7 @@
 mod common;
 
 use std::path::Path;
+use std::time::Duration;
 
 use common::{LAYERS, LIMIT, assert_right, desk, name, wait};
 use heathpitch_core::{Labels, LayerRange};
@@ -56,14 +57,7 @@
         d.engines.iter().all(|(e, _)| e.layers().count() > 0)
     })
     .await;
-    // One of the two halves has a replica; both its holders die, and the other's engine is alone.
-    let first = d.engines[0].0.layers();
-    let same = d.engines.iter().filter(|(e, _)| e.layers() == first).count();
-    let gone = if same == 1 {
-        0
-    } else {
-        d.engines.iter().position(|(e, _)| e.layers() != first).unwrap()
-    };
+    let gone = alone(&d);
     d.engines[gone].0.fault(Fault::Die);
     wait("the model is served again", || answers(&d, 0)).await;
 }
@@ -104,17 +98,37 @@
     .await;
     wait("the model is served", || answers(&d, 0)).await;
     d.platform.fault(PlatformFault::Down);
-    let first = d.engines[0].0.layers();
-    let same = d.engines.iter().filter(|(e, _)| e.layers() == first).count();
-    let alone = if same == 1 {
-        0
-    } else {
-        d.engines.iter().position(|(e, _)| e.layers() != first).unwrap()
-    };
+    let alone = alone(&d);
     d.engines[alone].0.fault(Fault::Die);
     wait("the model is served again", || answers(&d, 0)).await;
 }
 
+/// An engine that checks no epoch must not be ordered about by a planner whose lease has lapsed.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_that_check_no_epoch_get_no_orders_once_the_lease_has_lapsed() {
+    let mut d = empty(3, 1).await;
+    for (_, vm) in &mut d.engines {
+        vm.labels.0.insert(name("fence"), name("no"));
+    }
+    d.list();
+    wait("every engine holds layers", || async {
+        d.engines.iter().all(|(e, _)| e.layers().count() > 0)
+    })
+    .await;
+    wait("the model is served", || answers(&d, 0)).await;
+    d.platform.fault(PlatformFault::Down);
+    // The deployment's lease holds for 1.5 s.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let placed =
+        |d: &Deployment| d.nodes[0].log().iter().filter(|l| l.contains("\"placed\"")).count();
+    let before = placed(&d);
+    d.engines[alone(&d)].0.fault(Fault::Die);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(placed(&d), before);
+    d.platform.fault(PlatformFault::Heal);
+    wait("the model is served again", || answers(&d, 0)).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn engines_of_other_pools_are_left_alone() {
     let mut d = empty(2, 1).await;
@@ -129,6 +143,15 @@
     assert_eq!(d.engines[at].0.layers().count(), 0);
 }
 
+/// The engine that holds its half of the model alone; the other half has two holders.
+fn alone(d: &Deployment) -> usize {
+    let holders = |at: usize| {
+        let layers = d.engines[at].0.layers();
+        d.engines.iter().filter(|(e, _)| e.layers() == layers).count()
+    };
+    (0..d.engines.len()).find(|at| holders(*at) == 1).unwrap()
+}
+
 fn plans(log: &[String]) -> bool {
     log.iter().any(|l| l.contains("\"planner\"") && l.contains("\"active\":true"))
 }
