The search for a living path ends at the deadline

Cause: while every path found held a silent engine, the search went on without looking at the clock; a request with a deadline of 1.2 s was answered after 1.9 s with 'broken', and with more silent engines it would have taken longer. Found by reading the run filter once more. Ruled out: the relay, which ends at once when told. Change: each turn of the search looks at the deadline and at the time a request may wait for a path.

--- a/crates/heathpitchd/src/filters/run/attempt.rs
+++ b/crates/heathpitchd/src/filters/run/attempt.rs
@@ -32,13 +32,16 @@
         loop {
             match self.path(retry) {
                 Some(path) if !retry || self.alive(&path).await => return RelayEvent::Chosen(path),
-                Some(_) => continue,
                 None if !retry => return RelayEvent::NoPath,
-                None => {}
+                Some(_) | None => {}
             }
-            let now = self.cx.traffic.shared.now();
-            if now >= (start + HOLD).min(self.matched.deadline) {
-                return RelayEvent::NoPath;
+            match self.cx.traffic.shared.now() {
+                now if now >= self.matched.deadline => {
+                    self.why = RefusalKind::Expired;
+                    return RelayEvent::Expired;
+                }
+                now if now >= start + HOLD => return RelayEvent::NoPath,
+                _ => {}
             }
             tokio::time::sleep(LOOK).await;
         }
--- a/crates/heathpitchd/tests/stage_faults.rs
+++ b/crates/heathpitchd/tests/stage_faults.rs
@@ -107,3 +107,20 @@
     fault_all(&d, 1, Fault::Thaw);
     assert_right(&task.await.unwrap(), PROMPT, TOKENS);
 }
+
+/// While no living path is to be had, a request looks for one, but never beyond its deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_search_for_a_path_ends_at_the_deadline() {
+    let d = deployment(1, 1).await;
+    let node = d.nodes[0].listen;
+    let task = tokio::spawn(async move {
+        let ask = serde_json::json!({ "model": "tickets", "prompt": PROMPT, "max_tokens": 400 });
+        let headers = [("x-heathpitch-deadline-ms", "1200")];
+        desk().post(node, "/v1/completions", &headers, ask.to_string()).await.unwrap()
+    });
+    tokio::time::sleep(MIDDLE).await;
+    fault_all(&d, 1, Fault::Freeze);
+    let got = task.await.unwrap();
+    assert_eq!(got.json["error"]["kind"], "expired", "{got:?}");
+    assert_eq!(got.json["error"]["outcome"], "failed");
+}
