A thousand slow callers tested

Change: 1000 callers that ask for long answers and never read leave the node answering: a bad request gets its 400, fewer than 1000 are admitted, all is given back when they go, and three requests are served after.

--- a/crates/heathpitchd/tests/overload.rs
+++ b/crates/heathpitchd/tests/overload.rs
@@ -9,6 +9,8 @@
 use common::{deployment_with, desk, name, wait};
 use heathpitch_fakes::{Caller, Deployment, Reply};
 use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 /// Answers of `count` requests sent at once.
@@ -83,3 +85,29 @@
     assert_eq!(served(&burst(&d, &desk(), "normal", 3).await), 3);
     wait("nothing is open", || async { d.nodes[0].status().await["open"] == 0 }).await;
 }
+
+/// Callers that ask for long answers and never read them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_thousand_slow_callers_leave_the_node_answering() {
+    let d = deployment_with(1, 1, |_| {}).await;
+    let ask = json!({ "model": "tickets", "prompt": "x", "max_tokens": 4_000, "stream": true });
+    let ask = ask.to_string();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: h\r\nx-heathpitch-account: memphis-desk\r\n\
+         content-length: {}\r\n\r\n{ask}",
+        ask.len()
+    );
+    let mut slow = Vec::new();
+    for _ in 0..1_000 {
+        let mut socket = TcpStream::connect(d.nodes[0].listen).await.unwrap();
+        socket.write_all(head.as_bytes()).await.unwrap();
+        slow.push(socket);
+    }
+    let bad = desk().post(d.nodes[0].listen, "/v1/completions", &[], "{").await.unwrap();
+    assert_eq!(bad.status, 400);
+    let status = d.nodes[0].status().await;
+    assert!(status["open"].as_u64().is_some_and(|open| (1..1_000).contains(&open)), "{status}");
+    drop(slow);
+    wait("nothing is open", || async { d.nodes[0].status().await["open"] == 0 }).await;
+    assert_eq!(served(&burst(&d, &desk(), "normal", 3).await), 3);
+}
