Test of unfenced engines waits until their labels are known

Cause: engines_that_check_no_epoch_get_no_orders_once_the_lease_has_lapsed failed once in three full runs (one order too many: 4, not 3). Inferred from its order of steps, not traced: the store could go down before the node had read the list with the labels, and then the engines rightly counted as ones that check. Change: the set-up waits for the newer list; the assertions are as they were.

--- a/crates/heathpitchd/tests/placement.rs
+++ b/crates/heathpitchd/tests/placement.rs
@@ -110,7 +110,13 @@
     for (_, vm) in &mut d.engines {
         vm.labels.0.insert(name("fence"), name("no"));
     }
+    let listed = d.nodes[0].status().await["list"].as_u64().unwrap();
     d.list();
+    // With the store down before the labels are known, the engines would count as ones that check.
+    wait("the labels are known", || async {
+        d.nodes[0].status().await["list"].as_u64().is_some_and(|l| l > listed)
+    })
+    .await;
     wait("every engine holds layers", || async {
         d.engines.iter().all(|(e, _)| e.layers().count() > 0)
     })
