Room of repairs follows the domain's memory; every layer twice where memory allows

Ruled out: too few orders (nearly all were taken), empty engines (8 of 25 stayed empty). Change: room wanted is the most with which the domain's workers hold the model 2.2 times; ranges held once get stand-ins; what holds too much is relieved against that room. Small domains are as before. Test: layout.rs, two tests of large domains, both failed before.

--- a/crates/policy/src/layout_deal.rs
+++ b/crates/policy/src/layout_deal.rs
@@ -7,7 +7,7 @@
 
 /// Tokens of requests that a layout leaves room for if it can; twice what a domain of the users'
 /// sizes holds on average (measured: 88 000 give no preemption, 58 000 some).
-const ROOM_MOST: u32 = 150_000;
+pub(crate) const ROOM_MOST: u32 = 150_000;
 /// Room below which spare workers are given up for more room.
 const ROOM_ENOUGH: u32 = 85_000;
 /// Room that is given up last, so that a domain with few workers still holds the model.
--- a/crates/policy/src/layout_repair.rs
+++ b/crates/policy/src/layout_repair.rs
@@ -2,17 +2,21 @@
 
 use heathpitch_core::{LayerRange, LayeredModel};
 
-use crate::layout_deal::ROOM_STEP;
+use crate::layout_deal::{ROOM_MOST, ROOM_STEP};
 use crate::{Assignment, LayoutReason, Worker, mains, uncovered};
 
-/// Room left by workers that take over layers of others, if possible.
+/// Room left by workers that take over layers of others, if possible, in a domain without memory
+/// for two copies.
 const ROOM_REPAIR: u32 = 70_000;
+/// Copies of the model for which a domain has to have memory beside more room than that: two, and
+/// a few workers that stay empty.
+const COPIES: f64 = 2.2;
 /// Room that is put up with while other workers are still busy.
 const ROOM_POOR: u32 = 20_000;
 /// Layers that one worker loads if others can share: about a second's load at the users' sizes.
 const LOAD_MOST: u32 = 7;
-/// Room below which a worker is relieved by one that can be spared.
-const ROOM_TIGHT: u32 = 64_000;
+/// Share of the room wanted below which a worker is relieved by one that can be spared.
+const TIGHT: f64 = 0.9;
 /// Room below which taking over layers is worse than dealing all out anew; about what a domain of
 /// the users' sizes holds on average.
 const ROOM_FLOOR: u32 = 50_000;
@@ -21,6 +25,8 @@
 pub(crate) struct Layout<'a> {
     model: &'a LayeredModel,
     workers: Vec<Worker>,
+    /// Room that takers and stand-ins leave, if possible.
+    wanted: u32,
     plan: Vec<Assignment>,
 }
 
@@ -57,7 +63,8 @@
 impl<'a> Layout<'a> {
     /// A layout as workers hold it.
     pub(crate) fn new(model: &'a LayeredModel, workers: &[Worker]) -> Self {
-        Self { model, workers: workers.to_vec(), plan: Vec::new() }
+        let wanted = wanted(model, workers);
+        Self { model, workers: workers.to_vec(), wanted, plan: Vec::new() }
     }
 
     /// Assignments made.
@@ -75,7 +82,7 @@
     pub(crate) fn close(&mut self, gap: LayerRange) -> bool {
         let busy = self.workers.iter().any(|w| !w.free);
         let least = if busy { ROOM_POOR } else { ROOM_FLOOR };
-        let rooms = || (least..=ROOM_REPAIR).rev().step_by(ROOM_STEP as usize);
+        let rooms = || (least..=self.wanted).rev().step_by(ROOM_STEP as usize);
         if let Some(takers) = rooms().map(|r| self.dispensable(r)).find(|t| enough(t, gap)) {
             self.share_out(gap, &few(takers, gap));
             return true;
@@ -170,9 +177,8 @@
 
     /// Takes layers off workers that hold too much.
     pub(crate) fn relieve(&mut self) {
-        let tight = |w: &&Worker| {
-            w.free && w.layers.count() > 0 && self.room(w, w.layers) < f64::from(ROOM_TIGHT)
-        };
+        let tight =
+            |w: &&Worker| w.free && w.layers.count() > 0 && self.room(w, w.layers) < self.tight();
         let tight: Vec<usize> =
             (0..self.workers.len()).filter(|i| tight(&&self.workers[*i])).collect();
         for index in tight {
@@ -185,15 +191,20 @@
     /// Gives up what others hold as well; false if that is nothing.
     fn trim(&mut self, index: usize) -> bool {
         let held = self.workers[index].layers;
-        let others = self.workers.iter().enumerate().filter(|(i, w)| {
-            *i != index && w.free && self.room(w, w.layers) >= f64::from(ROOM_TIGHT)
-        });
+        let others = self
+            .workers
+            .iter()
+            .enumerate()
+            .filter(|(i, w)| *i != index && w.free && self.room(w, w.layers) >= self.tight());
         let others: Vec<LayerRange> = others.map(|(_, w)| w.layers).collect();
         let alone = |l: &u32| !others.iter().any(|o| (o.first..o.end).contains(l));
         let first = (held.first..held.end).find(alone);
         let last = (held.first..held.end).rev().find(alone);
-        let (Some(first), Some(last)) = (first, last) else { return false };
-        let layers = LayerRange::new(first, last + 1);
+        let layers = match (first, last) {
+            (Some(first), Some(last)) => LayerRange::new(first, last + 1),
+            // A stand-in for layers that others hold: it keeps as many as leave room.
+            _ => LayerRange::new(held.first, held.first + self.most(index).clamp(1, held.count())),
+        };
         if layers == held {
             return false;
         }
@@ -204,9 +215,8 @@
     /// Has a worker that can be spared hold the last layers of one that holds too much.
     fn relief(&mut self, index: usize) {
         let held = self.workers[index].layers;
-        let keep = self.model.fits(&self.workers[index].card, f64::from(ROOM_REPAIR));
-        let over = held.count().saturating_sub(keep.max(1));
-        let spared = self.dispensable(ROOM_REPAIR).into_iter().filter(|t| t.index != index);
+        let over = held.count().saturating_sub(self.most(index).max(1));
+        let spared = self.dispensable(self.wanted).into_iter().filter(|t| t.index != index);
         let Some(taker) = spared.max_by_key(|t| t.most.min(over)) else { return };
         let count = taker.most.min(over);
         if count > 0 {
@@ -215,6 +225,16 @@
         }
     }
 
+    /// Most layers that a worker holds beside the room wanted.
+    fn most(&self, index: usize) -> u32 {
+        self.model.fits(&self.workers[index].card, f64::from(self.wanted))
+    }
+
+    /// Room below which a worker holds too much.
+    fn tight(&self) -> f64 {
+        f64::from(self.wanted) * TIGHT
+    }
+
     fn room(&self, w: &Worker, layers: LayerRange) -> f64 {
         self.model.room(&w.card, layers.count())
     }
@@ -258,7 +278,7 @@
         let empties: Vec<usize> =
             (0..self.workers.len()).filter(|i| empty(&self.workers[*i])).collect();
         for index in empties {
-            let most = self.model.fits(&self.workers[index].card, f64::from(ROOM_REPAIR));
+            let most = self.most(index);
             let Some(start) = self.thinnest(most) else { return };
             let end = (start + most).min(self.model.layers);
             self.assign(index, LayerRange::new(start, end), LayoutReason::StandIn);
@@ -274,7 +294,11 @@
             let holds = |w: &&Worker| (w.layers.first..w.layers.end).contains(&layer);
             self.workers.iter().filter(holds).count()
         };
-        let starts = self.workers.iter().filter(|w| w.layers.count() > 0).map(|w| w.layers.first);
+        let held = self.workers.iter().filter(|w| w.layers.count() > 0).map(|w| w.layers.first);
+        let alone = |l: &u32| copies(*l) <= 1 && (*l == 0 || copies(*l - 1) > 1);
+        // Without memory for two copies, workers that stay empty are worth more than scraps.
+        let ample = self.wanted > ROOM_REPAIR;
+        let starts = held.chain((0..self.model.layers).filter(|l| ample && alone(l)));
         let weight = |start: u32| {
             let end = (start + most).min(self.model.layers);
             let singles = (start..end).filter(|l| copies(*l) <= 1).count();
@@ -296,6 +320,17 @@
     }
 }
 
+/// Room that a domain's workers should leave: the most with which all of them together have memory
+/// for two copies and more.
+fn wanted(model: &LayeredModel, workers: &[Worker]) -> u32 {
+    let copies = |room: u32| -> f64 {
+        let fits = workers.iter().map(|w| model.fits(&w.card, f64::from(room)));
+        f64::from(fits.sum::<u32>()) / f64::from(model.layers.max(1))
+    };
+    let mut rooms = (ROOM_REPAIR..=ROOM_MOST).rev().step_by(ROOM_STEP as usize);
+    rooms.find(|r| copies(*r) >= COPIES).unwrap_or(ROOM_REPAIR)
+}
+
 /// As few workers as close a gap with loads that are not long.
 fn few(takers: Vec<Taker>, gap: LayerRange) -> Vec<Taker> {
     let mut held = 0;
--- a/crates/policy/tests/layout.rs
+++ b/crates/policy/tests/layout.rs
@@ -184,6 +184,61 @@
     }
 }
 
+/// A larger domain's workers, and the model with the smaller tokens that it runs.
+const LARGE: [[usize; 4]; 4] = [[0, 3, 9, 13], [1, 1, 10, 13], [1, 1, 16, 6], [0, 4, 11, 18]];
+
+fn large_model() -> LayeredModel {
+    LayeredModel { token_bytes: 393_000.0, ..model() }
+}
+
+fn settle_large(workers: &mut [Worker]) {
+    for _ in 0..60 {
+        let plan = lay_out(&large_model(), workers);
+        if plan.is_empty() {
+            return;
+        }
+        apply(workers, &plan);
+    }
+    panic!("moves without end: {workers:?}");
+}
+
+fn least_room_large(workers: &[Worker]) -> f64 {
+    let held = workers.iter().filter(|w| w.layers.count() > 0);
+    held.map(|w| large_model().room(&w.card, w.layers.count())).fold(f64::MAX, f64::min)
+}
+
+#[test]
+fn a_domain_with_memory_for_two_copies_holds_every_layer_twice() {
+    for counts in LARGE {
+        let mut workers = workers(counts);
+        settle_large(&mut workers);
+        for layer in 0..80 {
+            let holds = |w: &&Worker| (w.layers.first..w.layers.end).contains(&layer);
+            let copies = workers.iter().filter(holds).count();
+            assert!(copies >= 2, "{counts:?}: layer {layer} has {copies} copies");
+        }
+        assert!(least_room_large(&workers) >= 110_000.0, "{counts:?}");
+    }
+}
+
+#[test]
+fn repairs_leave_as_much_room_as_a_large_domain_has() {
+    for counts in LARGE {
+        let mut whole = workers(counts);
+        settle_large(&mut whole);
+        for first in 0..whole.len() {
+            let mut left = whole.clone();
+            for step in 0..4 {
+                left.remove((first + 5 * step) % left.len());
+            }
+            settle_large(&mut left);
+            assert_eq!(gaps(&left), [], "{counts:?} from {first}");
+            let room = least_room_large(&left);
+            assert!(room >= 95_000.0, "{counts:?} from {first}: {room}");
+        }
+    }
+}
+
 #[test]
 fn a_domain_that_cannot_hold_the_model_orders_nothing_beyond_memory() {
     let mut workers = workers([0, 0, 3, 2]);
