Nodes hear from their domain's planner what the store holds

Ruled out as too little: longer intervals (proofs have to be younger than 1.9 s for a denial, and a leaving engine known within 2 s). Change: the planner of a failure domain answers the others over capnp-rpc: changes of engines' entries, the revision of the configuration and the age of its proof. What is heard counts from when it was asked. Without a giver, or with one whose own proof is older than 1.1 s, a node reads the store itself. While the store is away only the proof is tried, less and less often. Entries that are waited for after an outage are looked at when they are due, not each 200 ms.

--- a/crates/core/src/gateway_settings.rs
+++ b/crates/core/src/gateway_settings.rs
@@ -21,6 +21,10 @@
     pub ready: SocketAddr,
     /// Listener of metrics.
     pub metrics: SocketAddr,
+    /// Listener of other nodes, which this one may tell what the store holds; none if it is not
+    /// to, and then it asks no other node either.
+    #[serde(default)]
+    pub peer: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Bounds agreed with the platform.
--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -6,7 +6,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use heathpitch_core::{Millis, Revision, Violation, check};
 use heathpitch_net::{Found, Item, ItemChange, StoreError, Write};
@@ -18,12 +18,18 @@
 const WATCH: Millis = 25_000;
 /// Time between two proofs: two and more fit into the shortest time agreed for removed keys.
 const PROVE: Duration = Duration::from_millis(2_000);
-/// Time between two tries while the store does not answer.
-const RETRY: Duration = Duration::from_millis(350);
+/// Time between two proofs of a planner: several fit into the time for which a leaving engine may
+/// still be sent work, so that nodes that it tells hear in time that its store is away.
+const PROVE_PLANNER: Duration = Duration::from_millis(600);
+/// Time between two tries while the store does not answer, at first; doubled each time.
+const RETRY: Duration = Duration::from_millis(300);
+/// Longest such time: a fraction of the shortest time agreed for removed keys.
+const RETRY_LONGEST: Duration = Duration::from_millis(1_200);
 
 /// Keeps the newest configuration in force.
 pub(super) async fn follow(control: Rc<Control>) {
     loop {
+        control.direct().await;
         match read(&control).await {
             Some(at) => watch(&control, at).await,
             None => tokio::time::sleep(RETRY).await,
@@ -33,17 +39,26 @@
 
 /// Proves again and again that the configuration in force is the newest.
 pub(super) async fn prove(control: Rc<Control>) {
+    let mut retry = RETRY;
     loop {
-        let pause = match once(&control).await {
+        if control.fed.get() {
+            control.turned.notified().await;
+            continue;
+        }
+        let sent = Instant::now();
+        let proven = once(&control).await;
+        retry = if proven { RETRY } else { (retry * 2).min(RETRY_LONGEST) };
+        let pause = match proven {
+            true if control.plans() => PROVE_PLANNER.saturating_sub(sent.elapsed()),
             true => PROVE,
-            false => RETRY,
+            false => retry,
         };
         tokio::time::sleep(pause).await;
     }
 }
 
 /// Reads the configuration; gives the revision to watch from.
-async fn read(control: &Control) -> Option<Revision> {
+pub(super) async fn read(control: &Control) -> Option<Revision> {
     let sent = control.now();
     let key = control.edges.dialect.config_key();
     let result = control.edges.store.get(key).await;
@@ -77,6 +92,9 @@
             }
         }
         at = watched.at;
+        if control.fed.get() {
+            return;
+        }
     }
 }
 
@@ -103,14 +121,15 @@
     true
 }
 
-fn renew(control: &Control, sent: Millis) {
+/// Takes a proof by a call sent at `sent`.
+pub(super) fn renew(control: &Control, sent: Millis) {
     let mut fresh = **control.shared.fresh.load();
     fresh.prove(sent);
     control.shared.fresh.store(Arc::new(fresh));
 }
 
 /// Puts a configuration in force unless a newer one is.
-fn adopt(control: &Control, item: &Item) {
+pub(super) fn adopt(control: &Control, item: &Item) {
     let current = control.shared.catalog.load().as_ref().map(|c| (c.revision, c.version));
     if current.is_some_and(|(revision, _)| item.revision <= revision) {
         return;
@@ -123,6 +142,7 @@
             return;
         }
     };
+    *control.document.borrow_mut() = Some(item.clone());
     check(Violation::RevisionOrder, current.is_none_or(|(r, _)| catalog.revision > r));
     control.shared.metrics.config.set(catalog.version as i64);
     GatewayEvent::ConfigAdopted {
--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -33,12 +33,13 @@
 /// Time for which a few missing entries are waited for after an outage, milliseconds: below the time
 /// for which a leaving engine may still be sent work.
 const COMEBACK_FEW: Millis = 1_700;
-/// Time between two looks at entries that are waited for, milliseconds.
+/// Time between two looks at many entries that are waited for, milliseconds.
 const LAPSED_LOOK: Millis = 200;
 
 /// Keeps the list of engines.
 pub(super) async fn follow(control: Rc<Control>) {
     loop {
+        control.direct().await;
         match list(&control).await {
             Some(at) => watch(&control, at).await,
             None => tokio::time::sleep(RETRY).await,
@@ -105,7 +106,7 @@
     let prefix = control.edges.dialect.engines_prefix();
     let start = control.now();
     let mut at = from;
-    while control.now() < start + RELIST {
+    while control.now() < start + RELIST && !control.fed.get() {
         let wait = match expire(control) {
             None => WATCH,
             // Read the list again: whatever is still missing is gone.
@@ -126,7 +127,7 @@
                     }
                 }
                 ItemChange::Gone(key) => {
-                    gone.extend(key.strip_prefix(prefix).and_then(|id| id.parse().ok()));
+                    gone.extend(id(control, key));
                 }
             }
         }
@@ -145,8 +146,13 @@
     if serves { GATHER } else { GATHER_START }
 }
 
+/// The engine whose entry stands under a key.
+pub(super) fn id(control: &Control, key: &str) -> Option<Name> {
+    key.strip_prefix(control.edges.dialect.engines_prefix())?.parse().ok()
+}
+
 /// Takes an entry; gives its engine's id if it can be read.
-fn put(control: &Control, item: &Item) -> Option<Name> {
+pub(super) fn put(control: &Control, item: &Item) -> Option<Name> {
     let entry = match control.edges.dialect.engine(item) {
         Ok(entry) => entry,
         Err(e) => {
@@ -173,6 +179,7 @@
         control.leaving.borrow_mut().insert(id.clone(), control.now());
     }
     log_listed(&entry);
+    control.mirror.borrow_mut().put(item.key.clone(), item.clone());
     control.entries.borrow_mut().insert(id.clone(), Arc::new(entry));
     Some(id)
 }
@@ -207,8 +214,11 @@
     if !over.is_empty() {
         control.publish();
     }
-    let waiting = !control.lapsed.borrow().is_empty();
-    waiting.then(|| control.patience().min(LAPSED_LOOK))
+    let oldest = control.lapsed.borrow().values().min().copied()?;
+    let due = (oldest + COMEBACK_FEW).saturating_sub(now);
+    // Many missing entries are past their time and wait for the store's own.
+    let soon = if few { due } else { LAPSED_LOOK };
+    Some(control.patience().min(soon))
 }
 
 fn log_listed(entry: &EngineEntry) {
@@ -222,7 +232,10 @@
     .log();
 }
 
-fn remove(control: &Control, id: &Name, why: &'static str) {
+/// Takes an engine off the list, because of `why`.
+pub(super) fn remove(control: &Control, id: &Name, why: &'static str) {
+    let key = format!("{}{id}", control.edges.dialect.engines_prefix());
+    control.mirror.borrow_mut().remove(&key);
     if control.entries.borrow_mut().remove(id).is_some() {
         control.leaving.borrow_mut().entry(id.clone()).or_insert(control.now());
         control.lost.borrow_mut().remove(id);
--- /dev/null
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -0,0 +1,195 @@
+//! Controller of what this node hears from the planner of its failure domain.
+//!
+//! One node of a failure domain, its planner, reads the store; the others ask it for changes of
+//! engines, the revision of the configuration and the age of its proof. A node that hears nothing,
+//! or hears that the planner's own store is away, reads the store itself.
+//!
+//! What is heard counts from the moment at which it was asked for, so that neither a slow link nor
+//! a planner that stood still makes it look newer than it is.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use heathpitch_core::{Millis, Name, Revision};
+use heathpitch_net::{EdgeError, FeedAsk, FeedClient, FeedTold};
+
+use super::state::Control;
+use super::{config, engines};
+use crate::gateway::event::GatewayEvent;
+
+/// Time between two questions: a small part of the time for which a leaving engine may still be
+/// sent work, and a fraction of a request a second for the giver at 70 followers.
+const ASK: Duration = Duration::from_millis(400);
+/// Time for a connection and for an answer: many times the delay inside a failure domain.
+const LIMIT: Duration = Duration::from_millis(300);
+/// Age beyond which the giver's proof shows that its store does not answer it, milliseconds: nearly
+/// two of its proofs; with a question and a read of the list still below the shortest time for
+/// which a leaving engine may be sent work.
+const PROOF_OLD: Millis = 1_100;
+
+/// The node that reads the store for a failure domain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Giver {
+    pub(super) node: Name,
+    pub(super) address: SocketAddr,
+}
+
+/// What is known of the giver.
+#[derive(Default)]
+struct Source {
+    giver: Option<Giver>,
+    client: Option<FeedClient>,
+    next: FeedAsk,
+}
+
+/// Asks the giver again and again.
+pub(super) async fn follow(control: Rc<Control>) {
+    let mut source = Source::default();
+    loop {
+        tokio::time::sleep(ASK).await;
+        let giver = control.giver();
+        if giver != source.giver {
+            source = Source { giver, ..Source::default() };
+        }
+        let Some(giver) = source.giver.clone() else {
+            control.feed(None, "no other node plans this failure domain");
+            continue;
+        };
+        let heard = ask(&control, &mut source, giver.address).await;
+        let label = if heard.is_ok() { "ok" } else { "failed" };
+        control.shared.metrics.feed.with_label_values(&[label]).inc();
+        match heard {
+            Ok((sent, told)) => take(&control, &mut source, &giver, sent, told),
+            Err(e) => control.feed(None, &e.to_string()),
+        }
+    }
+}
+
+/// Tells a follower what it does not know yet.
+pub(super) fn answer(control: &Control, ask: FeedAsk) -> FeedTold {
+    let catalog = control.shared.catalog.load_full();
+    let proof = control.shared.fresh.load().age(control.now());
+    let (Some(catalog), Some(proof_ms)) = (catalog, proof) else { return FeedTold::default() };
+    let serial = if ask.life == control.life { ask.serial } else { 0 };
+    let delta = control.mirror.borrow().since(serial);
+    let config = if ask.config { control.document.borrow().clone() } else { None };
+    FeedTold {
+        live: control.reads() && proof_ms < PROOF_OLD,
+        life: control.life,
+        serial: delta.serial,
+        whole: delta.whole,
+        items: delta.items,
+        gone: delta.gone,
+        revision: catalog.revision,
+        proof_ms,
+        config,
+    }
+}
+
+/// Asks on the kept connection, or on a new one; gives also when that was.
+async fn ask(
+    control: &Control,
+    source: &mut Source,
+    address: SocketAddr,
+) -> Result<(Millis, FeedTold), EdgeError> {
+    if let Some(client) = &source.client {
+        let sent = control.now();
+        match client.ask(source.next, LIMIT).await {
+            Ok(told) => return Ok((sent, told)),
+            Err(e) => log::info!("the connection to the giver was lost: {e}"),
+        }
+    }
+    source.client = None;
+    let client = FeedClient::open(address, LIMIT).await?;
+    let sent = control.now();
+    let told = client.ask(source.next, LIMIT).await?;
+    source.client = Some(client);
+    Ok((sent, told))
+}
+
+/// Takes what was told in answer to a question sent at `sent`.
+fn take(control: &Rc<Control>, source: &mut Source, giver: &Giver, sent: Millis, told: FeedTold) {
+    if !told.live {
+        return control.feed(None, "the giver's store does not answer it");
+    }
+    source.next = FeedAsk { life: told.life, serial: told.serial, config: false };
+    take_engines(control, &told);
+    control.listed.set(sent);
+    if let Some(item) = &told.config {
+        config::adopt(control, item);
+    }
+    match control.revision() >= told.revision {
+        true => config::renew(control, sent.saturating_sub(told.proof_ms)),
+        false => fetch(control, source, told.revision),
+    }
+    control.feed(Some(&giver.node), "the giver answers");
+}
+
+fn take_engines(control: &Control, told: &FeedTold) {
+    let mut kept: HashSet<Name> = HashSet::new();
+    for item in &told.items {
+        kept.extend(engines::put(control, item));
+    }
+    let gone: Vec<Name> = match told.whole {
+        true => control.entries.borrow().keys().filter(|id| !kept.contains(*id)).cloned().collect(),
+        false => told.gone.iter().filter_map(|key| engines::id(control, key)).collect(),
+    };
+    gone.iter().for_each(|id| engines::remove(control, id, "the giver lists it no longer"));
+    if told.whole || !told.items.is_empty() || !gone.is_empty() {
+        control.publish();
+    }
+}
+
+/// Reads a newer configuration: from the store, whose link is wider, and else from the giver.
+fn fetch(control: &Rc<Control>, source: &mut Source, revision: Revision) {
+    source.next.config = control.fetching.replace(Some(revision)) == Some(revision);
+    let control = control.clone();
+    tokio::task::spawn_local(async move { config::read(&control).await });
+}
+
+/// # Feed
+impl Control {
+    /// Takes note of whether this node is told what the store holds, and by whom.
+    fn feed(&self, giver: Option<&Name>, why: &str) {
+        let fed = giver.is_some();
+        if fed == self.fed.get() {
+            return;
+        }
+        self.fed.set(fed);
+        GatewayEvent::FeedChanged { giver: giver.cloned(), why: why.to_owned() }.log();
+        self.turned.notify_waiters();
+    }
+
+    /// The node that reads the store for this one, unless it is this one itself.
+    fn giver(&self) -> Option<Giver> {
+        let own = self.shared.settings.load().node.clone();
+        self.planner.borrow().clone().filter(|p| p.node != own)
+    }
+
+    /// Whether this node reads the store itself, and is answered.
+    fn reads(&self) -> bool {
+        !self.fed.get() && self.listed.get() > 0
+    }
+
+    /// Revision of the configuration in force.
+    fn revision(&self) -> Revision {
+        self.shared.catalog.load().as_ref().map_or(Revision(0), |c| c.revision)
+    }
+}
+
+/// Reads a planner's entry: its node and, if others may ask it, its address.
+pub(super) fn giver(value: &str) -> Option<Giver> {
+    let (node, address) = value.split_once(' ')?;
+    Some(Giver { node: node.parse().ok()?, address: address.parse().ok()? })
+}
+
+/// A planner's entry.
+pub(super) fn entry(node: &Name, address: Option<SocketAddr>) -> Arc<str> {
+    match address {
+        Some(address) => format!("{node} {address}").into(),
+        None => node.as_str().into(),
+    }
+}
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -1,12 +1,13 @@
 //! Control thread of a gateway: a set of controllers on one current-thread runtime.
 //!
 //! `config` keeps the newest configuration and the proof that it is the newest; `engines` keeps
-//! the list of engines; `nodes` keeps this node's entry and the lease of its failure domain's
+//! the list of engines; `feed` hears both from the failure domain's planner; `nodes` keeps this node's entry and the lease of its failure domain's
 //! planner; `planner` orders layers; `recovery` watches running streams and moves them off
 //! engines that `looks` finds lost. They publish snapshots in [`Shared`]; nothing else is shared with traffic.
 
 mod config;
 mod engines;
+mod feed;
 mod looks;
 mod nodes;
 mod orders;
@@ -19,7 +20,7 @@
 use std::sync::Arc;
 use std::thread;
 
-use heathpitch_net::{Body, Bounds, Listener, full, serve};
+use heathpitch_net::{Body, Bounds, FeedServer, Listener, full, serve};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::runtime::Builder;
@@ -36,6 +37,8 @@
 pub(super) struct Listeners {
     pub(super) ready: Listener,
     pub(super) metrics: Listener,
+    /// Of nodes that this one tells what the store holds.
+    pub(super) peers: Option<Listener>,
 }
 
 /// Starts the control thread; it ends when `stop` turns true.
@@ -54,9 +57,16 @@
     thread::Builder::new().name("control".to_owned()).spawn(move || {
         let local = LocalSet::new();
         local.block_on(&runtime, async move {
-            let listeners = listeners()?;
+            let mut listeners = listeners()?;
+            let peers = listeners.peers.take();
             probes(&shared, edges.dialect.ready_path(), listeners, &stop);
             let control = Rc::new(Control::new(shared, edges));
+            if let Some(peers) = peers {
+                let c = control.clone();
+                let server = FeedServer::new(Rc::new(move |ask| feed::answer(&c, ask)));
+                spawn_local(server.serve(peers.into_socket()));
+            }
+            spawn_local(feed::follow(control.clone()));
             spawn_local(config::follow(control.clone()));
             spawn_local(config::prove(control.clone()));
             spawn_local(engines::follow(control.clone()));
--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -14,12 +14,13 @@
 use heathpitch_net::{Item, ItemChange, LeaseId, StoreError, Write};
 use rand::Rng;
 
+use super::feed;
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
 
 /// Prefix of the nodes' entries; the value is the node's failure domain.
 const NODES: &str = "heathpitch/nodes/";
-/// Prefix of the planners' leases; the value is the node that plans.
+/// Prefix of the planners' leases; the value is the node that plans and its address for others.
 const PLANNERS: &str = "heathpitch/planners/";
 /// Time for which a node's entry stays without a renewal, milliseconds: the store's most.
 const NODE_TTL: Millis = 600_000;
@@ -40,20 +41,26 @@
 const COUNT_FIRST: Duration = Duration::from_millis(1_500);
 /// Time between two tries while the store does not answer.
 const RETRY: Duration = Duration::from_millis(500);
+/// Longest such time; the store's return ends it.
+const RETRY_LONGEST: Duration = Duration::from_millis(4_000);
 
 /// Asks for the lease of this failure domain's planner when it is free.
 pub(super) async fn follow(control: Rc<Control>) {
+    let mut retry = RETRY;
     loop {
         let result = control.edges.store.list(PLANNERS).await;
         control.note("list", &result);
+        let listed = result.is_ok();
         if let Ok(listing) = result {
             let mut planners: HashMap<Name, Name> = HashMap::new();
+            *control.planner.borrow_mut() = None;
             for item in listing.items {
                 take(&control, &mut planners, &ItemChange::Put(item));
             }
             watch(&control, planners, listing.at).await;
         }
-        tokio::time::sleep(RETRY).await;
+        retry = if listed { RETRY } else { (retry * 2).min(RETRY_LONGEST) };
+        control.pause(retry).await;
     }
 }
 
@@ -70,8 +77,9 @@
         let result = control.edges.store.list(NODES).await;
         control.note("list", &result);
         if let Ok(listing) = result {
-            let node =
-                |item: &Item| Some((item.key.strip_prefix(NODES)?.parse().ok()?, name(item)?));
+            let node = |item: &Item| {
+                Some((item.key.strip_prefix(NODES)?.parse().ok()?, text(item)?.parse().ok()?))
+            };
             *control.nodes.borrow_mut() = listing.items.iter().filter_map(node).collect();
             control.publish();
             pause = COUNT;
@@ -152,7 +160,8 @@
     control.note("grant", &granted);
     let Ok(lease) = granted else { return };
     let key = format!("{PLANNERS}{}", settings.domain);
-    let value = Bytes::copy_from_slice(settings.node.as_str().as_bytes());
+    let entry = feed::entry(&settings.node, control.shared.peer);
+    let value = Bytes::copy_from_slice(entry.as_bytes());
     let write = Write {
         conditions: vec![(key.clone(), Revision(0))],
         puts: vec![(key, value, Some(lease))],
@@ -182,19 +191,30 @@
     let Some(Ok(domain)) = key.strip_prefix(PLANNERS).map(str::parse::<Name>) else { return };
     match change {
         ItemChange::Put(item) => {
-            let Some(holder) = name(item) else { return };
+            let Some(holder) = planner(item) else { return };
             let settings = control.shared.settings.load();
+            if domain == settings.domain {
+                *control.planner.borrow_mut() = text(item).and_then(feed::giver);
+            }
             if domain == settings.domain && holder != settings.node {
                 resign(control, "another node holds the lease");
             }
             planners.insert(domain, holder);
         }
         ItemChange::Gone(_) => {
+            if domain == control.domain() {
+                *control.planner.borrow_mut() = None;
+            }
             planners.remove(&domain);
         }
     }
 }
 
-fn name(item: &Item) -> Option<Name> {
-    std::str::from_utf8(&item.value).ok()?.parse().ok()
+fn text(item: &Item) -> Option<&str> {
+    std::str::from_utf8(&item.value).ok()
+}
+
+/// The node that a planner's entry names.
+fn planner(item: &Item) -> Option<Name> {
+    text(item)?.split(' ').next()?.parse().ok()
 }
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -3,11 +3,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::time::Duration;
 
-use heathpitch_core::{EngineEntry, EntryState, Millis, Name};
-use heathpitch_net::{LeaseId, StoreError};
-use heathpitch_policy::{Tally, mains};
+use heathpitch_core::{EngineEntry, EntryState, Millis, Name, Revision};
+use heathpitch_net::{Item, LeaseId, StoreError};
+use heathpitch_policy::{Mirror, Tally, mains};
+use tokio::sync::Notify;
 
+use super::feed::Giver;
 use super::looks::Lost;
 use super::orders::Pending;
 use super::recovery::Watched;
@@ -26,6 +29,20 @@
     pub(super) shared: Arc<Shared>,
     pub(super) edges: Edges,
     pub(super) entries: RefCell<HashMap<Name, Arc<EngineEntry>>>,
+    /// Their items as the store holds them, for the nodes that this one tells.
+    pub(super) mirror: RefCell<Mirror<Item>>,
+    /// The configuration in force as the store holds it.
+    pub(super) document: RefCell<Option<Item>>,
+    /// This life of the node, which serials of `mirror` belong to.
+    pub(super) life: u64,
+    /// The node that plans this failure domain, if others may ask it.
+    pub(super) planner: RefCell<Option<Giver>>,
+    /// Whether the planner tells this node what the store holds.
+    pub(super) fed: Cell<bool>,
+    /// Newer revision of the configuration that is being read.
+    pub(super) fetching: Cell<Option<Revision>>,
+    /// Wakes those who wait for the store or for the end of the feed.
+    pub(super) turned: Notify,
     /// When each engine was listed for the first time.
     pub(super) since: RefCell<HashMap<Name, Millis>>,
     /// When an engine of this failure domain was last listed for the first time.
@@ -65,6 +82,13 @@
             shared,
             edges,
             entries: RefCell::default(),
+            mirror: RefCell::default(),
+            document: RefCell::default(),
+            life: rand::random(),
+            planner: RefCell::default(),
+            fed: Cell::new(false),
+            fetching: Cell::new(None),
+            turned: Notify::new(),
             since: RefCell::default(),
             joined: Cell::new(0),
             replaced: RefCell::default(),
@@ -181,6 +205,23 @@
 
 /// # Store
 impl Control {
+    /// Waits until this node has to read the store itself and the store answers.
+    ///
+    /// While the store is away only the proof of the configuration is tried again and again; a node
+    /// that knows no configuration yet tries everything.
+    pub(super) async fn direct(&self) {
+        let away = || !self.reachable.get() && self.shared.catalog.load().is_some();
+        while self.fed.get() || away() {
+            self.turned.notified().await;
+        }
+    }
+
+    /// Waits for a while, but not beyond the store's return.
+    pub(super) async fn pause(&self, pause: Duration) {
+        // Either way the call is tried again.
+        let _ = tokio::time::timeout(pause, self.turned.notified()).await;
+    }
+
     /// Counts a call on the store and takes note of whether it answers.
     pub(super) fn note<T>(&self, call: &'static str, result: &Result<T, StoreError>) {
         let (word, answers) = match result {
@@ -198,6 +239,7 @@
         self.reachable.set(answers);
         if answers {
             self.returned.set(self.now());
+            self.turned.notify_waiters();
         }
         let error = result.as_ref().err().map(|e| format!("{call}: {e}"));
         GatewayEvent::StoreReachable { reachable: answers, error }.log();
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -20,6 +20,8 @@
         ready: String,
         /// Address of metrics.
         metrics: String,
+        /// Address for other nodes.
+        peer: Option<String>,
     },
     /// Settings were read again.
     GatewayReloaded {
@@ -188,6 +190,13 @@
         /// What decided it.
         why: &'static str,
     },
+    /// Another node begins or ceases to tell this one what the store holds.
+    FeedChanged {
+        /// The node, if one tells it now.
+        giver: Option<Name>,
+        /// What decided it.
+        why: String,
+    },
     /// The store does not answer, or answers again.
     StoreReachable {
         /// Whether it answers.
@@ -199,7 +208,7 @@
 
 impl GatewayEvent {
     /// Stable names of all events.
-    pub const NAMES: [&'static str; 18] = [
+    pub const NAMES: [&'static str; 19] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -216,6 +225,7 @@
         "engine_doubted",
         "layers_ordered",
         "domain_planner",
+        "feed_changed",
         "store_reachable",
         "log_dropped",
     ];
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Every metric of a gateway: name, help.
-pub const GATEWAY_METRICS: [(&str, &str); 14] = [
+pub const GATEWAY_METRICS: [(&str, &str); 15] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -22,6 +22,7 @@
     ("heathpitch_config_version", "Version of the configuration in force"),
     ("heathpitch_notices_dropped_total", "Notices to the control thread dropped for want of room"),
     ("heathpitch_nodes", "Nodes of the fleet that the store lists"),
+    ("heathpitch_feed_asks_total", "Questions to the failure domain's planner, by result"),
 ];
 
 /// Bounds of the histogram of first answers, seconds.
@@ -47,6 +48,7 @@
     pub(crate) config: IntGauge,
     pub(crate) dropped: IntCounter,
     pub(crate) nodes: IntGauge,
+    pub(crate) feed: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -77,6 +79,7 @@
             config: IntGauge::with_opts(opts(11))?,
             dropped: IntCounter::with_opts(opts(12))?,
             nodes: IntGauge::with_opts(opts(13))?,
+            feed: IntCounterVec::new(opts(14), &["result"])?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -101,6 +104,7 @@
             Box::new(self.config.clone()),
             Box::new(self.dropped.clone()),
             Box::new(self.nodes.clone()),
+            Box::new(self.feed.clone()),
         ]
     }
 
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -82,6 +82,8 @@
         let callers = bind("listen", settings.listen)?;
         let ready = bind("ready", settings.ready)?;
         let metrics = bind("metrics", settings.metrics)?;
+        let peers = settings.peer.map(|address| bind("peer", address)).transpose()?;
+        let peer = peers.as_ref().map(Listener::address);
         let listen = callers.address();
         let counted = GatewayMetrics::new().map_err(io::Error::other)?;
         GatewayEvent::GatewayStarted {
@@ -90,15 +92,18 @@
             listen: listen.to_string(),
             ready: ready.address().to_string(),
             metrics: metrics.address().to_string(),
+            peer: peer.map(|p| p.to_string()),
         }
         .log();
         let (ready, metrics) = (ready.into_std()?, metrics.into_std()?);
-        let (shared, inbox) = Shared::new(settings, counted);
+        let peers = peers.map(Listener::into_std).transpose()?;
+        let (shared, inbox) = Shared::new(settings, peer, counted);
         let (stop_control, control_stopped) = watch::channel(false);
         let (stop_traffic, traffic_stopped) = watch::channel(false);
         let listeners = move || {
             let (ready, metrics) = (Listener::from_std(ready)?, Listener::from_std(metrics)?);
-            Ok(Listeners { ready, metrics })
+            let peers = peers.map(Listener::from_std).transpose()?;
+            Ok(Listeners { ready, metrics, peers })
         };
         let control =
             control::spawn(shared.clone(), edges.clone(), listeners, inbox, control_stopped)?;
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -1,5 +1,6 @@
 //! What a gateway's threads share: snapshots, counters and one bounded channel.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 
@@ -51,6 +52,8 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) settings: ArcSwap<GatewaySettings>,
+    /// Where other nodes ask this one, if they may.
+    pub(crate) peer: Option<SocketAddr>,
     pub(crate) clock: Clock,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) catalog: ArcSwapOption<Catalog>,
@@ -65,11 +68,13 @@
     /// Shared state of a gateway that knows nothing yet.
     pub(crate) fn new(
         settings: GatewaySettings,
+        peer: Option<SocketAddr>,
         metrics: GatewayMetrics,
     ) -> (Arc<Self>, mpsc::Receiver<Notice>) {
         let (notices, inbox) = mpsc::channel(CONTROL_ROOM);
         let shared = Self {
             settings: ArcSwap::from_pointee(settings),
+            peer,
             clock: Clock::start(),
             metrics,
             catalog: ArcSwapOption::empty(),
--- a/crates/heathpitchd/tests/gateway/mod.rs
+++ b/crates/heathpitchd/tests/gateway/mod.rs
@@ -76,7 +76,7 @@
     /// A node that may not be ready yet.
     pub(crate) fn start(&self, name: &str, bounds: &Value) -> GatewayProcess {
         let binary = Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
-        GatewayProcess::spawn(binary, &self.store, name, "mem", bounds).unwrap()
+        GatewayProcess::spawn(binary, self.store.address(), name, "mem", bounds).unwrap()
     }
 }
 
--- /dev/null
+++ b/crates/heathpitchd/tests/gateway_feed.rs
@@ -0,0 +1,135 @@
+//! The feed: nodes that hear from their domain's planner what the store holds, and what they do
+//! without it.
+
+#![allow(clippy::unwrap_used, reason = "what fails here fails its test")]
+
+mod gateway;
+
+use std::path::Path;
+use std::time::Duration;
+
+use gateway::{KEY, World, wait};
+use heathpitch_standin::{Caller, GatewayProcess, Link, Proxy, RouteSpec};
+use hyper::Method;
+use serde_json::json;
+
+async fn status(caller: &Caller, target: &str) -> u16 {
+    caller.call(Method::GET, target, "").await.unwrap().status
+}
+
+/// A planner, and a node beside it whose link to the store can be spoilt.
+async fn pair(world: &World) -> (GatewayProcess, GatewayProcess, Proxy) {
+    let planner = world.node().await;
+    wait("the first node plans", async || !planner.events("domain_planner").is_empty()).await;
+    let link = Proxy::spawn(world.store.address()).unwrap();
+    let binary = Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
+    let bounds = json!({ "revoke_ms": 2_500 });
+    let other = GatewayProcess::spawn(binary, link.address(), "n2", "mem", &bounds).unwrap();
+    other.wait_ready().await.unwrap();
+    wait("the second node is fed", async || fed(&other) == Some(true)).await;
+    (planner, other, link)
+}
+
+/// Whether a node is told by another one, as its log says last.
+fn fed(node: &GatewayProcess) -> Option<bool> {
+    node.events("feed_changed").last().map(|e| !e["giver"].is_null())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fed_node_leaves_the_store_alone() {
+    let world = World::new();
+    world.engine("a", "api");
+    let (_planner, other, _link) = pair(&world).await;
+    let made = async || {
+        let text = other.metrics().await.unwrap();
+        let proofs =
+            text.lines().find(|l| l.starts_with("heathpitch_store_calls_total{call=\"prove\""));
+        proofs.map(str::to_owned)
+    };
+    let before = made().await;
+    for i in 0..20 {
+        world.store.list_engine("b", "api", &format!("z{i}"), ([127, 0, 0, 1], 9).into());
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    assert_eq!(made().await, before, "no proof of its own");
+    let text = other.metrics().await.unwrap();
+    let watches = "heathpitch_store_calls_total{call=\"watch\",result=\"ok\"} ";
+    let watches = text.lines().find_map(|l| l.strip_prefix(watches)).unwrap_or("0");
+    assert!(watches.parse::<u32>().unwrap() <= 6, "{watches} watches");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_the_store_turns_away_hears_everything_from_the_planner() {
+    for spoilt in [Link::Reset, Link::Silent, Link::OneWay] {
+        let mut world = World::new();
+        world.engine("a", "api");
+        let (_planner, other, link) = pair(&world).await;
+        link.set(spoilt);
+        let caller = Caller::new(other.listen).key(KEY);
+        // Longer than keys are taken for valid without a proof.
+        tokio::time::sleep(Duration::from_millis(3_000)).await;
+        assert_eq!(status(&caller, "/get/x").await, 200, "{spoilt:?}");
+        world.site.version = 9;
+        world.site.routes.push(RouteSpec::idempotent("/added/", "api"));
+        world.configure();
+        wait("the new route is served", async || status(&caller, "/added/x").await == 200).await;
+        let second = world.engine("b", "api");
+        wait("the new engine is used", async || {
+            status(&caller, "/get/x").await == 200 && !second.seen().is_empty()
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_that_was_taken_away_ends_at_a_fed_node_too() {
+    let mut world = World::new();
+    world.engine("a", "api");
+    let (_planner, other, link) = pair(&world).await;
+    link.set(Link::Silent);
+    let caller = Caller::new(other.listen).key(KEY);
+    assert_eq!(status(&caller, "/get/x").await, 200);
+    world.site.version = 9;
+    world.site.tenants[0].1.remove(0);
+    world.configure();
+    wait("the key is gone", async || status(&caller, "/get/x").await == 401).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_whose_planner_dies_or_stands_still_reads_the_store_itself() {
+    for signal in ["KILL", "STOP"] {
+        let mut world = World::new();
+        world.engine("a", "api");
+        let (planner, other, _link) = pair(&world).await;
+        planner.signal(signal).unwrap();
+        wait("the feed is lost", async || fed(&other) == Some(false)).await;
+        world.site.version = 9;
+        world.site.routes.push(RouteSpec::idempotent("/added/", "api"));
+        world.configure();
+        let caller = Caller::new(other.listen).key(KEY);
+        wait("the new route is served", async || status(&caller, "/added/x").await == 200).await;
+        planner.signal("CONT").unwrap();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_without_a_store_gives_its_followers_up() {
+    let world = World::new();
+    world.engine("a", "api");
+    let link = Proxy::spawn(world.store.address()).unwrap();
+    let binary = Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
+    let planner = GatewayProcess::spawn(binary, link.address(), "n1", "mem", &json!({})).unwrap();
+    planner.wait_ready().await.unwrap();
+    wait("the first node plans", async || !planner.events("domain_planner").is_empty()).await;
+    let other = world.start("n2", &json!({}));
+    other.wait_ready().await.unwrap();
+    wait("the second node is fed", async || fed(&other) == Some(true)).await;
+    link.set(Link::Silent);
+    wait("the feed is lost", async || fed(&other) == Some(false)).await;
+    wait("the second node plans", async || {
+        other.events("domain_planner").iter().any(|e| e["active"] == true)
+    })
+    .await;
+    link.set(Link::Pass);
+    wait("the first one is fed", async || fed(&planner) == Some(true)).await;
+}
--- /dev/null
+++ b/crates/net/schema/feed.capnp
@@ -0,0 +1,41 @@
+@0xb9c2a7d15e0f3846;
+
+# What a node asks the one that reads the store for its failure domain. Regenerate with:
+#   capnp compile -orust:crates/net/src/generated --src-prefix=crates/net/schema \
+#     crates/net/schema/feed.capnp && cargo fmt -p heathpitch-net
+
+struct Item {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+}
+
+struct Ask {
+  life @0 :UInt64;
+  # Life of the giver that `serial` belongs to.
+  serial @1 :UInt64;
+  # Changes up to this one are known; 0 for none.
+  config @2 :Bool;
+  # Whether the configuration itself is wanted.
+}
+
+struct Told {
+  live @0 :Bool;
+  # Whether the giver's store answers, so that the rest is worth anything.
+  life @1 :UInt64;
+  serial @2 :UInt64;
+  whole @3 :Bool;
+  # Whether `items` are all there are; else what changed since the serial asked from.
+  items @4 :List(Item);
+  gone @5 :List(Text);
+  revision @6 :UInt64;
+  # Revision of the configuration in force.
+  proofMs @7 :UInt64;
+  # Age of the proof that it is the newest.
+  config @8 :Item;
+  # The configuration, if it was asked for.
+}
+
+interface Feed {
+  ask @0 (ask :Ask) -> (told :Told);
+}
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -44,25 +45,32 @@
 
     /// Serves peers on `socket` until the task is dropped; must run in a `LocalSet`.
     pub async fn serve(self, socket: TcpListener) {
-        let room = Rc::new(Semaphore::new(MAX_CONNECTIONS));
         let client: peer::Client = new_client(self);
-        loop {
-            let Ok(permit) = room.clone().acquire().await.map(|p| p.forget()) else { return };
-            let Ok((stream, _)) = socket.accept().await else {
-                room.add_permits(1);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            };
-            let () = permit;
-            let room = room.clone();
-            let client = client.clone();
-            tokio::task::spawn_local(async move {
-                let served = RpcSystem::new(network(stream, Side::Server), Some(client.client));
-                // A peer that breaks off has said all it will; the next exchange starts anew.
-                let _ = tokio::time::timeout(HOLD, served).await;
-                room.add_permits(1);
-            });
-        }
+        serve_rpc(socket, client.client, MAX_CONNECTIONS, HOLD).await;
+    }
+}
+
+/// Serves an interface on `socket`, to so many connections at once, each for so long at most.
+pub(crate) async fn serve_rpc(
+    socket: TcpListener,
+    client: capnp::capability::Client,
+    connections: usize,
+    hold: Duration,
+) {
+    let room = Arc::new(Semaphore::new(connections));
+    loop {
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        let Ok((stream, _)) = socket.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let client = client.clone();
+        tokio::task::spawn_local(async move {
+            let served = RpcSystem::new(network(stream, Side::Server), Some(client));
+            // A peer that breaks off has said all it will; its next connection starts anew.
+            let _ = tokio::time::timeout(hold, served).await;
+            drop(permit);
+        });
     }
 }
 
@@ -119,9 +127,9 @@
     answer
 }
 
-type Network = VatNetwork<futures::io::ReadHalf<tokio_util::compat::Compat<TcpStream>>>;
+pub(crate) type Network = VatNetwork<futures::io::ReadHalf<tokio_util::compat::Compat<TcpStream>>>;
 
-fn network(stream: TcpStream, side: Side) -> Box<Network> {
+pub(crate) fn network(stream: TcpStream, side: Side) -> Box<Network> {
     // Without it an exchange may wait for a delayed acknowledgement; it still works.
     let _ = stream.set_nodelay(true);
     let (reader, writer) = stream.compat().split();
--- /dev/null
+++ b/crates/policy/tests/mirror.rs
@@ -0,0 +1,68 @@
+//! Mirrors: whoever follows one by its deltas holds what it holds.
+
+use std::collections::BTreeMap;
+
+use heathpitch_policy::{Delta, Mirror};
+use proptest::prelude::*;
+
+type Copy = BTreeMap<String, u32>;
+
+/// Applies a delta whose items carry their own keys.
+fn apply(copy: &mut Copy, delta: Delta<(String, u32)>) -> u64 {
+    if delta.whole {
+        copy.clear();
+    }
+    copy.retain(|key, _| !delta.gone.iter().any(|gone| **gone == **key));
+    copy.extend(delta.items);
+    delta.serial
+}
+
+proptest! {
+    /// Changes in any order, asked for at any moment.
+    #[test]
+    fn a_follower_holds_the_same(
+        steps in prop::collection::vec((0_u32..12, any::<bool>(), any::<bool>()), 0..200),
+    ) {
+        let mut mirror = Mirror::default();
+        let (mut true_copy, mut copy, mut serial) = (Copy::new(), Copy::new(), 0);
+        for (i, (key, put, ask)) in steps.into_iter().enumerate() {
+            let key = format!("k{key}");
+            match put {
+                true => {
+                    mirror.put(key.as_str().into(), (key.clone(), i as u32));
+                    true_copy.insert(key, i as u32);
+                }
+                false => {
+                    mirror.remove(&key);
+                    true_copy.remove(&key);
+                }
+            }
+            if ask {
+                serial = apply(&mut copy, mirror.since(serial));
+                prop_assert_eq!(&copy, &true_copy);
+            }
+        }
+    }
+}
+
+#[test]
+fn one_who_missed_forgotten_removals_gets_everything() {
+    let mut mirror = Mirror::default();
+    mirror.put("kept".into(), 0);
+    let early = mirror.since(0).serial;
+    for i in 0..2_000 {
+        let key = format!("k{i}");
+        mirror.put(key.as_str().into(), i);
+        mirror.remove(&key);
+    }
+    let delta = mirror.since(early);
+    assert!(delta.whole);
+    assert_eq!(delta.items, [0]);
+}
+
+#[test]
+fn a_serial_of_another_life_gets_everything() {
+    let mut mirror = Mirror::default();
+    mirror.put("a".into(), 1);
+    assert!(mirror.since(77).whole);
+}
