Paths stay inside a domain while it has room: the pipe to another one is shared

Ruled out: late detection (first order after 120 to 157 ms of silence). Change: going on in another domain costs 6 ms a token (was 1.5); starting there and answering from there, which is text only, costs what it did. Moves look inside the domain of the first engine first, as new calls do; a domain is left only where it has no chain with room, told by a field, not by the cost.

--- a/crates/heathpitchd/src/gateway/call/pick.rs
+++ b/crates/heathpitchd/src/gateway/call/pick.rs
@@ -1,11 +1,11 @@
 //! Choice of engines for a call.
 
 use heathpitch_core::{Millis, Name, Path};
-use heathpitch_policy::{Link, Search, find_chain};
+use heathpitch_policy::{Search, find_near_chain};
 use rand::Rng;
 
 use super::admit::Call;
-use crate::gateway::engine_table::{EngineTable, EngineView, FULL};
+use crate::gateway::engine_table::{EngineTable, EngineView};
 
 /// What a failure domain further off costs, in requests waiting at an engine.
 const AWAY: f64 = 1.5;
@@ -49,11 +49,7 @@
     let search = Search { model, name: &call.service.name, home, current: None };
     let usable = |s: &EngineView| s.open(avoid.now) && !avoid.engines.contains(&s.entry.id);
     let links = table.links(&call.service.name, model, need(call), avoid.now, usable);
-    let near: Vec<Link> = links.iter().filter(|l| &l.entry.domain == home).cloned().collect();
-    match find_chain(&search, &near) {
-        Some((path, cost)) if cost < FULL => Some(path),
-        near => find_chain(&search, &links).or(near).map(|(path, _)| path),
-    }
+    find_near_chain(&search, &links).map(|(path, _)| path)
 }
 
 /// Tokens that a call is likely to hold.
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -13,7 +13,7 @@
 
 use heathpitch_core::{LayeredModel, Millis, Name, Path, Stage};
 use heathpitch_net::{EdgeError, Ordered};
-use heathpitch_policy::{Search, find_chain};
+use heathpitch_policy::{Search, find_near_chain};
 use tokio::task::spawn_local;
 
 use super::looks;
@@ -214,7 +214,8 @@
     let usable =
         |s: &EngineView| &s.entry.id == head || (s.open(now) && !control.is_lost(&s.entry.id));
     let links = table.links(&live.service, model, live.tokens, now, usable);
-    let home = control.domain();
+    // The first engine stays, so its domain is where the others are best.
+    let home = table.view(head.as_str())?.entry.domain.clone();
     let search = Search { model, name: &live.service, home: &home, current: Some(path) };
-    find_chain(&search, &links).map(|(path, _)| path)
+    find_near_chain(&search, &links).map(|(path, _)| path)
 }
--- a/crates/heathpitchd/src/gateway/engine_table.rs
+++ b/crates/heathpitchd/src/gateway/engine_table.rs
@@ -10,7 +10,7 @@
 /// Share of an engine's room beyond which requests may be put off there.
 const ROOM_SHARE: f64 = 0.9;
 /// Cost of an engine without room, milliseconds a token: more than a path through another domain.
-pub(crate) const FULL: f64 = 12.0;
+const FULL: f64 = 16.0;
 /// Cost of an engine whose room is all taken, milliseconds a token: about two hops.
 const LOADED: f64 = 0.4;
 /// Wait for a first event that is no reason to start elsewhere, milliseconds: that of a domain with
@@ -77,12 +77,12 @@
             let share = (used + need) / room.max(1.0);
             let full = share > ROOM_SHARE || s.tally.crowded(now);
             let jitter = rand::rng().random_range(0.0..JITTER);
-            let full = if full { FULL } else { 0.0 };
             let stand_in = if s.main { 0.0 } else { STAND_IN };
-            let penalty = LOADED * share * share + full + stand_in + jitter;
+            let none = if full { FULL } else { 0.0 };
+            let penalty = LOADED * share * share + none + stand_in + jitter;
             let wait = s.tally.wait_ms(now) - WAIT_USUAL;
             let start = wait.max(0.0) / WAIT_SPREAD;
-            Some(Link { entry: s.entry.clone(), card, penalty, start })
+            Some(Link { entry: s.entry.clone(), card, penalty, start, full })
         };
         let views = self.of(service).iter();
         views.filter(|s| s.entry.layers.count() > 0 && usable(s)).filter_map(link).collect()
--- a/crates/policy/src/chain.rs
+++ b/crates/policy/src/chain.rs
@@ -12,9 +12,13 @@
 
 /// Cost of one more part: the delay inside a domain, milliseconds a token.
 const HOP: f64 = 0.2;
-/// Cost of a change of domain beside its delay: a prompt's activations on the pipe, shared out
-/// over the tokens of an answer, milliseconds a token.
-const CROSSING: f64 = 1.5;
+/// Cost of starting in another domain, and of answers that come from there, beside the delay:
+/// text only, milliseconds a token.
+const AWAY: f64 = 1.5;
+/// Cost of going on in another domain beside the delay: a prompt's activations take 20 to 35 ms of
+/// the pipe that all requests share, one after the other. A whole domain that crosses fills it, so
+/// this is more than a detour through a domain's slowest engines; milliseconds a token.
+const CROSSING: f64 = 6.0;
 /// Most parts that a chain may have.
 const PARTS_MOST: usize = 32;
 /// What a part that a running request already uses is worth: nothing has to be read again.
@@ -31,6 +35,8 @@
     pub penalty: f64,
     /// Cost of starting here: requests that wait for their prompt to be read; milliseconds a token.
     pub start: f64,
+    /// Whether it has no room, as far as is known.
+    pub full: bool,
 }
 
 /// What a chain is looked for.
@@ -53,6 +59,23 @@
     link: usize,
 }
 
+/// The cheapest chain inside the home domain if that has one with room, else through any domain.
+///
+/// None if the links do not hold every layer, or the first part of the current chain is not among
+/// them.
+pub fn find_near_chain(search: &Search<'_>, links: &[Link]) -> Option<(Path, f64)> {
+    let near: Vec<Link> =
+        links.iter().filter(|l| &l.entry.domain == search.home).cloned().collect();
+    let full = |path: &Path| {
+        let used = |l: &&Link| path.stages().iter().any(|s| s.engine == l.entry.id);
+        near.iter().filter(used).any(|l| l.full)
+    };
+    match find_chain(search, &near) {
+        Some((path, cost)) if !full(&path) => Some((path, cost)),
+        near => find_chain(search, links).or(near),
+    }
+}
+
 /// The cheapest chain, with its cost in milliseconds a token.
 ///
 /// None if the links do not hold every layer, or the first part of the current chain is not among
@@ -148,7 +171,7 @@
         let Ok(domain) = self.domains.binary_search(&&l.entry.domain) else { return };
         let begins = from == self.start && self.head.is_none();
         let start = if begins { l.start } else { 0.0 };
-        let entry = so_far + l.penalty + start + self.hop(from.1, domain);
+        let entry = so_far + l.penalty + start + self.hop(from.1, domain, !begins);
         for to in from.0 + 1..self.cuts.len() {
             if self.cuts[to] > l.entry.layers.end {
                 break;
@@ -162,12 +185,13 @@
         }
     }
 
-    fn hop(&self, from: usize, to: usize) -> f64 {
+    /// Cost of a step from one domain to another; `on` if a running request goes on there.
+    fn hop(&self, from: usize, to: usize, on: bool) -> f64 {
         match from == to {
             true => HOP,
             false => {
                 let delay = self.search.model.delay(self.domains[from], self.domains[to]);
-                HOP + delay + CROSSING
+                HOP + delay + if on { CROSSING } else { AWAY }
             }
         }
     }
@@ -186,7 +210,7 @@
         let last = self.cuts.len() - 1;
         let total = |domain: usize| {
             let step = self.best[last][domain]?;
-            Some((domain, step.cost + self.hop(domain, self.start.1)))
+            Some((domain, step.cost + self.hop(domain, self.start.1, false)))
         };
         let ends = (0..self.domains.len()).filter_map(total);
         let (domain, _) = ends.min_by(|a, b| a.1.total_cmp(&b.1))?;
@@ -202,11 +226,13 @@
                 continue;
             };
             let domain = self.domains.binary_search(&&link.entry.domain).unwrap_or(at);
-            let start = if stage.layers.first == 0 { link.start } else { 0.0 };
-            cost += link.penalty + start + self.hop(at, domain) + self.work(link, stage.layers);
+            let begins = stage.layers.first == 0;
+            let start = if begins { link.start } else { 0.0 };
+            let hop = self.hop(at, domain, !begins);
+            cost += link.penalty + start + hop + self.work(link, stage.layers);
             at = domain;
         }
-        cost + self.hop(at, self.start.1)
+        cost + self.hop(at, self.start.1, false)
     }
 
     fn trace(&self, end: (usize, usize)) -> Option<Vec<Stage>> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,7 +43,7 @@
 pub use blocks::{BLOCK, blocks, prompt_tokens};
 pub use bucket::Bucket;
 pub use budget::{RetryBudget, come_back};
-pub use chain::{Link, Search, find_chain};
+pub use chain::{Link, Search, find_chain, find_near_chain};
 pub use claims::{ClaimAction, ClaimEvent, Claims, Verdict};
 pub use claims_page::{ClaimEntry, ClaimPage};
 pub use demand::Demand;
