A soak of the gateway: real processes, faults from outside, promises judged by callers and engines

Scripts drawn from a seed kill, stop, pause and reload nodes, spoil links to the store and to engines by a loopback proxy, have the store misbehave, replace engines and change configurations, in bursts that overlap. At most once, "not run", whole and own answers, requests unchanged, revoked keys, answers in time, exit codes and recovery in calm are judged.

--- /dev/null
+++ b/crates/soak/src/judge.rs
@@ -0,0 +1,131 @@
+//! What may not happen, judged by what callers and engines saw.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use heathpitch_standin::Seen;
+
+use crate::load::{Kind, Told};
+use crate::world::EVENTS;
+
+/// Time beyond that of its route after which an answer is late.
+const LATE: Duration = Duration::from_millis(1_000);
+/// The account that every call belongs to.
+const ACCOUNT: &str = "desk";
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    /// Which one.
+    pub promise: &'static str,
+    /// Call; the run itself if there is none.
+    pub id: Option<String>,
+    /// What was seen.
+    pub what: String,
+}
+
+/// A key that was taken away.
+#[derive(Clone, Debug)]
+pub struct Revoked {
+    /// The key.
+    pub key: String,
+    /// When its removal was accepted.
+    pub at: Instant,
+}
+
+/// What callers and engines saw in a run.
+#[derive(Debug, Default)]
+pub struct Evidence {
+    /// Calls.
+    pub told: Vec<Told>,
+    /// Requests that reached engines.
+    pub seen: Vec<Seen>,
+    /// Keys that were taken away.
+    pub revoked: Vec<Revoked>,
+    /// Time after which such a key may not work.
+    pub revoke: Duration,
+    /// Nodes that stood still, and when they went on.
+    pub stood: Vec<(usize, Instant)>,
+}
+
+/// # Judgement
+impl Evidence {
+    /// Every promise that was broken.
+    pub fn judge(&self) -> Vec<Breach> {
+        let mut runs: HashMap<&str, Vec<&Seen>> = HashMap::new();
+        for seen in self.seen.iter().filter(|s| s.ran) {
+            runs.entry(seen.id().unwrap_or_default()).or_default().push(seen);
+        }
+        let of_calls = self.told.iter().flat_map(|one| {
+            let runs = runs.get(one.id.as_str()).map_or(0, Vec::len);
+            let broken = [
+                twice(one, runs),
+                refused(one, runs),
+                spoilt(one),
+                self.late(one),
+                self.outlived(one, runs),
+            ];
+            let what = format!("{:?}, {runs} runs, {} ms", one.status(), one.took.as_millis());
+            let breach =
+                move |promise| Breach { promise, id: Some(one.id.clone()), what: what.clone() };
+            broken.into_iter().flatten().map(breach).collect::<Vec<_>>()
+        });
+        of_calls.chain(self.strange()).collect()
+    }
+
+    /// Requests at engines that no caller sent as they are.
+    fn strange(&self) -> Vec<Breach> {
+        let bodies: HashMap<&str, &str> =
+            self.told.iter().map(|t| (t.id.as_str(), t.body.as_str())).collect();
+        let strange = |s: &&Seen| {
+            let sent = s.id().and_then(|id| bodies.get(id));
+            sent.map(|b| b.as_bytes()) != Some(&s.body[..]) || s.account() != Some(ACCOUNT)
+        };
+        let breach = |s: &Seen| Breach {
+            promise: "engines run what callers sent",
+            id: s.id().map(str::to_owned),
+            what: format!("{} {} for {:?}", s.method, s.target, s.account()),
+        };
+        self.seen.iter().filter(strange).map(breach).collect()
+    }
+
+    /// An answer came long after its route's time.
+    fn late(&self, one: &Told) -> Option<&'static str> {
+        let route = one.kind.limit();
+        // A node that stood still says nothing meanwhile.
+        let stood = self.stood.iter().any(|(node, end)| *node == one.node && *end >= one.sent);
+        let late = one.took > route + LATE && one.reply.is_some() && !stood;
+        late.then_some("an answer within the route's time")
+    }
+
+    /// A key worked after the time agreed from its removal.
+    fn outlived(&self, one: &Told, runs: usize) -> Option<&'static str> {
+        let gone = self.revoked.iter().find(|r| r.key == one.key)?;
+        let over = one.sent > gone.at + self.revoke && runs > 0;
+        over.then_some("a key that was taken away ends")
+    }
+}
+
+/// A call that may run once ran more often.
+fn twice(one: &Told, runs: usize) -> Option<&'static str> {
+    (one.kind == Kind::Book && runs > 1).then_some("at most once")
+}
+
+/// A call that may run once was said not to have run, but did.
+fn refused(one: &Told, runs: usize) -> Option<&'static str> {
+    let denied = matches!(one.status(), Some(408 | 421 | 429 | 503));
+    (one.kind == Kind::Book && denied && runs > 0).then_some("not run is true")
+}
+
+/// A success is not whole, not its own or not stamped; or a stream lacks an event or has one twice.
+fn spoilt(one: &Told) -> Option<&'static str> {
+    let reply = one.reply.as_ref().filter(|r| r.status == 200)?;
+    let events = reply.events();
+    let own = match one.kind {
+        Kind::Get | Kind::Book => !reply.whole || reply.body == one.body.as_bytes(),
+        Kind::Tell => events.iter().copied().eq(1..=events.len() as u64),
+    };
+    let complete = one.kind != Kind::Tell || !reply.whole || events.len() as u64 == EVENTS;
+    let good = own && complete && reply.stamp().is_some();
+    (!good).then_some("whole and own answers")
+}
--- /dev/null
+++ b/crates/soak/src/play.rs
@@ -0,0 +1,163 @@
+//! A run: the load, the faults of a script, the end in calm, the judgement.
+
+use std::collections::HashSet;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::time::{Duration, Instant};
+
+use heathpitch_standin::{Link, Mode};
+use parking_lot::Mutex;
+use tokio::task::JoinSet;
+
+use crate::judge::Breach;
+use crate::load::{self, Told};
+use crate::script::{Fault, Script};
+use crate::world::{SoakError, World};
+
+/// Time in calm after the last fault, in which calls are counted.
+const CALM: Duration = Duration::from_millis(2_500);
+/// Time from the end of the last fault to the calm: nodes have to be trusted again.
+const RECOVER: Duration = Duration::from_millis(6_000);
+/// Share of the calls in calm that have to be served.
+const SERVED: f64 = 0.9;
+/// Exit codes of a node that was told to stop: all calls ended, or some were cut off.
+const STOPPED: [Option<i32>; 2] = [Some(0), Some(4)];
+
+/// What a run saw.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SoakReport {
+    /// Calls made.
+    pub calls: usize,
+    /// Calls answered with success, whole.
+    pub served: usize,
+    /// Share of the calls in calm that were served.
+    pub calm: f64,
+    /// Promises broken.
+    pub breaches: Vec<Breach>,
+    /// Lines of the nodes' logs that name calls of these.
+    pub story: Vec<String>,
+}
+
+/// Plays a script against nodes of this binary.
+///
+/// # Errors
+///
+/// [`SoakError`] if a process cannot be started.
+pub async fn run(binary: PathBuf, script: &Script) -> Result<SoakReport, SoakError> {
+    let world = Arc::new(World::start(binary).await?);
+    let mut breaches = Vec::new();
+    if !world.ready().await {
+        breaches.push(whole_run("a fleet starts", "a node was not ready in time".to_owned()));
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    let told: Arc<Mutex<Vec<Told>>> = Arc::default();
+    let callers = tokio::spawn(load::run(world.clone(), script.seed, stop.clone(), told.clone()));
+    breaches.extend(faults(&world, script).await?);
+    if !world.ready().await {
+        breaches.push(whole_run("a fleet recovers", "a node is not ready in calm".to_owned()));
+    }
+    tokio::time::sleep(RECOVER).await;
+    let from = Instant::now();
+    tokio::time::sleep(CALM).await;
+    stop.store(true, Relaxed);
+    // A caller that panicked is seen by the missing calls.
+    let _ = callers.await;
+    let told = std::mem::take(&mut *told.lock());
+    let calm: Vec<&Told> = told.iter().filter(|t| t.sent >= from).collect();
+    let good = calm.iter().filter(|t| t.served()).count();
+    let calm = good as f64 / calm.len().max(1) as f64;
+    if calm < SERVED {
+        breaches.push(whole_run("a fleet recovers", format!("{calm:.2} served in calm")));
+    }
+    let (calls, served) = (told.len(), told.iter().filter(|t| t.served()).count());
+    breaches.extend(world.evidence(told).judge());
+    let story = breaches.iter().filter_map(|b| b.id.as_deref()).flat_map(|id| world.story(id));
+    let story = story.collect();
+    Ok(SoakReport { calls, served, calm, breaches, story })
+}
+
+fn whole_run(promise: &'static str, what: String) -> Breach {
+    Breach { promise, id: None, what }
+}
+
+/// Faults that run; a node that is being restarted is left alone.
+struct Stage {
+    world: Arc<World>,
+    down: Mutex<HashSet<usize>>,
+    serial: AtomicU64,
+}
+
+/// Begins every fault at its time and waits until all have ended.
+async fn faults(world: &Arc<World>, script: &Script) -> Result<Vec<Breach>, SoakError> {
+    let stage =
+        Arc::new(Stage { world: world.clone(), down: Mutex::default(), serial: AtomicU64::new(1) });
+    let start = Instant::now();
+    let mut running = JoinSet::new();
+    for step in &script.steps {
+        tokio::time::sleep(step.at.saturating_sub(start.elapsed())).await;
+        let stage = stage.clone();
+        let fault = step.fault;
+        running.spawn(async move { stage.play(fault).await });
+    }
+    let mut breaches = Vec::new();
+    while let Some(ended) = running.join_next().await {
+        match ended {
+            Ok(result) => breaches.extend(result?),
+            Err(e) => breaches.push(whole_run("a fault ends", e.to_string())),
+        }
+    }
+    Ok(breaches)
+}
+
+impl Stage {
+    async fn play(&self, fault: Fault) -> Result<Option<Breach>, SoakError> {
+        let world = &self.world;
+        let serial = self.serial.fetch_add(1, Relaxed);
+        match fault {
+            Fault::Kill(node) => return self.restart(node, "KILL").await,
+            Fault::Stop(node) => return self.restart(node, "TERM").await,
+            Fault::Pause(node, time) => world.pause(node, time).await?,
+            Fault::Reload(node) => world.signal(node, "HUP")?,
+            Fault::StoreLink(node, link, time) => {
+                world.store_link(node, link);
+                tokio::time::sleep(time).await;
+                world.store_link(node, Link::Pass);
+            }
+            Fault::Store(mode, time) => {
+                world.store_mode(mode);
+                tokio::time::sleep(time).await;
+                world.store_mode(Mode::Up);
+            }
+            Fault::Forget => world.store.forget(),
+            Fault::EngineLink(engine, link, time) => {
+                world.engine_link(engine, link);
+                tokio::time::sleep(time).await;
+                world.engine_link(engine, Link::Pass);
+            }
+            Fault::Engine(engine, play, time) => {
+                world.engine_play(engine, Some(play));
+                tokio::time::sleep(time).await;
+                world.engine_play(engine, None);
+            }
+            Fault::Replace(engine) => world.replace(engine, serial)?,
+            Fault::Route => world.turn_route(),
+            Fault::Revoke => world.revoke_key(serial),
+        }
+        Ok(None)
+    }
+
+    /// Ends a node and starts it anew.
+    async fn restart(&self, node: usize, signal: &str) -> Result<Option<Breach>, SoakError> {
+        if !self.down.lock().insert(node) {
+            return Ok(None);
+        }
+        let code = self.world.end(node, signal).await?;
+        self.world.begin(node)?;
+        self.down.lock().remove(&node);
+        let bad = signal == "TERM" && !STOPPED.contains(&code);
+        Ok(bad.then(|| {
+            whole_run("a node stops when told", format!("node {node} ended with {code:?}"))
+        }))
+    }
+}
--- /dev/null
+++ b/crates/soak/src/script.rs
@@ -0,0 +1,128 @@
+//! What goes wrong when, drawn from a seed.
+
+use std::time::Duration;
+
+use heathpitch_standin::{Link, Mode, Play};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Nodes of a run.
+pub(crate) const NODES: usize = 3;
+/// Plain engines of a run.
+pub(crate) const PLAIN: usize = 3;
+/// Engines of a run that hold layers: two copies of both halves of the model.
+pub(crate) const LAYERED: usize = 4;
+
+/// Something that goes wrong, or planned work.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// A node is killed and started anew.
+    Kill(usize),
+    /// A node is told to stop, with calls open, and started anew.
+    Stop(usize),
+    /// A node stands still.
+    Pause(usize, Duration),
+    /// A node reads its settings again.
+    Reload(usize),
+    /// A node's link to the store is spoilt.
+    StoreLink(usize, Link, Duration),
+    /// The store misbehaves for all.
+    Store(Mode, Duration),
+    /// The store forgets its history.
+    Forget,
+    /// The link to an engine is spoilt.
+    EngineLink(usize, Link, Duration),
+    /// An engine treats requests in another way.
+    Engine(usize, Play, Duration),
+    /// A plain engine leaves and another one comes.
+    Replace(usize),
+    /// A route comes or goes.
+    Route,
+    /// A key is taken away.
+    Revoke,
+}
+
+/// A fault and when it begins.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Step {
+    /// Time from the start of the load.
+    pub at: Duration,
+    /// What happens.
+    pub fault: Fault,
+}
+
+/// Faults of a run, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Script {
+    /// Seed it was drawn from.
+    pub seed: u64,
+    /// Time for which faults begin.
+    pub length: Duration,
+    /// The faults.
+    pub steps: Vec<Step>,
+}
+
+/// # Construction
+impl Script {
+    /// Draws a script; faults come in bursts, so that some overlap.
+    pub fn draw(seed: u64, length: Duration) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut steps = Vec::new();
+        let mut at = Duration::from_millis(500);
+        while at < length {
+            steps.push(Step { at, fault: fault(&mut rng) });
+            let gap = if rng.random_bool(0.4) { 0..150 } else { 300..1_500 };
+            at += Duration::from_millis(rng.random_range(gap));
+        }
+        Self { seed, length, steps }
+    }
+}
+
+fn fault(rng: &mut StdRng) -> Fault {
+    let node = rng.random_range(0..NODES);
+    let engine = rng.random_range(0..PLAIN + LAYERED);
+    let time = Duration::from_millis(rng.random_range(200..3_000));
+    match rng.random_range(0..14) {
+        0 => Fault::Kill(node),
+        1 | 2 => Fault::Stop(node),
+        3 => Fault::Pause(node, time),
+        4 => Fault::Reload(node),
+        5 | 6 => Fault::StoreLink(node, link(rng), time),
+        7 => Fault::Store(mode(rng), time),
+        8 => Fault::Forget,
+        9 => Fault::EngineLink(engine, link(rng), time),
+        10 => Fault::Engine(engine, play(rng, engine), time),
+        11 => Fault::Replace(rng.random_range(0..PLAIN)),
+        12 => Fault::Route,
+        _ => Fault::Revoke,
+    }
+}
+
+fn link(rng: &mut StdRng) -> Link {
+    match rng.random_range(0..4) {
+        0 => Link::Delay(Duration::from_millis(rng.random_range(5..400))),
+        1 => Link::OneWay,
+        2 => Link::Silent,
+        _ => Link::Reset,
+    }
+}
+
+fn mode(rng: &mut StdRng) -> Mode {
+    match rng.random_range(0..3) {
+        0 => Mode::Busy,
+        1 => Mode::Silent,
+        _ => Mode::Lost,
+    }
+}
+
+fn play(rng: &mut StdRng, engine: usize) -> Play {
+    match rng.random_range(0..6) {
+        0 => Play::Refuse,
+        1 => Play::Lose,
+        2 => Play::Fail(500),
+        3 if engine >= PLAIN => Play::CutAfter(rng.random_range(0..15)),
+        3 => Play::OtherId,
+        4 => Play::Unstamped,
+        _ => Play::Hang,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/world.rs
@@ -0,0 +1,276 @@
+//! Processes, engines and the store of a run, and what faults do to them.
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use heathpitch_standin::{
+    Engine, GatewayProcess, Link, Mode, Play, Proxy, RouteSpec, Site, StandInError, Store,
+};
+use parking_lot::Mutex;
+use serde_json::json;
+
+use crate::judge::{Evidence, Revoked};
+use crate::load::Told;
+use crate::script::{LAYERED, NODES, PLAIN};
+
+/// Key that stays.
+pub(crate) const KEY: &str = "key-of-desk";
+/// Route that comes and goes.
+pub(crate) const COMING: &str = "/coming/";
+/// Events of a whole stream.
+pub(crate) const EVENTS: u64 = 20;
+/// Time of the routes of plain calls, and of streams.
+pub(crate) const PLAIN_LIMIT: Duration = Duration::from_millis(3_000);
+pub(crate) const STREAM_LIMIT: Duration = Duration::from_millis(5_000);
+/// Time between two events.
+const PAUSE: Duration = Duration::from_millis(15);
+/// Layers of the stand-in's model, and of its first half.
+const LAYERS: (u32, u32) = (4, 8);
+/// Time for which a stopped node may go on.
+const STOP: Duration = Duration::from_secs(9);
+/// Agreed bounds of the nodes: short, so that runs meet them.
+const REVOKE_MS: u64 = 2_500;
+
+/// Why a run could not be made.
+#[derive(Debug, thiserror::Error)]
+pub enum SoakError {
+    /// A process could not be started.
+    #[error(transparent)]
+    Node(#[from] StandInError),
+    /// What the system says.
+    #[error(transparent)]
+    System(#[from] std::io::Error),
+}
+
+/// An engine and the link before it.
+pub(crate) struct Station {
+    pub(crate) engine: Engine,
+    pub(crate) link: Proxy,
+}
+
+/// Everything that runs.
+pub(crate) struct World {
+    binary: PathBuf,
+    pub(crate) store: Store,
+    site: Mutex<Site>,
+    links: Vec<Proxy>,
+    nodes: Vec<Mutex<Option<GatewayProcess>>>,
+    stations: Mutex<Vec<Station>>,
+    /// Engines that were replaced; what they saw still counts.
+    former: Mutex<Vec<Engine>>,
+    revoked: Mutex<Vec<Revoked>>,
+    /// Nodes that stood still, and when they went on.
+    stood: Mutex<Vec<(usize, Instant)>>,
+}
+
+/// # Start
+impl World {
+    /// Starts the store, the engines and the nodes; gives them back once all are ready.
+    pub(crate) async fn start(binary: PathBuf) -> Result<Self, SoakError> {
+        let store = Store::spawn()?;
+        let links = (0..NODES).map(|_| Proxy::spawn(store.address())).collect::<Result<_, _>>()?;
+        let world = Self {
+            binary,
+            store,
+            site: Mutex::new(site()),
+            links,
+            nodes: (0..NODES).map(|_| Mutex::new(None)).collect(),
+            stations: Mutex::default(),
+            former: Mutex::default(),
+            revoked: Mutex::default(),
+            stood: Mutex::default(),
+        };
+        world.configure(|_| {});
+        for index in 0..PLAIN + LAYERED {
+            let station = world.station(index, 0)?;
+            world.stations.lock().push(station);
+        }
+        for index in 0..NODES {
+            world.begin(index)?;
+        }
+        Ok(world)
+    }
+
+    fn station(&self, index: usize, life: u64) -> Result<Station, SoakError> {
+        let id = format!("e{index}-{life}");
+        let layered = index >= PLAIN;
+        let (service, kind) = if layered { ("llm", Some("small")) } else { ("api", None) };
+        let mut engine = Engine::spawn(&self.store, &id, service, "mem", kind)?;
+        engine.unlist();
+        let link = Proxy::spawn(engine.address)?;
+        engine.address = link.address();
+        engine.play(usual(index));
+        match index {
+            i if i < PLAIN => engine.list("ready"),
+            i if i % 2 == 1 => engine.hold(0, LAYERS.0),
+            _ => engine.hold(LAYERS.0, LAYERS.1),
+        }
+        Ok(Station { engine, link })
+    }
+
+    /// Starts a node; two of the three share a failure domain.
+    pub(crate) fn begin(&self, index: usize) -> Result<(), SoakError> {
+        let domain = if index < 2 { "mem" } else { "atl" };
+        let bounds = json!({ "revoke_ms": REVOKE_MS });
+        let store = self.links[index].address();
+        let name = format!("n{index}");
+        let node = GatewayProcess::spawn(&self.binary, store, &name, domain, &bounds)?;
+        *self.nodes[index].lock() = Some(node);
+        Ok(())
+    }
+
+    /// Waits until every node that runs is ready; false if one is not in time.
+    pub(crate) async fn ready(&self) -> bool {
+        for node in &self.nodes {
+            let start = Instant::now();
+            loop {
+                let address = node.lock().as_ref().map(|n| n.ready);
+                match address {
+                    Some(a) if GatewayProcess::answers_ready(a).await => break,
+                    _ if start.elapsed() > STOP => return false,
+                    _ => tokio::time::sleep(Duration::from_millis(50)).await,
+                }
+            }
+        }
+        true
+    }
+}
+
+/// # Reading
+impl World {
+    /// Where callers reach a node, if it runs.
+    pub(crate) fn listen(&self, index: usize) -> Option<std::net::SocketAddr> {
+        self.nodes[index].lock().as_ref().map(|n| n.listen)
+    }
+
+    /// What callers were told, beside what engines saw.
+    pub(crate) fn evidence(&self, told: Vec<Told>) -> Evidence {
+        let stations = self.stations.lock();
+        let former = self.former.lock();
+        let engines = stations.iter().map(|s| &s.engine).chain(former.iter());
+        Evidence {
+            told,
+            seen: engines.flat_map(Engine::seen).collect(),
+            revoked: self.revoked.lock().clone(),
+            revoke: Duration::from_millis(REVOKE_MS),
+            stood: self.stood.lock().clone(),
+        }
+    }
+
+    /// Lines of the nodes' logs that name a call.
+    pub(crate) fn story(&self, request: &str) -> Vec<String> {
+        let lines = |n: &Mutex<Option<GatewayProcess>>| {
+            n.lock().as_ref().map(|n| n.story(request)).unwrap_or_default()
+        };
+        self.nodes.iter().flat_map(lines).collect()
+    }
+}
+
+/// # Faults
+impl World {
+    /// Has a node stand still for a while.
+    pub(crate) async fn pause(&self, index: usize, time: Duration) -> Result<(), SoakError> {
+        self.signal(index, "STOP")?;
+        tokio::time::sleep(time).await;
+        self.signal(index, "CONT")?;
+        self.stood.lock().push((index, Instant::now()));
+        Ok(())
+    }
+
+    /// Sends a node a signal.
+    pub(crate) fn signal(&self, index: usize, name: &str) -> Result<(), SoakError> {
+        match &*self.nodes[index].lock() {
+            Some(node) => Ok(node.signal(name)?),
+            None => Ok(()),
+        }
+    }
+
+    /// Ends a node by a signal and waits until it is gone; gives its exit code.
+    pub(crate) async fn end(&self, index: usize, signal: &str) -> Result<Option<i32>, SoakError> {
+        let Some(mut node) = self.nodes[index].lock().take() else { return Ok(None) };
+        // A node that was paused meanwhile has to go on first.
+        node.signal("CONT")?;
+        node.signal(signal)?;
+        let ended = tokio::task::spawn_blocking(move || node.wait_end(STOP)).await;
+        Ok(ended.ok().flatten())
+    }
+
+    /// Treats a node's bytes to and from the store in this way.
+    pub(crate) fn store_link(&self, index: usize, link: Link) {
+        self.links[index].set(link);
+    }
+
+    /// Has the store behave in this way.
+    pub(crate) fn store_mode(&self, mode: Mode) {
+        self.store.behave(mode);
+    }
+
+    /// Treats an engine's bytes in this way.
+    pub(crate) fn engine_link(&self, index: usize, link: Link) {
+        self.stations.lock()[index].link.set(link);
+    }
+
+    /// Has an engine treat requests in this way; none: as usual.
+    pub(crate) fn engine_play(&self, index: usize, play: Option<Play>) {
+        self.stations.lock()[index].engine.play(play.unwrap_or(usual(index)));
+    }
+
+    /// A plain engine says that it leaves, and another one comes.
+    pub(crate) fn replace(&self, index: usize, life: u64) -> Result<(), SoakError> {
+        let new = self.station(index, life)?;
+        let old = std::mem::replace(&mut self.stations.lock()[index], new);
+        old.engine.list("draining");
+        self.former.lock().push(old.engine);
+        // Its link goes on for as long as the engine is kept.
+        std::mem::forget(old.link);
+        Ok(())
+    }
+
+    /// Changes the configuration.
+    pub(crate) fn configure(&self, change: impl FnOnce(&mut Site)) {
+        let mut site = self.site.lock();
+        change(&mut site);
+        site.version += 3;
+        self.store.configure(&site.json());
+    }
+
+    /// Takes a key away and gives the account a new one, `serial` in its name.
+    pub(crate) fn revoke_key(&self, serial: u64) {
+        let next = format!("key-{serial}");
+        let mut old = String::new();
+        self.configure(|site| old = std::mem::replace(&mut site.tenants[0].1[1], next));
+        self.revoked.lock().push(Revoked { key: old, at: Instant::now() });
+    }
+
+    /// The key that is taken away next.
+    pub(crate) fn passing_key(&self) -> String {
+        self.site.lock().tenants[0].1[1].clone()
+    }
+
+    /// Adds the route that comes and goes, or removes it.
+    pub(crate) fn turn_route(&self) {
+        self.configure(|site| match site.routes.len() {
+            4.. => drop(site.routes.pop()),
+            _ => site.routes.push(RouteSpec::idempotent(COMING, "api")),
+        });
+    }
+}
+
+fn usual(index: usize) -> Play {
+    if index < PLAIN { Play::Whole } else { Play::Stream(EVENTS, PAUSE) }
+}
+
+fn site() -> Site {
+    let plain = PLAIN_LIMIT.as_millis() as u64;
+    Site {
+        version: 3,
+        routes: vec![
+            RouteSpec::idempotent("/get/", "api").timeout(plain),
+            RouteSpec::once("/book/", "api").timeout(plain),
+            RouteSpec::stream("/tell/", "llm"),
+        ],
+        services: vec!["api".to_owned()],
+        models: vec!["llm".to_owned()],
+        tenants: vec![("desk".to_owned(), vec![KEY.to_owned(), "key-0".to_owned()])],
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/judge.rs
@@ -0,0 +1,100 @@
+//! The judge: every broken promise is found, and a good run has none.
+
+#![allow(clippy::unwrap_used, reason = "what fails here fails its test")]
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use heathpitch_soak::{Evidence, Kind, Revoked, Told};
+use heathpitch_standin::{CALL_ID, Reply, Seen};
+use hyper::HeaderMap;
+
+fn told(kind: Kind, status: u16, body: &str) -> Told {
+    let mut headers = HeaderMap::new();
+    headers.insert("x-response-stamp", "stamp-e".parse().unwrap());
+    let reply = Reply { status, headers, body: Bytes::from(body.to_owned()), whole: true };
+    Told {
+        id: "c1".to_owned(),
+        node: 0,
+        kind,
+        body: "body".to_owned(),
+        key: "key".to_owned(),
+        sent: Instant::now(),
+        took: Duration::from_millis(20),
+        reply: Some(reply),
+    }
+}
+
+fn seen(body: &'static str, account: &str) -> Seen {
+    let mut headers = HeaderMap::new();
+    headers.insert(CALL_ID, "c1".parse().unwrap());
+    headers.insert("x-tenant", account.parse().unwrap());
+    let (method, target) = ("POST".to_owned(), "/book/x".to_owned());
+    Seen { method, target, headers, body: Bytes::from(body), ran: true }
+}
+
+fn broken(told: Told, seen: Vec<Seen>) -> Vec<&'static str> {
+    let evidence = Evidence { told: vec![told], seen, ..Evidence::default() };
+    evidence.judge().iter().map(|b| b.promise).collect()
+}
+
+fn stream(numbers: impl Iterator<Item = u64>) -> String {
+    numbers.map(|n| format!("id: {n}\ndata: x\n\n")).collect()
+}
+
+#[test]
+fn a_good_run_breaks_nothing() {
+    let one = || seen("body", "desk");
+    assert_eq!(broken(told(Kind::Book, 200, "body"), vec![one()]), [""; 0]);
+    assert_eq!(broken(told(Kind::Get, 200, "body"), vec![one(), one()]), [""; 0]);
+    assert_eq!(broken(told(Kind::Tell, 200, &stream(1..=20)), vec![one()]), [""; 0]);
+    let refused = Seen { ran: false, ..one() };
+    assert_eq!(broken(told(Kind::Book, 503, ""), vec![refused]), [""; 0]);
+}
+
+#[test]
+fn runs_are_counted() {
+    let one = || seen("body", "desk");
+    assert_eq!(broken(told(Kind::Book, 200, "body"), vec![one(), one()]), ["at most once"]);
+    assert_eq!(broken(told(Kind::Book, 503, ""), vec![one()]), ["not run is true"]);
+}
+
+#[test]
+fn answers_are_compared() {
+    let one = || vec![seen("body", "desk")];
+    let spoilt = ["whole and own answers"];
+    assert_eq!(broken(told(Kind::Book, 200, "another"), one()), spoilt);
+    for events in [stream(1..=19), stream((1..=20).filter(|n| *n != 7)), stream(1..=21)] {
+        assert_eq!(broken(told(Kind::Tell, 200, &events), one()), spoilt);
+    }
+    let mut unstamped = told(Kind::Get, 200, "body");
+    unstamped.reply.as_mut().unwrap().headers.clear();
+    assert_eq!(broken(unstamped, one()), spoilt);
+    let mut short = told(Kind::Tell, 200, &stream(1..=7));
+    short.reply.as_mut().unwrap().whole = false;
+    assert_eq!(broken(short, one()), [""; 0], "what breaks off visibly is no lie");
+}
+
+#[test]
+fn requests_at_engines_are_compared() {
+    let strange = ["engines run what callers sent"];
+    assert_eq!(broken(told(Kind::Get, 200, "body"), vec![seen("other", "desk")]), strange);
+    assert_eq!(broken(told(Kind::Get, 200, "body"), vec![seen("body", "forged")]), strange);
+}
+
+#[test]
+fn late_answers_and_old_keys_are_found() {
+    let mut late = told(Kind::Get, 504, "");
+    late.took = Duration::from_secs(9);
+    assert_eq!(broken(late, vec![]), ["an answer within the route's time"]);
+    let one = told(Kind::Get, 200, "body");
+    let at = one.sent.checked_sub(Duration::from_secs(4)).unwrap();
+    let evidence = Evidence {
+        told: vec![one],
+        seen: vec![seen("body", "desk")],
+        revoked: vec![Revoked { key: "key".to_owned(), at }],
+        revoke: Duration::from_secs(3),
+        ..Evidence::default()
+    };
+    assert_eq!(evidence.judge()[0].promise, "a key that was taken away ends");
+}
