Fewer calls on the store when nodes begin, fewer connections to look at engines

Change: a node that begins waits up to 0.9 s to be told by the planner; those that want the planner's lease wait in a watch and see that another one has it; the planner counts nodes for those it tells. A second connection of a look is made 15 ms after the first if that has not come up. Tests: gateway_feed.rs, gateway_store.rs as they were.

--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -41,7 +41,7 @@
 pub(super) async fn prove(control: Rc<Control>) {
     let mut retry = RETRY;
     loop {
-        if control.fed.get() {
+        if control.told() {
             control.turned.notified().await;
             continue;
         }
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -16,13 +16,18 @@
 use heathpitch_core::{Millis, Name, Revision};
 use heathpitch_net::{EdgeError, FeedAsk, FeedClient, FeedTold};
 
-use super::state::Control;
+use super::state::{Control, Fleet};
 use super::{config, engines};
 use crate::gateway::event::GatewayEvent;
 
 /// Time between two questions: a small part of the time for which a leaving engine may still be
 /// sent work, and a fraction of a request a second for the giver at 70 followers.
 const ASK: Duration = Duration::from_millis(400);
+/// The same while a node begins.
+const ASK_START: Duration = Duration::from_millis(60);
+/// Time from its begin for which a node waits to be told what the store holds, milliseconds: that
+/// in which a planner is found and has read the store.
+const START: Millis = 900;
 /// Time for a connection and for an answer: many times the delay inside a failure domain.
 const LIMIT: Duration = Duration::from_millis(300);
 /// Age beyond which the giver's proof shows that its store does not answer it, milliseconds: nearly
@@ -48,23 +53,31 @@
 /// Asks the giver again and again.
 pub(super) async fn follow(control: Rc<Control>) {
     let mut source = Source::default();
+    let begun = control.now();
     loop {
-        tokio::time::sleep(ASK).await;
+        let soon = control.starting.get();
+        tokio::time::sleep(if soon { ASK_START } else { ASK }).await;
         let giver = control.giver();
         if giver != source.giver {
             source = Source { giver, ..Source::default() };
         }
-        let Some(giver) = source.giver.clone() else {
-            control.feed(None, "no other node plans this failure domain");
-            continue;
-        };
-        let heard = ask(&control, &mut source, giver.address).await;
-        let label = if heard.is_ok() { "ok" } else { "failed" };
-        control.shared.metrics.feed.with_label_values(&[label]).inc();
-        match heard {
-            Ok((sent, told)) => take(&control, &mut source, &giver, sent, told),
-            Err(e) => control.feed(None, &e.to_string()),
+        match source.giver.clone() {
+            Some(giver) => hear(&control, &mut source, &giver).await,
+            None => control.feed(None, "no other node plans this failure domain"),
         }
+        if control.fed.get() || control.plans() || control.now() >= begun + START {
+            control.started();
+        }
+    }
+}
+
+async fn hear(control: &Rc<Control>, source: &mut Source, giver: &Giver) {
+    let heard = ask(control, source, giver.address).await;
+    let label = if heard.is_ok() { "ok" } else { "failed" };
+    control.shared.metrics.feed.with_label_values(&[label]).inc();
+    match heard {
+        Ok((sent, told)) => take(control, source, giver, sent, told),
+        Err(e) => control.feed(None, &e.to_string()),
     }
 }
 
@@ -86,6 +99,8 @@
         revision: catalog.revision,
         proof_ms,
         config,
+        nodes: control.fleet.get().map_or(0, |f| f.nodes),
+        beside: control.fleet.get().map_or(0, |f| f.beside),
     }
 }
 
@@ -116,6 +131,9 @@
         return control.feed(None, "the giver's store does not answer it");
     }
     source.next = FeedAsk { life: told.life, serial: told.serial, config: false };
+    if told.nodes > 0 {
+        control.fleet.set(Some(Fleet { nodes: told.nodes, beside: told.beside }));
+    }
     take_engines(control, &told);
     control.listed.set(sent);
     if let Some(item) = &told.config {
@@ -163,8 +181,17 @@
         self.turned.notify_waiters();
     }
 
-    /// The node that reads the store for this one, unless it is this one itself.
+    /// Ends the time in which this node waits to be told for the first time.
+    fn started(&self) {
+        if self.starting.replace(false) {
+            self.turned.notify_waiters();
+        }
+    }
+
+    /// The node that reads the store for this one, unless it is this one itself or nodes are not
+    /// to talk to each other.
     fn giver(&self) -> Option<Giver> {
+        self.shared.peer?;
         let own = self.shared.settings.load().node.clone();
         self.planner.borrow().clone().filter(|p| p.node != own)
     }
--- a/crates/heathpitchd/src/gateway/control/looks.rs
+++ b/crates/heathpitchd/src/gateway/control/looks.rs
@@ -8,6 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::Either;
+
 use heathpitch_core::{Millis, Name, Path};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -19,6 +21,8 @@
 const FLOWING: Millis = 80;
 /// Time for a look at an engine, milliseconds: many times the delay between failure domains.
 const LOOK: Duration = Duration::from_millis(60);
+/// Time after which a first look is tried a second time: many times the delay inside a domain.
+const SECOND: Duration = Duration::from_millis(15);
 /// Time between two looks at the same engine, milliseconds.
 const LOOK_AGAIN: Millis = 300;
 /// Time for which an engine that cannot be reached is left alone without another look, milliseconds;
@@ -155,8 +159,8 @@
     lost.insert(engine.clone(), Lost { again: now + pause, pause }).is_none()
 }
 
-/// Whether a connection can be made; the first time it is tried twice at once, because single
-/// packets get lost.
+/// Whether a connection can be made; the first time it is tried a second time soon after, because
+/// single packets get lost.
 async fn reach(address: SocketAddr, first: bool) -> bool {
     let once = || async move {
         matches!(tokio::time::timeout(LOOK, TcpStream::connect(address)).await, Ok(Ok(_)))
@@ -164,8 +168,16 @@
     if !first {
         return once().await;
     }
-    let (a, b) = futures::join!(once(), once());
-    a || b
+    let second = async {
+        tokio::time::sleep(SECOND).await;
+        once().await
+    };
+    let both = futures::future::select(Box::pin(once()), Box::pin(second)).await;
+    match both {
+        Either::Left((true, _)) | Either::Right((true, _)) => true,
+        Either::Left((false, rest)) => rest.await,
+        Either::Right((false, rest)) => rest.await,
+    }
 }
 
 /// Asks the first engine of a silent stream which engines its streams wait for.
--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -15,7 +15,7 @@
 use rand::Rng;
 
 use super::feed;
-use super::state::Control;
+use super::state::{Control, Fleet};
 use crate::gateway::event::GatewayEvent;
 
 /// Prefix of the nodes' entries; the value is the node's failure domain.
@@ -31,8 +31,8 @@
 /// Time between two renewals of the planner's lease.
 const PLANNER_RENEW: Duration = Duration::from_millis(700);
 /// Longest wait before a node asks for a free planner's lease, milliseconds: nodes ask one after
-/// the other.
-const STAGGER: Millis = 250;
+/// the other, many times the store's answer apart.
+const STAGGER: Millis = 400;
 /// Longest wait of a watch, milliseconds.
 const WATCH: Millis = 25_000;
 /// Time between two counts of the fleet: its size only sets shares.
@@ -74,13 +74,18 @@
         if entry.is_none() {
             continue;
         }
+        // A planner counts for the nodes that it tells.
+        if control.fed.get() {
+            continue;
+        }
         let result = control.edges.store.list(NODES).await;
         control.note("list", &result);
         if let Ok(listing) = result {
-            let node = |item: &Item| {
-                Some((item.key.strip_prefix(NODES)?.parse().ok()?, text(item)?.parse().ok()?))
-            };
-            *control.nodes.borrow_mut() = listing.items.iter().filter_map(node).collect();
+            let domain = control.domain();
+            let near = |i: &&Item| text(i) == Some(domain.as_str());
+            let nodes = listing.items.len() as u32;
+            let beside = listing.items.iter().filter(near).count() as u32;
+            control.fleet.set(Some(Fleet { nodes, beside }));
             control.publish();
             pause = COUNT;
         }
@@ -91,12 +96,17 @@
     let mut planners = planners;
     let mut at = from;
     loop {
-        contend(control, &planners).await;
-        let result = control.edges.store.watch(PLANNERS, at, WATCH).await;
+        let free = !control.plans() && !planners.contains_key(&control.domain());
+        // Who waits longest finds that another one was faster.
+        let wait = if free { rand::rng().random_range(1..STAGGER) } else { WATCH };
+        let result = control.edges.store.watch(PLANNERS, at, wait).await;
         control.note("watch", &result);
         let Ok(watched) = result else { return };
         watched.changes.iter().for_each(|c| take(control, &mut planners, c));
         at = watched.at;
+        if free && !planners.contains_key(&control.domain()) {
+            contend(control).await;
+        }
     }
 }
 
@@ -147,14 +157,9 @@
     }
 }
 
-/// Asks for the lease of this failure domain's planner if nobody holds it.
-async fn contend(control: &Control, planners: &HashMap<Name, Name>) {
+/// Asks for the lease of this failure domain's planner.
+async fn contend(control: &Control) {
     let settings = control.shared.settings.load_full();
-    if control.plans() || planners.contains_key(&settings.domain) {
-        return;
-    }
-    let wait = rand::rng().random_range(0..STAGGER);
-    tokio::time::sleep(Duration::from_millis(wait)).await;
     let ttl = PLANNER_TTL.max(settings.bounds.lease_min_ms);
     let granted = control.edges.store.grant(ttl).await;
     control.note("grant", &granted);
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -24,6 +24,15 @@
 /// Time between two questions to the same engine, milliseconds.
 const QUESTION_AGAIN: Millis = 500;
 
+/// How many nodes there are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Fleet {
+    /// In all.
+    pub(super) nodes: u32,
+    /// In this failure domain.
+    pub(super) beside: u32,
+}
+
 /// Everything the controllers own.
 pub(super) struct Control {
     pub(super) shared: Arc<Shared>,
@@ -37,6 +46,8 @@
     pub(super) life: u64,
     /// The node that plans this failure domain, if others may ask it.
     pub(super) planner: RefCell<Option<Giver>>,
+    /// Whether this node has begun a moment ago and may yet be told what the store holds.
+    pub(super) starting: Cell<bool>,
     /// Whether the planner tells this node what the store holds.
     pub(super) fed: Cell<bool>,
     /// Newer revision of the configuration that is being read.
@@ -59,8 +70,8 @@
     pub(super) refusing: RefCell<HashMap<Name, Millis>>,
     /// Engines asked whether they take new work, and when.
     pub(super) questioned: RefCell<HashMap<Name, Millis>>,
-    /// Failure domain of each node.
-    pub(super) nodes: RefCell<HashMap<Name, Name>>,
+    /// How many nodes there are, if it is known.
+    pub(super) fleet: Cell<Option<Fleet>>,
     lease: Cell<Option<LeaseId>>,
     renewed: Cell<Millis>,
     pub(super) pending: RefCell<HashMap<Name, Pending>>,
@@ -79,13 +90,14 @@
     /// State of a node that knows nothing yet.
     pub(super) fn new(shared: Arc<Shared>, edges: Edges) -> Self {
         Self {
-            shared,
             edges,
             entries: RefCell::default(),
             mirror: RefCell::default(),
             document: RefCell::default(),
             life: rand::random(),
             planner: RefCell::default(),
+            starting: Cell::new(shared.peer.is_some()),
+            shared,
             fed: Cell::new(false),
             fetching: Cell::new(None),
             turned: Notify::new(),
@@ -97,7 +109,7 @@
             leaving: RefCell::default(),
             refusing: RefCell::default(),
             questioned: RefCell::default(),
-            nodes: RefCell::default(),
+            fleet: Cell::new(None),
             lease: Cell::new(None),
             renewed: Cell::new(0),
             pending: RefCell::default(),
@@ -211,11 +223,16 @@
     /// that knows no configuration yet tries everything.
     pub(super) async fn direct(&self) {
         let away = || !self.reachable.get() && self.shared.catalog.load().is_some();
-        while self.fed.get() || away() {
+        while self.told() || away() {
             self.turned.notified().await;
         }
     }
 
+    /// Whether this node is told what the store holds, or may yet be.
+    pub(super) fn told(&self) -> bool {
+        self.fed.get() || self.starting.get()
+    }
+
     /// Waits for a while, but not beyond the store's return.
     pub(super) async fn pause(&self, pause: Duration) {
         // Either way the call is tried again.
@@ -292,11 +309,9 @@
             services.entry(entry.service.clone()).or_default().push(view);
         }
         self.shared.metrics.engines.set(entries.len() as i64);
-        let nodes = self.nodes.borrow();
-        self.shared.metrics.nodes.set(nodes.len() as i64);
-        let domain = self.domain();
-        let beside = nodes.values().filter(|d| **d == domain).count().max(1) as u32;
-        let nodes = (!nodes.is_empty()).then_some(nodes.len() as u32);
+        let nodes = self.fleet.get().map(|f| f.nodes);
+        self.shared.metrics.nodes.set(i64::from(nodes.unwrap_or(0)));
+        let beside = self.fleet.get().map_or(1, |f| f.beside.max(1));
         let table = EngineTable { services, seen: self.listed.get(), beside, nodes };
         self.shared.table.store(Arc::new(table));
     }
--- a/crates/net/schema/feed.capnp
+++ b/crates/net/schema/feed.capnp
@@ -34,6 +34,10 @@
   # Age of the proof that it is the newest.
   config @8 :Item;
   # The configuration, if it was asked for.
+  nodes @9 :UInt32;
+  # Nodes of the fleet; 0 if they are not known.
+  beside @10 :UInt32;
+  # Nodes of the failure domain.
 }
 
 interface Feed {
--- a/crates/net/src/feed.rs
+++ b/crates/net/src/feed.rs
@@ -57,6 +57,10 @@
     pub proof_ms: Millis,
     /// The configuration, if it was asked for.
     pub config: Option<Item>,
+    /// Nodes of the fleet; 0 if they are not known.
+    pub nodes: u32,
+    /// Nodes of the failure domain.
+    pub beside: u32,
 }
 
 /// Answers followers by a function.
@@ -148,6 +152,8 @@
     to.set_whole(from.whole);
     to.set_revision(from.revision.0);
     to.set_proof_ms(from.proof_ms);
+    to.set_nodes(from.nodes);
+    to.set_beside(from.beside);
     let mut items = to.reborrow().init_items(from.items.len() as u32);
     for (i, item) in from.items.iter().enumerate() {
         write_item(item, items.reborrow().get(i as u32));
@@ -173,6 +179,8 @@
         gone: from.get_gone()?.iter().map(key).collect::<capnp::Result<_>>()?,
         revision: Revision(from.get_revision()),
         proof_ms: from.get_proof_ms(),
+        nodes: from.get_nodes(),
+        beside: from.get_beside(),
         config: from.has_config().then(|| read_item(from.get_config()?)).transpose()?,
     })
 }
