Engines' own pace told to all nodes; moved streams keep engines that hold their tokens

Test: gateway_streams.rs::a_moved_stream_keeps_engines_..., failed with the old rule. The planner asks the engines that requests run through for their reports once a second and tells the other nodes their factor. Test: gateway_feed.rs::an_engine_that_says_it_is_slow_... The first read is made at once again. Also: engines are found by address in one place.

--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -296,7 +296,7 @@
     fn blame(&self, at: SocketAddr, status: StatusCode, now: Millis) -> Option<Name> {
         let shared = &self.traffic.shared;
         let table = shared.table.load();
-        let found = table.of(&self.call.service.name).iter().find(|s| s.entry.address == at)?;
+        let found = table.at(at)?;
         found.tally.crowd(now + CROWDED);
         GatewayEvent::EngineDoubted {
             engine: found.entry.id.clone(),
--- a/crates/heathpitchd/src/gateway/call/pick.rs
+++ b/crates/heathpitchd/src/gateway/call/pick.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::admit::Call;
-use crate::gateway::engine_table::{EngineTable, EngineView};
+use crate::gateway::engine_table::{EngineTable, EngineView, Wanted};
 
 /// What a failure domain further off costs, in requests waiting at an engine.
 const AWAY: f64 = 1.5;
@@ -48,7 +48,8 @@
     let model = call.service.model.as_ref()?;
     let search = Search { model, name: &call.service.name, home, current: None };
     let usable = |s: &EngineView| s.open(avoid.now) && !avoid.engines.contains(&s.entry.id);
-    let links = table.links(&call.service.name, model, need(call), avoid.now, usable);
+    let (service, tokens, now) = (&call.service.name, need(call), avoid.now);
+    let links = table.links(&Wanted { service, model, tokens, now, current: None }, usable);
     find_near_chain(&search, &links).map(|(path, _)| path)
 }
 
--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -29,11 +29,14 @@
 /// Keeps the newest configuration in force.
 pub(super) async fn follow(control: Rc<Control>) {
     loop {
-        control.direct().await;
-        match read(&control).await {
-            Some(at) => watch(&control, at).await,
+        let found = read(&control).await;
+        let told = control.direct().await;
+        match found {
+            Some(at) if !told => watch(&control, at).await,
+            Some(_) => {}
             None => tokio::time::sleep(RETRY).await,
         }
+        control.direct().await;
     }
 }
 
--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -39,11 +39,14 @@
 /// Keeps the list of engines.
 pub(super) async fn follow(control: Rc<Control>) {
     loop {
-        control.direct().await;
-        match list(&control).await {
-            Some(at) => watch(&control, at).await,
+        let found = list(&control).await;
+        let told = control.direct().await;
+        match found {
+            Some(at) if !told => watch(&control, at).await,
+            Some(_) => {}
             None => tokio::time::sleep(RETRY).await,
         }
+        control.direct().await;
     }
 }
 
@@ -245,6 +248,7 @@
         control.refusing.borrow_mut().remove(id);
         control.questioned.borrow_mut().remove(id);
         control.replaced.borrow_mut().remove(id);
+        control.reports.borrow_mut().remove(id);
         GatewayEvent::EngineGone { engine: id.to_string(), why }.log();
     }
 }
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -17,7 +17,7 @@
 use heathpitch_net::{EdgeError, FeedAsk, FeedClient, FeedTold};
 
 use super::state::{Control, Fleet};
-use super::{config, engines};
+use super::{config, engines, reports};
 use crate::gateway::event::GatewayEvent;
 
 /// Time between two questions: a small part of the time for which a leaving engine may still be
@@ -25,8 +25,8 @@
 const ASK: Duration = Duration::from_millis(400);
 /// The same while a node begins.
 const ASK_START: Duration = Duration::from_millis(60);
-/// Time from its begin for which a node waits to be told what the store holds, milliseconds: that
-/// in which a planner is found and has read the store.
+/// Time from its begin for which a node that has read the store once waits to be told before it
+/// watches the store itself, milliseconds: that in which a planner is found.
 const START: Millis = 900;
 /// Time for a connection and for an answer: many times the delay inside a failure domain.
 const LIMIT: Duration = Duration::from_millis(300);
@@ -101,6 +101,7 @@
         config,
         nodes: control.fleet.get().map_or(0, |f| f.nodes),
         beside: control.fleet.get().map_or(0, |f| f.beside),
+        reports: reports::told(control),
     }
 }
 
@@ -135,6 +136,7 @@
         control.fleet.set(Some(Fleet { nodes: told.nodes, beside: told.beside }));
     }
     take_engines(control, &told);
+    reports::hear(control, &told.reports, sent);
     control.listed.set(sent);
     if let Some(item) = &told.config {
         config::adopt(control, item);
--- a/crates/heathpitchd/src/gateway/control/looks.rs
+++ b/crates/heathpitchd/src/gateway/control/looks.rs
@@ -194,11 +194,11 @@
 
 /// Leaves an engine that streams wait for.
 fn suspect(control: &Control, address: SocketAddr) {
-    let entries = control.entries.borrow();
-    let Some(engine) = entries.values().find(|e| e.address == address) else { return };
+    let table = control.shared.table.load();
+    let Some(view) = table.at(address) else { return };
     let now = control.now();
-    if !lose(control, &engine.id, now) {
+    if !lose(control, &view.entry.id, now) {
         return;
     }
-    control.doubt(&engine.id, "the first engine of a path waits for it", DOUBT);
+    control.doubt(&view.entry.id, "the first engine of a path waits for it", DOUBT);
 }
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! `config` keeps the newest configuration and the proof that it is the newest; `engines` keeps
 //! the list of engines; `feed` hears both from the failure domain's planner; `nodes` keeps this node's entry and the lease of its failure domain's
-//! planner; `planner` orders layers; `recovery` watches running streams and moves them off
+//! planner; `planner` orders layers; `reports` asks engines how they do; `recovery` watches running streams and moves them off
 //! engines that `looks` finds lost. They publish snapshots in [`Shared`]; nothing else is shared with traffic.
 
 mod config;
@@ -13,6 +13,7 @@
 mod orders;
 mod planner;
 mod recovery;
+mod reports;
 mod state;
 
 use std::io;
@@ -75,6 +76,7 @@
             spawn_local(nodes::renew(control.clone()));
             spawn_local(planner::run(control.clone()));
             spawn_local(recovery::run(control.clone()));
+            spawn_local(reports::run(control.clone()));
             spawn_local(receive(control, inbox));
             let _ = stop.wait_for(|s| *s).await;
             Ok(())
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -18,7 +18,7 @@
 
 use super::looks;
 use super::state::Control;
-use crate::gateway::engine_table::EngineView;
+use crate::gateway::engine_table::{EngineView, Wanted};
 use crate::gateway::event::{GatewayEvent, parts};
 use crate::gateway::live::LiveStream;
 
@@ -197,9 +197,7 @@
 /// Keeps moved streams from an engine that has no room for more, for a moment.
 fn crowd(control: &Control, address: SocketAddr) {
     let now = control.now();
-    let table = control.shared.table.load();
-    let views = table.services.values().flatten();
-    if let Some(view) = views.into_iter().find(|s| s.entry.address == address) {
+    if let Some(view) = control.shared.table.load().at(address) {
         view.tally.crowd(now + CROWDED);
     }
 }
@@ -213,7 +211,8 @@
     let head = &path.head().engine;
     let usable =
         |s: &EngineView| &s.entry.id == head || (s.open(now) && !control.is_lost(&s.entry.id));
-    let links = table.links(&live.service, model, live.tokens, now, usable);
+    let (service, tokens) = (&live.service, live.tokens);
+    let links = table.links(&Wanted { service, model, tokens, now, current: Some(path) }, usable);
     // The first engine stays, so its domain is where the others are best.
     let home = table.view(head.as_str())?.entry.domain.clone();
     let search = Search { model, name: &live.service, home: &home, current: Some(path) };
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -14,6 +14,7 @@
 use super::looks::Lost;
 use super::orders::Pending;
 use super::recovery::Watched;
+use super::reports::Report;
 use crate::gateway::engine_table::{EngineTable, EngineView};
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::shared::{Edges, Shared};
@@ -72,6 +73,8 @@
     pub(super) questioned: RefCell<HashMap<Name, Millis>>,
     /// How many nodes there are, if it is known.
     pub(super) fleet: Cell<Option<Fleet>>,
+    /// What engines said of themselves.
+    pub(super) reports: RefCell<HashMap<Name, Report>>,
     lease: Cell<Option<LeaseId>>,
     renewed: Cell<Millis>,
     pub(super) pending: RefCell<HashMap<Name, Pending>>,
@@ -110,6 +113,7 @@
             refusing: RefCell::default(),
             questioned: RefCell::default(),
             fleet: Cell::new(None),
+            reports: RefCell::default(),
             lease: Cell::new(None),
             renewed: Cell::new(0),
             pending: RefCell::default(),
@@ -220,12 +224,16 @@
     /// Waits until this node has to read the store itself and the store answers.
     ///
     /// While the store is away only the proof of the configuration is tried again and again; a node
-    /// that knows no configuration yet tries everything.
-    pub(super) async fn direct(&self) {
+    /// that knows no configuration yet tries everything. Gives whether this node was told meanwhile,
+    /// so that what it read before is old.
+    pub(super) async fn direct(&self) -> bool {
         let away = || !self.reachable.get() && self.shared.catalog.load().is_some();
+        let mut fed = false;
         while self.told() || away() {
+            fed |= self.fed.get();
             self.turned.notified().await;
         }
+        fed
     }
 
     /// Whether this node is told what the store holds, or may yet be.
@@ -282,7 +290,8 @@
                     && !self.is_lost(&e.id)
             });
             let pace = |e: &EngineEntry| model.card(e.card.as_ref()?.as_str()).map(|c| c.pace);
-            let held = held.filter_map(|e| Some((&e.id, pace(e)?, e.layers)));
+            let held =
+                held.filter_map(|e| Some((&e.id, pace(e)? * self.slowness(&e.id), e.layers)));
             found.extend(mains(model.layers, held).into_iter().cloned());
         }
         found
--- a/crates/heathpitchd/src/gateway/engine_table.rs
+++ b/crates/heathpitchd/src/gateway/engine_table.rs
@@ -1,9 +1,10 @@
 //! Engines as traffic threads see them: an immutable snapshot.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use heathpitch_core::{Card, EngineEntry, EntryState, LayeredModel, Millis, Name};
+use heathpitch_core::{Card, EngineEntry, EntryState, LayeredModel, Millis, Name, Path};
 use heathpitch_policy::{Link, Tally};
 use rand::Rng;
 
@@ -43,6 +44,24 @@
     }
 }
 
+/// What a path is looked for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wanted<'a> {
+    pub(crate) service: &'a Name,
+    pub(crate) model: &'a LayeredModel,
+    /// Tokens that the request is likely to hold.
+    pub(crate) tokens: f64,
+    pub(crate) now: Millis,
+    /// Path of a running request, whose engines hold its tokens already.
+    pub(crate) current: Option<&'a Path>,
+}
+
+impl Wanted<'_> {
+    fn keeps(&self, engine: &Name) -> bool {
+        self.current.is_some_and(|path| path.stages().iter().any(|s| &s.engine == engine))
+    }
+}
+
 /// All engines listed, by service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EngineTable {
@@ -61,21 +80,22 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Engines of a service that a path may run through for a request of `need` tokens.
+    /// Engines that a path may run through for a request.
     pub(crate) fn links(
         &self,
-        service: &Name,
-        model: &LayeredModel,
-        need: f64,
-        now: Millis,
+        wanted: &Wanted<'_>,
         usable: impl Fn(&EngineView) -> bool,
     ) -> Vec<Link> {
+        let &Wanted { service, model, now, .. } = wanted;
         let link = |s: &EngineView| {
             let card = s.card.clone()?;
-            let room = model.room(&card, s.entry.layers.count());
+            let kept = wanted.keeps(&s.entry.id);
+            let need = if kept { 0.0 } else { wanted.tokens };
+            let room = model.room(&card, s.entry.layers.count()).max(1.0);
             let used = s.tally.tokens() as f64 * f64::from(self.beside.max(1));
-            let share = (used + need) / room.max(1.0);
-            let full = share > ROOM_SHARE || s.tally.crowded(now);
+            let share = (used + need) / room;
+            let card = Card { pace: card.pace * s.tally.pace(now), ..card };
+            let full = !kept && (share > ROOM_SHARE || s.tally.crowded(now));
             let jitter = rand::rng().random_range(0.0..JITTER);
             let stand_in = if s.main { 0.0 } else { STAND_IN };
             let none = if full { FULL } else { 0.0 };
@@ -88,6 +108,11 @@
         views.filter(|s| s.entry.layers.count() > 0 && usable(s)).filter_map(link).collect()
     }
 
+    /// The engine at this address.
+    pub(crate) fn at(&self, address: SocketAddr) -> Option<&EngineView> {
+        self.services.values().flatten().find(|s| s.entry.address == address)
+    }
+
     /// The engine of this id.
     pub(crate) fn view(&self, engine: &str) -> Option<&EngineView> {
         self.services.values().flatten().find(|s| s.entry.id.as_str() == engine)
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -170,6 +170,13 @@
         /// For how long.
         for_ms: Millis,
     },
+    /// An engine is slower than its card by another factor than before.
+    EnginePaced {
+        /// Engine.
+        engine: Name,
+        /// The factor, 1 if it is as it should be.
+        pace: f64,
+    },
     /// An engine was ordered to hold layers.
     LayersOrdered {
         /// Engine.
@@ -208,7 +215,7 @@
 
 impl GatewayEvent {
     /// Stable names of all events.
-    pub const NAMES: [&'static str; 19] = [
+    pub const NAMES: [&'static str; 20] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -223,6 +230,7 @@
         "engine_listed",
         "engine_gone",
         "engine_doubted",
+        "engine_paced",
         "layers_ordered",
         "domain_planner",
         "feed_changed",
--- a/crates/heathpitchd/tests/gateway_feed.rs
+++ b/crates/heathpitchd/tests/gateway_feed.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use gateway::{KEY, World, wait};
-use heathpitch_standin::{Caller, GatewayProcess, Link, Proxy, RouteSpec};
+use heathpitch_standin::{Caller, GatewayProcess, Link, Play, Proxy, RouteSpec};
 use hyper::Method;
 use serde_json::json;
 
@@ -133,3 +133,32 @@
     link.set(Link::Pass);
     wait("the first one is fed", async || fed(&planner) == Some(true)).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_says_it_is_slow_gets_no_new_streams_from_any_node() {
+    let world = World::new();
+    let [a, b, c] = ["a", "b", "c"].map(|id| world.engine(id, "llm"));
+    a.hold(0, 4);
+    b.hold(4, 8);
+    c.hold(0, 4);
+    for e in [&a, &b, &c] {
+        e.play(Play::Stream(5, Duration::from_millis(2)));
+    }
+    let (planner, other, _link) = pair(&world).await;
+    for (slow, quick) in [(&a, &c), (&c, &a)] {
+        slow.slow(20.0);
+        quick.slow(1.0);
+        for node in [&planner, &other] {
+            let caller = Caller::new(node.listen).key(KEY);
+            wait("streams avoid the slow engine", async || {
+                let before = slow.seen().len();
+                for _ in 0..24 {
+                    let reply = caller.call(Method::POST, "/tell/x", "prompt").await.unwrap();
+                    assert_eq!((reply.status, reply.whole), (200, true));
+                }
+                slow.seen().len() == before
+            })
+            .await;
+        }
+    }
+}
--- a/crates/heathpitchd/tests/gateway_streams.rs
+++ b/crates/heathpitchd/tests/gateway_streams.rs
@@ -149,6 +149,35 @@
     drop(rest);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_moved_stream_keeps_engines_that_hold_its_tokens_already() {
+    let world = World::new();
+    let [a, b, c, d, e] = ["a", "b", "c", "d", "e"].map(|id| world.engine(id, "llm"));
+    a.hold(0, 4);
+    b.hold(4, 5);
+    c.hold(4, 5);
+    d.hold(5, 8);
+    e.hold(5, 8);
+    let node = world.node().await;
+    a.play(Play::Stream(3, Duration::from_millis(4_000)));
+    // More than half of the room beside three layers: one that holds the stream looks full to it.
+    let caller = Caller::new(node.listen).key(KEY).sized("300000,10");
+    let (_, rest) = caller.open(Method::POST, "/tell/x", "prompt").await.unwrap();
+    let path = a.seen().remove(0).path().unwrap().to_owned();
+    let on = |engine: &Engine| path.contains(&format!("{}=", engine.address));
+    let (dead, other) = if on(&b) { (&b, &c) } else { (&c, &b) };
+    let kept = if on(&d) { &d } else { &e };
+    dead.crash();
+    wait("the first engine is told another path", async || {
+        a.orders().iter().any(|o| o["op"] == "repath")
+    })
+    .await;
+    let order = a.orders().into_iter().find(|o| o["op"] == "repath").unwrap();
+    let expected = format!("{}=0-4,{}=4-5,{}=5-8", a.address, other.address, kept.address);
+    assert_eq!(order["path"], expected);
+    drop(rest);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_silent_stream_goes_on_if_no_other_engine_takes_it() {
     let world = World::new();
--- a/crates/net/schema/feed.capnp
+++ b/crates/net/schema/feed.capnp
@@ -38,6 +38,14 @@
   # Nodes of the fleet; 0 if they are not known.
   beside @10 :UInt32;
   # Nodes of the failure domain.
+  reports @11 :List(Report);
+}
+
+struct Report {
+  engine @0 :Text;
+  pace @1 :Float64;
+  # Factor by which it is slower than its card.
+  ageMs @2 :UInt64;
 }
 
 interface Feed {
--- a/crates/net/src/feed.rs
+++ b/crates/net/src/feed.rs
@@ -12,11 +12,11 @@
 use capnp_rpc::RpcSystem;
 use capnp_rpc::new_client;
 use capnp_rpc::rpc_twoparty_capnp::Side;
-use heathpitch_core::{Millis, Revision};
+use heathpitch_core::{Millis, Name, Revision};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
-use crate::feed_capnp::{ask, feed, item, told};
+use crate::feed_capnp::{ask, feed, item, report, told};
 use crate::peer::{network, serve_rpc};
 use crate::{EdgeError, Item};
 
@@ -37,7 +37,7 @@
 }
 
 /// What the giver tells.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct FeedTold {
     /// Whether its store answers it.
     pub live: bool,
@@ -61,6 +61,19 @@
     pub nodes: u32,
     /// Nodes of the failure domain.
     pub beside: u32,
+    /// What engines of the failure domain said of themselves.
+    pub reports: Vec<FeedReport>,
+}
+
+/// What an engine said of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FeedReport {
+    /// The engine.
+    pub engine: Name,
+    /// Factor by which it is slower than its card.
+    pub pace: f64,
+    /// Age of its report.
+    pub age_ms: Millis,
 }
 
 /// Answers followers by a function.
@@ -162,6 +175,10 @@
     for (i, key) in from.gone.iter().enumerate() {
         gone.set(i as u32, &**key);
     }
+    let mut reports = to.reborrow().init_reports(from.reports.len() as u32);
+    for (i, r) in from.reports.iter().enumerate() {
+        write_report(r, reports.reborrow().get(i as u32));
+    }
     if let Some(config) = &from.config {
         write_item(config, to.init_config());
     }
@@ -181,10 +198,26 @@
         proof_ms: from.get_proof_ms(),
         nodes: from.get_nodes(),
         beside: from.get_beside(),
+        reports: from.get_reports()?.iter().map(read_report).collect::<capnp::Result<_>>()?,
         config: from.has_config().then(|| read_item(from.get_config()?)).transpose()?,
     })
 }
 
+fn write_report(from: &FeedReport, mut to: report::Builder<'_>) {
+    to.set_engine(from.engine.as_str());
+    to.set_pace(from.pace);
+    to.set_age_ms(from.age_ms);
+}
+
+fn read_report(from: report::Reader<'_>) -> capnp::Result<FeedReport> {
+    let engine = from.get_engine()?.to_str()?.parse();
+    Ok(FeedReport {
+        engine: engine.map_err(|e| capnp::Error::failed(format!("engine: {e}")))?,
+        pace: from.get_pace(),
+        age_ms: from.get_age_ms(),
+    })
+}
+
 fn write_item(from: &Item, mut to: item::Builder<'_>) {
     to.set_key(&*from.key);
     to.set_value(&from.value);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -35,7 +35,7 @@
 pub use engine::{CacheEvents, EngineEdge, FrameStream, Refusal, RefusalKind, SendError};
 pub use engine_http::HttpEngine;
 pub use events::{EventError, Events};
-pub use feed::{FeedAsk, FeedClient, FeedServer, FeedTold};
+pub use feed::{FeedAsk, FeedClient, FeedReport, FeedServer, FeedTold};
 pub use frame::{Frame, GenerateCall, Hop};
 pub use generated::{feed_capnp, peer_capnp};
 pub use listener::{Bounds, Listener, serve};
--- a/crates/policy/src/tally.rs
+++ b/crates/policy/src/tally.rs
@@ -12,6 +12,13 @@
 const GAIN: u64 = 2;
 /// Age at which a running mean says nothing any more, milliseconds.
 const MEAN_AGE: Millis = 2_500;
+/// Age at which an engine's report says nothing any more, milliseconds: two questions and the time
+/// that a report is late by itself.
+const REPORT_AGE: Millis = 2_500;
+/// Least and most factor that an engine's own word is believed.
+const PACE: std::ops::RangeInclusive<f64> = 1.0..=50.0;
+/// Parts that a factor is kept in.
+const PARTS: f64 = 1e3;
 /// Time that each own request which waits adds to the wait expected, milliseconds: about a pass.
 const WAIT: f64 = 25.0;
 
@@ -28,6 +35,8 @@
     mean_at: AtomicU64,
     waiting: AtomicU32,
     crowded: AtomicU64,
+    pace: AtomicU64,
+    reported_at: AtomicU64,
 }
 
 /// # Counting
@@ -50,6 +59,12 @@
         self.told_at.store(now, Relaxed);
     }
 
+    /// Takes an engine's report of `at`: by what factor it is slower than its card.
+    pub fn report(&self, pace: f64, at: Millis) {
+        self.pace.store((pace * PARTS) as u64, Relaxed);
+        self.reported_at.store(at, Relaxed);
+    }
+
     /// Prefers other engines until `until`: this one had no room.
     pub fn crowd(&self, until: Millis) {
         self.crowded.fetch_max(until, Relaxed);
@@ -96,6 +111,16 @@
         }
     }
 
+    /// Factor by which the engine is slower than its card, as far as is known at `now`.
+    pub fn pace(&self, now: Millis) -> f64 {
+        let at = self.reported_at.load(Relaxed);
+        if at == 0 || now.saturating_sub(at) > REPORT_AGE {
+            return 1.0;
+        }
+        let pace = self.pace.load(Relaxed) as f64 / PARTS;
+        pace.clamp(*PACE.start(), *PACE.end())
+    }
+
     /// Whether other engines are preferred at `now`.
     pub fn crowded(&self, now: Millis) -> bool {
         self.crowded.load(Relaxed) > now
