Planners hand over when told to stop; each node watches its own domain's planner alone

Change: a node watches the entry of its own domain. A planner that is told to stop ends its lease at its next renewal and answers its followers until another one is known; the log tells each change of giver. Tests: gateway_feed.rs::a_planner_that_is_told_to_stop_hands_over_before_it_is_gone.

--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -52,7 +52,9 @@
         let proven = once(&control).await;
         retry = if proven { RETRY } else { (retry * 2).min(RETRY_LONGEST) };
         let pause = match proven {
-            true if control.plans() => PROVE_PLANNER.saturating_sub(sent.elapsed()),
+            true if control.plans() || control.stopping() => {
+                PROVE_PLANNER.saturating_sub(sent.elapsed())
+            }
             true => PROVE,
             false => retry,
         };
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -174,13 +174,14 @@
 impl Control {
     /// Takes note of whether this node is told what the store holds, and by whom.
     fn feed(&self, giver: Option<&Name>, why: &str) {
-        let fed = giver.is_some();
-        if fed == self.fed.get() {
+        if giver == self.heard.borrow().as_ref() {
             return;
         }
-        self.fed.set(fed);
+        *self.heard.borrow_mut() = giver.cloned();
         GatewayEvent::FeedChanged { giver: giver.cloned(), why: why.to_owned() }.log();
-        self.turned.notify_waiters();
+        if self.fed.replace(giver.is_some()) != giver.is_some() {
+            self.turned.notify_waiters();
+        }
     }
 
     /// Ends the time in which this node waits to be told for the first time.
--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -5,7 +5,6 @@
 //! planning until it sees another one: orders hold only for the state they were made for, so two
 //! planners cost orders, never correctness, and a domain that is cut off is still planned.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -46,18 +45,18 @@
 
 /// Asks for the lease of this failure domain's planner when it is free.
 pub(super) async fn follow(control: Rc<Control>) {
+    let key = format!("{PLANNERS}{}", control.domain());
     let mut retry = RETRY;
     loop {
-        let result = control.edges.store.list(PLANNERS).await;
+        let result = control.edges.store.list(&key).await;
         control.note("list", &result);
         let listed = result.is_ok();
         if let Ok(listing) = result {
-            let mut planners: HashMap<Name, Name> = HashMap::new();
-            *control.planner.borrow_mut() = None;
+            let mut holder = None;
             for item in listing.items {
-                take(&control, &mut planners, &ItemChange::Put(item));
+                take(&control, &key, &mut holder, &ItemChange::Put(item));
             }
-            watch(&control, planners, listing.at).await;
+            watch(&control, &key, holder, listing.at).await;
         }
         retry = if listed { RETRY } else { (retry * 2).min(RETRY_LONGEST) };
         control.pause(retry).await;
@@ -92,29 +91,35 @@
     }
 }
 
-async fn watch(control: &Control, planners: HashMap<Name, Name>, from: Revision) {
-    let mut planners = planners;
+async fn watch(control: &Control, key: &str, holder: Option<Name>, from: Revision) {
+    let mut holder = holder;
     let mut at = from;
     loop {
-        let free = !control.plans() && !planners.contains_key(&control.domain());
+        let free = !control.plans() && holder.is_none() && !control.stopping();
         // Who waits longest finds that another one was faster.
         let wait = if free { rand::rng().random_range(1..STAGGER) } else { WATCH };
-        let result = control.edges.store.watch(PLANNERS, at, wait).await;
+        let result = control.edges.store.watch(key, at, wait).await;
         control.note("watch", &result);
         let Ok(watched) = result else { return };
-        watched.changes.iter().for_each(|c| take(control, &mut planners, c));
+        watched.changes.iter().for_each(|c| take(control, key, &mut holder, c));
         at = watched.at;
-        if free && !planners.contains_key(&control.domain()) {
+        if free && holder.is_none() {
             contend(control).await;
         }
     }
 }
 
-/// Renews the planner's lease for as long as this node plans.
+/// Renews the planner's lease for as long as this node plans; ends it when the node stops.
 pub(super) async fn renew(control: Rc<Control>) {
     loop {
         tokio::time::sleep(PLANNER_RENEW).await;
         let Some(lease) = control.lease() else { continue };
+        if control.stopping() {
+            resign(&control, "this node stops");
+            let result = control.edges.store.end(lease).await;
+            control.note("end", &result);
+            continue;
+        }
         let sent = control.now();
         let result = control.edges.store.renew(lease).await;
         control.note("renew", &result);
@@ -188,30 +193,21 @@
     }
 }
 
-fn take(control: &Control, planners: &mut HashMap<Name, Name>, change: &ItemChange) {
-    let key = match change {
-        ItemChange::Put(item) => &item.key,
-        ItemChange::Gone(key) => key,
-    };
-    let Some(Ok(domain)) = key.strip_prefix(PLANNERS).map(str::parse::<Name>) else { return };
+/// Takes a change of the planner's entry.
+///
+/// The node that was the planner is asked until there is another one, or it does not answer.
+fn take(control: &Control, key: &str, holder: &mut Option<Name>, change: &ItemChange) {
     match change {
-        ItemChange::Put(item) => {
-            let Some(holder) = planner(item) else { return };
-            let settings = control.shared.settings.load();
-            if domain == settings.domain {
-                *control.planner.borrow_mut() = text(item).and_then(feed::giver);
-            }
-            if domain == settings.domain && holder != settings.node {
+        ItemChange::Put(item) if &*item.key == key => {
+            *holder = planner(item);
+            *control.planner.borrow_mut() = text(item).and_then(feed::giver);
+            if holder.as_ref() != Some(&control.shared.settings.load().node) {
                 resign(control, "another node holds the lease");
             }
-            planners.insert(domain, holder);
-        }
-        ItemChange::Gone(_) => {
-            if domain == control.domain() {
-                *control.planner.borrow_mut() = None;
-            }
-            planners.remove(&domain);
         }
+        ItemChange::Gone(gone) if &**gone == key => *holder = None,
+        // Another domain's, whose name begins with this one's.
+        ItemChange::Put(_) | ItemChange::Gone(_) => {}
     }
 }
 
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
 use heathpitch_core::{EngineEntry, EntryState, Millis, Name, Revision};
@@ -51,6 +52,8 @@
     pub(super) starting: Cell<bool>,
     /// Whether the planner tells this node what the store holds.
     pub(super) fed: Cell<bool>,
+    /// The node that tells it, if one does.
+    pub(super) heard: RefCell<Option<Name>>,
     /// Newer revision of the configuration that is being read.
     pub(super) fetching: Cell<Option<Revision>>,
     /// Wakes those who wait for the store or for the end of the feed.
@@ -102,6 +105,7 @@
             starting: Cell::new(shared.peer.is_some()),
             shared,
             fed: Cell::new(false),
+            heard: RefCell::default(),
             fetching: Cell::new(None),
             turned: Notify::new(),
             since: RefCell::default(),
@@ -134,6 +138,11 @@
         self.shared.now()
     }
 
+    /// Whether this node was told to stop.
+    pub(super) fn stopping(&self) -> bool {
+        self.shared.stopping.load(Relaxed)
+    }
+
     /// Failure domain of this node.
     pub(super) fn domain(&self) -> Name {
         self.shared.settings.load().domain.clone()
--- a/crates/heathpitchd/tests/gateway_feed.rs
+++ b/crates/heathpitchd/tests/gateway_feed.rs
@@ -162,3 +162,26 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_that_is_told_to_stop_hands_over_before_it_is_gone() {
+    let world = World::new();
+    world.engine("a", "api");
+    let (mut planner, other, _link) = pair(&world).await;
+    let third = world.start("n3", &json!({}));
+    third.wait_ready().await.unwrap();
+    wait("the third node is fed", async || fed(&third) == Some(true)).await;
+    planner.signal("TERM").unwrap();
+    let plans = |n: &GatewayProcess| n.events("domain_planner").iter().any(|e| e["active"] == true);
+    wait("another node plans before the first one is gone", async || {
+        plans(&other) || plans(&third)
+    })
+    .await;
+    assert_eq!(planner.events("gateway_stopped").len(), 0, "the first one is still there");
+    let (new, follower) = if plans(&other) { ("n2", &third) } else { ("n3", &other) };
+    wait("the last one hears from the new planner", async || {
+        follower.events("feed_changed").last().is_some_and(|e| e["giver"] == new)
+    })
+    .await;
+    assert_eq!(planner.wait_end(Duration::from_secs(10)), Some(0));
+}
