One word for the node that reads the store for its domain: planner

"Giver" stood for the same node as "planner" and had to be explained; the log's field is `planner` too. No change of behaviour.

--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -21,7 +21,7 @@
 use crate::gateway::event::GatewayEvent;
 
 /// Time between two questions: a small part of the time for which a leaving engine may still be
-/// sent work, and a fraction of a request a second for the giver at 70 followers.
+/// sent work, and 175 questions a second for a planner with 70 followers.
 const ASK: Duration = Duration::from_millis(400);
 /// The same while a node begins.
 const ASK_START: Duration = Duration::from_millis(60);
@@ -30,39 +30,39 @@
 const START: Millis = 900;
 /// Time for a connection and for an answer: many times the delay inside a failure domain.
 const LIMIT: Duration = Duration::from_millis(300);
-/// Age beyond which the giver's proof shows that its store does not answer it, milliseconds: nearly
+/// Age beyond which the planner's proof shows that its store does not answer it, milliseconds: nearly
 /// two of its proofs; with a question and a read of the list still below the shortest time for
 /// which a leaving engine may be sent work.
 const PROOF_OLD: Millis = 1_100;
 
-/// The node that reads the store for a failure domain.
+/// The planner of a failure domain, as others reach it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Giver {
+pub(super) struct Planner {
     pub(super) node: Name,
     pub(super) address: SocketAddr,
 }
 
-/// What is known of the giver.
+/// The planner asked, and what was told so far.
 #[derive(Default)]
 struct Source {
-    giver: Option<Giver>,
+    planner: Option<Planner>,
     client: Option<FeedClient>,
     next: FeedAsk,
 }
 
-/// Asks the giver again and again.
+/// Asks the planner again and again.
 pub(super) async fn follow(control: Rc<Control>) {
     let mut source = Source::default();
     let begun = control.now();
     loop {
         let soon = control.starting.get();
         tokio::time::sleep(if soon { ASK_START } else { ASK }).await;
-        let giver = control.giver();
-        if giver != source.giver {
-            source = Source { giver, ..Source::default() };
+        let planner = control.other_planner();
+        if planner != source.planner {
+            source = Source { planner, ..Source::default() };
         }
-        match source.giver.clone() {
-            Some(giver) => hear(&control, &mut source, &giver).await,
+        match source.planner.clone() {
+            Some(planner) => hear(&control, &mut source, &planner).await,
             None => control.feed(None, "no other node plans this failure domain"),
         }
         if control.fed.get() || control.plans() || control.now() >= begun + START {
@@ -71,12 +71,12 @@
     }
 }
 
-async fn hear(control: &Rc<Control>, source: &mut Source, giver: &Giver) {
-    let heard = ask(control, source, giver.address).await;
+async fn hear(control: &Rc<Control>, source: &mut Source, planner: &Planner) {
+    let heard = ask(control, source, planner.address).await;
     let label = if heard.is_ok() { "ok" } else { "failed" };
     control.shared.metrics.feed.with_label_values(&[label]).inc();
     match heard {
-        Ok((sent, told)) => take(control, source, giver, sent, told),
+        Ok((sent, told)) => take(control, source, planner, sent, told),
         Err(e) => control.feed(None, &e.to_string()),
     }
 }
@@ -115,7 +115,7 @@
         let sent = control.now();
         match client.ask(source.next, LIMIT).await {
             Ok(told) => return Ok((sent, told)),
-            Err(e) => log::info!("the connection to the giver was lost: {e}"),
+            Err(e) => log::info!("the connection to the planner was lost: {e}"),
         }
     }
     source.client = None;
@@ -127,9 +127,15 @@
 }
 
 /// Takes what was told in answer to a question sent at `sent`.
-fn take(control: &Rc<Control>, source: &mut Source, giver: &Giver, sent: Millis, told: FeedTold) {
+fn take(
+    control: &Rc<Control>,
+    source: &mut Source,
+    planner: &Planner,
+    sent: Millis,
+    told: FeedTold,
+) {
     if !told.live {
-        return control.feed(None, "the giver's store does not answer it");
+        return control.feed(None, "the planner's store does not answer it");
     }
     source.next = FeedAsk { life: told.life, serial: told.serial, config: false };
     if told.nodes > 0 {
@@ -145,7 +151,7 @@
         true => config::renew(control, sent.saturating_sub(told.proof_ms)),
         false => fetch(control, source, told.revision),
     }
-    control.feed(Some(&giver.node), "the giver answers");
+    control.feed(Some(&planner.node), "the planner answers");
 }
 
 fn take_engines(control: &Control, told: &FeedTold) {
@@ -157,13 +163,13 @@
         true => control.entries.borrow().keys().filter(|id| !kept.contains(*id)).cloned().collect(),
         false => told.gone.iter().filter_map(|key| engines::id(control, key)).collect(),
     };
-    gone.iter().for_each(|id| engines::remove(control, id, "the giver lists it no longer"));
+    gone.iter().for_each(|id| engines::remove(control, id, "the planner lists it no longer"));
     if told.whole || !told.items.is_empty() || !gone.is_empty() {
         control.publish();
     }
 }
 
-/// Reads a newer configuration: from the store, whose link is wider, and else from the giver.
+/// Reads a newer configuration: from the store, whose link is wider, and else from the planner.
 fn fetch(control: &Rc<Control>, source: &mut Source, revision: Revision) {
     source.next.config = control.fetching.replace(Some(revision)) == Some(revision);
     let control = control.clone();
@@ -173,13 +179,13 @@
 /// # Feed
 impl Control {
     /// Takes note of whether this node is told what the store holds, and by whom.
-    fn feed(&self, giver: Option<&Name>, why: &str) {
-        if giver == self.heard.borrow().as_ref() {
+    fn feed(&self, planner: Option<&Name>, why: &str) {
+        if planner == self.heard.borrow().as_ref() {
             return;
         }
-        *self.heard.borrow_mut() = giver.cloned();
-        GatewayEvent::FeedChanged { giver: giver.cloned(), why: why.to_owned() }.log();
-        if self.fed.replace(giver.is_some()) != giver.is_some() {
+        *self.heard.borrow_mut() = planner.cloned();
+        GatewayEvent::FeedChanged { planner: planner.cloned(), why: why.to_owned() }.log();
+        if self.fed.replace(planner.is_some()) != planner.is_some() {
             self.turned.notify_waiters();
         }
     }
@@ -191,9 +197,9 @@
         }
     }
 
-    /// The node that reads the store for this one, unless it is this one itself or nodes are not
-    /// to talk to each other.
-    fn giver(&self) -> Option<Giver> {
+    /// The planner of this failure domain, unless it is this node itself or nodes are not to talk to
+    /// each other.
+    fn other_planner(&self) -> Option<Planner> {
         self.shared.peer?;
         let own = self.shared.settings.load().node.clone();
         self.planner.borrow().clone().filter(|p| p.node != own)
@@ -210,13 +216,13 @@
     }
 }
 
-/// Reads a planner's entry: its node and, if others may ask it, its address.
-pub(super) fn giver(value: &str) -> Option<Giver> {
+/// Reads a planner's entry in the store: its node and, if others may ask it, its address.
+pub(super) fn read_entry(value: &str) -> Option<Planner> {
     let (node, address) = value.split_once(' ')?;
-    Some(Giver { node: node.parse().ok()?, address: address.parse().ok()? })
+    Some(Planner { node: node.parse().ok()?, address: address.parse().ok()? })
 }
 
-/// A planner's entry.
+/// A planner's entry in the store.
 pub(super) fn entry(node: &Name, address: Option<SocketAddr>) -> Arc<str> {
     match address {
         Some(address) => format!("{node} {address}").into(),
--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -200,7 +200,7 @@
     match change {
         ItemChange::Put(item) if &*item.key == key => {
             *holder = planner(item);
-            *control.planner.borrow_mut() = text(item).and_then(feed::giver);
+            *control.planner.borrow_mut() = text(item).and_then(feed::read_entry);
             if holder.as_ref() != Some(&control.shared.settings.load().node) {
                 resign(control, "another node holds the lease");
             }
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -11,7 +11,7 @@
 use heathpitch_policy::{Mirror, Tally, mains};
 use tokio::sync::Notify;
 
-use super::feed::Giver;
+use super::feed::Planner;
 use super::looks::Lost;
 use super::orders::Pending;
 use super::recovery::Watched;
@@ -47,7 +47,7 @@
     /// This life of the node, which serials of `mirror` belong to.
     pub(super) life: u64,
     /// The node that plans this failure domain, if others may ask it.
-    pub(super) planner: RefCell<Option<Giver>>,
+    pub(super) planner: RefCell<Option<Planner>>,
     /// Whether this node has begun a moment ago and may yet be told what the store holds.
     pub(super) starting: Cell<bool>,
     /// Whether the planner tells this node what the store holds.
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -200,7 +200,7 @@
     /// Another node begins or ceases to tell this one what the store holds.
     FeedChanged {
         /// The node, if one tells it now.
-        giver: Option<Name>,
+        planner: Option<Name>,
         /// What decided it.
         why: String,
     },
--- a/crates/heathpitchd/tests/gateway_feed.rs
+++ b/crates/heathpitchd/tests/gateway_feed.rs
@@ -32,7 +32,7 @@
 
 /// Whether a node is told by another one, as its log says last.
 fn fed(node: &GatewayProcess) -> Option<bool> {
-    node.events("feed_changed").last().map(|e| !e["giver"].is_null())
+    node.events("feed_changed").last().map(|e| !e["planner"].is_null())
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -180,7 +180,7 @@
     assert_eq!(planner.events("gateway_stopped").len(), 0, "the first one is still there");
     let (new, follower) = if plans(&other) { ("n2", &third) } else { ("n3", &other) };
     wait("the last one hears from the new planner", async || {
-        follower.events("feed_changed").last().is_some_and(|e| e["giver"] == new)
+        follower.events("feed_changed").last().is_some_and(|e| e["planner"] == new)
     })
     .await;
     assert_eq!(planner.wait_end(Duration::from_secs(10)), Some(0));
--- a/crates/net/schema/feed.capnp
+++ b/crates/net/schema/feed.capnp
@@ -12,7 +12,7 @@
 
 struct Ask {
   life @0 :UInt64;
-  # Life of the giver that `serial` belongs to.
+  # Life of the planner that `serial` belongs to.
   serial @1 :UInt64;
   # Changes up to this one are known; 0 for none.
   config @2 :Bool;
@@ -21,7 +21,7 @@
 
 struct Told {
   live @0 :Bool;
-  # Whether the giver's store answers, so that the rest is worth anything.
+  # Whether the planner's store answers, so that the rest is worth anything.
   life @1 :UInt64;
   serial @2 :UInt64;
   whole @3 :Bool;
--- a/crates/net/src/feed.rs
+++ b/crates/net/src/feed.rs
@@ -28,7 +28,7 @@
 /// What a follower asks.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FeedAsk {
-    /// Life of the giver that `serial` belongs to.
+    /// Life of the planner that `serial` belongs to.
     pub life: u64,
     /// Changes up to this one are known; 0 for none.
     pub serial: u64,
@@ -36,12 +36,12 @@
     pub config: bool,
 }
 
-/// What the giver tells.
+/// What the planner tells.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FeedTold {
     /// Whether its store answers it.
     pub live: bool,
-    /// Life of the giver.
+    /// Life of the planner.
     pub life: u64,
     /// Serial to ask from next.
     pub serial: u64,
@@ -109,14 +109,14 @@
     }
 }
 
-/// A kept connection to the giver of a failure domain.
+/// A kept connection to the planner of a failure domain.
 pub struct FeedClient {
     client: feed::Client,
     system: JoinHandle<Result<(), capnp::Error>>,
 }
 
 impl FeedClient {
-    /// Connects to a giver; must run in a `LocalSet`.
+    /// Connects to a planner; must run in a `LocalSet`.
     ///
     /// # Errors
     ///
@@ -130,7 +130,7 @@
         Ok(Self { client, system: tokio::task::spawn_local(system) })
     }
 
-    /// Asks the giver.
+    /// Asks the planner.
     ///
     /// # Errors
     ///
