--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -4,15 +4,10 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use heathpitch_soak::{Evidence, Kind, Revoked, Told};
-use heathpitch_standin::{CALL_ID, Reply, Seen};
-use hyper::HeaderMap;
+use heathpitch_standin::{Reply, Seen};
 
 fn told(kind: Kind, status: u16, body: &str) -> Told {
-    let mut headers = HeaderMap::new();
-    headers.insert("x-response-stamp", "stamp-e".parse().unwrap());
-    let reply = Reply { status, headers, body: Bytes::from(body.to_owned()), whole: true };
     Told {
         id: "c1".to_owned(),
         node: 0,
@@ -21,16 +16,12 @@
         key: "key".to_owned(),
         sent: Instant::now(),
         took: Duration::from_millis(20),
-        reply: Some(reply),
+        reply: Some(Reply::stamped(status, body)),
     }
 }
 
-fn seen(body: &'static str, account: &str) -> Seen {
-    let mut headers = HeaderMap::new();
-    headers.insert(CALL_ID, "c1".parse().unwrap());
-    headers.insert("x-tenant", account.parse().unwrap());
-    let (method, target) = ("POST".to_owned(), "/book/x".to_owned());
-    Seen { method, target, headers, body: Bytes::from(body), ran: true }
+fn seen(body: &str, account: &str) -> Seen {
+    Seen::of("c1", account, body)
 }
 
 fn broken(told: Told, seen: Vec<Seen>) -> Vec<&'static str> {
