Twins unified: one loop that reads and watches the store; who tells a node is kept once

The loops of the configuration and of the list of engines were the same but for what they read; both call `Control::keep` now. Whether a node is told was kept beside who tells it, and is derived. An engine that gives no report is logged at the level that is written (it was left out). Otherwise no change of behaviour.

--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -28,16 +28,8 @@
 
 /// Keeps the newest configuration in force.
 pub(super) async fn follow(control: Rc<Control>) {
-    loop {
-        let found = read(&control).await;
-        let told = control.direct().await;
-        match found {
-            Some(at) if !told => watch(&control, at).await,
-            Some(_) => {}
-            None => tokio::time::sleep(RETRY).await,
-        }
-        control.direct().await;
-    }
+    let (read, watch) = (async || read(&control).await, async |at| watch(&control, at).await);
+    control.keep(RETRY, read, watch).await;
 }
 
 /// Proves again and again that the configuration in force is the newest.
@@ -97,7 +89,7 @@
             }
         }
         at = watched.at;
-        if control.fed.get() {
+        if control.fed() {
             return;
         }
     }
--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -38,16 +38,8 @@
 
 /// Keeps the list of engines.
 pub(super) async fn follow(control: Rc<Control>) {
-    loop {
-        let found = list(&control).await;
-        let told = control.direct().await;
-        match found {
-            Some(at) if !told => watch(&control, at).await,
-            Some(_) => {}
-            None => tokio::time::sleep(RETRY).await,
-        }
-        control.direct().await;
-    }
+    let (read, watch) = (async || list(&control).await, async |at| watch(&control, at).await);
+    control.keep(RETRY, read, watch).await;
 }
 
 /// Takes an engine out of use: its address answers for another one.
@@ -109,7 +101,7 @@
     let prefix = control.edges.dialect.engines_prefix();
     let start = control.now();
     let mut at = from;
-    while control.now() < start + RELIST && !control.fed.get() {
+    while control.now() < start + RELIST && !control.fed() {
         let wait = match expire(control) {
             None => WATCH,
             // Read the list again: whatever is still missing is gone.
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -65,7 +65,7 @@
             Some(planner) => hear(&control, &mut source, &planner).await,
             None => control.feed(None, "no other node plans this failure domain"),
         }
-        if control.fed.get() || control.plans() || control.now() >= begun + START {
+        if control.fed() || control.plans() || control.now() >= begun + START {
             control.started();
         }
     }
@@ -183,9 +183,9 @@
         if planner == self.heard.borrow().as_ref() {
             return;
         }
-        *self.heard.borrow_mut() = planner.cloned();
+        let before = self.heard.replace(planner.cloned());
         GatewayEvent::FeedChanged { planner: planner.cloned(), why: why.to_owned() }.log();
-        if self.fed.replace(planner.is_some()) != planner.is_some() {
+        if before.is_some() != planner.is_some() {
             self.turned.notify_waiters();
         }
     }
@@ -207,7 +207,7 @@
 
     /// Whether this node reads the store itself, and is answered.
     fn reads(&self) -> bool {
-        !self.fed.get() && self.listed.get() > 0
+        !self.fed() && self.listed.get() > 0
     }
 
     /// Revision of the configuration in force.
--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -74,7 +74,7 @@
             continue;
         }
         // A planner counts for the nodes that it tells.
-        if control.fed.get() {
+        if control.fed() {
             continue;
         }
         let result = control.edges.store.list(NODES).await;
--- a/crates/heathpitchd/src/gateway/control/reports.rs
+++ b/crates/heathpitchd/src/gateway/control/reports.rs
@@ -43,7 +43,7 @@
             match answer {
                 Ok(status) => take(&control, &engine.id, &status),
                 // Whether an engine is lost is for `looks` to find.
-                Err(e) => log::debug!("engine {} gives no report: {e}", engine.id),
+                Err(e) => log::info!("engine {} gives no report: {e}", engine.id),
             }
         }
         control.publish();
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -50,9 +50,7 @@
     pub(super) planner: RefCell<Option<Planner>>,
     /// Whether this node has begun a moment ago and may yet be told what the store holds.
     pub(super) starting: Cell<bool>,
-    /// Whether the planner tells this node what the store holds.
-    pub(super) fed: Cell<bool>,
-    /// The node that tells it, if one does.
+    /// The planner that tells this node what the store holds, if one does.
     pub(super) heard: RefCell<Option<Name>>,
     /// Newer revision of the configuration that is being read.
     pub(super) fetching: Cell<Option<Revision>>,
@@ -104,7 +102,6 @@
             planner: RefCell::default(),
             starting: Cell::new(shared.peer.is_some()),
             shared,
-            fed: Cell::new(false),
             heard: RefCell::default(),
             fetching: Cell::new(None),
             turned: Notify::new(),
@@ -239,15 +236,40 @@
         let away = || !self.reachable.get() && self.shared.catalog.load().is_some();
         let mut fed = false;
         while self.told() || away() {
-            fed |= self.fed.get();
+            fed |= self.fed();
             self.turned.notified().await;
         }
         fed
     }
 
+    /// Reads what the store holds and watches it from there, again and again, for as long as this
+    /// node has to do so itself; `retry` after a read that failed.
+    pub(super) async fn keep(
+        &self,
+        retry: Duration,
+        read: impl AsyncFn() -> Option<Revision>,
+        watch: impl AsyncFn(Revision),
+    ) {
+        loop {
+            let found = read().await;
+            let told = self.direct().await;
+            match found {
+                Some(at) if !told => watch(at).await,
+                Some(_) => {}
+                None => tokio::time::sleep(retry).await,
+            }
+            self.direct().await;
+        }
+    }
+
     /// Whether this node is told what the store holds, or may yet be.
     pub(super) fn told(&self) -> bool {
-        self.fed.get() || self.starting.get()
+        self.fed() || self.starting.get()
+    }
+
+    /// Whether the planner tells this node what the store holds.
+    pub(super) fn fed(&self) -> bool {
+        self.heard.borrow().is_some()
     }
 
     /// Waits for a while, but not beyond the store's return.
