--- a/crates/heathpitchd/src/gateway/call/record.rs
+++ b/crates/heathpitchd/src/gateway/call/record.rs
@@ -36,7 +36,7 @@
             after,
             left_ms: self.call.left(now),
             config: self.call.catalog.version,
-            list_ms: now.saturating_sub(self.traffic.shared.table.load().seen),
+            list_ms: self.traffic.shared.listed.load().age(now),
         }
         .log();
     }
--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -92,7 +92,7 @@
     let gone: Vec<Name> = control.entries.borrow().keys().filter(missing).cloned().collect();
     control.lapsed.borrow_mut().retain(|id, _| !kept.contains(id) && control.patience() > 0);
     drop_missing(control, gone, "not listed");
-    control.listed.set(sent);
+    heard(control, "list", sent, listing.items.len());
     control.publish();
     Some(listing.at)
 }
@@ -108,11 +108,13 @@
             Some(0) => return,
             Some(soon) => soon,
         };
+        let sent = control.now();
         let result = control.edges.store.watch(prefix, at, wait).await;
         control.note("watch", &result);
         let Ok(watched) = result else {
             return tokio::time::sleep(GATHER).await;
         };
+        heard(control, "watch", sent, watched.changes.len());
         let mut gone = Vec::new();
         for change in &watched.changes {
             match change {
@@ -135,6 +137,15 @@
     }
 }
 
+/// Takes note of an answer of the store about engines to a call sent at `sent`.
+fn heard(control: &Control, by: &'static str, sent: Millis, entries: usize) {
+    control.list_proven(sent);
+    if entries > 0 {
+        let asked_ms = control.now().saturating_sub(sent);
+        GatewayEvent::EnginesHeard { by, asked_ms, entries }.log();
+    }
+}
+
 /// Time to gather changes: longer while nothing is served yet and engines are still coming up.
 fn gather(control: &Control) -> Duration {
     let serves = control.entries.borrow().values().any(|e| e.layers.count() > 0);
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -143,7 +143,7 @@
     }
     take_engines(control, &told);
     reports::hear(control, &told.reports, sent);
-    control.listed.set(sent);
+    control.list_proven(sent);
     if let Some(item) = &told.config {
         config::adopt(control, item);
     }
@@ -207,7 +207,7 @@
 
     /// Whether this node reads the store itself, and is answered.
     fn reads(&self) -> bool {
-        !self.fed() && self.listed.get() > 0
+        !self.fed() && self.list_age().is_some()
     }
 
     /// Revision of the configuration in force.
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -134,6 +134,9 @@
         *response.status_mut() = StatusCode::NOT_FOUND;
         return response;
     }
+    if let Some(age) = shared.listed.load().age(shared.now()) {
+        shared.metrics.list_age.set(age as f64 / 1e3);
+    }
     let mut response = Response::new(full(shared.metrics.text()));
     let media = HeaderValue::from_static("text/plain; version=0.0.4");
     response.headers_mut().insert(CONTENT_TYPE, media);
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -82,8 +82,6 @@
     pub(super) streams: RefCell<Vec<Watched>>,
     /// Orders that engines have begun, as far as is known; an engine starts with none.
     pub(super) orders: RefCell<HashMap<Name, u64>>,
-    /// When the list of engines was last shown to be current.
-    pub(super) listed: Cell<Millis>,
     tallies: RefCell<HashMap<Name, Arc<Tally>>>,
     reachable: Cell<bool>,
     returned: Cell<Millis>,
@@ -120,7 +118,6 @@
             pending: RefCell::default(),
             streams: RefCell::default(),
             orders: RefCell::default(),
-            listed: Cell::new(0),
             tallies: RefCell::default(),
             reachable: Cell::new(true),
             returned: Cell::new(0),
@@ -164,6 +161,21 @@
     }
 }
 
+/// # List of engines
+impl Control {
+    /// Takes note that the engines known were those that the store listed at `at` or later.
+    pub(super) fn list_proven(&self, at: Millis) {
+        let mut listed = **self.shared.listed.load();
+        listed.prove(at);
+        self.shared.listed.store(Arc::new(listed));
+    }
+
+    /// Age of the list of engines; none before the first.
+    pub(super) fn list_age(&self) -> Option<Millis> {
+        self.shared.listed.load().age(self.now())
+    }
+}
+
 /// # Doubt
 impl Control {
     /// Keeps new work from an engine for a while, because of `why`.
@@ -352,7 +364,7 @@
         let nodes = self.fleet.get().map(|f| f.nodes);
         self.shared.metrics.nodes.set(i64::from(nodes.unwrap_or(0)));
         let beside = self.fleet.get().map_or(1, |f| f.beside.max(1));
-        let table = EngineTable { services, seen: self.listed.get(), beside, nodes };
+        let table = EngineTable { services, beside, nodes };
         self.shared.table.store(Arc::new(table));
     }
 }
--- a/crates/heathpitchd/src/gateway/engine_table.rs
+++ b/crates/heathpitchd/src/gateway/engine_table.rs
@@ -66,8 +66,6 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EngineTable {
     pub(crate) services: HashMap<Name, Vec<EngineView>>,
-    /// When the list was last shown to be current.
-    pub(crate) seen: Millis,
     /// Nodes of this failure domain, at least 1.
     pub(crate) beside: u32,
     /// Nodes of the fleet, if they are known.
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -75,8 +75,8 @@
         left_ms: Millis,
         /// Version of the configuration in force.
         config: u64,
-        /// Age of the list of engines.
-        list_ms: Millis,
+        /// Age of the proof that the engines known are those that the store lists.
+        list_ms: Option<Millis>,
     },
     /// An attempt failed.
     CallAttemptFailed {
@@ -141,6 +141,15 @@
         /// What is wrong.
         error: String,
     },
+    /// The store told of engines.
+    EnginesHeard {
+        /// Call that it answered.
+        by: &'static str,
+        /// How long ago that call was sent.
+        asked_ms: Millis,
+        /// Entries or changes told.
+        entries: usize,
+    },
     /// An engine is listed, or its entry changed.
     EngineListed {
         /// Engine.
@@ -215,7 +224,7 @@
 
 impl GatewayEvent {
     /// Stable names of all events.
-    pub const NAMES: [&'static str; 20] = [
+    pub const NAMES: [&'static str; 21] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -227,6 +236,7 @@
         "call_ended",
         "config_adopted",
         "config_rejected",
+        "engines_heard",
         "engine_listed",
         "engine_gone",
         "engine_doubted",
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -2,12 +2,12 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
 
 /// Every metric of a gateway: name, help.
-pub const GATEWAY_METRICS: [(&str, &str); 15] = [
+pub const GATEWAY_METRICS: [(&str, &str); 16] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -23,6 +23,7 @@
     ("heathpitch_notices_dropped_total", "Notices to the control thread dropped for want of room"),
     ("heathpitch_nodes", "Nodes of the fleet that the store lists"),
     ("heathpitch_feed_asks_total", "Questions to the failure domain's planner, by result"),
+    ("heathpitch_engine_list_age_seconds", "Age of the proof that the list of engines is current"),
 ];
 
 /// Bounds of the histogram of first answers, seconds.
@@ -49,6 +50,7 @@
     pub(crate) dropped: IntCounter,
     pub(crate) nodes: IntGauge,
     pub(crate) feed: IntCounterVec,
+    pub(crate) list_age: Gauge,
 }
 
 impl GatewayMetrics {
@@ -80,6 +82,7 @@
             dropped: IntCounter::with_opts(opts(12))?,
             nodes: IntGauge::with_opts(opts(13))?,
             feed: IntCounterVec::new(opts(14), &["result"])?,
+            list_age: Gauge::with_opts(opts(15))?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -105,6 +108,7 @@
             Box::new(self.dropped.clone()),
             Box::new(self.nodes.clone()),
             Box::new(self.feed.clone()),
+            Box::new(self.list_age.clone()),
         ]
     }
 
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -58,7 +58,10 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) catalog: ArcSwapOption<Catalog>,
     pub(crate) table: ArcSwap<EngineTable>,
+    /// Proof that the configuration in force is the newest.
     pub(crate) fresh: ArcSwap<Freshness>,
+    /// Proof that the engines known are those that the store lists.
+    pub(crate) listed: ArcSwap<Freshness>,
     pub(crate) stopping: AtomicBool,
     pub(crate) open: AtomicUsize,
     notices: mpsc::Sender<Notice>,
@@ -80,6 +83,7 @@
             catalog: ArcSwapOption::empty(),
             table: ArcSwap::default(),
             fresh: ArcSwap::default(),
+            listed: ArcSwap::default(),
             stopping: AtomicBool::new(false),
             open: AtomicUsize::new(0),
             notices,
