--- /dev/null
+++ b/crates/heathpitchd/tests/gateway_dead_links.rs
@@ -0,0 +1,116 @@
+//! Links to the store that lose connections without a word.
+//!
+//! Seen: a node sent streams to an engine 2.3 s after the store had taken its word that it leaves;
+//! 2.0 s are agreed. The node's failure domain had been cut off for 6 s, and its link had been back for
+//! 2.6 s. How it came about: its watch of the engines had been asked just before the cut, on a
+//! connection that did not come back with the network; a proof of the configuration on a new connection
+//! went through at once. Cause: the node took that answer for a sign that it knows all that the store
+//! holds, and waited up to 16 s for the watch; as its domain's planner it told the others the same.
+//! Proof: the watch that brought 46 changes at once had been asked 12.7 s before.
+//!
+//! Once a link is back for the time after which nodes count as in touch, an engine that left longer ago
+//! than agreed gets no request, whatever became of the connections of before.
+
+#![allow(clippy::unwrap_used, reason = "what fails here fails its test")]
+
+mod gateway;
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use gateway::{KEY, World, wait};
+use heathpitch_standin::{Caller, Engine, GatewayProcess, Link, Proxy};
+use hyper::Method;
+use serde_json::json;
+
+/// Time after which a node whose links are sound again counts as in touch.
+const IN_TOUCH: Duration = Duration::from_millis(3_000);
+/// Time for which an engine that said that it leaves may still be sent requests.
+const DRAIN: Duration = Duration::from_millis(2_000);
+/// Calls made to see where they go: with two engines of equal load, one of them is missed by all
+/// with a likelihood of one in a million.
+const CALLS: usize = 20;
+
+/// A node whose link to the store can be spoilt.
+fn start(world: &World, name: &str) -> (GatewayProcess, Proxy) {
+    let link = Proxy::spawn(world.store.address()).unwrap();
+    let binary = Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
+    let node = GatewayProcess::spawn(binary, link.address(), name, "mem", &json!({})).unwrap();
+    (node, link)
+}
+
+/// A node that plans its failure domain.
+async fn planner(world: &World) -> (GatewayProcess, Proxy) {
+    let (node, link) = start(world, "n1");
+    node.wait_ready().await.unwrap();
+    wait("it plans", async || !node.events("domain_planner").is_empty()).await;
+    (node, link)
+}
+
+/// Requests of a node that reach an engine, of as many as show whether any does.
+async fn reach(node: &GatewayProcess, engine: &Engine) -> usize {
+    let caller = Caller::new(node.listen).key(KEY);
+    let before = engine.seen().len();
+    for _ in 0..CALLS {
+        assert_eq!(caller.call(Method::GET, "/get/x", "").await.unwrap().status, 200);
+    }
+    engine.seen().len() - before
+}
+
+/// Waits until a node in touch since `sound` must know of what happened at `told`.
+async fn must_know(sound: Instant, told: Instant) {
+    let at = (sound + IN_TOUCH).max(told + DRAIN);
+    tokio::time::sleep(at.saturating_duration_since(Instant::now())).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_was_cut_off_hears_of_engines_that_leave_afterwards() {
+    let world = World::new();
+    let (a, _b) = (world.engine("a", "api"), world.engine("b", "api"));
+    let (node, link) = planner(&world).await;
+    assert!(reach(&node, &a).await > 0);
+    link.set(Link::Silent);
+    wait("the node knows", async || !node.events("store_reachable").is_empty()).await;
+    link.lose();
+    link.set(Link::Pass);
+    let sound = Instant::now();
+    wait("the store answers", async || {
+        node.events("store_reachable").last().is_some_and(|e| e["reachable"] == true)
+    })
+    .await;
+    a.list("draining");
+    must_know(sound, Instant::now()).await;
+    assert_eq!(reach(&node, &a).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_watch_that_falls_silent_alone_is_not_waited_for() {
+    let world = World::new();
+    let (a, _b) = (world.engine("a", "api"), world.engine("b", "api"));
+    let (node, link) = planner(&world).await;
+    link.lose();
+    let sound = Instant::now();
+    a.list("draining");
+    must_know(sound, Instant::now()).await;
+    assert_eq!(reach(&node, &a).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_that_hears_nothing_of_engines_leads_no_other_node_astray() {
+    let world = World::new();
+    let (a, _b) = (world.engine("a", "api"), world.engine("b", "api"));
+    let (planner, link) = planner(&world).await;
+    let other = world.start("n2", &json!({}));
+    other.wait_ready().await.unwrap();
+    wait("the second node is told", async || {
+        other.events("feed_changed").last().is_some_and(|e| !e["planner"].is_null())
+    })
+    .await;
+    link.lose();
+    a.list("draining");
+    // The second node's own links are sound all the time.
+    must_know(Instant::now() - IN_TOUCH, Instant::now()).await;
+    assert_eq!(reach(&other, &a).await, 0, "the second node");
+    tokio::time::sleep(IN_TOUCH - DRAIN).await;
+    assert_eq!(reach(&planner, &a).await, 0, "the planner");
+}
