--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -14,7 +14,8 @@
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
 
-/// Longest wait of a watch, milliseconds: below the store's 30 s.
+/// Longest wait of a watch, milliseconds: below the store's 30 s. Nothing rests on it: a proof brings
+/// what a dead watch does not.
 const WATCH: Millis = 25_000;
 /// Time between two proofs: two and more fit into the shortest time agreed for removed keys.
 const PROVE: Duration = Duration::from_millis(2_000);
@@ -75,8 +76,9 @@
     let key = control.edges.dialect.config_key();
     let mut at = from;
     loop {
+        let sent = control.now();
         let result = control.edges.store.watch(prefix, at, WATCH).await;
-        control.note("watch", &result);
+        control.note_watch("configuration", sent, &result);
         let watched = match result {
             Ok(watched) => watched,
             Err(StoreError::Forgotten) => return,
--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -1,6 +1,8 @@
 //! Controller of the list of engines.
 //!
-//! A watch brings changes; a list read anew every few seconds corrects whatever a watch missed.
+//! A watch brings changes; a list read anew every few seconds corrects whatever a watch missed. A
+//! watch that waits proves nothing, and its connection may be dead while other calls are answered, so
+//! waits are short, and one from before an outage is given up.
 //! While the store is away nothing is taken off the list. What is missing at its return, or goes
 //! soon after, is waited for, because entries lapse while engines cannot renew them: much of the
 //! list for as long as entries take to come back, a few of them for as long as an engine that left
@@ -17,8 +19,10 @@
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
 
-/// Longest wait of a watch, milliseconds.
-const WATCH: Millis = 15_000;
+/// Longest wait of a watch, milliseconds. Keeps the age of the list below 1.2 s and an answer's time, and
+/// a dead watch from hiding for longer than this and the limit of a call (1.8 s) that an engine leaves;
+/// 15 s hid it for 12.7 s. Costs 1.7 calls a second of those that read the store.
+const WATCH: Millis = 600;
 /// Time over which changes are gathered into one call: a small part of the time for which a leaving
 /// engine may still be sent work.
 const GATHER: Duration = Duration::from_millis(200);
@@ -38,7 +42,14 @@
 
 /// Keeps the list of engines.
 pub(super) async fn follow(control: Rc<Control>) {
-    let (read, watch) = (async || list(&control).await, async |at| watch(&control, at).await);
+    let read = async || list(&control).await;
+    let watch = async |at| {
+        tokio::select! {
+            () = watch(&control, at) => {}
+            // Its connection may not come back with the store.
+            () = control.doubt_of_store() => {}
+        }
+    };
     control.keep(RETRY, read, watch).await;
 }
 
@@ -110,7 +121,7 @@
         };
         let sent = control.now();
         let result = control.edges.store.watch(prefix, at, wait).await;
-        control.note("watch", &result);
+        control.note_watch("engines", sent, &result);
         let Ok(watched) = result else {
             return tokio::time::sleep(GATHER).await;
         };
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -34,6 +34,11 @@
 /// two of its proofs; with a question and a read of the list still below the shortest time for
 /// which a leaving engine may be sent work.
 const PROOF_OLD: Millis = 1_100;
+/// Age beyond which the planner's list of engines is not told, milliseconds: that of two watches, each
+/// answered 60 times later than usual. A planner that hears nothing is given up 1.1 s later, which with
+/// a question and a read of the list is below the shortest time for which a leaving engine may be
+/// sent work. A proof of the configuration says nothing of the list.
+const LIST_OLD: Millis = 1_700;
 
 /// The planner of a failure domain, as others reach it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,12 +90,15 @@
 pub(super) fn answer(control: &Control, ask: FeedAsk) -> FeedTold {
     let catalog = control.shared.catalog.load_full();
     let proof = control.shared.fresh.load().age(control.now());
-    let (Some(catalog), Some(proof_ms)) = (catalog, proof) else { return FeedTold::default() };
+    let (Some(catalog), Some(proof_ms), Some(list_ms)) = (catalog, proof, control.list_age())
+    else {
+        return FeedTold::default();
+    };
     let serial = if ask.life == control.life { ask.serial } else { 0 };
     let delta = control.mirror.borrow().since(serial);
     let config = if ask.config { control.document.borrow().clone() } else { None };
     FeedTold {
-        live: control.reads() && proof_ms < PROOF_OLD,
+        live: !control.fed() && proof_ms < PROOF_OLD && list_ms < LIST_OLD,
         life: control.life,
         serial: delta.serial,
         whole: delta.whole,
@@ -98,6 +106,7 @@
         gone: delta.gone,
         revision: catalog.revision,
         proof_ms,
+        list_ms,
         config,
         nodes: control.fleet.get().map_or(0, |f| f.nodes),
         beside: control.fleet.get().map_or(0, |f| f.beside),
@@ -135,7 +144,7 @@
     told: FeedTold,
 ) {
     if !told.live {
-        return control.feed(None, "the planner's store does not answer it");
+        return control.feed(None, "the planner does not hear from the store");
     }
     source.next = FeedAsk { life: told.life, serial: told.serial, config: false };
     if told.nodes > 0 {
@@ -143,7 +152,7 @@
     }
     take_engines(control, &told);
     reports::hear(control, &told.reports, sent);
-    control.list_proven(sent);
+    control.list_proven(sent.saturating_sub(told.list_ms));
     if let Some(item) = &told.config {
         config::adopt(control, item);
     }
@@ -205,11 +214,6 @@
         self.planner.borrow().clone().filter(|p| p.node != own)
     }
 
-    /// Whether this node reads the store itself, and is answered.
-    fn reads(&self) -> bool {
-        !self.fed() && self.list_age().is_some()
-    }
-
     /// Revision of the configuration in force.
     fn revision(&self) -> Revision {
         self.shared.catalog.load().as_ref().map_or(Revision(0), |c| c.revision)
--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -56,7 +56,11 @@
             for item in listing.items {
                 take(&control, &key, &mut holder, &ItemChange::Put(item));
             }
-            watch(&control, &key, holder, listing.at).await;
+            tokio::select! {
+                () = watch(&control, &key, holder, listing.at) => {}
+                // Its connection may be dead, and the planner with it.
+                () = control.doubt_of_store() => {}
+            }
         }
         retry = if listed { RETRY } else { (retry * 2).min(RETRY_LONGEST) };
         control.pause(retry).await;
@@ -98,8 +102,9 @@
         let free = !control.plans() && holder.is_none() && !control.stopping();
         // Who waits longest finds that another one was faster.
         let wait = if free { rand::rng().random_range(1..STAGGER) } else { WATCH };
+        let sent = control.now();
         let result = control.edges.store.watch(key, at, wait).await;
-        control.note("watch", &result);
+        control.note_watch("planner", sent, &result);
         let Ok(watched) = result else { return };
         watched.changes.iter().for_each(|c| take(control, key, &mut holder, c));
         at = watched.at;
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -54,7 +54,7 @@
     pub(super) heard: RefCell<Option<Name>>,
     /// Newer revision of the configuration that is being read.
     pub(super) fetching: Cell<Option<Revision>>,
-    /// Wakes those who wait for the store or for the end of the feed.
+    /// Wakes those who wait for a turn of the store or of the feed.
     pub(super) turned: Notify,
     /// When each engine was listed for the first time.
     pub(super) since: RefCell<HashMap<Name, Millis>>,
@@ -264,11 +264,13 @@
     ) {
         loop {
             let found = read().await;
+            // Before the wait, so that a node that is told no more reads at once.
+            if found.is_none() {
+                tokio::time::sleep(retry).await;
+            }
             let told = self.direct().await;
-            match found {
-                Some(at) if !told => watch(at).await,
-                Some(_) => {}
-                None => tokio::time::sleep(retry).await,
+            if let Some(at) = found.filter(|_| !told) {
+                watch(at).await;
             }
             self.direct().await;
         }
@@ -284,6 +286,16 @@
         self.heard.borrow().is_some()
     }
 
+    /// Waits until the store ceases to answer or the planner ceases to tell: until what a watch says by
+    /// its silence is in doubt.
+    pub(super) async fn doubt_of_store(&self) {
+        let (reachable, fed) = (self.reachable.get(), self.fed());
+        let lost = || (reachable && !self.reachable.get()) || (fed && !self.fed());
+        while !lost() {
+            self.turned.notified().await;
+        }
+    }
+
     /// Waits for a while, but not beyond the store's return.
     pub(super) async fn pause(&self, pause: Duration) {
         // Either way the call is tried again.
@@ -307,11 +319,25 @@
         self.reachable.set(answers);
         if answers {
             self.returned.set(self.now());
-            self.turned.notify_waiters();
         }
+        self.turned.notify_waiters();
         let error = result.as_ref().err().map(|e| format!("{call}: {e}"));
         GatewayEvent::StoreReachable { reachable: answers, error }.log();
     }
+
+    /// The same for a watch of something, asked at `sent`. One that is lost says nothing of the store:
+    /// connections are lost alone, too.
+    pub(super) fn note_watch(
+        &self,
+        of: &'static str,
+        sent: Millis,
+        result: &Result<heathpitch_net::Watched, StoreError>,
+    ) {
+        let Err(StoreError::Edge(e)) = result else { return self.note("watch", result) };
+        self.shared.metrics.store.with_label_values(&["watch", "lost"]).inc();
+        let asked_ms = self.now().saturating_sub(sent);
+        GatewayEvent::WatchLost { of, asked_ms, error: e.to_string() }.log();
+    }
 }
 
 /// # Publishing
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -141,6 +141,15 @@
         /// What is wrong.
         error: String,
     },
+    /// A watch got no answer; what it watched is read anew.
+    WatchLost {
+        /// What it watched.
+        of: &'static str,
+        /// How long ago it was asked.
+        asked_ms: Millis,
+        /// What failed.
+        error: String,
+    },
     /// The store told of engines.
     EnginesHeard {
         /// Call that it answered.
@@ -224,7 +233,7 @@
 
 impl GatewayEvent {
     /// Stable names of all events.
-    pub const NAMES: [&'static str; 21] = [
+    pub const NAMES: [&'static str; 22] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -236,6 +245,7 @@
         "call_ended",
         "config_adopted",
         "config_rejected",
+        "watch_lost",
         "engines_heard",
         "engine_listed",
         "engine_gone",
@@ -255,6 +265,7 @@
             | Self::CallAttemptFailed { .. }
             | Self::CallEnded { whole: false, .. }
             | Self::ConfigRejected { .. }
+            | Self::WatchLost { .. }
             | Self::StoreReachable { reachable: false, .. } => log::Level::Warn,
             _ => log::Level::Info,
         };
--- a/crates/heathpitchd/src/main.rs
+++ b/crates/heathpitchd/src/main.rs
@@ -83,11 +83,10 @@
         println!("{}: valid", path.display());
         return Ok(0);
     }
-    let client = Client::new();
     let edges = Edges {
-        store: Arc::new(HttpStore::new(client.clone(), settings.store)),
+        store: Arc::new(HttpStore::new(Client::new(), settings.store)),
         dialect: Arc::new(PlatformDialect),
-        orders: Arc::new(HttpOrders::new(client)),
+        orders: Arc::new(HttpOrders::new(Client::new())),
     };
     let gateway = Gateway::spawn(settings, edges)?;
     gateway.serve(path)?;
--- a/crates/net/schema/feed.capnp
+++ b/crates/net/schema/feed.capnp
@@ -39,6 +39,8 @@
   beside @10 :UInt32;
   # Nodes of the failure domain.
   reports @11 :List(Report);
+  listMs @12 :UInt64;
+  # Age of the proof that the engines' entries are those of the store.
 }
 
 struct Report {
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -10,6 +10,7 @@
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use parking_lot::Mutex;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -35,7 +36,7 @@
 /// ever sent a second time by the client itself.
 #[derive(Clone, Debug)]
 pub struct Client {
-    pooled: legacy::Client<HttpConnector, Body>,
+    pooled: Arc<Mutex<legacy::Client<HttpConnector, Body>>>,
     single: legacy::Client<HttpConnector, Body>,
     bytes: Arc<AtomicU64>,
 }
@@ -55,7 +56,14 @@
 
     /// A client with no connections yet.
     pub fn new() -> Self {
-        Self { pooled: build(IDLE), single: build(0), bytes: Arc::default() }
+        let pooled = Arc::new(Mutex::new(build(IDLE)));
+        Self { pooled, single: build(0), bytes: Arc::default() }
+    }
+
+    /// Closes all idle connections: after one got no answer, others may be dead as well, and each would
+    /// cost the limit of another call.
+    pub fn forget(&self) {
+        *self.pooled.lock() = build(IDLE);
     }
 }
 
@@ -82,7 +90,7 @@
     ///
     /// [`EdgeError::Connect`] or [`EdgeError::Lost`].
     pub async fn send(&self, request: Request<Body>, fresh: bool) -> Result<Response, EdgeError> {
-        let client = if fresh { &self.single } else { &self.pooled };
+        let client = if fresh { self.single.clone() } else { self.pooled.lock().clone() };
         client.request(request).await.map_err(|e| match e.is_connect() {
             true => EdgeError::Connect(chain(&e)),
             false => EdgeError::Lost(chain(&e)),
--- a/crates/net/src/feed.rs
+++ b/crates/net/src/feed.rs
@@ -39,7 +39,7 @@
 /// What the planner tells.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FeedTold {
-    /// Whether its store answers it.
+    /// Whether its store answers it, so that the rest is worth anything.
     pub live: bool,
     /// Life of the planner.
     pub life: u64,
@@ -55,6 +55,8 @@
     pub revision: Revision,
     /// Age of the proof that it is the newest.
     pub proof_ms: Millis,
+    /// Age of the proof that the engines' entries are those of the store.
+    pub list_ms: Millis,
     /// The configuration, if it was asked for.
     pub config: Option<Item>,
     /// Nodes of the fleet; 0 if they are not known.
@@ -165,6 +167,7 @@
     to.set_whole(from.whole);
     to.set_revision(from.revision.0);
     to.set_proof_ms(from.proof_ms);
+    to.set_list_ms(from.list_ms);
     to.set_nodes(from.nodes);
     to.set_beside(from.beside);
     let mut items = to.reborrow().init_items(from.items.len() as u32);
@@ -196,6 +199,7 @@
         gone: from.get_gone()?.iter().map(key).collect::<capnp::Result<_>>()?,
         revision: Revision(from.get_revision()),
         proof_ms: from.get_proof_ms(),
+        list_ms: from.get_list_ms(),
         nodes: from.get_nodes(),
         beside: from.get_beside(),
         reports: from.get_reports()?.iter().map(read_report).collect::<capnp::Result<_>>()?,
