The same cause elsewhere: a test that fails for engines that go just after an outage

Suspected from the arithmetic of the hops: the planner waits 1.7 s for entries that may come back, then the others ask, each 0.4 s.

--- a/crates/heathpitchd/tests/gateway_feed.rs
+++ b/crates/heathpitchd/tests/gateway_feed.rs
@@ -6,10 +6,10 @@
 mod gateway;
 
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use gateway::{KEY, World, wait};
-use heathpitch_standin::{Caller, GatewayProcess, Link, Play, Proxy, RouteSpec};
+use heathpitch_standin::{Caller, GatewayProcess, Link, Mode, Play, Proxy, RouteSpec};
 use hyper::Method;
 use serde_json::json;
 
@@ -185,3 +185,66 @@
     .await;
     assert_eq!(planner.wait_end(Duration::from_secs(10)), Some(0));
 }
+
+/// Milliseconds of the wall clock, as in a node's log.
+fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// Whether a node's log says last that the store answers.
+fn reachable(node: &GatewayProcess) -> Option<bool> {
+    node.events("store_reachable").last().map(|e| e["reachable"] == true)
+}
+
+/// Suspected beside requests that reached a leaving engine: entries that go around an outage are waited
+/// for by the planner, and only then do the others hear of it, up to one question later. Both together
+/// took longer than the 2 s for which an engine that left may be sent work.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_that_go_just_after_an_outage_are_off_every_node_s_list_in_time() {
+    let world = World::new();
+    world.engine("a", "api");
+    world.engine("b", "llm").hold(0, 8);
+    for i in 0..80 {
+        world.store.list_engine(&format!("z{i}"), "api", "mem", ([127, 0, 0, 1], 9).into());
+    }
+    let (planner, other, _link) = pair(&world).await;
+    world.store.behave(Mode::Busy);
+    wait("both know", async || reachable(&planner) == Some(false) && fed(&other) == Some(false))
+        .await;
+    world.store.behave(Mode::Up);
+    // From now on entries that are missing are waited for.
+    wait("the planner knows", async || reachable(&planner) == Some(true)).await;
+    let mut left = Vec::new();
+    for i in 0..14 {
+        world.store.remove(&format!("servers/z{i}"));
+        left.push((format!("z{i}"), wall_ms()));
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+    for node in [&planner, &other] {
+        let gone = |id: &str| {
+            let events = node.events("engine_gone").into_iter();
+            let mut of = events.filter(|e| e["engine"] == id);
+            of.next().map(|e| e["at"].as_u64().unwrap())
+        };
+        wait("all are off the list", async || left.iter().all(|(id, _)| gone(id).is_some())).await;
+        let took = |(id, at): &(String, u64)| gone(id).unwrap().saturating_sub(*at);
+        let longest = left.iter().map(took).max().unwrap();
+        assert!(longest < 2_000, "{longest} ms");
+    }
+}
+
+/// A watch of the planner's entry that died without a word hid for 26 s that the planner was gone: nobody
+/// laid layers out meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_takes_over_from_its_planner_though_its_own_watch_is_dead() {
+    let world = World::new();
+    world.engine("a", "api");
+    let (planner, other, link) = pair(&world).await;
+    link.lose();
+    planner.signal("KILL").unwrap();
+    let killed = wall_ms();
+    let plans = || other.events("domain_planner").into_iter().find(|e| e["active"] == true);
+    wait("the second node plans", async || plans().is_some()).await;
+    let took = plans().unwrap()["at"].as_u64().unwrap() - killed;
+    assert!(took < 7_000, "{took} ms");
+}
