Missing entries are waited for no longer than lets all nodes hear in time

Cause: the wait of 1.7 s was a planner's own; that the others ask it up to 0.4 s later, and hear up to 0.3 s after that, was in no sum. It is now what is left of the agreed time after 1.0 s for that (gathering, question, answer). An engine that was off the list and is back is no longer taken for one that leaves: streams were moved off it.

--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -34,9 +34,10 @@
 const RELIST: Millis = 15_000;
 /// One missing entry in so many listed ones shows that entries lapsed, not that engines left.
 const LAPSED: usize = 4;
-/// Time for which a few missing entries are waited for after an outage, milliseconds: below the time
-/// for which a leaving engine may still be sent work.
-const COMEBACK_FEW: Millis = 1_700;
+/// Time in which all nodes hear of what their planner has heard of, milliseconds: gathering (200), a
+/// question (400) and the limit of its answer (300), with margin. Without it followers knew of engines
+/// that went just after an outage up to 2 255 ms later, where 2 000 are agreed.
+const TOLD_WITHIN: Millis = 1_000;
 /// Time between two looks at many entries that are waited for, milliseconds.
 const LAPSED_LOOK: Millis = 200;
 
@@ -192,8 +193,15 @@
     if old.is_none() && entry.domain == control.domain() {
         control.joined.set(control.now());
     }
-    if entry.state == EntryState::Leaving && !left {
-        control.leaving.borrow_mut().insert(id.clone(), control.now());
+    match entry.state {
+        EntryState::Leaving if !left => {
+            control.leaving.borrow_mut().insert(id.clone(), control.now());
+        }
+        EntryState::Leaving => {}
+        // It was off the list, and is back: streams stay on it.
+        EntryState::Ready => {
+            control.leaving.borrow_mut().remove(&id);
+        }
     }
     log_listed(&entry);
     control.mirror.borrow_mut().put(item.key.clone(), item.clone());
@@ -219,7 +227,8 @@
 fn expire(control: &Control) -> Option<Millis> {
     let now = control.now();
     let few = control.lapsed.borrow().len() * LAPSED <= control.entries.borrow().len();
-    let due = |since: Millis| few && now >= since + COMEBACK_FEW;
+    let comeback = comeback_few(control);
+    let due = |since: Millis| few && now >= since + comeback;
     let over: Vec<Name> = {
         let lapsed = control.lapsed.borrow();
         lapsed.iter().filter(|(_, since)| due(**since)).map(|(id, _)| id.clone()).collect()
@@ -232,12 +241,18 @@
         control.publish();
     }
     let oldest = control.lapsed.borrow().values().min().copied()?;
-    let due = (oldest + COMEBACK_FEW).saturating_sub(now);
+    let due = (oldest + comeback).saturating_sub(now);
     // Many missing entries are past their time and wait for the store's own.
     let soon = if few { due } else { LAPSED_LOOK };
     Some(control.patience().min(soon))
 }
 
+/// Time for which a few missing entries are waited for after an outage: what is left, of the time for
+/// which an engine that left may be sent work, once all nodes have heard of it.
+fn comeback_few(control: &Control) -> Millis {
+    control.shared.settings.load().bounds.drain_ms.saturating_sub(TOLD_WITHIN)
+}
+
 fn log_listed(entry: &EngineEntry) {
     GatewayEvent::EngineListed {
         engine: entry.id.clone(),
