How old the list of engines may be told: a sum of the hops, checked from both sides

An empty answer of a watch proves the list up to the end of its wait; a change is proven when it was asked for. So the age stays below 1.4 s (two watches, and gathering between them), and the planner tells a list up to 1.5 s old (1.7 before). A follower asks before what it was told is too old, and not up to 0.4 s after: planner cut off to follower that has read the list itself, 2.1 s by the sum before, 1.9 s now, of 2.0 s.

--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -19,7 +19,7 @@
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
 
-/// Longest wait of a watch, milliseconds. Keeps the age of the list below 1.2 s and an answer's time, and
+/// Longest wait of a watch, milliseconds. Keeps the age of the list below 1.4 s and two answers' time, and
 /// a dead watch from hiding for longer than this and the limit of a call (1.8 s) that an engine leaves;
 /// 15 s hid it for 12.7 s. Costs 1.7 calls a second of those that read the store.
 const WATCH: Millis = 600;
@@ -104,7 +104,7 @@
     let gone: Vec<Name> = control.entries.borrow().keys().filter(missing).cloned().collect();
     control.lapsed.borrow_mut().retain(|id, _| !kept.contains(id) && control.patience() > 0);
     drop_missing(control, gone, "not listed");
-    heard(control, "list", sent, listing.items.len());
+    heard(control, "list", sent, sent, listing.items.len());
     control.publish();
     Some(listing.at)
 }
@@ -126,7 +126,10 @@
         let Ok(watched) = result else {
             return tokio::time::sleep(GATHER).await;
         };
-        heard(control, "watch", sent, watched.changes.len());
+        // An empty answer comes when the wait is over: until then there was no change.
+        let waited = if watched.changes.is_empty() { wait } else { 0 };
+        let proven = control.now().min(sent + waited);
+        heard(control, "watch", sent, proven, watched.changes.len());
         let mut gone = Vec::new();
         for change in &watched.changes {
             match change {
@@ -149,9 +152,10 @@
     }
 }
 
-/// Takes note of an answer of the store about engines to a call sent at `sent`.
-fn heard(control: &Control, by: &'static str, sent: Millis, entries: usize) {
-    control.list_proven(sent);
+/// Takes note of an answer of the store about engines to a call sent at `sent`, which shows what was
+/// listed at `proven` or later.
+fn heard(control: &Control, by: &'static str, sent: Millis, proven: Millis, entries: usize) {
+    control.list_proven(proven);
     if entries > 0 {
         let asked_ms = control.now().saturating_sub(sent);
         GatewayEvent::EnginesHeard { by, asked_ms, entries }.log();
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -23,8 +23,8 @@
 /// Time between two questions: a small part of the time for which a leaving engine may still be
 /// sent work, and 175 questions a second for a planner with 70 followers.
 const ASK: Duration = Duration::from_millis(400);
-/// The same while a node begins.
-const ASK_START: Duration = Duration::from_millis(60);
+/// The same while a node begins, and when what was told last is about to be too old.
+const ASK_SOON: Duration = Duration::from_millis(60);
 /// Time from its begin for which a node that has read the store once waits to be told before it
 /// watches the store itself, milliseconds: that in which a planner is found.
 const START: Millis = 900;
@@ -34,11 +34,11 @@
 /// two of its proofs; with a question and a read of the list still below the shortest time for
 /// which a leaving engine may be sent work.
 const PROOF_OLD: Millis = 1_100;
-/// Age beyond which the planner's list of engines is not told, milliseconds: that of two watches, each
-/// answered 60 times later than usual. A planner that hears nothing is given up 1.1 s later, which with
-/// a question and a read of the list is below the shortest time for which a leaving engine may be
+/// Age beyond which the planner's list of engines is not told, milliseconds: two watches, with a change
+/// at the end of the first one and the time to gather changes between them. With the limit of a
+/// question and a read of the list (1.9 s) below the shortest time for which a leaving engine may be
 /// sent work. A proof of the configuration says nothing of the list.
-const LIST_OLD: Millis = 1_700;
+const LIST_OLD: Millis = 1_500;
 
 /// The planner of a failure domain, as others reach it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -53,6 +53,21 @@
     planner: Option<Planner>,
     client: Option<FeedClient>,
     next: FeedAsk,
+    /// Until when the list of engines that was told last is young enough.
+    until: Millis,
+}
+
+impl Source {
+    /// Time to the next question: before the list is too old, so that one told at the end of its
+    /// time is not kept for another while.
+    fn pause(&self, control: &Control) -> Duration {
+        let left = Duration::from_millis(self.until.saturating_sub(control.now()));
+        match () {
+            () if control.starting.get() => ASK_SOON,
+            () if control.fed() => left.clamp(ASK_SOON, ASK),
+            () => ASK,
+        }
+    }
 }
 
 /// Asks the planner again and again.
@@ -60,8 +75,7 @@
     let mut source = Source::default();
     let begun = control.now();
     loop {
-        let soon = control.starting.get();
-        tokio::time::sleep(if soon { ASK_START } else { ASK }).await;
+        tokio::time::sleep(source.pause(&control)).await;
         let planner = control.other_planner();
         if planner != source.planner {
             source = Source { planner, ..Source::default() };
@@ -152,7 +166,9 @@
     }
     take_engines(control, &told);
     reports::hear(control, &told.reports, sent);
-    control.list_proven(sent.saturating_sub(told.list_ms));
+    let proven = sent.saturating_sub(told.list_ms);
+    control.list_proven(proven);
+    source.until = proven + LIST_OLD;
     if let Some(item) = &told.config {
         config::adopt(control, item);
     }
