A planner proves its configuration each second: the list of engines has a proof of its own

The 0.6 s of before served to tell followers in time that the planner's store is away; the age of its list does now.

--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -19,9 +19,9 @@
 const WATCH: Millis = 25_000;
 /// Time between two proofs: two and more fit into the shortest time agreed for removed keys.
 const PROVE: Duration = Duration::from_millis(2_000);
-/// Time between two proofs of a planner: several fit into the time for which a leaving engine may
-/// still be sent work, so that nodes that it tells hear in time that its store is away.
-const PROVE_PLANNER: Duration = Duration::from_millis(600);
+/// Time between two proofs of a planner: with an answer's time and a question of a follower (400 ms) below
+/// the age up to which calls are denied.
+const PROVE_PLANNER: Duration = Duration::from_millis(1_000);
 /// Time between two tries while the store does not answer, at first; doubled each time.
 const RETRY: Duration = Duration::from_millis(300);
 /// Longest such time: a fraction of the shortest time agreed for removed keys.
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -30,10 +30,9 @@
 const START: Millis = 900;
 /// Time for a connection and for an answer: many times the delay inside a failure domain.
 const LIMIT: Duration = Duration::from_millis(300);
-/// Age beyond which the planner's proof shows that its store does not answer it, milliseconds: nearly
-/// two of its proofs; with a question and a read of the list still below the shortest time for
-/// which a leaving engine may be sent work.
-const PROOF_OLD: Millis = 1_100;
+/// Age beyond which the planner's proof shows that its store does not answer it, milliseconds: one and a
+/// half of its proofs, and below the age up to which calls are denied.
+const PROOF_OLD: Millis = 1_600;
 /// Age beyond which the planner's list of engines is not told, milliseconds: two watches, with a change
 /// at the end of the first one and the time to gather changes between them. With the limit of a
 /// question and a read of the list (1.9 s) below the shortest time for which a leaving engine may be
