--- a/crates/heathpitchd/src/main.rs
+++ b/crates/heathpitchd/src/main.rs
@@ -84,7 +84,7 @@
         return Ok(0);
     }
     let edges = Edges {
-        store: Arc::new(HttpStore::new(Client::new(), settings.store)),
+        store: Arc::new(HttpStore::new(settings.store)),
         dialect: Arc::new(PlatformDialect),
         orders: Arc::new(HttpOrders::new(Client::new())),
     };
--- a/crates/heathpitchd/tests/gateway_feed.rs
+++ b/crates/heathpitchd/tests/gateway_feed.rs
@@ -248,3 +248,22 @@
     let took = plans().unwrap()["at"].as_u64().unwrap() - killed;
     assert!(took < 7_000, "{took} ms");
 }
+
+/// A node that is told leaves its own connections to the store idle; one that died there meanwhile cost
+/// 1.2 s and a retry, at the moment at which the planner was gone and an engine left.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_that_died_do_not_hide_what_the_store_holds() {
+    let world = World::new();
+    let engine = world.engine("a", "api");
+    world.engine("b", "api");
+    let (planner, other, link) = pair(&world).await;
+    link.lose();
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    planner.signal("KILL").unwrap();
+    engine.list("draining");
+    let told = wall_ms();
+    let heard = || other.events("engine_listed").into_iter().find(|e| e["leaving"] == true);
+    wait("the second node knows", async || heard().is_some()).await;
+    let took = heard().unwrap()["at"].as_u64().unwrap() - told;
+    assert!(took < 1_300, "{took} ms");
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     pooled: Arc<Mutex<legacy::Client<HttpConnector, Body>>>,
+    /// Time an idle connection is kept.
+    keep: Duration,
     single: legacy::Client<HttpConnector, Body>,
     bytes: Arc<AtomicU64>,
 }
@@ -56,24 +58,29 @@
 
     /// A client with no connections yet.
     pub fn new() -> Self {
-        let pooled = Arc::new(Mutex::new(build(IDLE)));
-        Self { pooled, single: build(0), bytes: Arc::default() }
+        Self::keeping(IDLE_TIME)
+    }
+
+    /// A client that keeps idle connections for `keep`.
+    pub fn keeping(keep: Duration) -> Self {
+        let pooled = Arc::new(Mutex::new(build(IDLE, keep)));
+        Self { pooled, keep, single: build(0, keep), bytes: Arc::default() }
     }
 
     /// Closes all idle connections: after one got no answer, others may be dead as well, and each would
     /// cost the limit of another call.
     pub fn forget(&self) {
-        *self.pooled.lock() = build(IDLE);
+        *self.pooled.lock() = build(IDLE, self.keep);
     }
 }
 
-fn build(idle: usize) -> legacy::Client<HttpConnector, Body> {
+fn build(idle: usize, keep: Duration) -> legacy::Client<HttpConnector, Body> {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT));
     connector.set_nodelay(true);
     legacy::Client::builder(TokioExecutor::new())
         .pool_max_idle_per_host(idle)
-        .pool_idle_timeout(IDLE_TIME)
+        .pool_idle_timeout(keep)
         .pool_timer(TokioTimer::new())
         .retry_canceled_requests(false)
         .build(connector)
