The soak loses connections without a word, has engines leave just after, and judges where calls go

Why the incident was missed: the soak never checked the promise of leaving engines, its links came back with the connections they had, and engines left at any time but that. Now a node's connections to the store can be lost for good, an engine leaves within 2.5 s after a node's link was spoilt, and a request that reaches an engine 2.2 s after its word, from a node that nothing disturbed for 3 s, is a breach, whatever became of the node that tells it.

--- a/crates/heathpitchd/tests/gateway_soak.rs
+++ b/crates/heathpitchd/tests/gateway_soak.rs
@@ -7,15 +7,18 @@
 
 use heathpitch_soak::{Script, run};
 
-/// Seeds played each time. One that ever failed by hand is added, with a line on the cause.
-const SEEDS: [u64; 2] = [1, 2];
-/// Time for which faults begin.
-const LENGTH: Duration = Duration::from_secs(5);
+/// Seeds played each time, and the time for which faults begin.
+const SEEDS: [(u64, Duration); 3] = [
+    (1, Duration::from_secs(5)),
+    (2, Duration::from_secs(5)),
+    // A node's watch of the engines died without a word; it sent calls to engines that had left.
+    (2_017, Duration::from_secs(12)),
+];
 
 #[tokio::test(flavor = "multi_thread")]
 async fn no_promise_is_broken_whatever_goes_wrong() {
-    for seed in SEEDS {
-        let script = Script::draw(seed, LENGTH);
+    for (seed, length) in SEEDS {
+        let script = Script::draw(seed, length);
         println!("seed {seed}: {:?}", script.steps);
         let binary = PathBuf::from(env!("CARGO_BIN_EXE_heathpitchd"));
         let report = run(binary, &script).await.unwrap();
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -10,6 +10,11 @@
 
 /// Time beyond that of its route after which an answer is late.
 const LATE: Duration = Duration::from_millis(1_000);
+/// Time for which an engine that said that it leaves may be sent requests, as nodes are told, with a
+/// little more for a busy machine.
+const DRAIN: Duration = Duration::from_millis(2_200);
+/// Time after trouble in which nothing is asked of a node as to engines that leave.
+const IN_TOUCH: Duration = Duration::from_millis(3_000);
 /// The account that every call belongs to.
 const ACCOUNT: &str = "desk";
 
@@ -33,6 +38,26 @@
     pub at: Instant,
 }
 
+/// An engine that said that it leaves.
+#[derive(Clone, Debug)]
+pub struct Left {
+    /// Its id.
+    pub engine: String,
+    /// When the store had its word.
+    pub at: Instant,
+}
+
+/// A time in which a node, or its path to the store, was disturbed.
+#[derive(Clone, Copy, Debug)]
+pub struct Trouble {
+    /// The node; none for all.
+    pub node: Option<usize>,
+    /// When it began.
+    pub from: Instant,
+    /// When it was over.
+    pub until: Instant,
+}
+
 /// What callers and engines saw in a run.
 #[derive(Debug, Default)]
 pub struct Evidence {
@@ -46,6 +71,10 @@
     pub revoke: Duration,
     /// Nodes that stood still, and when they went on.
     pub stood: Vec<(usize, Instant)>,
+    /// Engines that left.
+    pub left: Vec<Left>,
+    /// When nodes were disturbed.
+    pub troubles: Vec<Trouble>,
 }
 
 /// # Judgement
@@ -70,7 +99,31 @@
                 move |promise| Breach { promise, id: Some(one.id.clone()), what: what.clone() };
             broken.into_iter().flatten().map(breach).collect::<Vec<_>>()
         });
-        of_calls.chain(self.strange()).collect()
+        of_calls.chain(self.strange()).chain(self.misled()).collect()
+    }
+
+    /// Requests that reached an engine long after its word that it leaves, from nodes that nothing
+    /// disturbed meanwhile; that the node which tells them was disturbed is no excuse.
+    fn misled(&self) -> Vec<Breach> {
+        let nodes: HashMap<&str, usize> =
+            self.told.iter().map(|t| (t.id.as_str(), t.node)).collect();
+        let late = |s: &&Seen| {
+            let left = self.left.iter().find(|l| s.engine() == Some(&l.engine));
+            let node = s.id().and_then(|id| nodes.get(id)).copied();
+            left.is_some_and(|l| s.at > l.at + DRAIN) && !self.disturbed(node, s.at)
+        };
+        let breach = |s: &Seen| Breach {
+            promise: "an engine that left gets no work",
+            id: s.id().map(str::to_owned),
+            what: format!("at {:?}", s.engine()),
+        };
+        self.seen.iter().filter(late).map(breach).collect()
+    }
+
+    /// Whether a node was disturbed at a moment, or shortly before.
+    fn disturbed(&self, node: Option<usize>, at: Instant) -> bool {
+        let of = |t: &&Trouble| t.node.is_none() || t.node == node;
+        self.troubles.iter().filter(of).any(|t| t.from <= at && at <= t.until + IN_TOUCH)
     }
 
     /// Requests at engines that no caller sent as they are.
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -111,7 +111,23 @@
 }
 
 impl Stage {
+    /// Plays a fault and takes note of whom it disturbed.
     async fn play(&self, fault: Fault) -> Result<Option<Breach>, SoakError> {
+        let from = Instant::now();
+        let breach = self.strike(fault).await;
+        match fault {
+            Fault::Kill(node)
+            | Fault::Stop(node)
+            | Fault::Pause(node, _)
+            | Fault::StoreLink(node, ..)
+            | Fault::StoreLoss(node) => self.world.disturbed(Some(node), from),
+            Fault::Store(..) => self.world.disturbed(None, from),
+            _ => {}
+        }
+        breach
+    }
+
+    async fn strike(&self, fault: Fault) -> Result<Option<Breach>, SoakError> {
         let world = &self.world;
         let serial = self.serial.fetch_add(1, Relaxed);
         match fault {
@@ -124,6 +140,7 @@
                 tokio::time::sleep(time).await;
                 world.store_link(node, Link::Pass);
             }
+            Fault::StoreLoss(node) => world.lose_store(node),
             Fault::Store(mode, time) => {
                 world.store_mode(mode);
                 tokio::time::sleep(time).await;
--- a/crates/soak/src/script.rs
+++ b/crates/soak/src/script.rs
@@ -26,6 +26,8 @@
     Reload(usize),
     /// A node's link to the store is spoilt.
     StoreLink(usize, Link, Duration),
+    /// A node's connections to the store fall silent for good; new ones work.
+    StoreLoss(usize),
     /// The store misbehaves for all.
     Store(Mode, Duration),
     /// The store forgets its history.
@@ -70,10 +72,13 @@
         let mut steps = Vec::new();
         let mut at = Duration::from_millis(500);
         while at < length {
-            steps.push(Step { at, fault: fault(&mut rng) });
+            let step = Step { at, fault: fault(&mut rng) };
+            steps.push(step);
+            steps.extend(after(&mut rng, step).into_iter().filter(|s| s.at < length));
             let gap = if rng.random_bool(0.4) { 0..150 } else { 300..1_500 };
             at += Duration::from_millis(rng.random_range(gap));
         }
+        steps.sort_by_key(|s| s.at);
         Self { seed, length, steps }
     }
 }
@@ -82,7 +87,7 @@
     let node = rng.random_range(0..NODES);
     let engine = rng.random_range(0..PLAIN + LAYERED);
     let time = Duration::from_millis(rng.random_range(200..3_000));
-    match rng.random_range(0..14) {
+    match rng.random_range(0..15) {
         0 => Fault::Kill(node),
         1 | 2 => Fault::Stop(node),
         3 => Fault::Pause(node, time),
@@ -94,10 +99,22 @@
         10 => Fault::Engine(engine, play(rng, engine), time),
         11 => Fault::Replace(rng.random_range(0..PLAIN)),
         12 => Fault::Route,
+        13 => Fault::StoreLoss(node),
         _ => Fault::Revoke,
     }
 }
 
+/// An engine leaves soon after a node's link to the store was spoilt: the node may not have heard of it.
+fn after(rng: &mut StdRng, step: Step) -> Option<Step> {
+    let time = match step.fault {
+        Fault::StoreLink(_, _, time) => time,
+        Fault::StoreLoss(_) => Duration::ZERO,
+        _ => return None,
+    };
+    let later = Duration::from_millis(rng.random_range(0..2_500));
+    Some(Step { at: step.at + time + later, fault: Fault::Replace(rng.random_range(0..PLAIN)) })
+}
+
 fn link(rng: &mut StdRng) -> Link {
     match rng.random_range(0..4) {
         0 => Link::Delay(Duration::from_millis(rng.random_range(5..400))),
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use serde_json::json;
 
-use crate::judge::{Evidence, Revoked};
+use crate::judge::{Evidence, Left, Revoked, Trouble};
 use crate::load::Told;
 use crate::script::{LAYERED, NODES, PLAIN};
 
@@ -61,6 +61,8 @@
     revoked: Mutex<Vec<Revoked>>,
     /// Nodes that stood still, and when they went on.
     stood: Mutex<Vec<(usize, Instant)>>,
+    left: Mutex<Vec<Left>>,
+    troubles: Mutex<Vec<Trouble>>,
 }
 
 /// # Start
@@ -79,6 +81,8 @@
             former: Mutex::default(),
             revoked: Mutex::default(),
             stood: Mutex::default(),
+            left: Mutex::default(),
+            troubles: Mutex::default(),
         };
         world.configure(|_| {});
         for index in 0..PLAIN + LAYERED {
@@ -154,6 +158,8 @@
             revoked: self.revoked.lock().clone(),
             revoke: Duration::from_millis(REVOKE_MS),
             stood: self.stood.lock().clone(),
+            left: self.left.lock().clone(),
+            troubles: self.troubles.lock().clone(),
         }
     }
 
@@ -200,6 +206,16 @@
         self.links[index].set(link);
     }
 
+    /// Leaves a node's connections to the store silent for good.
+    pub(crate) fn lose_store(&self, index: usize) {
+        self.links[index].lose();
+    }
+
+    /// Takes note of a time in which a node was disturbed, or all were.
+    pub(crate) fn disturbed(&self, node: Option<usize>, from: Instant) {
+        self.troubles.lock().push(Trouble { node, from, until: Instant::now() });
+    }
+
     /// Has the store behave in this way.
     pub(crate) fn store_mode(&self, mode: Mode) {
         self.store.behave(mode);
@@ -219,7 +235,10 @@
     pub(crate) fn replace(&self, index: usize, life: u64) -> Result<(), SoakError> {
         let new = self.station(index, life)?;
         let old = std::mem::replace(&mut self.stations.lock()[index], new);
+        // What its link held back comes before its word, not after.
+        old.link.set(Link::Pass);
         old.engine.list("draining");
+        self.left.lock().push(Left { engine: old.engine.id.clone(), at: Instant::now() });
         self.former.lock().push(old.engine);
         // Its link goes on for as long as the engine is kept.
         std::mem::forget(old.link);
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use heathpitch_soak::{Evidence, Kind, Revoked, Told};
+use heathpitch_soak::{Evidence, Kind, Left, Revoked, Told, Trouble};
 use heathpitch_standin::{Reply, Seen};
 
 fn told(kind: Kind, status: u16, body: &str) -> Told {
@@ -89,3 +89,27 @@
     };
     assert_eq!(evidence.judge()[0].promise, "a key that was taken away ends");
 }
+
+#[test]
+fn requests_at_engines_that_left_are_found() {
+    let mut late = seen("body", "desk");
+    late.headers.insert("x-expect-instance", "e1".parse().unwrap());
+    let ago = |ms| late.at.checked_sub(Duration::from_millis(ms)).unwrap();
+    let judged = |left, troubles: &[Trouble]| {
+        let evidence = Evidence {
+            told: vec![told(Kind::Get, 200, "body")],
+            seen: vec![late.clone()],
+            left: vec![Left { engine: "e1".to_owned(), at: ago(left) }],
+            troubles: troubles.to_vec(),
+            ..Evidence::default()
+        };
+        evidence.judge().len()
+    };
+    let trouble = |node, until| Trouble { node, from: ago(until + 500), until: ago(until) };
+    assert_eq!(judged(2_500, &[]), 1);
+    assert_eq!(judged(1_500, &[]), 0, "it may still be sent work");
+    assert_eq!(judged(2_500, &[trouble(Some(0), 2_000)]), 0, "its node was disturbed");
+    assert_eq!(judged(2_500, &[trouble(None, 2_000)]), 0, "all were");
+    assert_eq!(judged(4_500, &[trouble(Some(0), 3_500)]), 1, "longer ago");
+    assert_eq!(judged(2_500, &[trouble(Some(1), 2_000)]), 1, "another node was");
+}
--- a/crates/soak/tests/script.rs
+++ b/crates/soak/tests/script.rs
@@ -26,5 +26,5 @@
         assert!(close.count() > 0, "seed {seed}");
         kinds.extend(script.steps.iter().map(|s| discriminant(&s.fault)));
     }
-    assert_eq!(kinds.len(), 12);
+    assert_eq!(kinds.len(), 13);
 }
