--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -14,8 +14,8 @@
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
 
-/// Longest wait of a watch, milliseconds: below the store's 30 s. Only speed rests on it: a proof brings,
-/// up to a second later, what a dead watch does not.
+/// Longest wait of a watch, milliseconds: below the store's 30 s. Only speed rests on it: the
+/// next proof brings what a dead watch does not.
 const WATCH: Millis = 25_000;
 /// Time between two proofs: two and more fit into the shortest time agreed for removed keys.
 const PROVE: Duration = Duration::from_millis(2_000);
--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -26,8 +26,10 @@
 /// Time over which changes are gathered into one call: a small part of the time for which a leaving
 /// engine may still be sent work.
 const GATHER: Duration = Duration::from_millis(200);
-/// The same while no engine holds a layer.
+/// The same while no engine holds a layer and engines are coming up.
 const GATHER_START: Duration = Duration::from_millis(600);
+/// Time after a new engine in which others are taken to be coming up, milliseconds.
+const COMING: Millis = 1_300;
 /// Time between two tries while the store does not answer.
 const RETRY: Duration = Duration::from_millis(350);
 /// Time after which the list is read anew although the watch works, milliseconds.
@@ -165,7 +167,8 @@
 /// Time to gather changes: longer while nothing is served yet and engines are still coming up.
 fn gather(control: &Control) -> Duration {
     let serves = control.entries.borrow().values().any(|e| e.layers.count() > 0);
-    if serves { GATHER } else { GATHER_START }
+    let coming = control.now() < control.joined.get() + COMING;
+    if coming && !serves { GATHER_START } else { GATHER }
 }
 
 /// The engine whose entry stands under a key.
