--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -1,10 +1,9 @@
 //! Pass-through calls: a chain of filters from a caller's request to its final answer.
 //!
 //! `admit` reads the head, finds route and account and checks that what is known of keys is new
-//! enough; `single` and `stream` run the call; `flow` is a stream over all its
-//! sends; `send` is one dispatch to one engine, `record` what is
-//! logged of it; `pick`
-//! chooses engines; `relay` passes a stream's events on. A filter ends a call with a `Refused`.
+//! enough; `single` and `stream` run the call; `flow` is a stream over all its sends; `send` is one
+//! dispatch to one engine, `record` what is logged of it; `pick` chooses engines; `relay` passes a
+//! stream's events on. A filter ends a call with a `Refused`.
 
 mod admit;
 mod budget;
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -1,9 +1,10 @@
 //! Control thread of a gateway: a set of controllers on one current-thread runtime.
 //!
-//! `config` keeps the newest configuration and the proof that it is the newest; `engines` keeps
-//! the list of engines; `feed` hears both from the failure domain's planner; `nodes` keeps this node's entry and the lease of its failure domain's
-//! planner; `planner` orders layers; `reports` asks engines how they do; `recovery` watches running streams and moves them off
-//! engines that `looks` finds lost. They publish snapshots in [`Shared`]; nothing else is shared with traffic.
+//! `config` keeps the newest configuration, `engines` the list of engines, each with a proof that it is
+//! current; `feed` hears both from the failure domain's planner; `nodes` keeps this node's entry and
+//! the lease of its failure domain's planner; `planner` orders layers by `orders`; `reports` asks
+//! engines how they do; `recovery` watches running streams and moves them off engines that `looks`
+//! finds lost. They publish snapshots in [`Shared`]; nothing else is shared with traffic.
 
 mod config;
 mod engines;
--- a/crates/heathpitchd/src/gateway/control/planner.rs
+++ b/crates/heathpitchd/src/gateway/control/planner.rs
@@ -15,12 +15,12 @@
 /// Time without a new engine after which a domain that holds nothing is laid out, milliseconds:
 /// engines are listed over some seconds after a start.
 const SETTLE: Millis = 1_300;
-
 /// Time for which an engine that came is kept for the layers of one that it may replace,
 /// milliseconds: replacements come a second or two before the old ones leave.
 const NEW: Millis = 2_500;
 /// One in so many engines that cannot be reached shows that this node is cut off.
 const ISOLATED: usize = 3;
+
 /// Plans for as long as this node holds the lease.
 pub(super) async fn run(control: Rc<Control>) {
     loop {
--- a/crates/policy/src/freshness.rs
+++ b/crates/policy/src/freshness.rs
@@ -1,8 +1,9 @@
 //! Freshness: up to when this node knows what the platform's store held.
 //!
-//! A proof is an answer of the store that shows the configuration in force to be the newest. It
-//! holds for the moment at which the call was sent, not for that of its answer, so that time lost
-//! on the way never makes a proof look younger than it is.
+//! A proof is an answer of the store that shows what a node knows of one thing, the configuration or
+//! the list of engines, to be the newest; it says nothing of the other. It holds for the moment at
+//! which the call was sent, not for that of its answer, so that time lost on the way never makes a
+//! proof look younger than it is.
 
 use heathpitch_core::Millis;
 
