--- a/crates/heathpitchd/tests/gateway_dead_links.rs
+++ b/crates/heathpitchd/tests/gateway_dead_links.rs
@@ -47,6 +47,21 @@
     (node, link)
 }
 
+/// Cuts a node off from the store until it knows; its connections don't come back with the link. Gives
+/// when the link was sound again, once the store answers.
+async fn cut_off(node: &GatewayProcess, link: &Proxy) -> Instant {
+    link.set(Link::Silent);
+    wait("the node knows", async || !node.events("store_reachable").is_empty()).await;
+    link.lose();
+    link.set(Link::Pass);
+    let sound = Instant::now();
+    wait("the store answers", async || {
+        node.events("store_reachable").last().is_some_and(|e| e["reachable"] == true)
+    })
+    .await;
+    sound
+}
+
 /// Requests of a node that reach an engine, of as many as show whether any does.
 async fn reach(node: &GatewayProcess, engine: &Engine) -> usize {
     let caller = Caller::new(node.listen).key(KEY);
@@ -69,15 +84,7 @@
     let (a, _b) = (world.engine("a", "api"), world.engine("b", "api"));
     let (node, link) = planner(&world).await;
     assert!(reach(&node, &a).await > 0);
-    link.set(Link::Silent);
-    wait("the node knows", async || !node.events("store_reachable").is_empty()).await;
-    link.lose();
-    link.set(Link::Pass);
-    let sound = Instant::now();
-    wait("the store answers", async || {
-        node.events("store_reachable").last().is_some_and(|e| e["reachable"] == true)
-    })
-    .await;
+    let sound = cut_off(&node, &link).await;
     a.list("draining");
     must_know(sound, Instant::now()).await;
     assert_eq!(reach(&node, &a).await, 0);
@@ -120,14 +127,7 @@
     let mut world = World::new();
     world.engine("a", "api");
     let (node, link) = planner(&world).await;
-    link.set(Link::Silent);
-    wait("the node knows", async || !node.events("store_reachable").is_empty()).await;
-    link.lose();
-    link.set(Link::Pass);
-    wait("the store answers", async || {
-        node.events("store_reachable").last().is_some_and(|e| e["reachable"] == true)
-    })
-    .await;
+    cut_off(&node, &link).await;
     tokio::time::sleep(Duration::from_millis(500)).await;
     for version in [9, 14, 20, 25] {
         world.site.version = version;
