One way to call the store, one to take a proof, one time to settle; wire names stay in platform/

No change of behaviour: - `Control::call` and `Control::watch` take the time, make the call and take note; that stood written out at 13 places. `Control::until_doubt` is the one place that gives up what waits, in place of three copies of a select. - `prove` takes a proof, of the configuration or of the list; `config::renew` and `Control::list_proven` were twins. - The time after which a domain has settled was kept twice, by the planner and by the list of engines (1.3 s each). - Tests: starting a node behind a link stood three times, and what a log says last of feed and store twice; the wire name of a header in a test of the soak is in the stand-ins now. No assertion, bound or wait for an outcome was loosened.

--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -13,6 +13,7 @@
 
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
+use crate::gateway::shared::prove;
 
 /// Longest wait of a watch, milliseconds: below the store's 30 s. Only speed rests on it: the
 /// next proof brings what a dead watch does not.
@@ -34,7 +35,7 @@
 }
 
 /// Proves again and again that the configuration in force is the newest.
-pub(super) async fn prove(control: Rc<Control>) {
+pub(super) async fn keep_proven(control: Rc<Control>) {
     let mut retry = RETRY;
     loop {
         if control.told() {
@@ -59,12 +60,10 @@
 pub(super) async fn read(control: &Control) -> Option<Revision> {
     let sent = control.now();
     let key = control.edges.dialect.config_key();
-    let result = control.edges.store.get(key).await;
-    control.note("get", sent, &result);
-    match result {
+    match control.call("get", control.edges.store.get(key)).await {
         Ok(Found { item: Some(item), at }) => {
             adopt(control, &item);
-            renew(control, sent);
+            prove(&control.shared.fresh, sent);
             Some(at)
         }
         Ok(Found { item: None, .. }) | Err(_) => None,
@@ -76,17 +75,15 @@
     let key = control.edges.dialect.config_key();
     let mut at = from;
     loop {
-        let sent = control.now();
-        let result = tokio::select! {
-            result = control.edges.store.watch(prefix, at, WATCH) => result,
+        let asked = control.watch("configuration", prefix, at, WATCH);
+        let Some(answer) = control.until_doubt(asked).await else {
+            if control.direct().await {
+                return;
+            }
             // Its connection may be dead: asked anew from where it was, which costs no read of the whole.
-            () = control.doubt_of_store() => match control.direct().await {
-                true => return,
-                false => continue,
-            },
+            continue;
         };
-        control.note_watch("configuration", sent, &result);
-        let watched = match result {
+        let watched = match answer {
             Ok(watched) => watched,
             Err(StoreError::Forgotten) => return,
             Err(_) => return tokio::time::sleep(RETRY).await,
@@ -111,29 +108,19 @@
     let sent = control.now();
     let key = control.edges.dialect.config_key().to_owned();
     let conditions = vec![(key, revision)];
-    let result = control.edges.store.write(Write { conditions, ..Write::default() }).await;
-    control.note("prove", sent, &result);
-    match result {
-        Ok(_) => renew(control, sent),
+    let write = Write { conditions, ..Write::default() };
+    match control.call("prove", control.edges.store.write(write)).await {
+        Ok(_) => {}
         Err(StoreError::Conflict(items)) => match items.first() {
-            Some(item) => {
-                adopt(control, item);
-                renew(control, sent);
-            }
+            Some(item) => adopt(control, item),
             None => return false,
         },
         Err(_) => return false,
     }
+    prove(&control.shared.fresh, sent);
     true
 }
 
-/// Takes a proof by a call sent at `sent`.
-pub(super) fn renew(control: &Control, sent: Millis) {
-    let mut fresh = **control.shared.fresh.load();
-    fresh.prove(sent);
-    control.shared.fresh.store(Arc::new(fresh));
-}
-
 /// Puts a configuration in force unless a newer one is.
 pub(super) fn adopt(control: &Control, item: &Item) {
     let current = control.shared.catalog.load().as_ref().map(|c| (c.revision, c.version));
--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -18,6 +18,7 @@
 
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
+use crate::gateway::shared::prove;
 
 /// Longest wait of a watch, milliseconds. Keeps the age of the list below 1.4 s and two answers' time, and
 /// a dead watch from hiding for longer than this and the limit of a call (1.8 s) that an engine leaves;
@@ -28,8 +29,6 @@
 const GATHER: Duration = Duration::from_millis(200);
 /// The same while no engine holds a layer and engines are coming up.
 const GATHER_START: Duration = Duration::from_millis(600);
-/// Time after a new engine in which others are taken to be coming up, milliseconds.
-const COMING: Millis = 1_300;
 /// Time between two tries while the store does not answer.
 const RETRY: Duration = Duration::from_millis(350);
 /// Time after which the list is read anew although the watch works, milliseconds.
@@ -46,12 +45,9 @@
 /// Keeps the list of engines.
 pub(super) async fn follow(control: Rc<Control>) {
     let read = async || list(&control).await;
+    // Its connection may not come back with the store.
     let watch = async |at| {
-        tokio::select! {
-            () = watch(&control, at) => {}
-            // Its connection may not come back with the store.
-            () = control.doubt_of_store() => {}
-        }
+        control.until_doubt(watch(&control, at)).await;
     };
     control.keep(RETRY, read, watch).await;
 }
@@ -95,9 +91,7 @@
 async fn list(control: &Control) -> Option<Revision> {
     let sent = control.now();
     let prefix = control.edges.dialect.engines_prefix();
-    let result = control.edges.store.list(prefix).await;
-    control.note("list", sent, &result);
-    let listing = result.ok()?;
+    let listing = control.call("list", control.edges.store.list(prefix)).await.ok()?;
     let mut kept: HashSet<Name> = HashSet::new();
     for item in &listing.items {
         kept.extend(put(control, item));
@@ -123,9 +117,7 @@
             Some(soon) => soon,
         };
         let sent = control.now();
-        let result = control.edges.store.watch(prefix, at, wait).await;
-        control.note_watch("engines", sent, &result);
-        let Ok(watched) = result else {
+        let Ok(watched) = control.watch("engines", prefix, at, wait).await else {
             return tokio::time::sleep(GATHER).await;
         };
         // An empty answer comes when the wait is over: until then there was no change.
@@ -157,7 +149,7 @@
 /// Takes note of an answer of the store about engines to a call sent at `sent`, which shows what was
 /// listed at `proven` or later.
 fn heard(control: &Control, by: &'static str, sent: Millis, proven: Millis, entries: usize) {
-    control.list_proven(proven);
+    prove(&control.shared.listed, proven);
     if entries > 0 {
         let asked_ms = control.now().saturating_sub(sent);
         GatewayEvent::EnginesHeard { by, asked_ms, entries }.log();
@@ -167,8 +159,7 @@
 /// Time to gather changes: longer while nothing is served yet and engines are still coming up.
 fn gather(control: &Control) -> Duration {
     let serves = control.entries.borrow().values().any(|e| e.layers.count() > 0);
-    let coming = control.now() < control.joined.get() + COMING;
-    if coming && !serves { GATHER_START } else { GATHER }
+    if control.settles() && !serves { GATHER_START } else { GATHER }
 }
 
 /// The engine whose entry stands under a key.
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -19,6 +19,7 @@
 use super::state::{Control, Fleet};
 use super::{config, engines, reports};
 use crate::gateway::event::GatewayEvent;
+use crate::gateway::shared::prove;
 
 /// Time between two questions: a small part of the time for which a leaving engine may still be
 /// sent work, and 175 questions a second for a planner with 70 followers.
@@ -101,9 +102,9 @@
 
 /// Tells a follower what it does not know yet.
 pub(super) fn answer(control: &Control, ask: FeedAsk) -> FeedTold {
-    let catalog = control.shared.catalog.load_full();
-    let proof = control.shared.fresh.load().age(control.now());
-    let (Some(catalog), Some(proof_ms), Some(list_ms)) = (catalog, proof, control.list_age())
+    let (shared, now) = (&control.shared, control.now());
+    let ages = (shared.fresh.load().age(now), shared.listed.load().age(now));
+    let (Some(catalog), (Some(proof_ms), Some(list_ms))) = (shared.catalog.load_full(), ages)
     else {
         return FeedTold::default();
     };
@@ -166,13 +167,13 @@
     take_engines(control, &told);
     reports::hear(control, &told.reports, sent);
     let proven = sent.saturating_sub(told.list_ms);
-    control.list_proven(proven);
+    prove(&control.shared.listed, proven);
     source.until = proven + LIST_OLD;
     if let Some(item) = &told.config {
         config::adopt(control, item);
     }
     match control.revision() >= told.revision {
-        true => config::renew(control, sent.saturating_sub(told.proof_ms)),
+        true => prove(&control.shared.fresh, sent.saturating_sub(told.proof_ms)),
         false => fetch(control, source, told.revision),
     }
     control.feed(Some(&planner.node), "the planner answers");
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -70,7 +70,7 @@
             }
             spawn_local(feed::follow(control.clone()));
             spawn_local(config::follow(control.clone()));
-            spawn_local(config::prove(control.clone()));
+            spawn_local(config::keep_proven(control.clone()));
             spawn_local(engines::follow(control.clone()));
             spawn_local(nodes::follow(control.clone()));
             spawn_local(nodes::count(control.clone()));
--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -48,20 +48,15 @@
     let key = format!("{PLANNERS}{}", control.domain());
     let mut retry = RETRY;
     loop {
-        let sent = control.now();
-        let result = control.edges.store.list(&key).await;
-        control.note("list", sent, &result);
+        let result = control.call("list", control.edges.store.list(&key)).await;
         let listed = result.is_ok();
         if let Ok(listing) = result {
             let mut holder = None;
             for item in listing.items {
                 take(&control, &key, &mut holder, &ItemChange::Put(item));
             }
-            tokio::select! {
-                () = watch(&control, &key, holder, listing.at) => {}
-                // Its connection may be dead, and the planner with it.
-                () = control.doubt_of_store() => {}
-            }
+            // Its connection may be dead, and the planner with it.
+            control.until_doubt(watch(&control, &key, holder, listing.at)).await;
         }
         retry = if listed { RETRY } else { (retry * 2).min(RETRY_LONGEST) };
         control.pause(retry).await;
@@ -82,9 +77,7 @@
         if control.fed() {
             continue;
         }
-        let sent = control.now();
-        let result = control.edges.store.list(NODES).await;
-        control.note("list", sent, &result);
+        let result = control.call("list", control.edges.store.list(NODES)).await;
         if let Ok(listing) = result {
             let domain = control.domain();
             let near = |i: &&Item| text(i) == Some(domain.as_str());
@@ -104,10 +97,7 @@
         let free = !control.plans() && holder.is_none() && !control.stopping();
         // Who waits longest finds that another one was faster.
         let wait = if free { rand::rng().random_range(1..STAGGER) } else { WATCH };
-        let sent = control.now();
-        let result = control.edges.store.watch(key, at, wait).await;
-        control.note_watch("planner", sent, &result);
-        let Ok(watched) = result else { return };
+        let Ok(watched) = control.watch("planner", key, at, wait).await else { return };
         watched.changes.iter().for_each(|c| take(control, key, &mut holder, c));
         at = watched.at;
         if free && holder.is_none() {
@@ -123,14 +113,12 @@
         let Some(lease) = control.lease() else { continue };
         if control.stopping() {
             resign(&control, "this node stops");
-            let sent = control.now();
-            let result = control.edges.store.end(lease).await;
-            control.note("end", sent, &result);
+            // One that cannot be ended runs out by itself.
+            let _ = control.call("end", control.edges.store.end(lease)).await;
             continue;
         }
         let sent = control.now();
-        let result = control.edges.store.renew(lease).await;
-        control.note("renew", sent, &result);
+        let result = control.call("renew", control.edges.store.renew(lease)).await;
         if result.is_ok() {
             control.lease_renewed(sent);
         }
@@ -146,9 +134,7 @@
     match *entry {
         Some((_, renewed)) if now < renewed + NODE_RENEW => return,
         Some((lease, _)) => {
-            let sent = control.now();
-            let result = control.edges.store.renew(lease).await;
-            control.note("renew", sent, &result);
+            let result = control.call("renew", control.edges.store.renew(lease)).await;
             match result {
                 Ok(()) => return *entry = Some((lease, now)),
                 Err(StoreError::LeaseOver) => {}
@@ -157,17 +143,14 @@
         }
         None => {}
     }
-    let sent = control.now();
-    let granted = control.edges.store.grant(NODE_TTL).await;
-    control.note("grant", sent, &granted);
+    let granted = control.call("grant", control.edges.store.grant(NODE_TTL)).await;
     let Ok(lease) = granted else { return };
     let settings = control.shared.settings.load();
     let key = format!("{NODES}{}", settings.node);
     let value = Bytes::copy_from_slice(settings.domain.as_str().as_bytes());
     let puts = vec![(key, value, Some(lease))];
-    let sent = control.now();
-    let written = control.edges.store.write(Write { puts, ..Write::default() }).await;
-    control.note("enter", sent, &written);
+    let written =
+        control.call("enter", control.edges.store.write(Write { puts, ..Write::default() })).await;
     if written.is_ok() {
         *entry = Some((lease, now));
     }
@@ -177,9 +160,7 @@
 async fn contend(control: &Control) {
     let settings = control.shared.settings.load_full();
     let ttl = PLANNER_TTL.max(settings.bounds.lease_min_ms);
-    let sent = control.now();
-    let granted = control.edges.store.grant(ttl).await;
-    control.note("grant", sent, &granted);
+    let granted = control.call("grant", control.edges.store.grant(ttl)).await;
     let Ok(lease) = granted else { return };
     let key = format!("{PLANNERS}{}", settings.domain);
     let entry = feed::entry(&settings.node, control.shared.peer);
@@ -189,9 +170,7 @@
         puts: vec![(key, value, Some(lease))],
         removals: Vec::new(),
     };
-    let sent = control.now();
-    let written = control.edges.store.write(write).await;
-    control.note("contend", sent, &written);
+    let written = control.call("contend", control.edges.store.write(write)).await;
     if written.is_ok() {
         control.plan_by(Some(lease));
         GatewayEvent::DomainPlanner { active: true, why: "the lease was free" }.log();
--- a/crates/heathpitchd/src/gateway/control/planner.rs
+++ b/crates/heathpitchd/src/gateway/control/planner.rs
@@ -12,9 +12,6 @@
 
 /// Time between two looks.
 const TICK: Duration = Duration::from_millis(150);
-/// Time without a new engine after which a domain that holds nothing is laid out, milliseconds:
-/// engines are listed over some seconds after a start.
-const SETTLE: Millis = 1_300;
 /// Time for which an engine that came is kept for the layers of one that it may replace,
 /// milliseconds: replacements come a second or two before the old ones leave.
 const NEW: Millis = 2_500;
@@ -45,7 +42,7 @@
             }
             let workers = workers(control, model, &engines);
             let fresh = workers.iter().all(|w| w.layers.count() == 0);
-            if fresh && control.now() < control.joined.get() + SETTLE {
+            if fresh && control.settles() {
                 continue;
             }
             for assignment in lay_out(model, &workers) {
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -23,6 +23,9 @@
 /// Time after the store's return in which entries that lapsed meanwhile may come back: the
 /// platform promises about two seconds.
 const COMEBACK: Millis = 2_500;
+/// Time without a new engine after which a failure domain has settled, milliseconds: engines are listed
+/// over some seconds after a start.
+const SETTLE: Millis = 1_300;
 /// Time between two questions to the same engine, milliseconds.
 const QUESTION_AGAIN: Millis = 500;
 
@@ -150,6 +153,11 @@
         }
     }
 
+    /// Whether engines of this failure domain are still coming up.
+    pub(super) fn settles(&self) -> bool {
+        self.now() < self.joined.get() + SETTLE
+    }
+
     /// Whether an engine says that it takes no new work.
     pub(super) fn is_refusing(&self, engine: &Name) -> bool {
         self.refusing.borrow().get(engine).is_some_and(|until| self.now() < *until)
@@ -161,21 +169,6 @@
     }
 }
 
-/// # List of engines
-impl Control {
-    /// Takes note that the engines known were those that the store listed at `at` or later.
-    pub(super) fn list_proven(&self, at: Millis) {
-        let mut listed = **self.shared.listed.load();
-        listed.prove(at);
-        self.shared.listed.store(Arc::new(listed));
-    }
-
-    /// Age of the list of engines; none before the first.
-    pub(super) fn list_age(&self) -> Option<Millis> {
-        self.shared.listed.load().age(self.now())
-    }
-}
-
 /// # Doubt
 impl Control {
     /// Keeps new work from an engine for a while, because of `why`.
@@ -286,9 +279,16 @@
         self.heard.borrow().is_some()
     }
 
-    /// Waits until the store ceases to answer or the planner ceases to tell: until what a watch says by
-    /// its silence is in doubt.
-    pub(super) async fn doubt_of_store(&self) {
+    /// Waits for an answer of the store, but not once what its silence says is in doubt; none then.
+    pub(super) async fn until_doubt<T>(&self, answer: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            answer = answer => Some(answer),
+            () = self.store_doubted() => None,
+        }
+    }
+
+    /// Waits until the store ceases to answer or the planner ceases to tell.
+    async fn store_doubted(&self) {
         let (reachable, fed) = (self.reachable.get(), self.fed());
         let lost = || (reachable && !self.reachable.get()) || (fed && !self.fed());
         while !lost() {
@@ -302,11 +302,46 @@
         let _ = tokio::time::timeout(pause, self.turned.notified()).await;
     }
 
-    /// Counts a call on the store, sent at `sent`, and takes note of whether the store answers.
+    /// Makes a call on the store, counts it and takes note of whether the store answers.
+    pub(super) async fn call<T>(
+        &self,
+        name: &'static str,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let sent = self.now();
+        let result = call.await;
+        self.note(name, sent, &result);
+        result
+    }
+
+    /// Waits up to `wait` for changes under a prefix after a revision, of something that the log names.
+    ///
+    /// A watch that is lost says nothing of the store: connections are lost alone, too.
+    pub(super) async fn watch(
+        &self,
+        of: &'static str,
+        prefix: &str,
+        after: Revision,
+        wait: Millis,
+    ) -> Result<heathpitch_net::Watched, StoreError> {
+        let sent = self.now();
+        let result = self.edges.store.watch(prefix, after, wait).await;
+        match &result {
+            Err(StoreError::Edge(e)) => {
+                self.shared.metrics.store.with_label_values(&["watch", "lost"]).inc();
+                let asked_ms = self.now().saturating_sub(sent);
+                GatewayEvent::WatchLost { of, asked_ms, error: e.to_string() }.log();
+            }
+            _ => self.note("watch", sent, &result),
+        }
+        result
+    }
+
+    /// Counts a call, sent at `sent`, and takes note of whether the store answers.
     ///
     /// One that was sent before the store's return and is lost afterwards says nothing of it any more:
     /// taken for a second outage, it held the news of a configuration back by 0.17 s.
-    pub(super) fn note<T>(&self, call: &'static str, sent: Millis, result: &Result<T, StoreError>) {
+    fn note<T>(&self, call: &'static str, sent: Millis, result: &Result<T, StoreError>) {
         let (word, answers) = match result {
             Ok(_) => ("ok", true),
             Err(StoreError::Conflict(_)) => ("conflict", true),
@@ -327,20 +362,6 @@
         let error = result.as_ref().err().map(|e| format!("{call}: {e}"));
         GatewayEvent::StoreReachable { reachable: answers, error }.log();
     }
-
-    /// The same for a watch of something, asked at `sent`. One that is lost says nothing of the store:
-    /// connections are lost alone, too.
-    pub(super) fn note_watch(
-        &self,
-        of: &'static str,
-        sent: Millis,
-        result: &Result<heathpitch_net::Watched, StoreError>,
-    ) {
-        let Err(StoreError::Edge(e)) = result else { return self.note("watch", sent, result) };
-        self.shared.metrics.store.with_label_values(&["watch", "lost"]).inc();
-        let asked_ms = self.now().saturating_sub(sent);
-        GatewayEvent::WatchLost { of, asked_ms, error: e.to_string() }.log();
-    }
 }
 
 /// # Publishing
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -48,6 +48,13 @@
     }
 }
 
+/// Takes a proof by a call sent at `sent`.
+pub(crate) fn prove(proof: &ArcSwap<Freshness>, sent: Millis) {
+    let mut newest = **proof.load();
+    newest.prove(sent);
+    proof.store(Arc::new(newest));
+}
+
 /// Shared by all threads of a gateway.
 #[derive(Debug)]
 pub(crate) struct Shared {
--- a/crates/heathpitchd/tests/gateway/mod.rs
+++ b/crates/heathpitchd/tests/gateway/mod.rs
@@ -3,10 +3,11 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 #![allow(clippy::unwrap_used, reason = "a set-up that fails fails its test")]
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant, SystemTime};
 
-use heathpitch_standin::{Engine, GatewayProcess, RouteSpec, Site, Store};
+use heathpitch_standin::{Engine, GatewayProcess, Proxy, RouteSpec, Site, Store};
 use serde_json::{Value, json};
 
 /// Time in which anything must happen.
@@ -75,9 +76,29 @@
 
     /// A node that may not be ready yet.
     pub(crate) fn start(&self, name: &str, bounds: &Value) -> GatewayProcess {
-        let binary = Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
-        GatewayProcess::spawn(binary, self.store.address(), name, "mem", bounds).unwrap()
+        spawn(self.store.address(), name, bounds)
     }
+
+    /// The same, and the link to the store that it is behind.
+    pub(crate) fn start_behind(&self, name: &str, bounds: &Value) -> (GatewayProcess, Proxy) {
+        let link = Proxy::spawn(self.store.address()).unwrap();
+        (spawn(link.address(), name, bounds), link)
+    }
+}
+
+fn spawn(store: SocketAddr, name: &str, bounds: &Value) -> GatewayProcess {
+    let binary = Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
+    GatewayProcess::spawn(binary, store, name, "mem", bounds).unwrap()
+}
+
+/// Whether a node is told by another one, as its log says last.
+pub(crate) fn fed(node: &GatewayProcess) -> Option<bool> {
+    node.events("feed_changed").last().map(|e| !e["planner"].is_null())
+}
+
+/// Whether the store answers a node, as its log says last.
+pub(crate) fn reachable(node: &GatewayProcess) -> Option<bool> {
+    node.events("store_reachable").last().map(|e| e["reachable"] == true)
 }
 
 /// Milliseconds of the wall clock, as in a node's log.
--- a/crates/heathpitchd/tests/gateway_dead_links.rs
+++ b/crates/heathpitchd/tests/gateway_dead_links.rs
@@ -15,10 +15,9 @@
 
 mod gateway;
 
-use std::path::Path;
 use std::time::{Duration, Instant};
 
-use gateway::{KEY, World, wait, wall_ms};
+use gateway::{KEY, World, fed, reachable, wait, wall_ms};
 use heathpitch_standin::{Caller, Engine, GatewayProcess, Link, Proxy};
 use hyper::Method;
 use serde_json::json;
@@ -31,17 +30,9 @@
 /// with a likelihood of one in a million.
 const CALLS: usize = 20;
 
-/// A node whose link to the store can be spoilt.
-fn start(world: &World, name: &str) -> (GatewayProcess, Proxy) {
-    let link = Proxy::spawn(world.store.address()).unwrap();
-    let binary = Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
-    let node = GatewayProcess::spawn(binary, link.address(), name, "mem", &json!({})).unwrap();
-    (node, link)
-}
-
-/// A node that plans its failure domain.
+/// A node that plans its failure domain, and whose link to the store can be spoilt.
 async fn planner(world: &World) -> (GatewayProcess, Proxy) {
-    let (node, link) = start(world, "n1");
+    let (node, link) = world.start_behind("n1", &json!({}));
     node.wait_ready().await.unwrap();
     wait("it plans", async || !node.events("domain_planner").is_empty()).await;
     (node, link)
@@ -51,14 +42,11 @@
 /// when the link was sound again, once the store answers.
 async fn cut_off(node: &GatewayProcess, link: &Proxy) -> Instant {
     link.set(Link::Silent);
-    wait("the node knows", async || !node.events("store_reachable").is_empty()).await;
+    wait("the node knows", async || reachable(node) == Some(false)).await;
     link.lose();
     link.set(Link::Pass);
     let sound = Instant::now();
-    wait("the store answers", async || {
-        node.events("store_reachable").last().is_some_and(|e| e["reachable"] == true)
-    })
-    .await;
+    wait("the store answers", async || reachable(node) == Some(true)).await;
     sound
 }
 
@@ -109,10 +97,7 @@
     let (planner, link) = planner(&world).await;
     let other = world.start("n2", &json!({}));
     other.wait_ready().await.unwrap();
-    wait("the second node is told", async || {
-        other.events("feed_changed").last().is_some_and(|e| !e["planner"].is_null())
-    })
-    .await;
+    wait("the second node is told", async || fed(&other) == Some(true)).await;
     link.lose();
     a.list("draining");
     // The second node's own links are sound all the time.
--- a/crates/heathpitchd/tests/gateway_feed.rs
+++ b/crates/heathpitchd/tests/gateway_feed.rs
@@ -5,10 +5,9 @@
 
 mod gateway;
 
-use std::path::Path;
 use std::time::Duration;
 
-use gateway::{KEY, World, wait, wall_ms};
+use gateway::{KEY, World, fed, reachable, wait, wall_ms};
 use heathpitch_standin::{Caller, GatewayProcess, Link, Mode, Play, Proxy, RouteSpec};
 use hyper::Method;
 use serde_json::json;
@@ -21,20 +20,12 @@
 async fn pair(world: &World) -> (GatewayProcess, GatewayProcess, Proxy) {
     let planner = world.node().await;
     wait("the first node plans", async || !planner.events("domain_planner").is_empty()).await;
-    let link = Proxy::spawn(world.store.address()).unwrap();
-    let binary = Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
-    let bounds = json!({ "revoke_ms": 2_500 });
-    let other = GatewayProcess::spawn(binary, link.address(), "n2", "mem", &bounds).unwrap();
+    let (other, link) = world.start_behind("n2", &json!({ "revoke_ms": 2_500 }));
     other.wait_ready().await.unwrap();
     wait("the second node is fed", async || fed(&other) == Some(true)).await;
     (planner, other, link)
 }
 
-/// Whether a node is told by another one, as its log says last.
-fn fed(node: &GatewayProcess) -> Option<bool> {
-    node.events("feed_changed").last().map(|e| !e["planner"].is_null())
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_fed_node_leaves_the_store_alone() {
     let world = World::new();
@@ -116,9 +107,7 @@
 async fn a_planner_without_a_store_gives_its_followers_up() {
     let world = World::new();
     world.engine("a", "api");
-    let link = Proxy::spawn(world.store.address()).unwrap();
-    let binary = Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
-    let planner = GatewayProcess::spawn(binary, link.address(), "n1", "mem", &json!({})).unwrap();
+    let (planner, link) = world.start_behind("n1", &json!({}));
     planner.wait_ready().await.unwrap();
     wait("the first node plans", async || !planner.events("domain_planner").is_empty()).await;
     let other = world.start("n2", &json!({}));
@@ -186,11 +175,6 @@
     assert_eq!(planner.wait_end(Duration::from_secs(10)), Some(0));
 }
 
-/// Whether a node's log says last that the store answers.
-fn reachable(node: &GatewayProcess) -> Option<bool> {
-    node.events("store_reachable").last().map(|e| e["reachable"] == true)
-}
-
 /// Suspected beside requests that reached a leaving engine: entries that go around an outage are waited
 /// for by the planner, and only then do the others hear of it, up to one question later. Both together
 /// took longer than the 2 s for which an engine that left may be sent work.
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -92,8 +92,7 @@
 
 #[test]
 fn requests_at_engines_that_left_are_found() {
-    let mut late = seen("body", "desk");
-    late.headers.insert("x-expect-instance", "e1".parse().unwrap());
+    let late = seen("body", "desk").at_engine("e1");
     let ago = |ms| late.at.checked_sub(Duration::from_millis(ms)).unwrap();
     let judged = |left, troubles: &[Trouble]| {
         let evidence = Evidence {
