Refused callers come back one after the other, as room frees

Change: `Returns` gives each caller the next time at a quarter of the rate at which streams are let in, no sooner than 2 s and within what the caller waits for; more than that draw their turns.

--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -106,6 +106,7 @@
             // One that has begun is worth more than the room it takes.
             if self.sends == 0 && self.call.head.after.is_none() {
                 self.admit(&choice).map_err(Ended::Shed)?;
+                self.traffic.returns.admit(&self.call.service.name, self.traffic.shared.now());
             }
             let Choice { view, path, .. } = choice;
             if self.sends > 0 && !self.traffic.budgets.spend(&self.call.service.name) {
--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! `admit` reads the head, finds route and account and checks that what is known of keys is new
 //! enough; `single` and `stream` run the call; `flow` is a stream over all its sends; `send` is one
-//! dispatch to one engine, `record` what is logged of it; `pick` chooses engines; `relay` passes a
+//! dispatch to one engine, `record` what is logged of it; `budget` bounds second sends, `returns` tells
+//! refused callers when to come back; `pick` chooses engines; `relay` passes a
 //! stream's events on. A filter ends a call with a `Refused`.
 
 mod admit;
@@ -13,6 +14,7 @@
 mod record;
 mod refused;
 mod relay;
+mod returns;
 mod send;
 mod single;
 mod stream;
@@ -25,6 +27,7 @@
 use hyper::{Request, Response};
 
 pub(crate) use budget::Budgets;
+pub(crate) use returns::ReturnTimes;
 
 use super::shared::{Edges, Shared};
 use open::OpenCall;
@@ -35,6 +38,7 @@
     pub(crate) edges: Edges,
     pub(crate) pool: Pool,
     pub(crate) budgets: Budgets,
+    pub(crate) returns: ReturnTimes,
 }
 
 /// Answers one call.
--- a/crates/heathpitchd/src/gateway/call/refused.rs
+++ b/crates/heathpitchd/src/gateway/call/refused.rs
@@ -78,6 +78,7 @@
     outcome: Outcome,
     detail: String,
     request: String,
+    back: Option<Millis>,
 }
 
 impl Refused {
@@ -91,7 +92,7 @@
             _ => StatusCode::SERVICE_UNAVAILABLE,
         };
         let (detail, request) = (detail.into(), request.to_owned());
-        Self { kind, status, outcome: Outcome::NotRun, detail, request }
+        Self { kind, status, outcome: Outcome::NotRun, detail, request, back: kind.back() }
     }
 
     /// A call given up after sends; only proof makes it a refusal.
@@ -107,13 +108,18 @@
             (None, _) => StatusCode::BAD_GATEWAY,
         };
         let (detail, request) = (detail.into(), request.to_owned());
-        Self { kind, status, outcome: seen.outcome(), detail, request }
+        Self { kind, status, outcome: seen.outcome(), detail, request, back: kind.back() }
+    }
+
+    /// The same, to come back after `back`.
+    pub(crate) fn until(self, back: Millis) -> Self {
+        Self { back: Some(back), ..self }
     }
 
     /// The answer to the caller, logged and counted.
     pub(crate) fn respond(self, shared: &Shared) -> Response<Body> {
         let back_ms = match self.status {
-            StatusCode::SERVICE_UNAVAILABLE => self.kind.back(),
+            StatusCode::SERVICE_UNAVAILABLE => self.back,
             _ => None,
         };
         shared.metrics.refusals.with_label_values(&[self.kind.as_str()]).inc();
--- a/crates/heathpitchd/src/gateway/call/stream.rs
+++ b/crates/heathpitchd/src/gateway/call/stream.rs
@@ -40,7 +40,12 @@
             }
             Err(e) => (RefusedKind::Broken, e.to_string()),
         },
-        Ok(Err(Ended::Shed(why))) => (RefusedKind::Overloaded, why),
+        Ok(Err(Ended::Shed(why))) => {
+            let (now, traffic) = (flow.traffic.shared.now(), &flow.traffic);
+            let left = flow.call.left(now);
+            let back = traffic.returns.refuse(&flow.call.service.name, left, now);
+            return Err(Refused::unsent(RefusedKind::Overloaded, &id, why).until(back));
+        }
         Ok(Err(Ended::Refused(kind))) => {
             let detail = match kind {
                 RefusedKind::NoEngine => "the engines that can be used do not hold every layer",
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -27,7 +27,7 @@
 use tokio::sync::watch;
 
 use crate::StartError;
-use call::{Budgets, Traffic};
+use call::{Budgets, ReturnTimes, Traffic};
 use control::Listeners;
 pub use event::GatewayEvent;
 pub use metrics::GATEWAY_METRICS;
@@ -109,6 +109,7 @@
             control::spawn(shared.clone(), edges.clone(), listeners, inbox, control_stopped)?;
         let traffic = Arc::new(Traffic {
             budgets: Budgets::new(shared.clone()),
+            returns: ReturnTimes::default(),
             shared: shared.clone(),
             edges,
             pool: Pool::new(),
