--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -246,8 +246,8 @@
         self.head = Some(view.entry.id.clone());
         self.live = path.map(|p| {
             let request = self.call.head.id.clone();
-            let need = pick::need(&self.call);
-            LiveStream::new(request, self.call.service.name.clone(), p.clone(), need, now)
+            let (need, pause) = (pick::need(&self.call), self.call.route.pause_ms);
+            LiveStream::new(request, self.call.service.name.clone(), p.clone(), need, pause, now)
         });
         self.seen.sent();
         let _waiting = Waiting::new(view.tally.clone());
--- a/crates/heathpitchd/src/gateway/control/looks.rs
+++ b/crates/heathpitchd/src/gateway/control/looks.rs
@@ -17,9 +17,8 @@
 use super::recovery::is_silent;
 use super::state::Control;
 
-/// Silence below which a stream shows that its engines work, milliseconds: all streams of a path pause
-/// together while a prompt is read.
-const FLOWING: Millis = 110;
+/// Silence below which a stream shows that its engines work, milliseconds.
+const FLOWING: Millis = 80;
 /// Time for a look at an engine, milliseconds: many times the delay between failure domains.
 const LOOK: Duration = Duration::from_millis(60);
 /// Time after which a first look is tried a second time: many times the delay inside a domain.
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -28,12 +28,8 @@
 const STOOD: Millis = 200;
 /// Time for which nothing is judged after this process stood still, milliseconds.
 const REST: Millis = 150;
-/// Silence of a stream that has begun which is looked into, milliseconds: below the shortest pause that
-/// callers take badly, and above what engines that work pause for while they read prompts: at the
-/// usual load one stream in six pauses for 110 ms, one in thirty for 150. At 110 a fleet of 59 nodes
-/// made 31 000 connections a day only to look at engines that worked.
-const SILENT: Millis = 150;
-/// The same before the first event, milliseconds: prompts are read meanwhile.
+/// Silence of a stream before its first event which is looked into, milliseconds: prompts are read
+/// meanwhile.
 const SILENT_FIRST: Millis = 350;
 /// Time for which new work is kept from an engine without room for a moved stream, milliseconds.
 const CROWDED: Millis = 250;
@@ -92,7 +88,7 @@
 /// Whether a stream has been silent for longer than its engines need.
 pub(super) fn is_silent(live: &LiveStream, now: Millis) -> bool {
     let begun = live.events.load(std::sync::atomic::Ordering::Relaxed) > 0;
-    let most = if begun { SILENT } else { SILENT_FIRST };
+    let most = if begun { live.silent_most } else { SILENT_FIRST };
     live.silent(now) >= most
 }
 
--- a/crates/heathpitchd/src/gateway/live.rs
+++ b/crates/heathpitchd/src/gateway/live.rs
@@ -7,6 +7,26 @@
 use heathpitch_core::{Millis, Name, Path};
 use tokio::sync::Notify;
 
+/// Time that a look at a stream's engines and an order to move it take, milliseconds.
+const MOVE: Millis = 90;
+/// Least silence of a stream that has begun which is looked into, milliseconds: several passes of a
+/// loaded path.
+const SILENT_LEAST: Millis = 110;
+/// Most such silence, milliseconds: one stream in thirty pauses for longer while its engines work.
+const SILENT_MOST: Millis = 160;
+
+/// Silence from which a stream's engines are looked at, if callers take pauses up to `pause_ms` well:
+/// as long as leaves time to move it.
+///
+/// Streams pause while prompts are read: at the usual load one in six for 110 ms, one in thirty for
+/// 150, and each look asks all engines of a path. At 110 for all, a fleet of 59 nodes made 31 000
+/// connections a day only to look at engines that worked; at 150 for all, streams whose callers
+/// take 200 ms well were moved too late (0.70 to 0.66 of a day's worth).
+fn silent_most(pause_ms: Option<Millis>) -> Millis {
+    let most = pause_ms.map_or(SILENT_LEAST, |p| p.saturating_sub(MOVE));
+    most.clamp(SILENT_LEAST, SILENT_MOST)
+}
+
 /// One attempt of a stream; ends when traffic drops it.
 #[derive(Debug)]
 pub(crate) struct LiveStream {
@@ -15,6 +35,8 @@
     pub(crate) path: ArcSwap<Path>,
     /// Tokens it is likely to hold.
     pub(crate) tokens: f64,
+    /// Silence, once it has begun, from which its engines are looked at.
+    pub(crate) silent_most: Millis,
     /// When something was last heard of it.
     pub(crate) heard: AtomicU64,
     /// Events passed on by this attempt.
@@ -30,6 +52,7 @@
         service: Name,
         path: Path,
         tokens: f64,
+        pause_ms: Option<Millis>,
         now: Millis,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -37,6 +60,7 @@
             service,
             path: ArcSwap::from_pointee(path),
             tokens,
+            silent_most: silent_most(pause_ms),
             heard: AtomicU64::new(now),
             events: AtomicU64::new(0),
             abandoned: AtomicBool::new(false),
