--- a/crates/heathpitchd/src/gateway/live.rs
+++ b/crates/heathpitchd/src/gateway/live.rs
@@ -21,7 +21,7 @@
 /// Streams pause while prompts are read: at the usual load one in six for 110 ms, one in thirty for
 /// 150, and each look asks all engines of a path. At 110 for all, a fleet of 59 nodes made 31 000
 /// connections a day only to look at engines that worked; at 150 for all, streams whose callers
-/// take 200 ms well were moved too late (0.70 to 0.66 of a day's worth).
+/// take 200 ms well were moved too late (0.72 to 0.66 of a day's worth).
 fn silent_most(pause_ms: Option<Millis>) -> Millis {
     let most = pause_ms.map_or(SILENT_LEAST, |p| p.saturating_sub(MOVE));
     most.clamp(SILENT_LEAST, SILENT_MOST)
