Reading the change again: one copy of what stood twice, nothing decided otherwise

- The age at which a report says nothing stood in tally.rs and occupancy.rs; one constant now.
- A service of the configuration in force was looked up in four ways: Control::service.
- A neighbour held the failure domain that is its key, and dropped its connection in two places; a client is put back only if it answered.
- Whether a domain has memory for two copies was worked out in each search for a layout: once now.

--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -3,8 +3,8 @@
 //! `admit` reads the head, finds route and account and checks that what is known of keys is new
 //! enough; `single` and `stream` run the call; `flow` is a stream over all its sends; `send` is one
 //! dispatch to one engine, `record` what is logged of it; `budget` bounds second sends, `returns` tells
-//! refused callers when to come back; `pick` chooses engines; `relay` passes a
-//! stream's events on. A filter ends a call with a `Refused`.
+//! refused callers when to come back; `pick` chooses engines; `relay` passes a stream's events on. A
+//! filter ends a call with a `Refused`.
 
 mod admit;
 mod budget;
--- a/crates/heathpitchd/src/gateway/control/looks.rs
+++ b/crates/heathpitchd/src/gateway/control/looks.rs
@@ -49,9 +49,7 @@
 /// Asks an engine that refused its part whether it takes new work at all.
 pub(super) fn question(control: &Rc<Control>, engine: &Name) {
     let Some(entry) = control.entries.borrow().get(engine).cloned() else { return };
-    let catalog = control.shared.catalog.load_full();
-    let service = catalog.as_ref().and_then(|c| c.services.get(&entry.service)).cloned();
-    let Some(service) = service else { return };
+    let Some(service) = control.service(&entry.service) else { return };
     if !control.may_question(engine) {
         return;
     }
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -3,8 +3,9 @@
 //! `config` keeps the newest configuration, `engines` the list of engines, each with a proof that it is
 //! current; `feed` hears both from the failure domain's planner; `nodes` keeps this node's entry and
 //! the lease of its failure domain's planner; `planner` orders layers by `orders`; `reports` asks
-//! engines how they do, and `neighbours` hears what those of the other failure domains do; `recovery` watches running streams and moves them off engines that `looks`
-//! finds lost. They publish snapshots in [`Shared`]; nothing else is shared with traffic.
+//! engines how they do, and `neighbours` hears what those of the other failure domains do; `recovery`
+//! watches running streams and moves them off engines that `looks` finds lost. They publish
+//! snapshots in [`Shared`], that of engines by `publish`; nothing else is shared with traffic.
 
 mod config;
 mod engines;
@@ -14,6 +15,7 @@
 mod nodes;
 mod orders;
 mod planner;
+mod publish;
 mod recovery;
 mod reports;
 mod state;
--- a/crates/heathpitchd/src/gateway/control/neighbours.rs
+++ b/crates/heathpitchd/src/gateway/control/neighbours.rs
@@ -27,7 +27,6 @@
 
 /// A planner of another failure domain.
 struct Neighbour {
-    domain: Name,
     planner: Planner,
     /// Whether it answered last.
     answers: bool,
@@ -47,8 +46,8 @@
         }
         meet(&control, &mut neighbours);
         let now = control.now();
-        let due = neighbours.values_mut().filter(|n| now >= n.next);
-        join_all(due.map(|n| hear(&control, n))).await;
+        let due = neighbours.iter_mut().filter(|(_, n)| now >= n.next);
+        join_all(due.map(|(domain, n)| hear(&control, domain, n))).await;
     }
 }
 
@@ -56,42 +55,37 @@
 fn meet(control: &Control, neighbours: &mut HashMap<Name, Neighbour>) {
     for (domain, planner) in control.neighbours.borrow().iter() {
         if neighbours.get(domain).is_none_or(|n| &n.planner != planner) {
-            let neighbour = Neighbour {
-                domain: domain.clone(),
-                planner: planner.clone(),
-                answers: false,
-                client: None,
-                next: 0,
-            };
+            let neighbour =
+                Neighbour { planner: planner.clone(), answers: false, client: None, next: 0 };
             neighbours.insert(domain.clone(), neighbour);
         }
     }
 }
 
-async fn hear(control: &Control, neighbour: &mut Neighbour) {
+async fn hear(control: &Control, domain: &Name, neighbour: &mut Neighbour) {
     let sent = control.now();
     let heard = ask(neighbour).await;
     if let Ok(told) = &heard {
         reports::hear(control, told, sent);
     } else {
-        neighbour.client = None;
         neighbour.next = control.now() + REST;
     }
     if neighbour.answers != heard.is_ok() {
         neighbour.answers = heard.is_ok();
         let error = heard.err().map(|e| e.to_string());
-        let (planner, domain) = (neighbour.planner.node.clone(), neighbour.domain.clone());
+        let (planner, domain) = (neighbour.planner.node.clone(), domain.clone());
         GatewayEvent::NeighbourChanged { planner, domain, error }.log();
     }
 }
 
+/// Asks on the kept connection, or on a new one; one without an answer is not kept.
 async fn ask(neighbour: &mut Neighbour) -> Result<Vec<FeedReport>, EdgeError> {
-    if neighbour.client.is_none() {
-        neighbour.client = Some(FeedClient::open(neighbour.planner.address, LIMIT).await?);
-    }
+    let client = match neighbour.client.take() {
+        Some(client) => client,
+        None => FeedClient::open(neighbour.planner.address, LIMIT).await?,
+    };
     let ask = FeedAsk { reports: true, ..FeedAsk::default() };
-    match &neighbour.client {
-        Some(client) => Ok(client.ask(ask, LIMIT).await?.reports),
-        None => Ok(Vec::new()),
-    }
+    let told = client.ask(ask, LIMIT).await?;
+    neighbour.client = Some(client);
+    Ok(told.reports)
 }
--- /dev/null
+++ b/crates/heathpitchd/src/gateway/control/publish.rs
@@ -0,0 +1,65 @@
+//! What controllers know of engines, published for traffic as one snapshot.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+use heathpitch_core::{EngineEntry, EntryState, Name};
+use heathpitch_policy::mains;
+
+use super::state::Control;
+use crate::gateway::engine_table::{EngineTable, EngineView};
+
+/// # Publishing
+impl Control {
+    /// Engines that requests run through by rule, in each failure domain.
+    fn mains(&self) -> HashSet<Name> {
+        let Some(catalog) = self.shared.catalog.load_full() else { return HashSet::new() };
+        let entries = self.entries.borrow();
+        let domains: HashSet<&Name> = entries.values().map(|e| &e.domain).collect();
+        let mut found = HashSet::new();
+        for (service, domain) in
+            catalog.services.values().flat_map(|s| domains.iter().map(move |d| (s, *d)))
+        {
+            let Some(model) = &service.model else { continue };
+            let held = entries.values().filter(|e| {
+                e.service == service.name
+                    && &e.domain == domain
+                    && e.state == EntryState::Ready
+                    && !self.is_lost(&e.id)
+            });
+            let pace = |e: &EngineEntry| model.card(e.card.as_ref()?.as_str()).map(|c| c.pace);
+            let held =
+                held.filter_map(|e| Some((&e.id, pace(e)? * self.slowness(&e.id), e.layers)));
+            found.extend(mains(model.layers, held).into_iter().cloned());
+        }
+        found
+    }
+
+    /// Publishes the engines for traffic.
+    pub(super) fn publish(&self) {
+        let catalog = self.shared.catalog.load();
+        let mut services: HashMap<Name, Vec<EngineView>> = HashMap::new();
+        let mains = self.mains();
+        let mut tallies = self.tallies.borrow_mut();
+        let entries = self.entries.borrow();
+        tallies.retain(|engine, _| entries.contains_key(engine));
+        for entry in entries.values() {
+            if self.replaced.borrow().contains(&entry.id) {
+                continue;
+            }
+            let model = catalog.as_ref().and_then(|c| c.services.get(&entry.service));
+            let model = model.and_then(|s| s.model.as_ref());
+            let card = entry.card.as_ref().and_then(|c| model?.card(c.as_str())).cloned();
+            let tally = tallies.entry(entry.id.clone()).or_default().clone();
+            let main = mains.contains(&entry.id);
+            let view = EngineView { entry: entry.clone(), card, tally, main };
+            services.entry(entry.service.clone()).or_default().push(view);
+        }
+        self.shared.metrics.engines.set(entries.len() as i64);
+        let nodes = self.fleet.get().map(|f| f.nodes);
+        self.shared.metrics.nodes.set(i64::from(nodes.unwrap_or(0)));
+        let beside = self.fleet.get().map_or(1, |f| f.beside.max(1));
+        let table = EngineTable { services, beside, nodes };
+        self.shared.table.store(Arc::new(table));
+    }
+}
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -202,8 +202,8 @@
 
 /// The best path from a stream's first engine on, without engines that are lost or leave.
 fn detour(control: &Control, live: &LiveStream, path: &Path) -> Option<Path> {
-    let catalog = control.shared.catalog.load_full()?;
-    let model: &LayeredModel = catalog.services.get(&live.service)?.model.as_ref()?;
+    let spec = control.service(&live.service)?;
+    let model: &LayeredModel = spec.model.as_ref()?;
     let table = control.shared.table.load();
     let now = control.now();
     let head = &path.head().engine;
--- a/crates/heathpitchd/src/gateway/control/reports.rs
+++ b/crates/heathpitchd/src/gateway/control/reports.rs
@@ -95,11 +95,10 @@
 /// Engines of this failure domain that requests run through and that are filling up.
 fn filling(control: &Control) -> Vec<Arc<EngineEntry>> {
     let (table, now) = (control.shared.table.load(), control.now());
-    let Some(catalog) = control.shared.catalog.load_full() else { return Vec::new() };
     let share = |e: &Arc<EngineEntry>| {
         let view = table.view(e.id.as_str())?;
-        let model = catalog.services.get(&e.service)?.model.as_ref()?;
-        let room = model.room(view.card.as_ref()?, e.layers.count()).max(1.0);
+        let service = control.service(&e.service)?;
+        let room = service.model.as_ref()?.room(view.card.as_ref()?, e.layers.count()).max(1.0);
         Some(view.tally.occupancy().held(table.beside, now) / room)
     };
     let shares = used(control).into_iter().filter_map(|e| Some((share(&e)?, e)));
@@ -123,9 +122,8 @@
 }
 
 fn take(control: &Control, engine: &EngineEntry, status: &EngineStatus) {
-    let catalog = control.shared.catalog.load();
-    let service = catalog.as_ref().and_then(|c| c.services.get(&engine.service));
-    let model = service.and_then(|s| s.model.as_ref());
+    let service = control.service(&engine.service);
+    let model = service.as_ref().and_then(|s| s.model.as_ref());
     let late = model.map_or(0, |m| m.report_ms);
     let usual = model.map_or(0.0, LayeredModel::usual_tokens);
     let held = status.held(usual).unwrap_or(0.0);
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -6,9 +6,9 @@
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
-use heathpitch_core::{EngineEntry, EntryState, Millis, Name, Revision};
+use heathpitch_core::{EngineEntry, Millis, Name, Revision, ServiceSpec};
 use heathpitch_net::{Item, LeaseId, StoreError};
-use heathpitch_policy::{Mirror, Tally, mains};
+use heathpitch_policy::{Mirror, Tally};
 use tokio::sync::Notify;
 
 use super::feed::Planner;
@@ -16,7 +16,6 @@
 use super::orders::Pending;
 use super::recovery::Watched;
 use super::reports::Report;
-use crate::gateway::engine_table::{EngineTable, EngineView};
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::shared::{Edges, Shared};
 
@@ -87,7 +86,7 @@
     pub(super) streams: RefCell<Vec<Watched>>,
     /// Orders that engines have begun, as far as is known; an engine starts with none.
     pub(super) orders: RefCell<HashMap<Name, u64>>,
-    tallies: RefCell<HashMap<Name, Arc<Tally>>>,
+    pub(super) tallies: RefCell<HashMap<Name, Arc<Tally>>>,
     reachable: Cell<bool>,
     returned: Cell<Millis>,
 }
@@ -148,6 +147,11 @@
         self.shared.settings.load().domain.clone()
     }
 
+    /// A service of the configuration in force.
+    pub(super) fn service(&self, name: &Name) -> Option<Arc<ServiceSpec>> {
+        self.shared.catalog.load().as_ref()?.services.get(name).cloned()
+    }
+
     /// Time for which entries that are missing may still come back.
     pub(super) fn patience(&self) -> Millis {
         match self.reachable.get() {
@@ -366,58 +370,3 @@
         GatewayEvent::StoreReachable { reachable: answers, error }.log();
     }
 }
-
-/// # Publishing
-impl Control {
-    /// Engines that requests run through by rule, in each failure domain.
-    fn mains(&self) -> HashSet<Name> {
-        let Some(catalog) = self.shared.catalog.load_full() else { return HashSet::new() };
-        let entries = self.entries.borrow();
-        let domains: HashSet<&Name> = entries.values().map(|e| &e.domain).collect();
-        let mut found = HashSet::new();
-        for (service, domain) in
-            catalog.services.values().flat_map(|s| domains.iter().map(move |d| (s, *d)))
-        {
-            let Some(model) = &service.model else { continue };
-            let held = entries.values().filter(|e| {
-                e.service == service.name
-                    && &e.domain == domain
-                    && e.state == EntryState::Ready
-                    && !self.is_lost(&e.id)
-            });
-            let pace = |e: &EngineEntry| model.card(e.card.as_ref()?.as_str()).map(|c| c.pace);
-            let held =
-                held.filter_map(|e| Some((&e.id, pace(e)? * self.slowness(&e.id), e.layers)));
-            found.extend(mains(model.layers, held).into_iter().cloned());
-        }
-        found
-    }
-
-    /// Publishes the engines for traffic.
-    pub(super) fn publish(&self) {
-        let catalog = self.shared.catalog.load();
-        let mut services: HashMap<Name, Vec<EngineView>> = HashMap::new();
-        let mains = self.mains();
-        let mut tallies = self.tallies.borrow_mut();
-        let entries = self.entries.borrow();
-        tallies.retain(|engine, _| entries.contains_key(engine));
-        for entry in entries.values() {
-            if self.replaced.borrow().contains(&entry.id) {
-                continue;
-            }
-            let model = catalog.as_ref().and_then(|c| c.services.get(&entry.service));
-            let model = model.and_then(|s| s.model.as_ref());
-            let card = entry.card.as_ref().and_then(|c| model?.card(c.as_str())).cloned();
-            let tally = tallies.entry(entry.id.clone()).or_default().clone();
-            let main = mains.contains(&entry.id);
-            let view = EngineView { entry: entry.clone(), card, tally, main };
-            services.entry(entry.service.clone()).or_default().push(view);
-        }
-        self.shared.metrics.engines.set(entries.len() as i64);
-        let nodes = self.fleet.get().map(|f| f.nodes);
-        self.shared.metrics.nodes.set(i64::from(nodes.unwrap_or(0)));
-        let beside = self.fleet.get().map_or(1, |f| f.beside.max(1));
-        let table = EngineTable { services, beside, nodes };
-        self.shared.table.store(Arc::new(table));
-    }
-}
--- a/crates/net/src/feed.rs
+++ b/crates/net/src/feed.rs
@@ -1,7 +1,8 @@
 //! What one node of a failure domain reads from the store, told to the others by capnp-rpc.
 //!
-//! Followers, and for reports the planners of other failure domains, ask again and again on a kept connection; an answer is made at once, so that the age
-//! of what it tells is never hidden by a wait. Both sides run on the control thread.
+//! Followers, and for reports the planners of other failure domains, ask again and again on a kept
+//! connection; an answer is made at once, so that the age of what it tells is never hidden by a wait.
+//! Both sides run on the control thread.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/policy/src/layout_deal.rs
+++ b/crates/policy/src/layout_deal.rs
@@ -59,10 +59,11 @@
     order.sort_by(|a, b| speed(a).total_cmp(&speed(b)).then(a.engine.cmp(&b.engine)));
     let spares = (order.len() as f64 * SPARE_SHARE).ceil() as usize;
     let rooms = |least: u32| (least..=ROOM_MOST).rev().step_by(ROOM_STEP as usize);
+    let ample = ample(model, workers);
     let best = |least: u32, spares: usize| {
         let mut covers = rooms(least).filter_map(|r| Some((r, cover(model, &order, r, spares)?)));
         // Where there is memory for second copies, those need the fast cards' layers too.
-        if ample(model, workers) {
+        if ample {
             return covers.next();
         }
         covers.max_by(|a, b| rate(model, &order, a).total_cmp(&rate(model, &order, b)))
--- a/crates/policy/src/occupancy.rs
+++ b/crates/policy/src/occupancy.rs
@@ -10,15 +10,14 @@
 
 use heathpitch_core::Millis;
 
+use crate::tally::REPORT_AGE;
+
 /// Span of an entry of the history, milliseconds: a part of the time that a report is late.
 const SPAN: Millis = 100;
 /// Entries of the history; together they reach back further than a report is believed.
 const SPANS: usize = 32;
 /// Bits of an entry that hold tokens; the others hold the number of its span.
 const TOKEN_BITS: u32 = 40;
-/// Age at which a report says nothing any more, milliseconds: some questions, each with the time that
-/// a report is late by itself.
-const OLD: Millis = 2_500;
 /// Tokens held at an engine.
 ///
 /// Soft state: a stale value costs speed, never a promise.
@@ -108,7 +107,7 @@
     pub fn age(&self, now: Millis) -> Option<Millis> {
         let at = self.told_at.load(Relaxed);
         let age = now.saturating_sub(at);
-        (at > 0 && age <= OLD).then_some(age)
+        (at > 0 && age <= REPORT_AGE).then_some(age)
     }
 
     /// Tokens of own requests at an earlier time.
--- a/crates/policy/src/tally.rs
+++ b/crates/policy/src/tally.rs
@@ -14,7 +14,7 @@
 const MEAN_AGE: Millis = 2_500;
 /// Age at which an engine's report says nothing any more, milliseconds: two questions and the time
 /// that a report is late by itself.
-const REPORT_AGE: Millis = 2_500;
+pub(crate) const REPORT_AGE: Millis = 2_500;
 /// Least and most factor that an engine's own word is believed.
 const PACE: std::ops::RangeInclusive<f64> = 1.0..=50.0;
 /// Parts that a factor is kept in.
