A lease given up is sought though the planner that gave it up still tells

The test of it failed with the order of a real answer. Also: rows for the new settings and event, and the nodes assumed where the fleet's size is not known lie above the largest fleet served again.

--- a/crates/heathpitchd/src/gateway/call/budget.rs
+++ b/crates/heathpitchd/src/gateway/call/budget.rs
@@ -13,7 +13,7 @@
 /// later than they are counted here.
 const MARGIN: f64 = 0.85;
 /// Nodes assumed where the fleet's size is not known: above that of the largest fleet served.
-const NODES_UNKNOWN: u32 = 128;
+const NODES_UNKNOWN: u32 = 512;
 /// Least slack of a node: one second send.
 const SLACK_LEAST: f64 = 1.0;
 
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -21,7 +21,7 @@
     ("heathpitch_engines", "Engines listed"),
     ("heathpitch_config_version", "Version of the configuration in force"),
     ("heathpitch_notices_dropped_total", "Notices to the control thread dropped for want of room"),
-    ("heathpitch_nodes", "Nodes of the fleet that the store lists"),
+    ("heathpitch_nodes", "Nodes of the fleet: planners and their followers"),
     ("heathpitch_feed_asks_total", "Questions to the failure domain's planner, by result"),
     ("heathpitch_engine_list_age_seconds", "Age of the proof that the list of engines is current"),
 ];
--- a/crates/heathpitchd/tests/reference.rs
+++ b/crates/heathpitchd/tests/reference.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 
 use heathpitch_core::{
-    Agreed, GatewaySettings, RouteSettings, Timing, parse_document, parse_settings,
+    Agreed, GatewaySettings, RouteSettings, Timing, VmSize, parse_document, parse_settings,
 };
 use heathpitchd::{Event, GATEWAY_METRICS, GatewayEvent, METRICS};
 use serde_json::Value;
@@ -51,7 +51,8 @@
     let settings = GatewaySettings::parse(text).unwrap();
     let top = keys(&settings).into_iter().map(|k| format!("gateway.{k}"));
     let bounds = keys(&Agreed::default()).into_iter().map(|k| format!("gateway.bounds.{k}"));
-    let missing: Vec<String> = top.chain(bounds).filter(|k| !named.contains(k)).collect();
+    let vm = keys(&VmSize::default()).into_iter().map(|k| format!("gateway.vm.{k}"));
+    let missing: Vec<String> = top.chain(bounds).chain(vm).filter(|k| !named.contains(k)).collect();
     assert_eq!(missing, Vec::<String>::new());
 }
 
@@ -65,6 +66,7 @@
             "10.0.0.1:80".to_owned()
         }
         "bounds.retryBudgetRatio" => "0.2".to_owned(),
+        "firstStart" => "true".to_owned(),
         _ => "1000".to_owned(),
     };
     let mut filled = String::new();
--- a/crates/policy/src/sources.rs
+++ b/crates/policy/src/sources.rs
@@ -119,6 +119,8 @@
     turn: Option<Millis>,
     /// When it may look for the planner's lease; none while a source of its own domain tells.
     claim: Option<Millis>,
+    /// Whether the planner has given its lease up and no other one is known.
+    vacant: bool,
 }
 
 /// # Construction
@@ -135,6 +137,7 @@
             silent: Some(now),
             turn: None,
             claim: Some(now),
+            vacant: false,
         }
     }
 }
@@ -146,6 +149,7 @@
         let known = self.planners.get(&domain);
         let new = known.is_none_or(|k| planner.revision > k.revision);
         if new {
+            self.vacant &= domain != self.domain;
             self.rests.remove(&planner.source.node);
             self.planners.insert(domain, planner);
         }
@@ -154,6 +158,7 @@
 
     /// Takes note that the planner of this failure domain gives its lease up, though it still tells.
     pub fn vacate(&mut self, now: Millis, beside: u32, rng: &mut impl Rng) {
+        self.vacant = true;
         if self.claim.is_none() {
             self.claim = Some(now + self.claim_wait(beside, rng));
         }
@@ -224,7 +229,7 @@
                 self.rests.remove(node);
                 self.teller = Some(node.clone());
                 (self.silent, self.turn) = (None, None);
-                if self.is_near(node) {
+                if self.is_near(node) && !self.vacant {
                     self.claim = None;
                 }
             }
--- a/crates/policy/tests/sources.rs
+++ b/crates/policy/tests/sources.rs
@@ -139,6 +139,8 @@
         ask(&mut sources, Heard::Told, 0, &mut rng);
         assert!(!sources.may_claim(10_000), "the planner tells");
         sources.vacate(10_000, 60, &mut rng);
+        // It goes on telling until it is gone.
+        ask(&mut sources, Heard::Told, 10_000, &mut rng);
         let first = (10_000..60_000).step_by(10).find(|now| sources.may_claim(*now));
         claims.push(first.unwrap() - 10_000);
     }
