--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -19,7 +19,6 @@
 
 use super::state::{Control, Fleet};
 use super::{config, engines, nodes, reports};
-use crate::gateway::event::GatewayEvent;
 use crate::gateway::shared::prove;
 
 /// Time between two questions: a small part of the time for which a leaving engine may still be
@@ -234,56 +233,4 @@
             reports,
         }
     }
-
-    /// The node to ask now; none while this one reads the store as its failure domain's planner, or if
-    /// nodes are not to talk to each other.
-    fn next_source(&self) -> Option<Source> {
-        self.shared.peer?;
-        let reachable = self.reachable();
-        match self.plans() && reachable {
-            true => None,
-            false => self.sources.borrow().next(self.now(), reachable).cloned(),
-        }
-    }
-
-    fn heard(&self, node: &Name, heard: Heard) {
-        let before = self.sources.borrow().teller().cloned();
-        let beside = self.beside();
-        self.sources.borrow_mut().heard(node, heard, self.now(), beside, &mut rand::rng());
-        self.feed_changed(before, "it tells");
-    }
-
-    fn silent(&self) {
-        let before = self.sources.borrow().teller().cloned();
-        let beside = self.beside();
-        self.sources.borrow_mut().silent(self.now(), beside, &mut rand::rng());
-        let why = if self.plans() { "this node plans" } else { "no source tells" };
-        self.feed_changed(before, why);
-    }
-
-    fn vacate(&self) {
-        let beside = self.beside();
-        self.sources.borrow_mut().vacate(self.now(), beside, &mut rand::rng());
-    }
-
-    /// Takes note of whether this node is told what the store holds, and by whom.
-    fn feed_changed(&self, before: Option<Name>, why: &str) {
-        let teller = self.sources.borrow().teller().cloned();
-        if teller == before {
-            return;
-        }
-        let turned = before.is_some() != teller.is_some();
-        GatewayEvent::FeedChanged { planner: teller, why: why.to_owned() }.log();
-        if turned {
-            self.turned.notify_waiters();
-        }
-    }
-
-    /// Wakes those who wait for a turn of the store, when this node has one.
-    fn look_at_turn(&self) {
-        let turn = (self.reads(), self.claims());
-        if self.turn.replace(turn) != turn {
-            self.turned.notify_waiters();
-        }
-    }
 }
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -1,11 +1,11 @@
 //! Control thread of a gateway: a set of controllers on one current-thread runtime.
 //!
 //! `config` keeps the newest configuration, `engines` the list of engines, each with a proof that it is
-//! current; `feed` hears both from the failure domain's planner; `nodes` keeps this node's entry and
-//! the lease of its failure domain's planner; `planner` orders layers by `orders`; `reports` asks
-//! engines how they do, and `neighbours` hears what those of the other failure domains do; `recovery`
-//! watches running streams and moves them off engines that `looks` finds lost. They publish
-//! snapshots in [`Shared`], that of engines by `publish`; nothing else is shared with traffic.
+//! current; `feed` hears both from other nodes instead, as `turns` says, and `tell` answers these; `nodes`
+//! keeps the lease of the failure domain's planner and counts who follows it; `planner` orders layers by
+//! `orders`; `reports` asks engines how they do, and `neighbours` hears what those of the other failure
+//! domains do; `recovery` watches running streams and moves them off engines that `looks` finds lost. They
+//! publish snapshots in [`Shared`], that of engines by `publish`; nothing else is shared with traffic.
 
 mod config;
 mod engines;
@@ -20,6 +20,7 @@
 mod reports;
 mod state;
 mod tell;
+mod turns;
 
 use std::io;
 use std::rc::Rc;
