An older report that comes late no longer takes a newer one's place before the first list

Cause of the found seed 5208 of the world of upstreams: reports that come before any list were kept by the last to arrive. The world passed such words over; it counts them now, so its check is stricter.

--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -180,7 +180,9 @@
 
     fn reported(&mut self, report: EngineReport, now: Millis, reached: bool) -> bool {
         let Some(e) = self.entries.get_mut(&report.engine) else {
-            if self.entries.is_empty() && self.early.len() < 1_024 {
+            let known = self.early.get(&report.engine);
+            let newer = known.is_none_or(|old| report.newer(old));
+            if newer && self.entries.is_empty() && self.early.len() < 1_024 {
                 self.early.insert(report.engine.clone(), report);
             }
             return false;
--- a/crates/proof/src/upstreams.rs
+++ b/crates/proof/src/upstreams.rs
@@ -110,10 +110,6 @@
     }
 
     fn hear(&mut self, at: usize, report: &EngineReport, tally: &mut Tally) {
-        // A report that comes before any list is kept only until the first list.
-        if self.newest.is_none() {
-            return;
-        }
         let word = (report.life.0, report.serial, report.leaving);
         let heard = &mut self.engines[at].heard;
         match heard {
--- a/crates/proof/tests/worlds.rs
+++ b/crates/proof/tests/worlds.rs
@@ -93,7 +93,7 @@
     }
 }
 
-/// Found by a long run among 3 500 seeds, not traced yet.
+/// Two reports of an engine came before the first list, the older one last, and took the newer one's place.
 #[test]
 fn leaving_upstreams_of_a_found_seed_get_no_work() {
     let ran = World::Upstreams.run_caught(&draw(5_208, 2_000), &mut Tally::default());
