A key that was forgotten and could not be claimed is not taken for one that never ran

Cause: the ledger of a node forgets its oldest keys for want of room. A caller who comes back with such a key finds it new; if the store does not answer just then, the key was released as one that certainly was never dispatched, and the next request with it found this life's own claim and ran a second time. So a claim whose answer was lost was not the cause, nor a restart or a pause (ruled out by the shrunk traces).

A ledger that has forgotten any key now says nothing of an unknown key that is released unclaimed. Callers with such a key hear 'may have run', as they did before the store was away.

--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -50,7 +50,10 @@
 #[derive(Clone, Debug)]
 enum State {
     Idle,
-    Claiming,
+    /// Its claim is asked for; `idle` if this life knew before that it never dispatched it.
+    Claiming {
+        idle: bool,
+    },
     Dispatched,
     Finished(Record),
     Spent(Outcome),
@@ -85,6 +88,8 @@
     order: VecDeque<Name>,
     ended: VecDeque<(Millis, Name)>,
     bytes: usize,
+    /// Whether any key was forgotten for want of room.
+    forgot: bool,
 }
 
 impl Default for Ledger {
@@ -103,7 +108,7 @@
     /// A ledger of nothing, with room for `keys` keys.
     pub fn with_room(keys: usize) -> Self {
         let (entries, order, ended) = Default::default();
-        Self { keys, entries, order, ended, bytes: 0 }
+        Self { keys, entries, order, ended, bytes: 0, forgot: false }
     }
 
     /// Number of keys remembered.
@@ -125,7 +130,7 @@
     pub fn start(&mut self, key: &Name, body: u64) -> Start {
         match self.entries.get_mut(key) {
             Some(e) if e.body.is_some_and(|b| b != body) => Start::Mismatch,
-            Some(Entry { state: State::Claiming | State::Dispatched, .. })
+            Some(Entry { state: State::Claiming { .. } | State::Dispatched, .. })
                 if on(Mechanism::LedgerOnce) =>
             {
                 Start::Running
@@ -133,11 +138,13 @@
             Some(Entry { state: State::Finished(r), .. }) => Start::Finished(r.clone()),
             Some(Entry { state: State::Spent(o), .. }) => Start::Spent(*o),
             Some(e) => {
-                *e = Entry { body: Some(body), state: State::Claiming };
+                *e = Entry { body: Some(body), state: State::Claiming { idle: true } };
                 Start::Idle
             }
             None => {
-                self.insert(key.clone(), Entry { body: Some(body), state: State::Claiming });
+                // Until a key was forgotten, one that is not known was never here.
+                let state = State::Claiming { idle: !self.forgot };
+                self.insert(key.clone(), Entry { body: Some(body), state });
                 Start::New
             }
         }
@@ -146,7 +153,7 @@
     /// Whether the request may leave; true once per key.
     pub fn dispatch(&mut self, key: &Name) -> bool {
         match self.entries.get_mut(key) {
-            Some(e) if matches!(e.state, State::Claiming) => {
+            Some(e) if matches!(e.state, State::Claiming { .. }) => {
                 e.state = State::Dispatched;
                 true
             }
@@ -154,17 +161,22 @@
         }
     }
 
-    /// The request ended before it was dispatched; this life remembers that it was not.
+    /// The request ended before it was dispatched.
+    ///
+    /// This life remembers that it was not, unless it may have dispatched the key before and
+    /// forgotten it: such a key stays unknown, so that a claim of this life that stands is taken for
+    /// one that was used.
     pub fn release(&mut self, key: &Name) {
         match self.entries.get_mut(key) {
-            Some(e) if matches!(e.state, State::Claiming) => e.state = State::Idle,
-            _ => {}
+            Some(e) if matches!(e.state, State::Claiming { idle: true }) => e.state = State::Idle,
+            Some(e) if !on(Mechanism::ForgottenIsRun) => e.state = State::Idle,
+            _ => self.forget(key),
         }
     }
 
     /// Forgets a key that turned out to be another's, or to have been forgotten before.
     pub fn forget(&mut self, key: &Name) {
-        let claiming = |e: &Entry| matches!(e.state, State::Claiming);
+        let claiming = |e: &Entry| matches!(e.state, State::Claiming { .. });
         if self.entries.get(key).is_some_and(claiming) {
             self.entries.remove(key);
         }
@@ -229,10 +241,11 @@
             return;
         };
         match self.entries.get(&key).map(|e| &e.state) {
-            Some(State::Claiming | State::Dispatched) => self.order.push_back(key),
+            Some(State::Claiming { .. } | State::Dispatched) => self.order.push_back(key),
             Some(_) => {
                 self.drop_answer(&key);
                 self.entries.remove(&key);
+                self.forgot = true;
             }
             None => {}
         }
--- a/crates/proof/tests/worlds.rs
+++ b/crates/proof/tests/worlds.rs
@@ -84,7 +84,8 @@
     }
 }
 
-/// Found by a long run among 23 500 seeds, not traced yet.
+/// A key that ran was forgotten, asked for again, not claimed because the store did not answer, and then taken
+/// for one that never ran. Found by a long run among 23 500 seeds.
 #[test]
 fn keys_of_found_seeds_are_dispatched_at_most_once() {
     for seed in [20_762, 25_713] {
