Engines that start again under their id; entries that no engine wrote

Cause: an engine was told from its last life by its id alone, so one that starts again under it kept what was known of the old one: orders counted, doubts, pace, tokens held, 'leaving', streams thought to be in its memory, idle connections. Entries were refused one by one, but a bad one left the engine that had stood under its key in use when it came as a change, and a list of values passed for an entry (serde takes one for a struct).

- policy::Lives: what a word is worth by the start that it names; a newer start ends the old life wherever it is kept (entries, orders, reports, doubts, tallies, pool, streams' paths), an older word is passed over, also one that another node tells.
The engine's own report is asked through the same gate, so a new life is known before its entry says so.

--- a/crates/core/src/engine_entry.rs
+++ b/crates/core/src/engine_entry.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::{LayerRange, Name};
+use crate::{LayerRange, Millis, Name};
 
 /// Whether an engine takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,10 +13,10 @@
     Leaving,
 }
 
-/// One life of an engine; a restart has another id.
+/// An engine as its entry tells of it; one that starts again may have the id that it had.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineEntry {
-    /// Id of this life.
+    /// Id.
     pub id: Name,
     /// Service it belongs to.
     pub service: Name,
@@ -32,4 +32,6 @@
     pub card: Option<Name>,
     /// Layers it holds, empty if none.
     pub layers: LayerRange,
+    /// Unix time of its start, milliseconds, if it tells that; another one is another life.
+    pub born: Option<Millis>,
 }
--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -14,7 +14,8 @@
 use std::time::Duration;
 
 use heathpitch_core::{EngineEntry, EntryState, LayerRange, Millis, Name, Revision};
-use heathpitch_net::{EngineStatus, Item, ItemChange};
+use heathpitch_net::{DocumentError, EdgeError, EngineStatus, Item, ItemChange};
+use heathpitch_policy::Word;
 
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
@@ -73,14 +74,53 @@
     }
     let control = control.clone();
     tokio::task::spawn_local(async move {
-        match control.edges.orders.status(&entry).await {
+        match ask(&control, &entry).await {
             Ok(status) => correct(&control, &entry, &status),
-            Err(heathpitch_net::EdgeError::Status(421)) => mark_replaced(&control, &entry.id),
+            Err(EdgeError::Status(421)) => mark_replaced(&control, &entry.id),
             Err(e) => log::warn!("engine {} does not tell its state: {e}", entry.id),
         }
     });
 }
 
+/// Asks an engine for its state; the word of another life than the one listed ends what is known of the
+/// older one.
+///
+/// # Errors
+///
+/// As [`Orders::status`](heathpitch_net::Orders::status), and [`EdgeError::Lost`] if the answer is of an
+/// older life than the one that is known.
+pub(super) async fn ask(
+    control: &Control,
+    engine: &EngineEntry,
+) -> Result<EngineStatus, EdgeError> {
+    let status = control.edges.orders.status(engine).await?;
+    let word = control.lives.borrow_mut().hear(&engine.id, status.born, control.now());
+    match word {
+        Word::Current => {}
+        Word::Old => return Err(EdgeError::Lost("an answer of its last life".to_owned())),
+        Word::Reborn => {
+            begin_anew(control, &engine.id, status.born, "its own state");
+            // Its entry says later what it holds; until then its own word does.
+            let layers = status.layers.unwrap_or(LayerRange::new(0, 0));
+            let (state, born) = (EntryState::Ready, status.born);
+            let entry = EngineEntry { layers, state, born, ..engine.clone() };
+            control.entries.borrow_mut().insert(engine.id.clone(), Arc::new(entry));
+            control.publish();
+        }
+    }
+    Ok(status)
+}
+
+/// Forgets what is known of an engine that has started again under its id, as `by` shows: its last life
+/// holds no layers and no tokens any more, and owes no answers.
+fn begin_anew(control: &Control, engine: &Name, born: Option<Millis>, by: &'static str) {
+    forget(control, engine);
+    control.leaving.borrow_mut().remove(engine);
+    control.lapsed.borrow_mut().remove(engine);
+    control.trust(engine);
+    GatewayEvent::EngineReborn { engine: engine.clone(), born, by }.log();
+}
+
 /// Corrects an entry by the engine's own word.
 pub(super) fn correct(control: &Control, entry: &EngineEntry, status: &EngineStatus) {
     let layers = status.layers.unwrap_or(LayerRange::new(0, 0));
@@ -167,6 +207,8 @@
 }
 
 /// Takes entries; gives the ids of their engines.
+///
+/// One that cannot be read names no engine: the one that stood under its key is taken off the list.
 pub(super) fn put_all(control: &Control, items: &[Item]) -> HashSet<Name> {
     let mut changed = Vec::new();
     let ids = items.iter().filter_map(|item| put(control, item, &mut changed)).collect();
@@ -183,17 +225,29 @@
 /// Takes an entry, and adds it to `changed` if it says anything new; gives its engine's id if it can be
 /// read.
 fn put(control: &Control, item: &Item, changed: &mut Vec<Arc<EngineEntry>>) -> Option<Name> {
-    let entry = match control.edges.dialect.engine(item) {
+    let entry = match read(control, item) {
         Ok(entry) => entry,
         Err(e) => {
             log::warn!("entry of an engine cannot be read: {e}");
+            let id = id(control, &item.key)?;
+            remove(control, &id, "its entry cannot be read");
             return None;
         }
     };
     let id = entry.id.clone();
+    let word = control.lives.borrow_mut().hear(&id, entry.born, control.now());
+    match word {
+        Word::Current => {}
+        Word::Reborn => begin_anew(control, &id, entry.born, "its entry"),
+        Word::Old => {
+            log::info!("entry of engine {id} is passed over: it is of an older life");
+            return Some(id);
+        }
+    }
     let old = control.entries.borrow().get(&id).cloned();
-    // What an engine once said binds it: one that leaves does not come back under the same id.
-    let left = old.as_ref().is_some_and(|o| o.state == EntryState::Leaving);
+    // What an engine once said binds it for as long as it lives.
+    let leaves = |o: &Arc<EngineEntry>| o.state == EntryState::Leaving && word == Word::Current;
+    let left = old.as_ref().is_some_and(leaves);
     let state = if left { EntryState::Leaving } else { entry.state };
     let entry = EngineEntry { state, ..entry };
     control.mirror.borrow_mut().put(item.key.clone(), item.revision.0, item.clone());
@@ -222,6 +276,27 @@
     Some(id)
 }
 
+/// The entry that an item holds.
+///
+/// # Errors
+///
+/// What is wrong with it: it cannot be decoded, it holds layers that its model does not have, or it does not
+/// name the start that the engine named before.
+fn read(control: &Control, item: &Item) -> Result<EngineEntry, DocumentError> {
+    let entry = control.edges.dialect.engine(item)?;
+    let wrong =
+        |message: &str| Err(DocumentError { key: item.key.clone(), message: message.to_owned() });
+    let service = control.service(&entry.service);
+    let model = service.as_ref().and_then(|s| s.model.as_ref());
+    match model {
+        Some(model) if entry.layers.end > model.layers => wrong("its model has fewer layers"),
+        _ if entry.born.is_none() && control.lives.borrow().born(&entry.id).is_some() => {
+            wrong("it does not tell when the engine started, which earlier ones did")
+        }
+        _ => Ok(entry),
+    }
+}
+
 /// Takes engines off the list whose entries are missing; at once, unless these may have lapsed
 /// while the store was away.
 fn drop_missing(control: &Control, gone: Vec<Name>, why: &'static str) {
@@ -273,6 +348,7 @@
         domain: entry.domain.clone(),
         leaving: entry.state == EntryState::Leaving,
         layers: entry.layers,
+        born: entry.born,
     }
     .log();
 }
@@ -283,14 +359,21 @@
     control.mirror.borrow_mut().remove(&key);
     if control.entries.borrow_mut().remove(id).is_some() {
         control.leaving.borrow_mut().entry(id.clone()).or_insert(control.now());
-        control.lost.borrow_mut().remove(id);
-        control.pending.borrow_mut().remove(id);
-        control.orders.borrow_mut().remove(id);
-        control.since.borrow_mut().remove(id);
-        control.refusing.borrow_mut().remove(id);
-        control.questioned.borrow_mut().remove(id);
-        control.replaced.borrow_mut().remove(id);
-        control.reports.borrow_mut().remove(id);
+        forget(control, id);
         GatewayEvent::EngineGone { engine: id.to_string(), why }.log();
     }
 }
+
+/// Forgets all that is kept of an engine beside its entry: orders, doubts, reports, what requests met.
+fn forget(control: &Control, id: &Name) {
+    control.entries.borrow_mut().remove(id);
+    control.tallies.borrow_mut().remove(id);
+    control.lost.borrow_mut().remove(id);
+    control.pending.borrow_mut().remove(id);
+    control.orders.borrow_mut().remove(id);
+    control.since.borrow_mut().remove(id);
+    control.refusing.borrow_mut().remove(id);
+    control.questioned.borrow_mut().remove(id);
+    control.replaced.borrow_mut().remove(id);
+    control.reports.borrow_mut().remove(id);
+}
--- a/crates/heathpitchd/src/gateway/control/looks.rs
+++ b/crates/heathpitchd/src/gateway/control/looks.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
+use super::engines;
 use super::recovery::is_silent;
 use super::state::Control;
 
@@ -183,7 +184,7 @@
     let Some(entry) = control.entries.borrow().get(&path.head().engine).cloned() else { return };
     let control = control.clone();
     spawn_local(async move {
-        match control.edges.orders.status(&entry).await {
+        match engines::ask(&control, &entry).await {
             Ok(status) => status.stalled.iter().for_each(|(_, at)| suspect(&control, *at)),
             Err(e) => log::info!("first engine {} does not tell its state: {e}", entry.id),
         }
--- a/crates/heathpitchd/src/gateway/control/orders.rs
+++ b/crates/heathpitchd/src/gateway/control/orders.rs
@@ -106,7 +106,7 @@
 
 /// Asks an engine whether its order is done.
 async fn ask(control: Rc<Control>, engine: Arc<EngineEntry>) {
-    match control.edges.orders.status(&engine).await {
+    match engines::ask(&control, &engine).await {
         Ok(status) if !status.busy => {
             control.pending.borrow_mut().remove(&engine.id);
             control.orders.borrow_mut().insert(engine.id.clone(), status.orders);
@@ -172,7 +172,7 @@
 /// An engine's state after it refused an order; that it had orders of another planner ends the
 /// planning of a node whose lease is in doubt.
 async fn stand(control: &Control, engine: &EngineEntry) -> Option<EngineStatus> {
-    let status = match control.edges.orders.status(engine).await {
+    let status = match engines::ask(control, engine).await {
         Ok(status) => status,
         Err(e) => {
             log::warn!("engine {} does not tell its state: {e}", engine.id);
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -77,6 +77,7 @@
         before = now;
         control.streams.borrow_mut().retain(|w| w.live.strong_count() > 0);
         control.leaving.borrow_mut().retain(|_, since| now < *since + LEFT);
+        control.forget_lives();
         if now < rest {
             continue;
         }
@@ -101,11 +102,16 @@
             continue;
         }
         let path = live.path.load_full();
-        let broken =
-            path.stages().iter().find(|s| control.is_lost(&s.engine) || !holds(control, s));
+        let broken = |s: &&Stage| {
+            control.is_lost(&s.engine) || !holds(control, s) || is_reborn(control, &live, &s.engine)
+        };
+        let broken = path.stages().iter().find(broken);
         match broken {
             Some(_) if !is_silent(&live, now) => {}
-            Some(s) if s.engine == path.head().engine && !control.is_lost(&s.engine) => {}
+            Some(s)
+                if s.engine == path.head().engine
+                    && !control.is_lost(&s.engine)
+                    && !is_reborn(control, &live, &s.engine) => {}
             Some(s) if s.engine == path.head().engine => {
                 watched.next.set(now + MOVE_AGAIN);
                 live.abandon();
@@ -135,6 +141,12 @@
         .is_none_or(|e| e.layers.first <= stage.layers.first && stage.layers.end <= e.layers.end)
 }
 
+/// Whether an engine has started again since a stream was given its path, and holds none of its tokens.
+fn is_reborn(control: &Control, live: &LiveStream, engine: &Name) -> bool {
+    let routed = live.routed.load(std::sync::atomic::Ordering::Relaxed);
+    control.lives.borrow().is_reborn_since(engine, routed)
+}
+
 /// Whether an engine behind the first one has been leaving for a while.
 fn leaves(control: &Control, path: &Path) -> bool {
     let now = control.now();
@@ -173,7 +185,7 @@
         }
         .log();
         match result {
-            Ok(Ordered::Taken) => live.path.store(Arc::new(new)),
+            Ok(Ordered::Taken) => live.route(new, control.now()),
             Ok(Ordered::Conflict(Some(address))) => {
                 crowd(&control, address);
                 let doublings = refused.get().min(MOVE_DOUBLINGS);
@@ -207,8 +219,11 @@
     let table = control.shared.table.load();
     let now = control.now();
     let head = &path.head().engine;
-    let usable =
-        |s: &EngineView| &s.entry.id == head || (s.open(now) && !control.is_lost(&s.entry.id));
+    let usable = |s: &EngineView| {
+        let id = &s.entry.id;
+        // One that has started again is asked to read the stream's tokens by its next move.
+        id == head || (s.open(now) && !control.is_lost(id) && !is_reborn(control, live, id))
+    };
     let (service, tokens) = (&live.service, live.tokens);
     let links = table.links(&Wanted { service, model, tokens, now, current: Some(path) }, usable);
     // The first engine stays, so its domain is where the others are best.
@@ -216,3 +231,13 @@
     let search = Search { model, name: &live.service, home: &home, current: Some(path) };
     find_near_chain(&search, &links).map(|(path, _)| path)
 }
+
+/// # Lives
+impl Control {
+    /// Forgets the lives of engines that left long ago.
+    fn forget_lives(&self) {
+        let (entries, leaving) = (self.entries.borrow(), self.leaving.borrow());
+        let kept = |engine: &Name| entries.contains_key(engine) || leaving.contains_key(engine);
+        self.lives.borrow_mut().retain(kept);
+    }
+}
--- a/crates/heathpitchd/src/gateway/control/reports.rs
+++ b/crates/heathpitchd/src/gateway/control/reports.rs
@@ -10,6 +10,7 @@
 use heathpitch_core::{EngineEntry, LayeredModel, Millis, Name};
 use heathpitch_net::{EngineStatus, FeedReport};
 
+use super::engines;
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
 
@@ -49,7 +50,7 @@
         }
         let all = round % ALL == 0;
         let asked = if all { used(&control) } else { filling(&control) };
-        let answers = asked.iter().map(|e| control.edges.orders.status(e));
+        let answers = asked.iter().map(|e| engines::ask(&control, e));
         let answers = futures::future::join_all(answers).await;
         for (engine, answer) in asked.iter().zip(answers) {
             match answer {
@@ -141,7 +142,8 @@
 /// Takes a report; gives whether it may make another engine the faster one.
 fn put(control: &Control, engine: &Name, pace: f64, held: f64, at: Millis) -> bool {
     let known = control.reports.borrow().get(engine).is_some_and(|r| r.at >= at);
-    if known {
+    // What another node tells may be of the life before.
+    if known || control.lives.borrow().is_reborn_since(engine, at) {
         return false;
     }
     let serial = control.reported.get() + 1;
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -8,7 +8,7 @@
 
 use heathpitch_core::{EngineEntry, Millis, Name, Revision, ServiceSpec};
 use heathpitch_net::{Item, LeaseId, StoreError};
-use heathpitch_policy::{Followers, Mirror, Sources, Tally};
+use heathpitch_policy::{Followers, Lives, Mirror, Sources, Tally};
 use tokio::sync::Notify;
 
 use super::looks::Lost;
@@ -45,6 +45,8 @@
     pub(super) shared: Arc<Shared>,
     pub(super) edges: Edges,
     pub(super) entries: RefCell<HashMap<Name, Arc<EngineEntry>>>,
+    /// Their lives, also of those that left a moment ago.
+    pub(super) lives: RefCell<Lives>,
     /// Their items as the store holds them, for the nodes that this one tells.
     pub(super) mirror: RefCell<Mirror<Item>>,
     /// The configuration in force as the store holds it.
@@ -106,6 +108,7 @@
         Self {
             edges,
             entries: RefCell::default(),
+            lives: RefCell::default(),
             mirror: RefCell::default(),
             document: RefCell::default(),
             life: rand::random(),
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -171,6 +171,8 @@
         leaving: bool,
         /// Layers it holds.
         layers: LayerRange,
+        /// Unix time of its start, milliseconds, if it tells that.
+        born: Option<Millis>,
     },
     /// Many engines are listed, or their entries changed, at once.
     EnginesListed {
@@ -184,6 +186,15 @@
         /// Why.
         why: &'static str,
     },
+    /// An engine has started again under its id: what was known of its last life is forgotten.
+    EngineReborn {
+        /// Engine.
+        engine: Name,
+        /// Unix time of its start, milliseconds.
+        born: Option<Millis>,
+        /// What told of it.
+        by: &'static str,
+    },
     /// An engine is kept from new work.
     EngineDoubted {
         /// Engine.
@@ -247,7 +258,7 @@
 
 impl GatewayEvent {
     /// Stable names of all events.
-    pub const NAMES: [&'static str; 24] = [
+    pub const NAMES: [&'static str; 25] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -264,6 +275,7 @@
         "engine_listed",
         "engines_listed",
         "engine_gone",
+        "engine_reborn",
         "engine_doubted",
         "engine_paced",
         "layers_ordered",
--- a/crates/heathpitchd/src/gateway/live.rs
+++ b/crates/heathpitchd/src/gateway/live.rs
@@ -37,6 +37,8 @@
     pub(crate) tokens: f64,
     /// Silence, once it has begun, from which its engines are looked at.
     pub(crate) silent_most: Millis,
+    /// When it was given its path.
+    pub(crate) routed: AtomicU64,
     /// When something was last heard of it.
     pub(crate) heard: AtomicU64,
     /// Events passed on by this attempt.
@@ -61,6 +63,7 @@
             path: ArcSwap::from_pointee(path),
             tokens,
             silent_most: silent_most(pause_ms),
+            routed: AtomicU64::new(now),
             heard: AtomicU64::new(now),
             events: AtomicU64::new(0),
             abandoned: AtomicBool::new(false),
@@ -68,6 +71,12 @@
         })
     }
 
+    /// Takes a new path at `now`.
+    pub(crate) fn route(&self, path: Path, now: Millis) {
+        self.path.store(Arc::new(path));
+        self.routed.store(now, Relaxed);
+    }
+
     /// Takes note of events.
     pub(crate) fn hear(&self, events: u64, now: Millis) {
         self.events.fetch_add(events, Relaxed);
--- /dev/null
+++ b/crates/heathpitchd/tests/gateway_lives.rs
@@ -0,0 +1,185 @@
+//! Engines that start again under their id, and entries that no engine wrote.
+
+#![allow(clippy::unwrap_used, reason = "what fails here fails its test")]
+
+mod gateway;
+
+use gateway::{KEY, World, fed, wait};
+use heathpitch_standin::{Caller, Engine, GatewayProcess};
+use hyper::Method;
+use serde_json::{Value, json};
+
+/// Layers of the model that the engines hold.
+const LAYERS: u32 = 8;
+
+/// Layers that engines hold, one after the other, without a gap.
+fn cover(engines: &[&Engine]) -> bool {
+    let mut held: Vec<(u32, u32)> = engines.iter().map(|e| e.layers()).collect();
+    held.sort_unstable();
+    held.iter().try_fold(0, |at, (from, end)| (*from <= at).then_some(at.max(*end))) == Some(LAYERS)
+}
+
+/// What told a node of an engine's new life.
+fn reborn(node: &GatewayProcess, engine: &str) -> Vec<String> {
+    let events = node.events("engine_reborn");
+    let own = events.iter().filter(|e| e["engine"] == engine);
+    own.map(|e| e["by"].as_str().unwrap_or_default().to_owned()).collect()
+}
+
+async fn covered(engines: &[&Engine]) {
+    wait("all layers are held", async || cover(engines)).await;
+}
+
+/// Waits until a node knows of an engine's new life, and gives what told of it.
+async fn heard(node: &GatewayProcess, engine: &str) -> Vec<String> {
+    wait("its new life is known", async || !reborn(node, engine).is_empty()).await;
+    reborn(node, engine)
+}
+
+async fn status(caller: &Caller, target: &str) -> u16 {
+    caller.call(Method::GET, target, "").await.unwrap().status
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_starts_again_under_its_id_is_ordered_anew() {
+    let world = World::new();
+    let (a, b) = (world.engine("a", "llm"), world.engine("b", "llm"));
+    let node = world.node().await;
+    covered(&[&a, &b]).await;
+    a.restart();
+    a.list("ready");
+    covered(&[&a, &b]).await;
+    assert_eq!(heard(&node, "a").await, ["its entry"]);
+    assert_eq!(a.orders().last().unwrap()["expectedRev"], 0, "orders are counted anew");
+}
+
+/// Its entry may stay as it was: heartbeats change nothing else, and it was never away.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_s_own_word_ends_its_last_life_before_its_entry_does() {
+    let world = World::new();
+    let (a, b) = (world.engine("a", "llm"), world.engine("b", "llm"));
+    let node = world.node().await;
+    covered(&[&a, &b]).await;
+    let old = a.entry("ready");
+    a.restart();
+    covered(&[&a, &b]).await;
+    assert_eq!(heard(&node, "a").await, ["its own state"]);
+    // An older word that arrives late is passed over.
+    let held = a.layers();
+    world.store.put("servers/a", &old);
+    let other = world.engine("c", "api");
+    wait("a later entry is known", async || {
+        node.events("engine_listed").iter().any(|e| e["engine"] == other.id.as_str())
+    })
+    .await;
+    assert_eq!((reborn(&node, "a").len(), a.layers()), (1, held));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_was_leaving_and_starts_again_takes_work() {
+    let world = World::new();
+    let a = world.engine("a", "api");
+    let node = world.node().await;
+    let caller = Caller::new(node.listen).key(KEY);
+    assert_eq!(status(&caller, "/get/x").await, 200);
+    a.list("draining");
+    wait("it is left alone", async || status(&caller, "/get/x").await == 503).await;
+    // The same life does not come back.
+    a.list("ready");
+    let other = world.engine("b", "one");
+    wait("a later entry is known", async || {
+        node.events("engine_listed").iter().any(|e| e["engine"] == other.id.as_str())
+    })
+    .await;
+    assert_eq!(status(&caller, "/get/x").await, 503);
+    a.restart();
+    a.list("ready");
+    wait("its new life takes work", async || status(&caller, "/get/x").await == 200).await;
+}
+
+/// Entries that name no engine to use: each with a field that is missing, of another type or out of
+/// range, and what is no document at all.
+fn bad_entries(good: &Value) -> Vec<Value> {
+    let with = |field: &str, value: Value| {
+        let mut entry = good.clone();
+        entry[field] = value;
+        entry
+    };
+    let without = |field: &str| {
+        let mut entry = good.clone();
+        entry.as_object_mut().unwrap().remove(field);
+        entry
+    };
+    vec![
+        without("service"),
+        without("address"),
+        without("zone"),
+        without("state"),
+        with("state", json!("asleep")),
+        with("state", json!(1)),
+        with("service", json!({ "name": "api" })),
+        with("service", json!("nobody")),
+        with("address", json!("here")),
+        with("address", json!("127.0.0.1:0")),
+        with("slots", json!(-1)),
+        with("slots", json!(1e12)),
+        with("born", json!("yesterday")),
+        with("born", json!(1.5)),
+        with("layers", json!({ "from": 9, "targetVersion": 3, "version": 1 })),
+        with("layers", json!([0, 8])),
+        json!("not an entry"),
+        json!([1, 2]),
+        Value::Null,
+    ]
+}
+
+/// A first list, changes, and the list that another node tells: bad entries name no engine, and the
+/// others hold.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_of_another_writer_name_no_engine_and_the_others_hold() {
+    let world = World::new();
+    let (good, bad) = (world.engine("good", "api"), world.engine("bad", "api"));
+    let entries = bad_entries(&bad.entry("ready"));
+    bad.unlist();
+    let put_bad = || {
+        for (number, entry) in entries.iter().enumerate() {
+            world.store.put(&format!("servers/bad-{number}"), entry);
+        }
+        world.store.put("servers/two words", &good.entry("ready"));
+    };
+    put_bad();
+    let planner = world.start("n1", &json!({}));
+    planner.wait_ready().await.unwrap();
+    wait("it plans", async || !planner.events("domain_planner").is_empty()).await;
+    let follower = world.start("n2", &json!({}));
+    follower.wait_ready().await.unwrap();
+    wait("it is told", async || fed(&follower) == Some(true)).await;
+    let callers = [&planner, &follower].map(|n| Caller::new(n.listen).key(KEY));
+    for caller in &callers {
+        for _ in 0..10 {
+            assert_eq!(status(caller, "/get/x").await, 200);
+        }
+    }
+    // The same as changes, and one that takes the place of an engine's own.
+    bad.list("ready");
+    wait("both send it requests", async || {
+        for caller in &callers {
+            assert_eq!(status(caller, "/get/x").await, 200);
+        }
+        bad.seen().len() > 4
+    })
+    .await;
+    put_bad();
+    world.store.put("servers/bad", &json!({ "state": "ready" }));
+    let gone =
+        |node: &GatewayProcess| node.events("engine_gone").iter().any(|e| e["engine"] == "bad");
+    wait("both take it off", async || gone(&planner) && gone(&follower)).await;
+    let seen = bad.seen().len();
+    for caller in &callers {
+        for _ in 0..10 {
+            assert_eq!(status(caller, "/get/x").await, 200);
+        }
+    }
+    assert_eq!(bad.seen().len(), seen, "an engine without an entry got a request");
+    assert!(!good.seen().is_empty());
+}
--- a/crates/net/src/dialect.rs
+++ b/crates/net/src/dialect.rs
@@ -127,6 +127,8 @@
     pub pace: f64,
     /// Calls that wait for an engine further on, with its address.
     pub stalled: Vec<(Arc<str>, SocketAddr)>,
+    /// Unix time of its start, milliseconds, if it tells that.
+    pub born: Option<Millis>,
 }
 
 impl EngineStatus {
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -65,6 +65,7 @@
 #[derive(Debug)]
 struct Idle {
     sender: http1::SendRequest<Body>,
+    life: u64,
     until: Instant,
 }
 
@@ -73,6 +74,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Body>,
     address: SocketAddr,
+    life: u64,
     new: bool,
 }
 
@@ -97,7 +99,8 @@
 
 /// # Connections
 impl Pool {
-    /// An idle connection to `address`, or a new one.
+    /// An idle connection to `address`, or a new one; one made to another `life` of whoever listens
+    /// there is dead, and is never taken.
     ///
     /// # Errors
     ///
@@ -105,11 +108,12 @@
     pub async fn connect(
         &self,
         address: SocketAddr,
+        life: u64,
         reuse: Reuse,
     ) -> Result<Connection, EdgeError> {
-        match self.idle(address, reuse) {
-            Some(sender) => Ok(Connection { sender, address, new: false }),
-            None => self.open(address).await,
+        match self.idle(address, life, reuse) {
+            Some(sender) => Ok(Connection { sender, address, life, new: false }),
+            None => self.open(address, life).await,
         }
     }
 
@@ -121,7 +125,7 @@
         let kept = idle.entry(connection.address).or_default();
         kept.retain(|i| !i.sender.is_closed() && i.until > Instant::now());
         if kept.len() < IDLE_MOST && !time.is_zero() && !connection.sender.is_closed() {
-            kept.push(Idle { sender: connection.sender, until });
+            kept.push(Idle { sender: connection.sender, life: connection.life, until });
         }
     }
 
@@ -130,14 +134,20 @@
         self.inner.idle.lock().remove(&address);
     }
 
-    fn idle(&self, address: SocketAddr, reuse: Reuse) -> Option<http1::SendRequest<Body>> {
+    fn idle(
+        &self,
+        address: SocketAddr,
+        life: u64,
+        reuse: Reuse,
+    ) -> Option<http1::SendRequest<Body>> {
         if reuse == Reuse::Never {
             return None;
         }
         let mut idle = self.inner.idle.lock();
         let kept = idle.get_mut(&address)?;
         let now = Instant::now();
-        while let Some(Idle { sender, until }) = kept.pop() {
+        kept.retain(|i| i.life == life);
+        while let Some(Idle { sender, until, .. }) = kept.pop() {
             if sender.is_ready() && until > now {
                 return Some(sender);
             }
@@ -145,7 +155,7 @@
         None
     }
 
-    async fn open(&self, address: SocketAddr) -> Result<Connection, EdgeError> {
+    async fn open(&self, address: SocketAddr, life: u64) -> Result<Connection, EdgeError> {
         let refused = |e: &dyn std::error::Error| EdgeError::Connect(chain(e));
         let work = tokio::time::timeout(CONNECT, TcpStream::connect(address));
         let stream = match work.await {
@@ -165,7 +175,7 @@
                 log::debug!("connection to {address} ended: {e}");
             }
         });
-        Ok(Connection { sender, address, new: true })
+        Ok(Connection { sender, address, life, new: true })
     }
 }
 
--- /dev/null
+++ b/crates/policy/src/lives.rs
@@ -0,0 +1,81 @@
+//! Lives of engines: an engine may start again under the id that it had.
+//!
+//! It then holds and knows nothing of before. All that it says of itself names its start, so a word of the
+//! new life ends what was known of the old one, also where its entry never went, and a word of the
+//! old life that arrives late says nothing any more.
+
+use std::collections::HashMap;
+
+use heathpitch_core::{Millis, Name};
+
+/// What an engine's word is worth, by the start that it names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Of the life that is known, or of the first one heard of.
+    Current,
+    /// Of a newer life: what is known of the engine is over.
+    Reborn,
+    /// Of an older life: to be passed over.
+    Old,
+}
+
+/// The newest life of each engine.
+///
+/// # Examples
+///
+/// ```
+/// use heathpitch_policy::{Lives, Word};
+///
+/// let engine: heathpitch_core::Name = "i-1".parse()?;
+/// let mut lives = Lives::default();
+/// assert_eq!(lives.hear(&engine, Some(1_000), 10), Word::Current);
+/// assert_eq!(lives.hear(&engine, Some(2_000), 20), Word::Reborn);
+/// assert_eq!(lives.hear(&engine, Some(1_000), 30), Word::Old);
+/// assert!(lives.is_reborn_since(&engine, 15));
+/// assert!(!lives.is_reborn_since(&engine, 25));
+/// # Ok::<(), heathpitch_core::NameError>(())
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Lives {
+    known: HashMap<Name, Life>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Life {
+    /// Unix time of its start, milliseconds.
+    born: Millis,
+    /// When this node heard that it follows another life, if it does.
+    reborn: Option<Millis>,
+}
+
+impl Lives {
+    /// Takes the start that an engine's word names, heard at `now`; a word that names none is taken to be
+    /// of the life that is known.
+    pub fn hear(&mut self, engine: &Name, born: Option<Millis>, now: Millis) -> Word {
+        let Some(born) = born else { return Word::Current };
+        let known = self.known.get(engine).map(|l| l.born);
+        let (word, reborn) = match known {
+            Some(known) if born < known => return Word::Old,
+            Some(known) if born == known => return Word::Current,
+            Some(_) => (Word::Reborn, Some(now)),
+            None => (Word::Current, None),
+        };
+        self.known.insert(engine.clone(), Life { born, reborn });
+        word
+    }
+
+    /// Unix time of the start of an engine's newest life, if it ever named one, milliseconds.
+    pub fn born(&self, engine: &Name) -> Option<Millis> {
+        self.known.get(engine).map(|l| l.born)
+    }
+
+    /// Whether a new life of an engine was heard of at `since` or later.
+    pub fn is_reborn_since(&self, engine: &Name, since: Millis) -> bool {
+        self.known.get(engine).and_then(|l| l.reborn).is_some_and(|at| at >= since)
+    }
+
+    /// Forgets engines that are not to be kept.
+    pub fn retain(&mut self, keep: impl Fn(&Name) -> bool) {
+        self.known.retain(|engine, _| keep(engine));
+    }
+}
--- a/crates/policy/tests/chain.rs
+++ b/crates/policy/tests/chain.rs
@@ -41,6 +41,7 @@
         slots: 8,
         card: Some(name("card")),
         layers: LayerRange::new(layers.0, layers.1),
+        born: None,
     };
     let card = Card { name: name("card"), memory_mb: 9_000.0, pace, read: pace };
     Link {
