--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -221,7 +221,7 @@
     let head = &path.head().engine;
     let usable = |s: &EngineView| {
         let id = &s.entry.id;
-        // One that has started again is asked to read the stream's tokens by its next move.
+        // One that has started again lost its tokens, and the same path would not be ordered.
         id == head || (s.open(now) && !control.is_lost(id) && !is_reborn(control, live, id))
     };
     let (service, tokens) = (&live.service, live.tokens);
