--- a/crates/heathpitchd/tests/gateway_lives.rs
+++ b/crates/heathpitchd/tests/gateway_lives.rs
@@ -5,9 +5,9 @@
 mod gateway;
 
 use gateway::{KEY, World, fed, wait};
-use heathpitch_standin::{Caller, Engine, GatewayProcess};
+use heathpitch_standin::{Caller, Engine, GatewayProcess, bad_entries};
 use hyper::Method;
-use serde_json::{Value, json};
+use serde_json::json;
 
 /// Layers of the model that the engines hold.
 const LAYERS: u32 = 8;
@@ -50,7 +50,7 @@
     a.list("ready");
     covered(&[&a, &b]).await;
     assert_eq!(heard(&node, "a").await, ["its entry"]);
-    assert_eq!(a.orders().last().unwrap()["expectedRev"], 0, "orders are counted anew");
+    assert_eq!(a.counted(), Some(0), "orders are counted anew");
 }
 
 /// Its entry may stay as it was: heartbeats change nothing else, and it was never away.
@@ -97,42 +97,6 @@
     wait("its new life takes work", async || status(&caller, "/get/x").await == 200).await;
 }
 
-/// Entries that name no engine to use: each with a field that is missing, of another type or out of
-/// range, and what is no document at all.
-fn bad_entries(good: &Value) -> Vec<Value> {
-    let with = |field: &str, value: Value| {
-        let mut entry = good.clone();
-        entry[field] = value;
-        entry
-    };
-    let without = |field: &str| {
-        let mut entry = good.clone();
-        entry.as_object_mut().unwrap().remove(field);
-        entry
-    };
-    vec![
-        without("service"),
-        without("address"),
-        without("zone"),
-        without("state"),
-        with("state", json!("asleep")),
-        with("state", json!(1)),
-        with("service", json!({ "name": "api" })),
-        with("service", json!("nobody")),
-        with("address", json!("here")),
-        with("address", json!("127.0.0.1:0")),
-        with("slots", json!(-1)),
-        with("slots", json!(1e12)),
-        with("born", json!("yesterday")),
-        with("born", json!(1.5)),
-        with("layers", json!({ "from": 9, "targetVersion": 3, "version": 1 })),
-        with("layers", json!([0, 8])),
-        json!("not an entry"),
-        json!([1, 2]),
-        Value::Null,
-    ]
-}
-
 /// A first list, changes, and the list that another node tells: bad entries name no engine, and the
 /// others hold.
 #[tokio::test(flavor = "multi_thread")]
