Reading the change again: copies of layers are counted in one place, dead and doubled code goes; nothing decided otherwise

- copies(): one count of the copies of each layer, where fewest_copies, Layout::copies and two loops counted the same, twice for each empty worker; whether a domain is ample is asked of the layout in all three places.
- Taking an entry: the check of the life beside 'leaving' was dead, since a new life has no old entry by then; lifting the doubt of a tally that is dropped in the same step did nothing; forget() said that it keeps the entry, and takes it.
- Recovery names once what has lost a stream's tokens.
Tests share the status of a plain call (stood three times) and the wait for a later entry; their assertions are as they were.

--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -92,10 +92,8 @@
     after: Option<u64>,
     reuse: Reuse,
 ) -> Result<Answer, Failure> {
-    let connected = {
-        let life = view.entry.born.unwrap_or_default();
-        traffic.pool.connect(view.entry.address, life, reuse).await
-    };
+    let life = view.entry.born.unwrap_or_default();
+    let connected = traffic.pool.connect(view.entry.address, life, reuse).await;
     let mut connection = connected.map_err(|e: EdgeError| Failure::Unsent(e.to_string()))?;
     if connection.is_new() {
         traffic.shared.metrics.connections.inc();
--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -117,7 +117,6 @@
     forget(control, engine);
     control.leaving.borrow_mut().remove(engine);
     control.lapsed.borrow_mut().remove(engine);
-    control.trust(engine);
     GatewayEvent::EngineReborn { engine: engine.clone(), born, by }.log();
 }
 
@@ -246,8 +245,7 @@
     }
     let old = control.entries.borrow().get(&id).cloned();
     // What an engine once said binds it for as long as it lives.
-    let leaves = |o: &Arc<EngineEntry>| o.state == EntryState::Leaving && word == Word::Current;
-    let left = old.as_ref().is_some_and(leaves);
+    let left = old.as_ref().is_some_and(|o| o.state == EntryState::Leaving);
     let state = if left { EntryState::Leaving } else { entry.state };
     let entry = EngineEntry { state, ..entry };
     control.mirror.borrow_mut().put(item.key.clone(), item.revision.0, item.clone());
@@ -364,7 +362,7 @@
     }
 }
 
-/// Forgets all that is kept of an engine beside its entry: orders, doubts, reports, what requests met.
+/// Forgets all that is kept of an engine: entry, orders, doubts, reports, what requests met.
 fn forget(control: &Control, id: &Name) {
     control.entries.borrow_mut().remove(id);
     control.tallies.borrow_mut().remove(id);
--- a/crates/heathpitchd/src/gateway/control/planner.rs
+++ b/crates/heathpitchd/src/gateway/control/planner.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use heathpitch_core::{EngineEntry, EntryState, LayeredModel, Millis, Name};
-use heathpitch_policy::{Worker, fewest_copies, lay_out};
+use heathpitch_policy::{Worker, copies, lay_out};
 
 use super::orders::{self, Pending};
 use super::state::Control;
@@ -61,11 +61,12 @@
 }
 
 fn log(model: &LayeredModel, service: &Name, workers: &[Worker], moves: usize) {
+    let copies = copies(model.layers, workers.iter().map(|w| w.layers));
     GatewayEvent::LayoutPlanned {
         service: service.clone(),
         engines: workers.len(),
         empty: workers.iter().filter(|w| w.layers.count() == 0).count(),
-        copies: fewest_copies(model.layers, workers.iter().map(|w| w.layers)),
+        copies: copies.into_iter().min().unwrap_or(0),
         moves,
     }
     .log();
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -102,16 +102,11 @@
             continue;
         }
         let path = live.path.load_full();
-        let broken = |s: &&Stage| {
-            control.is_lost(&s.engine) || !holds(control, s) || is_reborn(control, &live, &s.engine)
-        };
-        let broken = path.stages().iter().find(broken);
+        let gone = |s: &Stage| control.is_lost(&s.engine) || is_reborn(control, &live, &s.engine);
+        let broken = path.stages().iter().find(|s| gone(s) || !holds(control, s));
         match broken {
             Some(_) if !is_silent(&live, now) => {}
-            Some(s)
-                if s.engine == path.head().engine
-                    && !control.is_lost(&s.engine)
-                    && !is_reborn(control, &live, &s.engine) => {}
+            Some(s) if s.engine == path.head().engine && !gone(s) => {}
             Some(s) if s.engine == path.head().engine => {
                 watched.next.set(now + MOVE_AGAIN);
                 live.abandon();
--- a/crates/heathpitchd/tests/gateway/mod.rs
+++ b/crates/heathpitchd/tests/gateway/mod.rs
@@ -7,7 +7,8 @@
 use std::path::Path;
 use std::time::{Duration, Instant, SystemTime};
 
-use heathpitch_standin::{Engine, GatewayProcess, Proxy, RouteSpec, Site, Store};
+use heathpitch_standin::{Caller, Engine, GatewayProcess, Proxy, RouteSpec, Site, Store};
+use hyper::Method;
 use serde_json::{Value, json};
 
 /// Time in which anything must happen.
@@ -96,6 +97,11 @@
     GatewayProcess::spawn(binary, store, name, domain, bounds).unwrap()
 }
 
+/// Status that a caller gets for a plain call.
+pub(crate) async fn status(caller: &Caller, target: &str) -> u16 {
+    caller.call(Method::GET, target, "").await.unwrap().status
+}
+
 /// Whether a node is told by another one, as its log says last.
 pub(crate) fn fed(node: &GatewayProcess) -> Option<bool> {
     node.events("feed_changed").last().map(|e| !e["planner"].is_null())
--- a/crates/heathpitchd/tests/gateway_feed.rs
+++ b/crates/heathpitchd/tests/gateway_feed.rs
@@ -7,15 +7,11 @@
 
 use std::time::Duration;
 
-use gateway::{KEY, World, fed, reachable, wait, wall_ms};
+use gateway::{KEY, World, fed, reachable, status, wait, wall_ms};
 use heathpitch_standin::{Caller, GatewayProcess, Link, Mode, Play, Proxy, RouteSpec};
 use hyper::Method;
 use serde_json::json;
 
-async fn status(caller: &Caller, target: &str) -> u16 {
-    caller.call(Method::GET, target, "").await.unwrap().status
-}
-
 /// A planner, and a node beside it whose link to the store can be spoilt.
 async fn pair(world: &World) -> (GatewayProcess, GatewayProcess, Proxy) {
     let planner = world.node().await;
--- a/crates/heathpitchd/tests/gateway_lives.rs
+++ b/crates/heathpitchd/tests/gateway_lives.rs
@@ -4,9 +4,8 @@
 
 mod gateway;
 
-use gateway::{KEY, World, fed, wait};
+use gateway::{KEY, World, fed, status, wait};
 use heathpitch_standin::{Caller, Engine, GatewayProcess, bad_entries};
-use hyper::Method;
 use serde_json::json;
 
 /// Layers of the model that the engines hold.
@@ -30,16 +29,20 @@
     wait("all layers are held", async || cover(engines)).await;
 }
 
+/// Waits until a node knows of an engine, and so of all that the store told before.
+async fn listed(node: &GatewayProcess, engine: &Engine) {
+    wait("a later entry is known", async || {
+        node.events("engine_listed").iter().any(|e| e["engine"] == engine.id.as_str())
+    })
+    .await;
+}
+
 /// Waits until a node knows of an engine's new life, and gives what told of it.
 async fn heard(node: &GatewayProcess, engine: &str) -> Vec<String> {
     wait("its new life is known", async || !reborn(node, engine).is_empty()).await;
     reborn(node, engine)
 }
 
-async fn status(caller: &Caller, target: &str) -> u16 {
-    caller.call(Method::GET, target, "").await.unwrap().status
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engine_that_starts_again_under_its_id_is_ordered_anew() {
     let world = World::new();
@@ -68,10 +71,7 @@
     let held = a.layers();
     world.store.put("servers/a", &old);
     let other = world.engine("c", "api");
-    wait("a later entry is known", async || {
-        node.events("engine_listed").iter().any(|e| e["engine"] == other.id.as_str())
-    })
-    .await;
+    listed(&node, &other).await;
     assert_eq!((reborn(&node, "a").len(), a.layers()), (1, held));
 }
 
@@ -87,10 +87,7 @@
     // The same life does not come back.
     a.list("ready");
     let other = world.engine("b", "one");
-    wait("a later entry is known", async || {
-        node.events("engine_listed").iter().any(|e| e["engine"] == other.id.as_str())
-    })
-    .await;
+    listed(&node, &other).await;
     assert_eq!(status(&caller, "/get/x").await, 503);
     a.restart();
     a.list("ready");
--- a/crates/heathpitchd/tests/gateway_store.rs
+++ b/crates/heathpitchd/tests/gateway_store.rs
@@ -6,15 +6,10 @@
 
 use std::time::Duration;
 
-use gateway::{KEY, KEY_2, World, wait};
+use gateway::{KEY, KEY_2, World, status, wait};
 use heathpitch_standin::{CONFIG, Caller, GatewayProcess, Mode, RouteSpec};
-use hyper::Method;
 use serde_json::json;
 
-async fn status(caller: &Caller, target: &str) -> u16 {
-    caller.call(Method::GET, target, "").await.unwrap().status
-}
-
 /// Takes the store away, or brings it back, and waits until the node knows.
 async fn store_goes(world: &World, node: &GatewayProcess, up: bool) {
     world.store.behave(if up { Mode::Up } else { Mode::Busy });
--- a/crates/policy/src/layout.rs
+++ b/crates/policy/src/layout.rs
@@ -160,10 +160,15 @@
     chain
 }
 
-/// Copies of the layer that the fewest of these ranges hold.
-pub fn fewest_copies(layers: u32, held: impl Iterator<Item = LayerRange> + Clone) -> usize {
-    let copies = |layer: u32| held.clone().filter(|r| (r.first..r.end).contains(&layer)).count();
-    (0..layers).map(copies).min().unwrap_or(0)
+/// How many of these ranges hold each layer.
+pub fn copies(layers: u32, held: impl Iterator<Item = LayerRange>) -> Vec<usize> {
+    let mut copies = vec![0; layers as usize];
+    for range in held {
+        for layer in range.first..range.end.min(layers) {
+            copies[layer as usize] += 1;
+        }
+    }
+    copies
 }
 
 /// Layers that none of these ranges holds.
--- a/crates/policy/src/layout_copies.rs
+++ b/crates/policy/src/layout_copies.rs
@@ -3,8 +3,8 @@
 use heathpitch_core::LayerRange;
 
 use crate::layout_deal::spares_ample;
-use crate::layout_repair::{Layout, ROOM_REPAIR};
-use crate::{LayoutReason, Worker, fewest_copies};
+use crate::layout_repair::Layout;
+use crate::{LayoutReason, Worker, copies};
 
 /// # Copies
 impl Layout<'_> {
@@ -16,17 +16,18 @@
             (0..self.workers.len()).filter(|i| empty(&self.workers[*i])).collect();
         let spares = spares_ample(self.workers.len());
         let speed = |i: &usize| self.workers[*i].card.speed();
-        if self.fewest() > 1 {
+        if fewest(&self.copies()) > 1 {
             empties.sort_by(|a, b| speed(a).total_cmp(&speed(b)));
         }
         let mut left = empties.len();
         for index in empties {
-            let few = self.fewest().max(1);
+            let copies = self.copies();
+            let few = fewest(&copies).max(1);
             if few > 1 && left <= spares {
                 return;
             }
             let most = self.most(index);
-            let Some(start) = self.thinnest(most, few) else { return };
+            let Some(start) = self.thinnest(most, few, &copies) else { return };
             let end = (start + most).min(self.model.layers);
             self.assign(index, LayerRange::new(start, end), LayoutReason::StandIn);
             left -= 1;
@@ -41,11 +42,11 @@
     /// One at a time, and nothing while another order is under way, so that the others serve meanwhile; it
     /// leaves no layer as thin as the one that it is for, so moves end.
     pub(crate) fn even_out(&mut self) {
-        if self.wanted <= ROOM_REPAIR || self.workers.iter().any(|w| !w.free) {
+        if !self.is_ample() || self.workers.iter().any(|w| !w.free) {
             return;
         }
-        let copies: Vec<usize> = (0..self.model.layers).map(|l| self.copies(l)).collect();
-        let Some(few) = copies.iter().copied().min() else { return };
+        let copies = self.copies();
+        let few = fewest(&copies);
         let spared = |w: &Worker| {
             let held = copies.get(w.layers.first as usize..w.layers.end as usize);
             !w.new && held.is_some_and(|h| !h.is_empty() && h.iter().all(|c| *c >= few + 2))
@@ -53,32 +54,26 @@
         let spared = (0..self.workers.len()).filter(|i| spared(&self.workers[*i]));
         let Some(index) = spared.min_by_key(|i| (self.workers[*i].open, *i)) else { return };
         let most = self.most(index).min(self.model.layers);
-        let Some(start) = self.thinnest(most, few) else { return };
+        let Some(start) = self.thinnest(most, few, &copies) else { return };
         let start = start.min(self.model.layers - most);
         self.assign(index, LayerRange::new(start, start + most), LayoutReason::Even);
     }
 
-    /// Copies of the layer that has the fewest.
-    fn fewest(&self) -> usize {
-        fewest_copies(self.model.layers, self.workers.iter().map(|w| w.layers))
-    }
-
-    fn copies(&self, layer: u32) -> usize {
-        let holds = |w: &&Worker| (w.layers.first..w.layers.end).contains(&layer);
-        self.workers.iter().filter(holds).count()
+    /// Copies of each layer.
+    fn copies(&self) -> Vec<usize> {
+        copies(self.model.layers, self.workers.iter().map(|w| w.layers))
     }
 
     /// Start of a worker's range from which `most` layers have `few` copies or fewer, if any have.
-    fn thinnest(&self, most: u32, few: usize) -> Option<u32> {
+    fn thinnest(&self, most: u32, few: usize, copies: &[usize]) -> Option<u32> {
         if most == 0 {
             return None;
         }
-        let copies: Vec<usize> = (0..self.model.layers).map(|l| self.copies(l)).collect();
         let copies = |layer: u32| copies[layer as usize];
         let held = self.workers.iter().filter(|w| w.layers.count() > 0).map(|w| w.layers.first);
         let alone = |l: &u32| copies(*l) <= few && (*l == 0 || copies(*l - 1) > few);
         // Without memory for two copies, workers that stay empty are worth more than scraps.
-        let ample = self.wanted > ROOM_REPAIR;
+        let ample = self.is_ample();
         let starts = held.chain((0..self.model.layers).filter(|l| ample && alone(l)));
         let weight = |start: u32| {
             let end = (start + most).min(self.model.layers);
@@ -93,3 +88,8 @@
         best.map(|(_, std::cmp::Reverse(start))| start)
     }
 }
+
+/// Copies of the layer that has the fewest; none of a model without layers.
+fn fewest(copies: &[usize]) -> usize {
+    copies.iter().copied().min().unwrap_or(0)
+}
--- a/crates/policy/src/layout_deal.rs
+++ b/crates/policy/src/layout_deal.rs
@@ -3,7 +3,7 @@
 use heathpitch_core::{LayerRange, LayeredModel};
 
 use crate::chain::HOP;
-use crate::layout_repair::{Layout, ample};
+use crate::layout_repair::Layout;
 use crate::{Assignment, LayoutReason, Worker};
 
 /// Tokens of requests that a layout leaves room for if it can; twice what a domain of the users'
@@ -67,7 +67,7 @@
     order.sort_by(|a, b| speed(a).total_cmp(&speed(b)).then(a.engine.cmp(&b.engine)));
     let spares = (order.len() as f64 * SPARE_SHARE).ceil() as usize;
     let rooms = |least: u32| (least..=ROOM_MOST).rev().step_by(ROOM_STEP as usize);
-    let ample = ample(model, workers);
+    let ample = Layout::new(model, workers).is_ample();
     let best = |least: u32, spares: usize| {
         let mut covers = rooms(least).filter_map(|r| Some((r, cover(model, &order, r, spares)?)));
         // Where there is memory for second copies, those need the fast cards' layers too.
--- a/crates/policy/src/layout_repair.rs
+++ b/crates/policy/src/layout_repair.rs
@@ -7,7 +7,7 @@
 
 /// Room left by workers that take over layers of others, if possible, in a domain without memory
 /// for two copies.
-pub(crate) const ROOM_REPAIR: u32 = 70_000;
+const ROOM_REPAIR: u32 = 70_000;
 /// Copies of the model for which a domain has to have memory beside more room than that: two, and
 /// a few workers that stay empty.
 const COPIES: f64 = 2.2;
@@ -26,7 +26,7 @@
     pub(crate) model: &'a LayeredModel,
     pub(crate) workers: Vec<Worker>,
     /// Room that takers and stand-ins leave, if possible.
-    pub(crate) wanted: u32,
+    wanted: u32,
     plan: Vec<Assignment>,
 }
 
@@ -230,6 +230,11 @@
         self.model.fits(&self.workers[index].card, f64::from(self.wanted))
     }
 
+    /// Whether the domain has memory for two copies beside more room than repairs leave.
+    pub(crate) fn is_ample(&self) -> bool {
+        self.wanted > ROOM_REPAIR
+    }
+
     /// Room below which a worker holds too much.
     fn tight(&self) -> f64 {
         f64::from(self.wanted) * TIGHT
@@ -291,11 +296,6 @@
     rooms.find(|r| copies(*r) >= COPIES).unwrap_or(ROOM_REPAIR)
 }
 
-/// Whether a domain has memory for two copies beside more room than repairs leave.
-pub(crate) fn ample(model: &LayeredModel, workers: &[Worker]) -> bool {
-    wanted(model, workers) > ROOM_REPAIR
-}
-
 /// As few workers as close a gap with loads that are not long.
 fn few(takers: Vec<Taker>, gap: LayerRange) -> Vec<Taker> {
     let mut held = 0;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -61,7 +61,7 @@
 pub use gate::{Gate, Shed};
 pub use gauge::Gauge;
 pub use health::{Health, HealthEvent, Standing};
-pub use layout::{Assignment, LayoutReason, Worker, fewest_copies, lay_out, mains, uncovered};
+pub use layout::{Assignment, LayoutReason, Worker, copies, lay_out, mains, uncovered};
 pub use ledger::{Ledger, Record, Start};
 pub use lives::{Lives, Word};
 pub use members::{Member, MemberState, Members};
