--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -1,8 +1,8 @@
 //! Filter: reads a call, finds its route and client account, and lets it in.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
-use heathpitch_core::{CallRoute, Catalog, Holder, Millis, ServiceSpec};
+use heathpitch_core::{CallRoute, Catalog, Holder, Millis, RequestPrint, ServiceSpec};
 use heathpitch_net::{BodyError, CallBody, CallHead, read};
 use hyper::Request;
 use hyper::body::{Body as _, Incoming};
@@ -29,6 +29,7 @@
     pub(crate) holder: Option<Holder>,
     pub(crate) received: Millis,
     pub(crate) until: Millis,
+    print: OnceLock<RequestPrint>,
 }
 
 impl Call {
@@ -37,6 +38,15 @@
         self.until.saturating_sub(now)
     }
 
+    /// Its print; worked out when it is first asked for, which most calls never are.
+    pub(crate) fn print(&self) -> RequestPrint {
+        *self.print.get_or_init(|| {
+            let account = self.holder.as_ref().map(|h| h.account.as_str());
+            let body = &self.body;
+            RequestPrint::of(body.method.as_str(), &body.target, account, &body.content)
+        })
+    }
+
     /// Its rank, 0 first.
     pub(crate) fn rank(&self) -> u8 {
         self.holder.as_ref().and_then(|h| h.rank).unwrap_or(self.route.rank)
@@ -84,7 +94,17 @@
     let content = content(body, &catalog, &id).await?;
     let target = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
     let body = CallBody { method: parts.method, target, headers: parts.headers, content };
-    Ok(Call { head, body, catalog, route, service, holder, received, until })
+    Ok(Call {
+        head,
+        body,
+        catalog,
+        route,
+        service,
+        holder,
+        received,
+        until,
+        print: OnceLock::new(),
+    })
 }
 
 fn service(catalog: &Catalog, route: &CallRoute, id: &str) -> Result<Arc<ServiceSpec>, Refused> {
--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use heathpitch_core::{Evidence, Millis, Name, Path, Stage};
+use heathpitch_core::{EngineEntry, Evidence, Millis, Name, Path, Stage};
 use heathpitch_net::Events;
 use hyper::StatusCode;
 use rand::Rng;
@@ -19,7 +19,7 @@
 use crate::gateway::engine_table::EngineView;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::live::LiveStream;
-use crate::gateway::shared::Notice;
+use crate::gateway::shared::{LostSend, Notice};
 
 /// Paths tried whose first engine cannot even be connected to.
 const UNSENT_MOST: u32 = 4;
@@ -49,6 +49,8 @@
     pub(crate) head: Option<Name>,
     pub(crate) _open: OpenCall,
     held: Option<Held>,
+    /// The engine of the attempt that runs, and the events passed on before it.
+    begun: Option<(Arc<EngineEntry>, u64)>,
     /// Whether to wait for a path where there is none.
     patient: bool,
     unsent: u32,
@@ -87,6 +89,7 @@
             head: None,
             _open: open,
             held: None,
+            begun: None,
             patient: false,
             unsent: 0,
             avoid: Vec::new(),
@@ -171,6 +174,7 @@
             self.log_lost(&head, why);
             self.avoid.push(head);
         }
+        self.tell_lost();
         self.seen.lost();
         self.live = None;
         self.held = None;
@@ -207,6 +211,14 @@
         self.sending(engine, self.sends).failed(&failure, self.events.count());
     }
 
+    /// Tells the control thread that the attempt's connection was lost, because its engine may have ended.
+    fn tell_lost(&mut self) {
+        let Some((engine, before)) = self.begun.take() else { return };
+        let events = self.events.count().saturating_sub(before);
+        let lost = LostSend { engine, print: self.call.print(), events };
+        self.traffic.shared.tell(Notice::Lost(lost));
+    }
+
     /// A path for the next send; a stream that has begun and lost its engine waits for one.
     async fn choose(&self) -> Option<Choice> {
         let start = self.traffic.shared.now();
@@ -243,6 +255,7 @@
         let now = traffic.shared.now();
         self.sending(&view.entry.id, self.sends + 1).routed(path, self.events.last());
         self.hold(view, path);
+        self.begun = Some((view.entry.clone(), self.events.count()));
         self.head = Some(view.entry.id.clone());
         self.live = path.map(|p| {
             let request = self.call.head.id.clone();
@@ -308,6 +321,7 @@
             }
             Failure::Lost(_) => {
                 self.sends += 1;
+                self.tell_lost();
                 self.seen.lost();
                 self.avoid.push(view.entry.id.clone());
                 RefusedKind::Broken
--- a/crates/heathpitchd/src/gateway/call/record.rs
+++ b/crates/heathpitchd/src/gateway/call/record.rs
@@ -43,14 +43,16 @@
 
     /// The send failed after `events` events were passed on.
     pub(crate) fn failed(self, failure: &Failure, events: u64) {
+        let lost = matches!(failure, Failure::Lost(_));
         self.traffic.shared.metrics.attempts.with_label_values(&["failed"]).inc();
         GatewayEvent::CallAttemptFailed {
             request: self.call.head.id.to_string(),
             attempt: self.attempt,
             engine: self.engine.clone(),
             error: failure.to_string(),
-            not_run: !matches!(failure, Failure::Lost(_)),
+            not_run: !lost,
             events,
+            print: lost.then(|| self.call.print()),
         }
         .log();
     }
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -14,7 +14,7 @@
 use super::refused::{Refused, RefusedKind};
 use super::send::{Failure, send};
 use crate::gateway::engine_table::EngineView;
-use crate::gateway::shared::Notice;
+use crate::gateway::shared::{LostSend, Notice};
 
 /// Largest answer held, bytes.
 const ANSWER_MOST: usize = 16 << 20;
@@ -100,7 +100,7 @@
             }
             Err(failure) => {
                 sending.failed(&failure, 0);
-                kind = note(traffic, &view, trace, &failure);
+                kind = note(traffic, call, &view, trace, &failure);
             }
         }
         trace.avoid.push(view.entry.id.clone());
@@ -112,7 +112,13 @@
 }
 
 /// Takes note of a failed send.
-fn note(traffic: &Traffic, view: &EngineView, trace: &mut Trace, failure: &Failure) -> RefusedKind {
+fn note(
+    traffic: &Traffic,
+    call: &Call,
+    view: &EngineView,
+    trace: &mut Trace,
+    failure: &Failure,
+) -> RefusedKind {
     match failure {
         Failure::Unsent(_) => {
             trace.unsent += 1;
@@ -132,6 +138,8 @@
         Failure::Lost(_) => {
             trace.sends += 1;
             trace.seen.lost();
+            let (engine, print) = (view.entry.clone(), call.print());
+            traffic.shared.tell(Notice::Lost(LostSend { engine, print, events: 0 }));
             RefusedKind::Broken
         }
     }
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -4,10 +4,12 @@
 //! current; `feed` hears both from other nodes instead, as `turns` says, and `tell` answers these; `nodes`
 //! keeps the lease of the failure domain's planner and counts who follows it; `planner` orders layers by
 //! `orders`; `reports` asks engines how they do, and `neighbours` hears what those of the other failure
-//! domains do; `recovery` watches running streams and moves them off engines that `looks` finds lost. They
+//! domains do; `ends` finds out whether engines ended whose
+//! connections calls lost; `recovery` watches running streams and moves them off engines that `looks` finds lost. They
 //! publish snapshots in [`Shared`], that of engines by `publish`; nothing else is shared with traffic.
 
 mod config;
+mod ends;
 mod engines;
 mod feed;
 mod looks;
@@ -99,6 +101,7 @@
             Notice::Replaced(engine) => engines::mark_replaced(&control, &engine),
             Notice::Misplaced(engine) => engines::reread(&control, &engine),
             Notice::Refused(engine) => looks::question(&control, &engine),
+            Notice::Lost(lost) => ends::take(&control, lost),
         }
     }
 }
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -11,6 +11,7 @@
 use heathpitch_policy::{Followers, Lives, Mirror, Sources, Tally};
 use tokio::sync::Notify;
 
+use super::ends::Ends;
 use super::looks::Lost;
 use super::orders::Pending;
 use super::recovery::Watched;
@@ -93,6 +94,8 @@
     renewed: Cell<Millis>,
     pub(super) pending: RefCell<HashMap<Name, Pending>>,
     pub(super) streams: RefCell<Vec<Watched>>,
+    /// What is known of engines whose connections calls lost a moment ago.
+    pub(super) ends: RefCell<Ends>,
     /// Orders that engines have begun, as far as is known; an engine starts with none.
     pub(super) orders: RefCell<HashMap<Name, u64>>,
     pub(super) tallies: RefCell<HashMap<Name, Arc<Tally>>>,
@@ -139,6 +142,7 @@
             renewed: Cell::new(0),
             pending: RefCell::default(),
             streams: RefCell::default(),
+            ends: RefCell::default(),
             orders: RefCell::default(),
             tallies: RefCell::default(),
             reachable: Cell::new(true),
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -1,6 +1,6 @@
 //! Events of a gateway's log, each with a stable name.
 
-use heathpitch_core::{LayerRange, Millis, Name, Path, Revision};
+use heathpitch_core::{LayerRange, Millis, Name, Path, RequestPrint, Revision};
 use heathpitch_policy::LayoutReason;
 use serde::Serialize;
 
@@ -92,6 +92,8 @@
         not_run: bool,
         /// Events passed on so far.
         events: u64,
+        /// Print of the request, if it may have run there: the same for calls that are the same request.
+        print: Option<RequestPrint>,
     },
     /// A running call was moved to other engines.
     CallRerouted {
@@ -195,6 +197,15 @@
         /// What told of it.
         by: &'static str,
     },
+    /// An engine has ended while calls of this node ran there: it refuses connections.
+    EngineEnded {
+        /// Engine.
+        engine: Name,
+        /// Calls of this node that were lost with it.
+        calls: usize,
+        /// Those of them that it had just begun to run: their prints, and events that they had brought.
+        begun: Vec<(RequestPrint, u64)>,
+    },
     /// An engine is kept from new work.
     EngineDoubted {
         /// Engine.
@@ -271,7 +282,7 @@
 
 impl GatewayEvent {
     /// Stable names of all events.
-    pub const NAMES: [&'static str; 26] = [
+    pub const NAMES: [&'static str; 27] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -289,6 +300,7 @@
         "engines_listed",
         "engine_gone",
         "engine_reborn",
+        "engine_ended",
         "engine_doubted",
         "engine_paced",
         "layout_planned",
@@ -305,6 +317,7 @@
         let level = match self {
             Self::CallRefused { .. }
             | Self::CallAttemptFailed { .. }
+            | Self::EngineEnded { .. }
             | Self::CallEnded { whole: false, .. }
             | Self::ConfigRejected { .. }
             | Self::WatchLost { .. }
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use heathpitch_core::{Catalog, GatewaySettings, Millis, Name};
+use heathpitch_core::{Catalog, EngineEntry, GatewaySettings, Millis, Name, RequestPrint};
 use heathpitch_net::{Dialect, Orders, Store};
 use heathpitch_policy::Freshness;
 use tokio::sync::mpsc;
@@ -29,6 +29,17 @@
     Misplaced(Name),
     /// An engine refused its part of a path.
     Refused(Name),
+    /// A call's connection to an engine was lost.
+    Lost(LostSend),
+}
+
+/// A send whose connection was lost while its engine may have been at work on it.
+#[derive(Clone, Debug)]
+pub(crate) struct LostSend {
+    pub(crate) engine: Arc<EngineEntry>,
+    pub(crate) print: RequestPrint,
+    /// Events that this send brought.
+    pub(crate) events: u64,
 }
 
 /// The platform, as an adapter speaks it.
