--- a/crates/core/src/gateway_settings.rs
+++ b/crates/core/src/gateway_settings.rs
@@ -72,6 +72,8 @@
     pub retry_window_s: f64,
     /// Shortest lease the store grants.
     pub lease_min_ms: Millis,
+    /// Time without trouble after which a node counts as in touch with the others.
+    pub contact_ms: Millis,
 }
 
 impl Default for Agreed {
@@ -84,6 +86,7 @@
             retry_slack: 200.0,
             retry_window_s: 10.0,
             lease_min_ms: 1_000,
+            contact_ms: 3_000,
         }
     }
 }
@@ -102,6 +105,7 @@
         within("bounds.grace_s", b.grace_s as u64, 1, 3_600)?;
         within("bounds.retry_window_s", b.retry_window_s as u64, 1, 3_600)?;
         within("bounds.lease_min_ms", b.lease_min_ms, 1, 600_000)?;
+        within("bounds.contact_ms", b.contact_ms, 100, 600_000)?;
         within("vm.link_mbps", settings.vm.link_mbps as u64, 1, 1_000_000)?;
         within("vm.cpu_share (thousandths)", (settings.vm.cpu_share * 1e3) as u64, 1, 1_000_000)?;
         Ok(settings)
--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -10,6 +10,8 @@
 
 use super::Traffic;
 use super::refused::{Refused, RefusedKind};
+use crate::gateway::shared::{Notice, Shared};
+use crate::gateway::suspicion::HeldBack;
 
 /// Age of a proof beyond which the configuration in force is not believed to be the newest, so
 /// that a call it does not know is put off rather than denied, milliseconds.
@@ -18,6 +20,9 @@
 /// the moment counted from.
 const REVOKE_MARGIN: Millis = 300;
 
+/// Time left of a request that is held back below which its coming again is told, milliseconds: half of it.
+const RENEW: Millis = 300_000;
+
 /// A call that was let in.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -94,17 +99,25 @@
     let content = content(body, &catalog, &id).await?;
     let target = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
     let body = CallBody { method: parts.method, target, headers: parts.headers, content };
-    Ok(Call {
-        head,
-        body,
-        catalog,
-        route,
-        service,
-        holder,
-        received,
-        until,
-        print: OnceLock::new(),
-    })
+    let print = OnceLock::new();
+    let call = Call { head, body, catalog, route, service, holder, received, until, print };
+    match shared.suspicion.load().held(|| call.print()) {
+        Some(held) => Err(hold_back(shared, &call, held)),
+        None => Ok(call),
+    }
+}
+
+/// Refuses a call under which engines end, until its request is let through again.
+///
+/// With a status that says that it did not run, which is true of this call, and with the time after which
+/// it may: one that denies it for good would be wrong once the engines are mended.
+fn hold_back(shared: &Shared, call: &Call, held: &HeldBack) -> Refused {
+    let left = held.until.saturating_sub(shared.now());
+    if left < RENEW {
+        shared.tell(Notice::HeldBack(call.print()));
+    }
+    let detail = held.to_string();
+    Refused::unsent(RefusedKind::HeldBack, &call.head.id, detail).until(left)
 }
 
 fn service(catalog: &Catalog, route: &CallRoute, id: &str) -> Result<Arc<ServiceSpec>, Refused> {
--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -51,6 +51,8 @@
     held: Option<Held>,
     /// The engine of the attempt that runs, and the events passed on before it.
     begun: Option<(Arc<EngineEntry>, u64)>,
+    /// Events that the last attempt whose connection was lost had brought.
+    lost: Option<u64>,
     /// Whether to wait for a path where there is none.
     patient: bool,
     unsent: u32,
@@ -90,6 +92,7 @@
             _open: open,
             held: None,
             begun: None,
+            lost: None,
             patient: false,
             unsent: 0,
             avoid: Vec::new(),
@@ -112,6 +115,9 @@
                 self.traffic.returns.admit(&self.call.service.name, self.traffic.shared.now());
             }
             let Choice { view, path, .. } = choice;
+            if self.sends > 0 && !self.allows_again() {
+                return Err(Ended::Refused(kind));
+            }
             if self.sends > 0 && !self.traffic.budgets.spend(&self.call.service.name) {
                 return Err(Ended::Refused(kind));
             }
@@ -211,10 +217,17 @@
         self.sending(engine, self.sends).failed(&failure, self.events.count());
     }
 
+    /// Whether what the last attempt met speaks for a further one.
+    fn allows_again(&self) -> bool {
+        let suspicion = self.traffic.shared.suspicion.load();
+        self.lost.is_none_or(|events| suspicion.allows_again(events, || self.call.print()))
+    }
+
     /// Tells the control thread that the attempt's connection was lost, because its engine may have ended.
     fn tell_lost(&mut self) {
         let Some((engine, before)) = self.begun.take() else { return };
         let events = self.events.count().saturating_sub(before);
+        self.lost = Some(events);
         let lost = LostSend { engine, print: self.call.print(), events };
         self.traffic.shared.tell(Notice::Lost(lost));
     }
--- a/crates/heathpitchd/src/gateway/call/record.rs
+++ b/crates/heathpitchd/src/gateway/call/record.rs
@@ -10,6 +10,7 @@
 use super::admit::Call;
 use super::send::Failure;
 use crate::gateway::event::{GatewayEvent, parts};
+use crate::gateway::shared::Notice;
 
 /// One send of a call.
 #[derive(Clone, Copy)]
@@ -58,6 +59,13 @@
     }
 }
 
+/// An engine answered a call whole, so that no engine ended by it.
+pub(crate) fn answered(traffic: &Traffic, call: &Call) {
+    if traffic.shared.suspicion.load().names(|| call.print()) {
+        traffic.shared.tell(Notice::Answered(call.print()));
+    }
+}
+
 /// The answer to a caller that gets an engine's whole answer after so many sends.
 pub(crate) fn pass_on(
     traffic: &Traffic,
@@ -66,6 +74,7 @@
     mut parts: Parts,
     content: Bytes,
 ) -> Response<Body> {
+    answered(traffic, call);
     let ms = traffic.shared.now().saturating_sub(call.received);
     traffic.shared.metrics.first.observe(ms as f64 / 1e3);
     GatewayEvent::CallEnded {
--- a/crates/heathpitchd/src/gateway/call/refused.rs
+++ b/crates/heathpitchd/src/gateway/call/refused.rs
@@ -30,6 +30,8 @@
     NoEngine,
     /// Its first event would come late, and more than it wait already.
     Overloaded,
+    /// Engines end when they begin to run it.
+    HeldBack,
     /// Every engine asked refused it.
     EnginesRefused,
     /// The connection to an engine was lost, or its answer cannot be used.
@@ -51,6 +53,7 @@
             Self::CutBody => "cut_body",
             Self::NoEngine => "no_engine",
             Self::Overloaded => "overloaded",
+            Self::HeldBack => "held_back",
             Self::EnginesRefused => "engines_refused",
             Self::Broken => "broken",
             Self::Expired => "expired",
--- a/crates/heathpitchd/src/gateway/call/relay.rs
+++ b/crates/heathpitchd/src/gateway/call/relay.rs
@@ -9,6 +9,7 @@
 use hyper::body::Frame;
 
 use super::flow::Flow;
+use super::record::answered;
 use super::send::Answer;
 use crate::gateway::event::GatewayEvent;
 
@@ -172,6 +173,7 @@
     fn finish(&mut self, whole: bool) {
         if let (true, Some(source)) = (whole, self.source.take()) {
             source.give_back(&self.flow.traffic.pool);
+            answered(&self.flow.traffic, &self.flow.call);
         }
         self.log(whole);
     }
--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -12,6 +12,8 @@
 use super::Traffic;
 use super::admit::Call;
 use crate::gateway::engine_table::EngineView;
+use crate::gateway::shared::Notice;
+use crate::gateway::suspicion::life;
 
 /// Head of an engine's answer, its body not read yet.
 pub(crate) struct Answer {
@@ -73,6 +75,7 @@
     path: Option<&Path>,
     after: Option<u64>,
 ) -> Result<Answer, Failure> {
+    let ended = traffic.shared.suspicion.load().has_ended(&view.entry);
     let reuse = if call.route.kind.repeatable() { Reuse::Idle } else { Reuse::Never };
     let answer = match once(traffic, call, view, path, after, reuse).await {
         // The engine closed an idle connection: nothing was sent, and a new one can be made.
@@ -81,7 +84,11 @@
         }
         other => other,
     }?;
-    judge(answer)
+    let answer = judge(answer)?;
+    if ended {
+        traffic.shared.tell(Notice::Lives(life(&view.entry)));
+    }
+    Ok(answer)
 }
 
 async fn once(
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -32,6 +32,8 @@
     unsent: u32,
     avoid: Vec<Name>,
     last: Option<Whole>,
+    /// Whether a connection was lost while an engine may have been at work on it.
+    lost: bool,
 }
 
 /// Runs the call until its final answer or the end of its time.
@@ -75,6 +77,9 @@
         let Some(view) = pick::engine(&table, &call.service.name, &home, avoid) else {
             return Err(kind);
         };
+        if trace.lost && !traffic.shared.suspicion.load().allows_again(0, || call.print()) {
+            return Err(kind);
+        }
         if again && !traffic.budgets.spend(&call.service.name) {
             return Err(kind);
         }
@@ -138,6 +143,7 @@
         Failure::Lost(_) => {
             trace.sends += 1;
             trace.seen.lost();
+            trace.lost = true;
             let (engine, print) = (view.entry.clone(), call.print());
             traffic.shared.tell(Notice::Lost(LostSend { engine, print, events: 0 }));
             RefusedKind::Broken
--- a/crates/heathpitchd/src/gateway/control/ends.rs
+++ b/crates/heathpitchd/src/gateway/control/ends.rs
@@ -26,9 +26,6 @@
 /// Time for which a call lost with an engine that has ended is taken to be lost by that, milliseconds: engines
 /// start again after seconds, and connections cut off by a lost link end later.
 const ENDED: Millis = 1_000;
-/// Events up to which a send counts as one that its engine had just begun to run: some 0.4 s of a
-/// stream at its usual pace. What ends an engine does so when it begins to run.
-pub(super) const BEGUN: u64 = 8;
 /// Calls named in one line of the log.
 const LOGGED: usize = 16;
 
@@ -61,18 +58,21 @@
         let ended = known || refuses(address).await;
         let lost = control.ends.borrow_mut().lost.remove(&engine).unwrap_or_default();
         if ended {
-            note(&control, engine, &lost);
+            note(&control, &lost);
         }
     });
 }
 
-/// Takes note that an engine has ended, and these calls with it.
-fn note(control: &Control, engine: Name, lost: &[LostSend]) {
-    let now = control.now();
-    control.ends.borrow_mut().ended.entry(engine.clone()).or_insert(now);
-    let begun = lost.iter().filter(|l| l.events <= BEGUN).map(|l| (l.print, l.events));
-    GatewayEvent::EngineEnded { engine, calls: lost.len(), begun: begun.take(LOGGED).collect() }
-        .log();
+/// Takes note that the engine of these calls has ended.
+fn note(control: &Control, lost: &[LostSend]) {
+    let Some(LostSend { engine, .. }) = lost.first() else { return };
+    control.ends.borrow_mut().ended.entry(engine.id.clone()).or_insert(control.now());
+    let mut youngest: Vec<_> = lost.iter().map(|l| (l.print, l.events)).collect();
+    youngest.sort_by_key(|(_, events)| *events);
+    youngest.truncate(LOGGED);
+    let (name, calls) = (engine.id.clone(), lost.len());
+    GatewayEvent::EngineEnded { engine: name, calls, youngest }.log();
+    control.engine_ended(engine, lost);
 }
 
 /// Whether nothing listens at an address.
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -13,7 +13,8 @@
 
 use heathpitch_core::{Millis, Name};
 use heathpitch_net::{
-    EdgeError, FeedAsk, FeedClient, FeedEngines, FeedKnown, FeedTold, Item, inflate_bytes, unpack,
+    EdgeError, FeedAsk, FeedClient, FeedEngines, FeedKnown, FeedMark, FeedTold, Item,
+    inflate_bytes, unpack,
 };
 use heathpitch_policy::{DomainPlanner, Heard, Source};
 
@@ -40,12 +41,29 @@
 /// sent work. A proof of the configuration says nothing of the list.
 pub(super) const LIST_OLD: Millis = 1_500;
 
+/// What this node and one that it asks have told each other of engines that ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Ends {
+    /// Up to where the other one knows what this node does.
+    told: FeedMark,
+    /// Up to where this node knows what the other one does.
+    known: FeedMark,
+}
+
+impl Ends {
+    /// Takes the answer to a question that told up to `told`.
+    pub(super) fn answered(&mut self, told: FeedMark, answer: &FeedTold) {
+        *self = Self { told, known: answer.ends_known };
+    }
+}
+
 /// The source followed, and what was told so far.
 #[derive(Default)]
 struct Followed {
     node: Option<Name>,
     client: Option<FeedClient>,
     known: FeedKnown,
+    ends: Ends,
     /// Until when the list of engines that was told last is young enough.
     until: Millis,
 }
@@ -109,11 +127,14 @@
     if followed.node.as_ref() != Some(&source.node) {
         *followed = Followed { node: Some(source.node.clone()), ..Followed::default() };
     }
-    let ask = control.question(followed.known, false);
+    let (ask, told_to) = control.question(followed.known, &followed.ends, false);
     if let Some(client) = &followed.client {
         let sent = control.now();
         match client.ask(&ask, LIMIT).await {
-            Ok(told) => return Ok((sent, told)),
+            Ok(told) => {
+                followed.ends.answered(told_to, &told);
+                return Ok((sent, told));
+            }
             Err(e) => log::info!("the connection to node {} was lost: {e}", source.node),
         }
     }
@@ -122,6 +143,7 @@
     let sent = control.now();
     let limit = if followed.known.serial == 0 { LIMIT_WHOLE } else { LIMIT };
     let told = client.ask(&ask, limit).await?;
+    followed.ends.answered(told_to, &told);
     followed.client = Some(client);
     Ok((sent, told))
 }
@@ -135,6 +157,7 @@
     told: FeedTold,
 ) -> Heard {
     take_nodes(control, source, &told);
+    control.hear_ends(&told.ends, sent, &source.node);
     let proven = sent.saturating_sub(told.list_ms);
     let own = control.shared.listed.load().at();
     // One who is asked for everything and tells no change has the same.
@@ -220,10 +243,16 @@
 
 /// # Feed
 impl Control {
-    /// A question to another node.
-    pub(super) fn question(&self, known: FeedKnown, reports: bool) -> FeedAsk {
+    /// A question to another node, and up to where it tells of engines that ended.
+    pub(super) fn question(
+        &self,
+        known: FeedKnown,
+        ends: &Ends,
+        reports: bool,
+    ) -> (FeedAsk, FeedMark) {
         let settings = self.shared.settings.load();
-        FeedAsk {
+        let (new, told) = self.ends_since(ends.told);
+        let ask = FeedAsk {
             node: settings.node.clone(),
             address: self.shared.peer.unwrap_or(settings.listen),
             able: nodes::is_able(&settings),
@@ -231,6 +260,9 @@
             digest: self.mirror.borrow().digest(),
             known,
             reports,
-        }
+            ends: new,
+            ends_known: ends.known,
+        };
+        (ask, told)
     }
 }
--- a/crates/heathpitchd/src/gateway/control/looks.rs
+++ b/crates/heathpitchd/src/gateway/control/looks.rs
@@ -151,6 +151,14 @@
     }
 }
 
+/// Leaves an engine that is known to be gone, because of `why`.
+pub(super) fn leave(control: &Control, engine: &Name, why: &'static str) {
+    if lose(control, engine, control.now()) {
+        control.doubt(engine, why, DOUBT);
+        control.publish();
+    }
+}
+
 /// Takes note that an engine cannot be reached; gives whether that is new.
 fn lose(control: &Control, engine: &Name, now: Millis) -> bool {
     let mut lost = control.lost.borrow_mut();
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -5,7 +5,7 @@
 //! keeps the lease of the failure domain's planner and counts who follows it; `planner` orders layers by
 //! `orders`; `reports` asks engines how they do, and `neighbours` hears what those of the other failure
 //! domains do; `ends` finds out whether engines ended whose
-//! connections calls lost; `recovery` watches running streams and moves them off engines that `looks` finds lost. They
+//! connections calls lost, and `quarantine` under which requests they do; `recovery` watches running streams and moves them off engines that `looks` finds lost. They
 //! publish snapshots in [`Shared`], that of engines by `publish`; nothing else is shared with traffic.
 
 mod config;
@@ -18,6 +18,7 @@
 mod orders;
 mod planner;
 mod publish;
+mod quarantine;
 mod recovery;
 mod reports;
 mod state;
@@ -86,6 +87,7 @@
             spawn_local(recovery::run(control.clone()));
             spawn_local(reports::run(control.clone()));
             spawn_local(neighbours::follow(control.clone()));
+            spawn_local(quarantine::run(control.clone()));
             spawn_local(receive(control, inbox));
             let _ = stop.wait_for(|s| *s).await;
             Ok(())
@@ -102,6 +104,9 @@
             Notice::Misplaced(engine) => engines::reread(&control, &engine),
             Notice::Refused(engine) => looks::question(&control, &engine),
             Notice::Lost(lost) => ends::take(&control, lost),
+            Notice::Answered(print) => control.answered(print),
+            Notice::Lives(life) => control.engine_lives(&life),
+            Notice::HeldBack(print) => control.came_again(print),
         }
     }
 }
--- a/crates/heathpitchd/src/gateway/control/neighbours.rs
+++ b/crates/heathpitchd/src/gateway/control/neighbours.rs
@@ -14,6 +14,7 @@
 use heathpitch_net::{EdgeError, FeedClient, FeedKnown, FeedTold};
 use heathpitch_policy::Source;
 
+use super::feed::Ends;
 use super::reports;
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
@@ -33,6 +34,7 @@
     answers: bool,
     client: Option<FeedClient>,
     known: FeedKnown,
+    ends: Ends,
     /// When it is asked next.
     next: Millis,
 }
@@ -63,6 +65,7 @@
                 answers: false,
                 client: None,
                 known: FeedKnown::default(),
+                ends: Ends::default(),
                 next: 0,
             };
             neighbours.insert(domain.clone(), neighbour);
@@ -97,6 +100,7 @@
         control.besides.borrow_mut().insert(domain.clone(), told.beside);
     }
     reports::hear(control, &told.reports, sent);
+    control.hear_ends(&told.ends, sent, &neighbour.planner.node);
 }
 
 /// Asks on the kept connection, or on a new one; one without an answer is not kept.
@@ -105,7 +109,9 @@
         Some(client) => client,
         None => FeedClient::open(neighbour.planner.address, LIMIT).await?,
     };
-    let told = client.ask(&control.question(neighbour.known, true), LIMIT).await?;
+    let (ask, told_to) = control.question(neighbour.known, &neighbour.ends, true);
+    let told = client.ask(&ask, LIMIT).await?;
+    neighbour.ends.answered(told_to, &told);
     neighbour.client = Some(client);
     Ok(told)
 }
--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -17,9 +17,12 @@
 use heathpitch_policy::{DomainPlanner, Source};
 use rand::Rng;
 
+use super::quarantine;
 use super::state::{Control, Fleet};
 use crate::gateway::event::GatewayEvent;
 
+/// Prefix of all that nodes write.
+const ROOT: &str = "heathpitch/";
 /// Prefix of the planners' leases; the value is the node that plans and its address for others.
 const PLANNERS: &str = "heathpitch/planners/";
 /// Time for which a planner's lease holds without a renewal, milliseconds: three renewals.
@@ -65,7 +68,7 @@
     let mut seen = None;
     loop {
         control.claim().await;
-        let result = control.call("list", control.edges.store.list(PLANNERS)).await;
+        let result = control.call("list", control.edges.store.list(ROOT)).await;
         let Ok(listing) = result else {
             control.pause(retry).await;
             retry = (retry * 2).min(RETRY_LONGEST);
@@ -123,7 +126,7 @@
         if own.is_some() && contend(control, own).await {
             return Watched::Won;
         }
-        let prefix = if control.plans() { PLANNERS } else { key };
+        let prefix = if control.plans() { ROOT } else { key };
         // Who waits longest finds that another one was faster.
         let wait = if free { stagger(&control.shared.settings.load()) } else { WATCH };
         let Ok(watched) = control.watch("planner", prefix, at, wait).await else {
@@ -133,8 +136,8 @@
             match change {
                 ItemChange::Put(item) => take(control, key, &mut holder, item),
                 ItemChange::Gone(gone) if &**gone == key => holder = None,
-                // It is asked until there is another one.
-                ItemChange::Gone(_) => {}
+                // A planner is asked until there is another one.
+                ItemChange::Gone(gone) => quarantine::gone(control, gone),
             }
         }
         at = watched.at;
@@ -263,6 +266,9 @@
 }
 
 fn note(control: &Control, item: &Item) {
+    if item.key.starts_with(quarantine::PREFIX) {
+        return quarantine::take(control, item);
+    }
     let domain = item.key.strip_prefix(PLANNERS).and_then(|d| d.parse().ok());
     // One without an address may not be asked.
     if let (Some(domain), Some(source)) = (domain, read_entry(item)) {
--- /dev/null
+++ b/crates/heathpitchd/src/gateway/control/quarantine.rs
@@ -0,0 +1,305 @@
+//! Controller of the requests under which engines end.
+//!
+//! What this node finds (`ends`) and what others tell it goes into one
+//! [`Quarantine`](heathpitch_policy::Quarantine). Nodes tell each other with every question and answer of the
+//! feed, both ways, whether or not they hear from the store, and planners tell those of other domains: with
+//! 0.4 s between a follower's questions and 0.25 s between those of planners, every node in touch knows
+//! within [`KNOWN_WITHIN`]. Planners write requests that are held back into the store, for nodes that begin when
+//! nobody is left who could tell them; an operator who removes such an entry lets the request through.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use heathpitch_core::{EngineEntry, Millis, Name, RequestPrint, Revision};
+use heathpitch_net::{FeedEnd, FeedMark, Item, StoreError, Write};
+use heathpitch_policy::{End, EngineLife};
+
+use super::looks;
+use super::state::Control;
+use crate::gateway::event::GatewayEvent;
+use crate::gateway::shared::LostSend;
+use crate::gateway::suspicion::{HeldBack, Suspicion, life};
+
+/// Prefix of entries of requests that are held back.
+pub(super) const PREFIX: &str = "heathpitch/quarantine/";
+/// Time from the end of an engine to the moment at which all nodes in touch have heard of it, milliseconds: a look
+/// (120), a follower's question (400) and the limit of its answer (300), a planner's (250 and 200), another
+/// follower's. Below the shortest time after which nodes count as in touch (3 000).
+const KNOWN_WITHIN: Millis = 2_000;
+/// Ends told in one message: 60 bytes each.
+const TOLD_MOST: usize = 256;
+/// Time after an engine's end in which those who hear of it leave the engine, milliseconds: its entry is off
+/// the list after three seconds, and another engine may have its address.
+const NEWS: Millis = 1_500;
+/// Time between two looks at what is old or has to be written to the store.
+const TICK: Duration = Duration::from_millis(300);
+/// Time that planners leave to the one of the first failure domain by name, milliseconds, so that one writes.
+const WRITE_LATER: Millis = 1_500;
+/// Time for which an entry in the store holds without being written again, milliseconds: the store's longest.
+const ENTRY_TTL: Millis = 600_000;
+/// Engines named in an entry.
+const ENTRY_MOST: usize = 16;
+
+/// Entries of the store, as far as this node knows: revision, and how often the request had come again.
+#[derive(Debug, Default)]
+pub(super) struct Entries {
+    known: HashMap<RequestPrint, Entry>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    revision: Revision,
+    renewed: u32,
+}
+
+/// # What this node finds
+impl Control {
+    /// An engine has ended under calls of this node.
+    pub(super) fn engine_ended(&self, engine: &EngineEntry, lost: &[LostSend]) {
+        let (now, life) = (self.now(), life(engine));
+        let mut new = false;
+        for call in lost {
+            let events = u32::try_from(call.events).unwrap_or(u32::MAX);
+            new |= self.quarantine.borrow_mut().ended(call.print, life.clone(), events, now);
+        }
+        self.leave(&life);
+        if new {
+            self.decide("calls of this node were lost with it");
+        }
+    }
+
+    /// A request under which engines ended was answered whole.
+    pub(super) fn answered(&self, print: RequestPrint) {
+        if self.quarantine.borrow_mut().answered(print) {
+            self.decide("it was answered");
+        }
+    }
+
+    /// An engine that is said to have ended has answered since.
+    pub(super) fn engine_lives(&self, life: &EngineLife) {
+        if self.quarantine.borrow_mut().lives(life) {
+            self.decide("an engine that was taken to have ended answers");
+        }
+    }
+
+    /// A request that is held back came again.
+    pub(super) fn came_again(&self, print: RequestPrint) {
+        if self.quarantine.borrow_mut().came(print, self.now()) {
+            self.decide("it came again");
+        }
+    }
+
+    /// Leaves an engine that has ended, if it is still listed.
+    fn leave(&self, life: &EngineLife) {
+        let listed = self.entries.borrow().get(&life.engine).is_some_and(|e| e.born == life.born);
+        if listed && !self.is_lost(&life.engine) {
+            looks::leave(self, &life.engine, "it has ended");
+        }
+    }
+}
+
+/// # What nodes tell each other
+impl Control {
+    /// What others have not heard who know this node's ends up to `known`; and up to where they do then.
+    pub(super) fn ends_since(&self, known: FeedMark) -> (Vec<FeedEnd>, FeedMark) {
+        let from = if known.life == self.life { known.serial } else { 0 };
+        let (ends, serial) = self.quarantine.borrow().since(from, TOLD_MOST, self.now());
+        let told = ends.into_iter().map(|(end, age_ms)| FeedEnd {
+            print: end.print,
+            engine: end.life.engine,
+            born: end.life.born,
+            events: end.events,
+            renewed: end.renewed,
+            void: end.void,
+            age_ms,
+        });
+        (told.collect(), FeedMark { life: self.life, serial })
+    }
+
+    /// Takes what another node told in a message that was sent at `sent` or later.
+    pub(super) fn hear_ends(&self, ends: &[FeedEnd], sent: Millis, by: &Name) {
+        let mut new = 0;
+        for told in ends {
+            let life = EngineLife { engine: told.engine.clone(), born: told.born };
+            let end = End {
+                print: told.print,
+                life: life.clone(),
+                events: told.events,
+                renewed: told.renewed,
+                void: told.void,
+            };
+            let now = self.now();
+            let age = now.saturating_sub(sent) + told.age_ms;
+            if !self.quarantine.borrow_mut().learn(end, age, now) {
+                continue;
+            }
+            new += 1;
+            if !told.void && age < NEWS {
+                self.leave(&life);
+            }
+        }
+        if new > 0 {
+            GatewayEvent::EndsHeard { by: by.clone(), ends: new }.log();
+            self.decide("another node told");
+        }
+    }
+}
+
+/// # Verdict
+impl Control {
+    /// Works out anew what is held back, and publishes it.
+    fn decide(&self, why: &'static str) {
+        let now = self.now();
+        let mut quarantine = self.quarantine.borrow_mut();
+        let (new, over) = quarantine.decide();
+        for print in new {
+            let ends: Vec<_> = quarantine
+                .against(print, now)
+                .map(|(l, events, age)| (l.engine.clone(), events, age))
+                .collect();
+            GatewayEvent::RequestHeldBack { print, ends, why }.log();
+        }
+        for print in over {
+            GatewayEvent::RequestLetThrough { print, why }.log();
+        }
+        let held = |print| {
+            let engines = quarantine.against(print, now).map(|(l, ..)| l.engine.clone()).collect();
+            let until = now + quarantine.left(print, now);
+            (print, HeldBack { engines, until })
+        };
+        let held: HashMap<_, _> = quarantine.held().map(held).collect();
+        self.shared.metrics.held.set(held.len() as i64);
+        let (counts, ended) = (quarantine.counts(), quarantine.ended_lives());
+        self.shared.suspicion.store(Arc::new(Suspicion { counts, held, ended }));
+    }
+}
+
+/// Forgets what is old and keeps the store's entries for as long as this node runs.
+pub(super) async fn run(control: Rc<Control>) {
+    let contact = control.shared.settings.load().bounds.contact_ms;
+    if contact < KNOWN_WITHIN {
+        log::warn!("ends of engines are known within {KNOWN_WITHIN} ms, agreed are {contact} ms");
+    }
+    loop {
+        tokio::time::sleep(TICK).await;
+        let expired = control.quarantine.borrow_mut().expire(control.now());
+        if expired {
+            control.decide("it has not come for long");
+        }
+        if control.plans() && control.reachable() && !control.stopping() {
+            write_due(&control).await;
+        }
+    }
+}
+
+/// Writes the requests that are held back and do not stand in the store as they are.
+async fn write_due(control: &Control) {
+    for print in due(control) {
+        if let Err(e) = write(control, print).await {
+            log::warn!("request {print}, which is held back, cannot be written to the store: {e}");
+            return;
+        }
+    }
+}
+
+fn due(control: &Control) -> Vec<RequestPrint> {
+    let (quarantine, entries) = (control.quarantine.borrow(), control.quarantined.borrow());
+    let own = control.domain();
+    let first = control.sources.borrow().planners().all(|(domain, _)| own <= *domain);
+    let now = control.now();
+    let wanted = |print: &RequestPrint| {
+        let known = entries.known.get(print).map(|e| e.renewed);
+        let held = quarantine.against(*print, now).map(|(.., age)| age).min().unwrap_or(0);
+        known.is_none_or(|known| known < quarantine.renewed(*print))
+            && (first || held >= WRITE_LATER)
+    };
+    quarantine.held().filter(wanted).collect()
+}
+
+async fn write(control: &Control, print: RequestPrint) -> Result<(), StoreError> {
+    let lease = control.call("grant", control.edges.store.grant(ENTRY_TTL)).await?;
+    let key = format!("{PREFIX}{print}");
+    let known = control.quarantined.borrow().known.get(&print).copied();
+    let (value, renewed) = {
+        let quarantine = control.quarantine.borrow();
+        (entry(&quarantine, print, control.now()), quarantine.renewed(print))
+    };
+    let write = Write {
+        conditions: vec![(key.clone(), known.map_or(Revision(0), |k| k.revision))],
+        puts: vec![(key, value, Some(lease))],
+        removals: Vec::new(),
+    };
+    match control.call("quarantine", control.edges.store.write(write)).await {
+        Ok(revision) => {
+            let entry = Entry { revision, renewed };
+            control.quarantined.borrow_mut().known.insert(print, entry);
+            Ok(())
+        }
+        // Another planner was faster; the lease that nothing stands under runs out by itself.
+        Err(StoreError::Conflict(items)) => {
+            match items.first() {
+                Some(item) => take(control, item),
+                None => removed(control, print),
+            }
+            Ok(())
+        }
+        Err(e) => Err(e),
+    }
+}
+
+/// The text of an entry: a line for each engine, with its start and the events that the request brought.
+fn entry(quarantine: &heathpitch_policy::Quarantine, print: RequestPrint, now: Millis) -> Bytes {
+    let line = |(life, events, _): (&EngineLife, u32, Millis)| {
+        format!("{} {} {events}\n", life.engine, life.born.unwrap_or(0))
+    };
+    let lines = quarantine.against(print, now).take(ENTRY_MOST).map(line);
+    lines.collect::<String>().into()
+}
+
+/// Takes an entry of the store.
+pub(super) fn take(control: &Control, item: &Item) {
+    let print = item.key.strip_prefix(PREFIX).and_then(|p| p.parse::<RequestPrint>().ok());
+    let (Some(print), Ok(text)) = (print, std::str::from_utf8(&item.value)) else {
+        return log::warn!("entry {} of a request that is held back cannot be read", item.key);
+    };
+    let now = control.now();
+    let mut new = false;
+    for line in text.lines() {
+        match read_line(print, line) {
+            Some(end) => new |= control.quarantine.borrow_mut().learn(end, 0, now),
+            None => log::warn!("a line of entry {} cannot be read: {line}", item.key),
+        }
+    }
+    let renewed = control.quarantine.borrow().renewed(print);
+    let entry = Entry { revision: item.revision, renewed };
+    control.quarantined.borrow_mut().known.insert(print, entry);
+    if new {
+        control.decide("it stands in the store");
+    }
+}
+
+fn read_line(print: RequestPrint, line: &str) -> Option<End> {
+    let mut words = line.split(' ');
+    let engine = words.next()?.parse().ok()?;
+    let born = words.next()?.parse().ok().filter(|born| *born > 0);
+    let events = words.next()?.parse().ok()?;
+    Some(End { print, life: EngineLife { engine, born }, events, renewed: 0, void: false })
+}
+
+/// Takes note that an entry is gone from the store, because an operator let its request through or
+/// because it has not come for long.
+pub(super) fn gone(control: &Control, key: &str) {
+    if let Some(print) = key.strip_prefix(PREFIX).and_then(|p| p.parse().ok()) {
+        removed(control, print);
+    }
+}
+
+fn removed(control: &Control, print: RequestPrint) {
+    let known = control.quarantined.borrow_mut().known.remove(&print).is_some();
+    if known && control.quarantine.borrow_mut().answered(print) {
+        control.decide("its entry was taken from the store");
+    }
+}
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -8,12 +8,13 @@
 
 use heathpitch_core::{EngineEntry, Millis, Name, Revision, ServiceSpec};
 use heathpitch_net::{Item, LeaseId, StoreError};
-use heathpitch_policy::{Followers, Lives, Mirror, Sources, Tally};
+use heathpitch_policy::{Followers, Lives, Mirror, Quarantine, Sources, Tally};
 use tokio::sync::Notify;
 
 use super::ends::Ends;
 use super::looks::Lost;
 use super::orders::Pending;
+use super::quarantine::Entries;
 use super::recovery::Watched;
 use super::reports::Report;
 use super::tell::Large;
@@ -96,6 +97,10 @@
     pub(super) streams: RefCell<Vec<Watched>>,
     /// What is known of engines whose connections calls lost a moment ago.
     pub(super) ends: RefCell<Ends>,
+    /// Requests under which engines end, as far as this node and those that tell it know.
+    pub(super) quarantine: RefCell<Quarantine>,
+    /// Those of them that stand in the store.
+    pub(super) quarantined: RefCell<Entries>,
     /// Orders that engines have begun, as far as is known; an engine starts with none.
     pub(super) orders: RefCell<HashMap<Name, u64>>,
     pub(super) tallies: RefCell<HashMap<Name, Arc<Tally>>>,
@@ -143,6 +148,8 @@
             pending: RefCell::default(),
             streams: RefCell::default(),
             ends: RefCell::default(),
+            quarantine: RefCell::default(),
+            quarantined: RefCell::default(),
             orders: RefCell::default(),
             tallies: RefCell::default(),
             reachable: Cell::new(true),
--- a/crates/heathpitchd/src/gateway/control/tell.rs
+++ b/crates/heathpitchd/src/gateway/control/tell.rs
@@ -54,6 +54,14 @@
 
 /// Answers a node.
 pub(super) fn answer(control: &Control, ask: FeedAsk) -> FeedTold {
+    // It cannot have been sent later than it came.
+    control.hear_ends(&ask.ends, control.now(), &ask.node);
+    let (ends, ends_known) = control.ends_since(ask.ends_known);
+    let told = answer_only(control, ask);
+    FeedTold { ends, ends_known, ..told }
+}
+
+fn answer_only(control: &Control, ask: FeedAsk) -> FeedTold {
     let known = if ask.known.life == control.life { ask.known } else { FeedKnown::default() };
     if ask.reports {
         return near_reports(control, known);
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -203,8 +203,31 @@
         engine: Name,
         /// Calls of this node that were lost with it.
         calls: usize,
-        /// Those of them that it had just begun to run: their prints, and events that they had brought.
-        begun: Vec<(RequestPrint, u64)>,
+        /// Those that had brought least: their prints and events, at most sixteen.
+        youngest: Vec<(RequestPrint, u64)>,
+    },
+    /// Another node told of engines that ended under requests.
+    EndsHeard {
+        /// Node.
+        by: Name,
+        /// Ends that are new to this node, or void since.
+        ends: usize,
+    },
+    /// A request is sent nowhere any more.
+    RequestHeldBack {
+        /// Print of the request.
+        print: RequestPrint,
+        /// Engines that ended under it: events it had brought, and how long ago that became known.
+        ends: Vec<(Name, u32, Millis)>,
+        /// What decided it.
+        why: &'static str,
+    },
+    /// A request that was held back may be sent again.
+    RequestLetThrough {
+        /// Print of the request.
+        print: RequestPrint,
+        /// What decided it.
+        why: &'static str,
     },
     /// An engine is kept from new work.
     EngineDoubted {
@@ -282,7 +305,7 @@
 
 impl GatewayEvent {
     /// Stable names of all events.
-    pub const NAMES: [&'static str; 27] = [
+    pub const NAMES: [&'static str; 30] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -301,6 +324,9 @@
         "engine_gone",
         "engine_reborn",
         "engine_ended",
+        "ends_heard",
+        "request_held_back",
+        "request_let_through",
         "engine_doubted",
         "engine_paced",
         "layout_planned",
@@ -318,6 +344,7 @@
             Self::CallRefused { .. }
             | Self::CallAttemptFailed { .. }
             | Self::EngineEnded { .. }
+            | Self::RequestHeldBack { .. }
             | Self::CallEnded { whole: false, .. }
             | Self::ConfigRejected { .. }
             | Self::WatchLost { .. }
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Every metric of a gateway: name, help.
-pub const GATEWAY_METRICS: [(&str, &str); 16] = [
+pub const GATEWAY_METRICS: [(&str, &str); 17] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -24,6 +24,7 @@
     ("heathpitch_nodes", "Nodes of the fleet: planners and their followers"),
     ("heathpitch_feed_asks_total", "Questions to the failure domain's planner, by result"),
     ("heathpitch_engine_list_age_seconds", "Age of the proof that the list of engines is current"),
+    ("heathpitch_requests_held_back", "Requests sent nowhere because engines ended under them"),
 ];
 
 /// Bounds of the histogram of first answers, seconds.
@@ -51,6 +52,7 @@
     pub(crate) nodes: IntGauge,
     pub(crate) feed: IntCounterVec,
     pub(crate) list_age: Gauge,
+    pub(crate) held: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -83,6 +85,7 @@
             nodes: IntGauge::with_opts(opts(13))?,
             feed: IntCounterVec::new(opts(14), &["result"])?,
             list_age: Gauge::with_opts(opts(15))?,
+            held: IntGauge::with_opts(opts(16))?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -109,6 +112,7 @@
             Box::new(self.nodes.clone()),
             Box::new(self.feed.clone()),
             Box::new(self.list_age.clone()),
+            Box::new(self.held.clone()),
         ]
     }
 
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod live;
 mod metrics;
 mod shared;
+mod suspicion;
 
 use std::io;
 use std::net::SocketAddr;
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -7,12 +7,13 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use heathpitch_core::{Catalog, EngineEntry, GatewaySettings, Millis, Name, RequestPrint};
 use heathpitch_net::{Dialect, Orders, Store};
-use heathpitch_policy::Freshness;
+use heathpitch_policy::{EngineLife, Freshness};
 use tokio::sync::mpsc;
 
 use super::engine_table::EngineTable;
 use super::live::LiveStream;
 use super::metrics::GatewayMetrics;
+use super::suspicion::Suspicion;
 use crate::clock::Clock;
 
 /// Messages that wait for the control thread.
@@ -31,6 +32,12 @@
     Refused(Name),
     /// A call's connection to an engine was lost.
     Lost(LostSend),
+    /// A request under which engines ended was answered whole.
+    Answered(RequestPrint),
+    /// An engine that is said to have ended answered a call sent after that.
+    Lives(EngineLife),
+    /// A request that is held back came again.
+    HeldBack(RequestPrint),
 }
 
 /// A send whose connection was lost while its engine may have been at work on it.
@@ -80,6 +87,8 @@
     pub(crate) fresh: ArcSwap<Freshness>,
     /// Proof that the engines known are those that the store lists.
     pub(crate) listed: ArcSwap<Freshness>,
+    /// Requests under which engines ended.
+    pub(crate) suspicion: ArcSwap<Suspicion>,
     pub(crate) stopping: AtomicBool,
     pub(crate) open: AtomicUsize,
     notices: mpsc::Sender<Notice>,
@@ -102,6 +111,7 @@
             table: ArcSwap::default(),
             fresh: ArcSwap::default(),
             listed: ArcSwap::default(),
+            suspicion: ArcSwap::default(),
             stopping: AtomicBool::new(false),
             open: AtomicUsize::new(0),
             notices,
--- /dev/null
+++ b/crates/heathpitchd/src/gateway/suspicion.rs
@@ -0,0 +1,68 @@
+//! Requests under which engines ended, as traffic sees them: an immutable snapshot.
+
+use std::collections::{HashMap, HashSet};
+use std::fmt;
+
+use heathpitch_core::{EngineEntry, Millis, Name, RequestPrint};
+use heathpitch_policy::{EngineLife, has_just_begun};
+
+/// What is known of requests under which engines ended; empty nearly always.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Suspicion {
+    /// How many engines ended under each request.
+    pub(crate) counts: HashMap<RequestPrint, u32>,
+    /// Those that are sent nowhere.
+    pub(crate) held: HashMap<RequestPrint, HeldBack>,
+    /// Engines that have ended.
+    pub(crate) ended: HashSet<EngineLife>,
+}
+
+impl Suspicion {
+    /// Why a request is sent nowhere; its print is worked out only if any is.
+    pub(crate) fn held(&self, print: impl FnOnce() -> RequestPrint) -> Option<&HeldBack> {
+        if self.held.is_empty() {
+            return None;
+        }
+        self.held.get(&print())
+    }
+
+    /// Whether a request that an engine cut off, `events` after it began there, is sent to a second one.
+    ///
+    /// Not if it had just begun, and another engine ended so before: a third one would end in the
+    /// call that ended the second, with some fifty streams, where all that a proper request needs is
+    /// that its caller comes back.
+    pub(crate) fn allows_again(&self, events: u64, print: impl FnOnce() -> RequestPrint) -> bool {
+        !has_just_begun(u32::try_from(events).unwrap_or(u32::MAX)) || !self.names(print)
+    }
+
+    /// Whether engines ended under a request; its print is worked out only if any did under one.
+    pub(crate) fn names(&self, print: impl FnOnce() -> RequestPrint) -> bool {
+        !self.counts.is_empty() && self.counts.contains_key(&print())
+    }
+
+    /// Whether an engine is known to have ended.
+    pub(crate) fn has_ended(&self, engine: &EngineEntry) -> bool {
+        !self.ended.is_empty() && self.ended.contains(&life(engine))
+    }
+}
+
+/// The life of an engine that its entry tells of.
+pub(crate) fn life(engine: &EngineEntry) -> EngineLife {
+    EngineLife { engine: engine.id.clone(), born: engine.born }
+}
+
+/// A request that is sent nowhere.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldBack {
+    /// Engines that ended under it.
+    pub(crate) engines: Vec<Name>,
+    /// Until when, if it does not come again.
+    pub(crate) until: Millis,
+}
+
+impl fmt::Display for HeldBack {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("engines ended when they began to run this request:")?;
+        self.engines.iter().try_for_each(|engine| write!(f, " {engine}"))
+    }
+}
--- a/crates/heathpitchd/tests/gateway_crashing_requests.rs
+++ b/crates/heathpitchd/tests/gateway_crashing_requests.rs
@@ -13,7 +13,7 @@
 
 use std::time::{Duration, Instant};
 
-use gateway::{KEY, World, fed, wait};
+use gateway::{KEY, World, fed, wait, wall_ms};
 use heathpitch_standin::{Caller, Engine, GatewayProcess, Play, Reply};
 use hyper::Method;
 use serde_json::json;
@@ -90,3 +90,186 @@
     let later = sends(&engines).into_iter().filter(|at| *at > third + CONTACT).count();
     assert!(later <= MORE, "it reached engines {later} times more, {} ended", ended(&engines));
 }
+
+/// The hops add up: a look, a follower's question, a planner's, another follower's.
+#[tokio::test(flavor = "multi_thread")]
+async fn every_node_knows_within_the_time_after_which_it_counts_as_in_touch() {
+    let world = World::new();
+    let engines = engines(&world, 18);
+    let nodes = nodes(&world).await;
+    end_three(&nodes[..2], &engines).await;
+    let third = wall_ms();
+    for node in &nodes {
+        wait("it is held back", async || !node.events("request_held_back").is_empty()).await;
+        let known = node.events("request_held_back")[0]["at"].as_u64().unwrap();
+        let took = known.saturating_sub(third);
+        println!("known after {took} ms");
+        assert!(took < 2_000, "{took} ms");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_its_caller_is_told_comes_at_once_is_true_and_does_not_call_it_back_soon() {
+    let world = World::new();
+    let engines = engines(&world, 18);
+    let nodes = nodes(&world).await;
+    end_three(&nodes, &engines).await;
+    for node in &nodes {
+        wait("it is held back", async || !node.events("request_held_back").is_empty()).await;
+        let begun = Instant::now();
+        let reply = tell(node, FATAL).await;
+        assert!(begun.elapsed() < Duration::from_millis(200), "{:?}", begun.elapsed());
+        assert_eq!(reply.status, 503);
+        let text = String::from_utf8_lossy(&reply.body);
+        assert!(text.contains("held_back") && text.contains("not_run"), "{text}");
+        let back: f64 = reply.header("retry-after").unwrap().parse().unwrap();
+        assert!(back > 60.0, "{back} s");
+        assert!(node.metrics().await.unwrap().contains("heathpitch_requests_held_back 1"));
+    }
+    assert_eq!(tell(&nodes[0], "another one").await.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn proper_requests_that_engines_cut_off_beside_it_are_not_held_back() {
+    let world = World::new();
+    let engines = engines(&world, 18);
+    let nodes = nodes(&world).await;
+    let listen = nodes.iter().map(|n| n.listen).collect::<Vec<_>>();
+    let proper = (0..24).map(|i| {
+        let address = listen[i % listen.len()];
+        tokio::spawn(async move {
+            let caller = Caller::new(address).key(KEY);
+            let body = format!("proper {i}");
+            let mut held = 0;
+            // As callers do, it comes back after a failure.
+            for _ in 0..8 {
+                match caller.call(Method::POST, "/whole/x", &body).await {
+                    Ok(reply) if reply.status == 200 && reply.whole => return (held, true),
+                    Ok(reply) => {
+                        held +=
+                            usize::from(String::from_utf8_lossy(&reply.body).contains("held_back"));
+                    }
+                    Err(_) => {}
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+            (held, false)
+        })
+    });
+    let proper: Vec<_> = proper.collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for node in nodes.iter().cycle().take(9) {
+        tell(node, FATAL).await;
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    for outcome in futures::future::join_all(proper).await {
+        assert_eq!(outcome.unwrap(), (0, true), "held back, served in the end");
+    }
+    let held: Vec<_> = nodes.iter().flat_map(|n| n.events("request_held_back")).collect();
+    let prints: std::collections::BTreeSet<_> =
+        held.iter().map(|e| e["print"].to_string()).collect();
+    assert!(ended(&engines) >= 3);
+    assert_eq!(prints.len(), 1, "{held:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_begins_afterwards_knows_before_it_takes_callers() {
+    let world = World::new();
+    let engines = engines(&world, 18);
+    let nodes = nodes(&world).await;
+    end_three(&nodes, &engines).await;
+    for node in &nodes {
+        wait("it is held back", async || !node.events("request_held_back").is_empty()).await;
+    }
+    let sent = sends(&engines).len();
+    for (domain, name) in [("mem", "n4"), ("atl", "n5")] {
+        let node = world.start_in(domain, name);
+        node.wait_ready().await.unwrap();
+        assert_eq!(tell(&node, FATAL).await.status, 503);
+    }
+    assert_eq!(sends(&engines).len(), sent);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_all_begin_again_know_and_an_operator_can_let_it_through() {
+    let world = World::new();
+    let engines = engines(&world, 18);
+    let nodes = nodes(&world).await;
+    end_three(&nodes, &engines).await;
+    let entry = || world.store.list("heathpitch/quarantine/").into_iter().next();
+    wait("it stands in the store", async || entry().is_some()).await;
+    let sent = sends(&engines).len();
+    nodes.iter().for_each(|n| n.signal("KILL").unwrap());
+    drop(nodes);
+    let begun = [("mem", "n1"), ("atl", "n3")].map(|(d, n)| world.start_in(d, n));
+    for node in &begun {
+        node.wait_ready().await.unwrap();
+        assert_eq!(tell(node, FATAL).await.status, 503);
+    }
+    assert_eq!(sends(&engines).len(), sent);
+    for node in &begun {
+        wait("each domain has a planner", async || !node.events("domain_planner").is_empty()).await;
+    }
+    world.store.remove(&entry().unwrap().0);
+    for node in &begun {
+        wait("it is let through", async || !node.events("request_let_through").is_empty()).await;
+    }
+    engines.iter().for_each(|e| e.end_by("nothing any more"));
+    wait("it is served", async || tell(&begun[0], FATAL).await.status == 200).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_calls_that_may_run_once_are_held_back_too() {
+    let world = World::new();
+    let engines: Vec<_> = (0..8).map(|i| world.engine(&format!("e{i}"), "api")).collect();
+    engines.iter().for_each(|e| e.end_by(FATAL));
+    let nodes = nodes(&world).await;
+    let mut ran = 0;
+    for node in nodes.iter().cycle().take(9) {
+        let caller = Caller::new(node.listen).key(KEY);
+        let reply = caller.call(Method::POST, "/book/x", FATAL).await.unwrap();
+        ran += usize::from(reply.status == 502);
+        assert!(reply.status == 502 || reply.status == 503, "{}", reply.status);
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+    }
+    assert_eq!((ended(&engines), ran), (3, 3), "each ran at one engine, and was said to");
+    let caller = Caller::new(nodes[0].listen).key(KEY);
+    assert_eq!(caller.call(Method::POST, "/book/x", "other").await.unwrap().status, 200);
+}
+
+/// Connections that are reset or cut off by engines that live on say nothing of the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_that_break_answers_off_have_not_ended() {
+    let world = World::new();
+    let engines = engines(&world, 6);
+    engines.iter().for_each(|e| e.play(Play::CutAfter(0)));
+    let node = world.node().await;
+    for _ in 0..8 {
+        tell(&node, "proper").await;
+    }
+    assert_eq!(node.events("engine_ended").len(), 0);
+    engines.iter().for_each(|e| e.play(Play::Stream(3, Duration::from_millis(2))));
+    assert_eq!(tell(&node, "proper").await.status, 200);
+}
+
+/// Engines that end of themselves, one after the other, under the same long stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_had_long_been_running_when_engines_ended_is_not_held_back() {
+    let world = World::new();
+    let engines = engines(&world, 8);
+    let node = world.node().await;
+    for _ in 0..4 {
+        let call = tell(&node, "proper");
+        let fault = async {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            let runs = |e: &&Engine| {
+                !e.ended()
+                    && e.seen().last().is_some_and(|s| s.at.elapsed() < Duration::from_millis(700))
+            };
+            engines.iter().filter(runs).for_each(Engine::crash);
+        };
+        tokio::join!(call, fault);
+    }
+    assert!(ended(&engines) >= 3);
+    assert_eq!(node.events("request_held_back").len(), 0);
+}
--- a/crates/net/schema/feed.capnp
+++ b/crates/net/schema/feed.capnp
@@ -33,6 +33,27 @@
   # Digest of the engines' entries that it has.
   reported @8 :UInt64;
   # Reports up to this one are known; 0 for none.
+  ends @9 :List(End);
+  # Ends of engines that the one asking learned of since it asked the same node last.
+  endsLife @10 :UInt64;
+  endsSerial @11 :UInt64;
+  # Ends that the node asked told up to this serial of that life are known.
+}
+
+struct End {
+  # The end of an engine while a request that it had just begun ran there.
+  print @0 :UInt64;
+  # Print of the request.
+  engine @1 :Text;
+  born @2 :UInt64;
+  # Unix time of the engine's start, milliseconds; 0 if it does not tell that.
+  events @3 :UInt32;
+  # Events that the request had brought there.
+  renewed @4 :UInt32;
+  # How often the request came again long after.
+  void @5 :Bool;
+  # Whether it says nothing of the request any more.
+  ageMs @6 :UInt64;
 }
 
 struct Told {
@@ -68,6 +89,10 @@
   # Whether the node asked was the planner of its failure domain and has given that up.
   standbys @18 :List(Source);
   # Nodes that read the store if the planner does not, in their order.
+  ends @19 :List(End);
+  endsLife @20 :UInt64;
+  endsSerial @21 :UInt64;
+  # Ends of engines, and up to where they are known once these are taken.
 }
 
 struct Report {
--- a/crates/net/src/feed_codec.rs
+++ b/crates/net/src/feed_codec.rs
@@ -5,11 +5,14 @@
 
 use bytes::Bytes;
 use capnp::message::{Builder, ReaderOptions};
-use heathpitch_core::{Name, Revision};
+use heathpitch_core::{Name, RequestPrint, Revision};
 
 use crate::deflate::{deflate_bytes, inflate_bytes};
-use crate::feed_capnp::{ask, item, items, planner, report, source, told};
-use crate::{EdgeError, FeedAsk, FeedEngines, FeedKnown, FeedPlanner, FeedReport, FeedTold, Item};
+use crate::feed_capnp::{ask, end, item, items, planner, report, source, told};
+use crate::{
+    EdgeError, FeedAsk, FeedEnd, FeedEngines, FeedKnown, FeedMark, FeedPlanner, FeedReport,
+    FeedTold, Item,
+};
 
 /// Packs items for a whole list: a hundred entries of engines take some 3 kB instead of 30.
 ///
@@ -47,6 +50,9 @@
     to.set_serial(from.known.serial);
     to.set_reported(from.known.reported);
     to.set_reports(from.reports);
+    to.set_ends_life(from.ends_known.life);
+    to.set_ends_serial(from.ends_known.serial);
+    write_ends(&from.ends, to.init_ends(from.ends.len() as u32));
 }
 
 pub(crate) fn read_ask(from: ask::Reader<'_>) -> capnp::Result<FeedAsk> {
@@ -62,6 +68,8 @@
             reported: from.get_reported(),
         },
         reports: from.get_reports(),
+        ends: read_ends(from.get_ends()?)?,
+        ends_known: FeedMark { life: from.get_ends_life(), serial: from.get_ends_serial() },
     })
 }
 
@@ -101,6 +109,9 @@
     for (i, p) in from.planners.iter().enumerate() {
         write_planner(p, planners.reborrow().get(i as u32));
     }
+    to.set_ends_life(from.ends_known.life);
+    to.set_ends_serial(from.ends_known.serial);
+    write_ends(&from.ends, to.reborrow().init_ends(from.ends.len() as u32));
     let mut standbys = to.init_standbys(from.standbys.len() as u32);
     for (i, (node, address)) in from.standbys.iter().enumerate() {
         write_source(node, *address, standbys.reborrow().get(i as u32));
@@ -137,6 +148,8 @@
         planners: from.get_planners()?.iter().map(read_planner).collect::<capnp::Result<_>>()?,
         vacant: from.get_vacant(),
         standbys: from.get_standbys()?.iter().map(read_source).collect::<capnp::Result<_>>()?,
+        ends: read_ends(from.get_ends()?)?,
+        ends_known: FeedMark { life: from.get_ends_life(), serial: from.get_ends_serial() },
     })
 }
 
@@ -180,6 +193,35 @@
     })
 }
 
+fn write_ends(from: &[FeedEnd], mut to: capnp::struct_list::Builder<'_, end::Owned>) {
+    for (i, e) in from.iter().enumerate() {
+        let mut to = to.reborrow().get(i as u32);
+        to.set_print(e.print.0);
+        to.set_engine(e.engine.as_str());
+        to.set_born(e.born.unwrap_or(0));
+        to.set_events(e.events);
+        to.set_renewed(e.renewed);
+        to.set_void(e.void);
+        to.set_age_ms(e.age_ms);
+    }
+}
+
+fn read_ends(from: capnp::struct_list::Reader<'_, end::Owned>) -> capnp::Result<Vec<FeedEnd>> {
+    from.iter().map(read_end).collect()
+}
+
+fn read_end(from: end::Reader<'_>) -> capnp::Result<FeedEnd> {
+    Ok(FeedEnd {
+        print: RequestPrint(from.get_print()),
+        engine: name(from.get_engine()?)?,
+        born: Some(from.get_born()).filter(|born| *born > 0),
+        events: from.get_events(),
+        renewed: from.get_renewed(),
+        void: from.get_void(),
+        age_ms: from.get_age_ms(),
+    })
+}
+
 fn write_planner(from: &FeedPlanner, mut to: planner::Builder<'_>) {
     to.set_domain(from.domain.as_str());
     to.set_revision(from.revision.0);
--- a/crates/net/src/feed_message.rs
+++ b/crates/net/src/feed_message.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use heathpitch_core::{Millis, Name, Revision};
+use heathpitch_core::{Millis, Name, RequestPrint, Revision};
 
 use crate::Item;
 
@@ -25,6 +25,38 @@
     pub known: FeedKnown,
     /// Whether only reports are wanted, of engines in the failure domain of the node asked.
     pub reports: bool,
+    /// Ends of engines that this node learned of since it asked the same one last.
+    pub ends: Vec<FeedEnd>,
+    /// Up to where the ends are known that the node asked told.
+    pub ends_known: FeedMark,
+}
+
+/// A place in what one life of a node tells.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FeedMark {
+    /// The node's life.
+    pub life: u64,
+    /// Serial in it; 0 for its beginning.
+    pub serial: u64,
+}
+
+/// The end of an engine while a request that it had just begun ran there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FeedEnd {
+    /// The request.
+    pub print: RequestPrint,
+    /// The engine.
+    pub engine: Name,
+    /// Unix time of the engine's start, milliseconds, if it tells that.
+    pub born: Option<Millis>,
+    /// Events that the request had brought there.
+    pub events: u32,
+    /// How often the request came again long after.
+    pub renewed: u32,
+    /// Whether it says nothing of the request any more.
+    pub void: bool,
+    /// For how long it has been known.
+    pub age_ms: Millis,
 }
 
 /// Up to where one node has followed another.
@@ -69,6 +101,10 @@
     pub vacant: bool,
     /// Nodes that read the store if the planner does not, in their order.
     pub standbys: Vec<(Name, SocketAddr)>,
+    /// Ends of engines, whether or not this node hears from the store.
+    pub ends: Vec<FeedEnd>,
+    /// Up to where they are known once these are taken.
+    pub ends_known: FeedMark,
 }
 
 /// Engines' entries, as they are told.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -39,7 +39,9 @@
 pub use events::{EventError, Events};
 pub use feed::{FeedClient, FeedServer};
 pub use feed_codec::{pack, unpack};
-pub use feed_message::{FeedAsk, FeedEngines, FeedKnown, FeedPlanner, FeedReport, FeedTold};
+pub use feed_message::{
+    FeedAsk, FeedEnd, FeedEngines, FeedKnown, FeedMark, FeedPlanner, FeedReport, FeedTold,
+};
 pub use frame::{Frame, GenerateCall, Hop};
 pub use generated::{feed_capnp, peer_capnp};
 pub use listener::{Bounds, Listener, serve};
