Time in which a VM is suspended counts, for all that decides on authority, freshness or time left

Cause: the steady clock stands still while a VM is suspended, so what the node knew before looked young, and timers ended calls as much later. Change: one clock that counts from boot (policy::Clocks, heathpitchd's Clock); times of calls are waited for by Shared::reached, set anew when the VM goes on (vm_suspended, looked for each 100 ms); idle connections to engines are closed then. A seam lets tests shift the clock (feature seams, not in what is shipped). Tests: gateway_suspended.rs; the world of telling draws suspended VMs, and breaks its promise without the mechanism (mechanisms.rs).

--- a/crates/heathpitchd/src/gateway/call/relay.rs
+++ b/crates/heathpitchd/src/gateway/call/relay.rs
@@ -83,7 +83,7 @@
     }
 
     async fn read(&mut self) -> Piece {
-        let until = self.flow.traffic.shared.clock.instant(self.flow.call.until);
+        let (shared, until) = (self.flow.traffic.shared.clone(), self.flow.call.until);
         let Some(source) = &mut self.source else {
             return Piece::Failed("there is no answer to read".to_owned());
         };
@@ -98,7 +98,7 @@
             biased;
             frame = source.body.frame() => frame,
             () = abandoned => return Piece::Abandoned,
-            () = tokio::time::sleep_until(until) => return Piece::Expired,
+            () = shared.reached(until) => return Piece::Expired,
         };
         match frame {
             Some(Ok(frame)) => match frame.into_data() {
@@ -140,9 +140,9 @@
         let why = "the first engine of the path does not answer";
         let live = self.flow.live.clone();
         let repeatable = self.flow.call.route.kind.repeatable();
-        let until = self.flow.traffic.shared.clock.instant(self.flow.call.until);
+        let (shared, until) = (self.flow.traffic.shared.clone(), self.flow.call.until);
         let replaced = match repeatable {
-            true => tokio::time::timeout_at(until, self.flow.replace(why)).await.ok().flatten(),
+            true => shared.before(until, self.flow.replace(why)).await.flatten(),
             false => None,
         };
         match replaced {
@@ -160,13 +160,13 @@
         if !self.flow.call.route.kind.repeatable() {
             return false;
         }
-        let until = self.flow.traffic.shared.clock.instant(self.flow.call.until);
-        match tokio::time::timeout_at(until, self.flow.dispatch()).await {
-            Ok(Ok(answer)) => {
+        let (shared, until) = (self.flow.traffic.shared.clone(), self.flow.call.until);
+        match shared.before(until, self.flow.dispatch()).await {
+            Some(Ok(answer)) => {
                 self.source = Some(answer);
                 true
             }
-            Ok(Err(_)) | Err(_) => false,
+            Some(Err(_)) | None => false,
         }
     }
 
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -39,20 +39,21 @@
 /// Runs the call until its final answer or the end of its time.
 pub(crate) async fn run(traffic: &Traffic, call: &Call) -> Result<Response<Body>, Refused> {
     let mut trace = Trace::default();
-    let until = traffic.shared.clock.instant(call.until);
-    let work = tokio::time::timeout_at(until, attempts(traffic, call, &mut trace)).await;
+    let work = traffic.shared.before(call.until, attempts(traffic, call, &mut trace)).await;
     let id = &call.head.id;
     let refused = match work {
-        Ok(Ok((parts, content))) => return Ok(pass_on(traffic, call, trace.sends, parts, content)),
+        Some(Ok((parts, content))) => {
+            return Ok(pass_on(traffic, call, trace.sends, parts, content));
+        }
         // An engine's own failure goes to the caller as it is if nothing better came.
-        Ok(Err(_)) | Err(_) if trace.last.is_some() => match trace.last.take() {
+        Some(Err(_)) | None if trace.last.is_some() => match trace.last.take() {
             Some((parts, content)) => {
                 return Ok(pass_on(traffic, call, trace.sends, parts, content));
             }
             None => RefusedKind::Broken,
         },
-        Ok(Err(kind)) => kind,
-        Err(_) => {
+        Some(Err(kind)) => kind,
+        None => {
             trace.seen.lost();
             RefusedKind::Expired
         }
--- a/crates/heathpitchd/src/gateway/call/stream.rs
+++ b/crates/heathpitchd/src/gateway/call/stream.rs
@@ -26,27 +26,28 @@
     call: Arc<Call>,
     open: OpenCall,
 ) -> Result<Response<Body>, Refused> {
-    let until = traffic.shared.clock.instant(call.until);
+    let (shared, until) = (traffic.shared.clone(), call.until);
     let mut flow = Flow::new(traffic, call, open);
-    let opened = tokio::time::timeout_at(until, flow.dispatch()).await;
+    let opened = shared.before(until, flow.dispatch()).await;
     let id = flow.call.head.id.clone();
     let (kind, detail) = match opened {
-        Ok(Ok(answer)) => return Ok(relay(flow, answer)),
+        Some(Ok(answer)) => return Ok(relay(flow, answer)),
         // An engine's own failure goes to the caller as it is.
-        Ok(Err(Ended::Failed(answer))) => match answer.whole(&flow.traffic.pool, ANSWER_MOST).await
-        {
-            Ok((parts, content)) => {
-                return Ok(pass_on(&flow.traffic, &flow.call, flow.sends, parts, content));
+        Some(Err(Ended::Failed(answer))) => {
+            match answer.whole(&flow.traffic.pool, ANSWER_MOST).await {
+                Ok((parts, content)) => {
+                    return Ok(pass_on(&flow.traffic, &flow.call, flow.sends, parts, content));
+                }
+                Err(e) => (RefusedKind::Broken, e.to_string()),
             }
-            Err(e) => (RefusedKind::Broken, e.to_string()),
-        },
-        Ok(Err(Ended::Shed(why))) => {
+        }
+        Some(Err(Ended::Shed(why))) => {
             let (now, traffic) = (flow.traffic.shared.now(), &flow.traffic);
             let left = flow.call.left(now);
             let back = traffic.returns.refuse(&flow.call.service.name, left, now);
             return Err(Refused::unsent(RefusedKind::Overloaded, &id, why).until(back));
         }
-        Ok(Err(Ended::Refused(kind))) => {
+        Some(Err(Ended::Refused(kind))) => {
             let detail = match kind {
                 RefusedKind::NoEngine => "the engines that can be used do not hold every layer",
                 RefusedKind::EnginesRefused => "the engines asked refused the call",
@@ -54,7 +55,7 @@
             };
             (kind, detail.to_owned())
         }
-        Err(_) => {
+        None => {
             flow.seen.lost();
             (RefusedKind::Expired, "no answer within the call's time".to_owned())
         }
--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -6,7 +6,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use heathpitch_core::{Millis, Revision, Violation, check};
 use heathpitch_net::{Found, Item, ItemChange, StoreError, Write};
@@ -42,12 +42,12 @@
             control.turned.notified().await;
             continue;
         }
-        let sent = Instant::now();
+        let sent = control.now();
         let proven = once(&control).await;
         retry = if proven { RETRY } else { (retry * 2).min(RETRY_LONGEST) };
         let pause = match proven {
             true if control.plans() || control.stopping() => {
-                PROVE_PLANNER.saturating_sub(sent.elapsed())
+                PROVE_PLANNER.saturating_sub(Duration::from_millis(control.now() - sent))
             }
             true => PROVE,
             false => retry,
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -9,7 +9,7 @@
 
 use std::collections::HashSet;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use heathpitch_core::{Millis, Name};
 use heathpitch_net::{
@@ -103,7 +103,7 @@
 }
 
 async fn hear(control: &Rc<Control>, followed: &mut Followed, source: &Source) -> Heard {
-    let begun = Instant::now();
+    let begun = control.now();
     let answer = ask(control, followed, source).await;
     let label = if answer.is_ok() { "ok" } else { "failed" };
     control.shared.metrics.feed.with_label_values(&[label]).inc();
@@ -113,7 +113,10 @@
             *followed = Followed::default();
             log::info!("node {} does not tell: {e}", source.node);
             // A VM that refuses connections starts or restarts, and answers soon.
-            if begun.elapsed() < LIMIT { Heard::Empty } else { Heard::Lost }
+            match control.now().saturating_sub(begun) {
+                took if took < LIMIT.as_millis() as Millis => Heard::Empty,
+                _ => Heard::Lost,
+            }
         }
     }
 }
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -22,6 +22,7 @@
 mod recovery;
 mod reports;
 mod state;
+mod suspended;
 mod tell;
 mod turns;
 
@@ -88,6 +89,7 @@
             spawn_local(reports::run(control.clone()));
             spawn_local(neighbours::follow(control.clone()));
             spawn_local(quarantine::run(control.clone()));
+            spawn_local(suspended::watch(control.clone()));
             spawn_local(receive(control, inbox));
             let _ = stop.wait_for(|s| *s).await;
             Ok(())
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -271,6 +271,15 @@
         /// What it said.
         result: String,
     },
+    /// The VM was suspended, and goes on.
+    VmSuspended {
+        /// For how long.
+        ms: Millis,
+        /// Age of the proof that the configuration is the newest, now that this counts.
+        proof_ms: Option<Millis>,
+        /// Age of the proof that the engines known are those that the store lists.
+        list_ms: Option<Millis>,
+    },
     /// This node began or ceased to plan its failure domain.
     DomainPlanner {
         /// Whether it plans now.
@@ -305,7 +314,7 @@
 
 impl GatewayEvent {
     /// Stable names of all events.
-    pub const NAMES: [&'static str; 30] = [
+    pub const NAMES: [&'static str; 31] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -331,6 +340,7 @@
         "engine_paced",
         "layout_planned",
         "layers_ordered",
+        "vm_suspended",
         "domain_planner",
         "feed_changed",
         "neighbour_changed",
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -22,7 +22,7 @@
 use std::time::{Duration, SystemTime};
 
 use heathpitch_core::GatewaySettings;
-use heathpitch_net::{Bounds, Listener, Pool, serve};
+use heathpitch_net::{Bounds, Listener, serve};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -111,9 +111,9 @@
         let traffic = Arc::new(Traffic {
             budgets: Budgets::new(shared.clone()),
             returns: ReturnTimes::default(),
+            pool: shared.pool.clone(),
             shared: shared.clone(),
             edges,
-            pool: Pool::new(),
         });
         let bounds = Bounds { connections: CONNECTIONS, head: HEAD, head_time: HEAD_TIME };
         let served = runtime.spawn(serve(callers, bounds, traffic_stopped, move |request| {
@@ -135,6 +135,8 @@
             let hup = signal(SignalKind::hangup())?;
             let shared = self.shared.clone();
             tokio::spawn(reload(shared, path, hup));
+            #[cfg(feature = "seams")]
+            tokio::spawn(suspend(signal(SignalKind::user_defined2())?));
             tokio::select! {
                 _ = term.recv() => {}
                 _ = int.recv() => {}
@@ -212,6 +214,14 @@
     }
 }
 
+/// Has the VM seem suspended at each SIGUSR2.
+#[cfg(feature = "seams")]
+async fn suspend(mut usr: Signal) {
+    while usr.recv().await.is_some() {
+        crate::clock::suspend();
+    }
+}
+
 fn changed(path: &Path) -> Option<SystemTime> {
     std::fs::metadata(path).and_then(|m| m.modified()).ok()
 }
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -6,9 +6,9 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use heathpitch_core::{Catalog, EngineEntry, GatewaySettings, Millis, Name, RequestPrint};
-use heathpitch_net::{Dialect, Orders, Store};
+use heathpitch_net::{Dialect, Orders, Pool, Store};
 use heathpitch_policy::{EngineLife, Freshness};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use super::engine_table::EngineTable;
 use super::live::LiveStream;
@@ -81,6 +81,8 @@
     pub(crate) peer: Option<SocketAddr>,
     pub(crate) clock: Clock,
     pub(crate) metrics: GatewayMetrics,
+    /// Connections to engines.
+    pub(crate) pool: Pool,
     pub(crate) catalog: ArcSwapOption<Catalog>,
     pub(crate) table: ArcSwap<EngineTable>,
     /// Proof that the configuration in force is the newest.
@@ -91,6 +93,8 @@
     pub(crate) suspicion: ArcSwap<Suspicion>,
     pub(crate) stopping: AtomicBool,
     pub(crate) open: AtomicUsize,
+    /// How often the VM has gone on after it was suspended.
+    resumed: watch::Sender<u64>,
     notices: mpsc::Sender<Notice>,
 }
 
@@ -107,6 +111,7 @@
             peer,
             clock: Clock::start(),
             metrics,
+            pool: Pool::new(),
             catalog: ArcSwapOption::empty(),
             table: ArcSwap::default(),
             fresh: ArcSwap::default(),
@@ -114,6 +119,7 @@
             suspicion: ArcSwap::default(),
             stopping: AtomicBool::new(false),
             open: AtomicUsize::new(0),
+            resumed: watch::Sender::new(0),
             notices,
         };
         (Arc::new(shared), inbox)
@@ -124,6 +130,32 @@
         self.clock.now()
     }
 
+    /// Waits until a time of the node's clock, which timers alone would miss by as much as the VM is
+    /// suspended meanwhile.
+    pub(crate) async fn reached(&self, at: Millis) {
+        let mut resumed = self.resumed.subscribe();
+        while self.now() < at {
+            tokio::select! {
+                () = tokio::time::sleep_until(self.clock.instant(at)) => {}
+                _ = resumed.changed() => {}
+            }
+        }
+    }
+
+    /// What work comes to, if it does before a time of the node's clock.
+    pub(crate) async fn before<T>(&self, at: Millis, work: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            done = work => Some(done),
+            () = self.reached(at) => None,
+        }
+    }
+
+    /// The VM goes on after it was suspended: all that waits for a time looks again.
+    pub(crate) fn resume(&self) {
+        self.resumed.send_modify(|times| *times += 1);
+    }
+
     /// Whether the balancer should send new connections here.
     pub(crate) fn ready(&self) -> bool {
         let revoke = self.settings.load().bounds.revoke_ms;
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -134,6 +134,11 @@
         self.inner.idle.lock().remove(&address);
     }
 
+    /// Closes every idle connection.
+    pub fn forget_all(&self) {
+        self.inner.idle.lock().clear();
+    }
+
     fn idle(
         &self,
         address: SocketAddr,
--- a/crates/policy/src/switch.rs
+++ b/crates/policy/src/switch.rs
@@ -33,11 +33,13 @@
     DrawnTurns,
     /// A list that was proven earlier than one's own is not taken from another source.
     ListAge,
+    /// Time in which the VM was suspended counts.
+    SuspendedTime,
 }
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Mechanism; 14] = [
+    pub const ALL: [Mechanism; 15] = [
         Mechanism::AttemptNumbers,
         Mechanism::Positions,
         Mechanism::ExplicitEnd,
@@ -52,6 +54,7 @@
         Mechanism::Standbys,
         Mechanism::DrawnTurns,
         Mechanism::ListAge,
+        Mechanism::SuspendedTime,
     ];
 }
 
--- a/crates/proof/src/telling.rs
+++ b/crates/proof/src/telling.rs
@@ -1,5 +1,5 @@
-//! World of what nodes tell each other instead of the store: deaths, restarts of all, freezes, cuts of links
-//! and of failure domains, a store that is away or turns nodes away.
+//! World of what nodes tell each other instead of the store: deaths, restarts of all, freezes, suspended VMs,
+//! cuts of links and of failure domains, a store that is away or turns nodes away.
 //!
 //! Checked at every step: whatever a node takes for proven was so, its list never goes back within a life,
 //! and nodes without a duty leave the store alone but for their turns. Checked at the end: with everything
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 
 use heathpitch_core::{Millis, Name, Revision};
-use heathpitch_policy::{DomainPlanner, Followers, Heard, Source, Sources};
+use heathpitch_policy::{Clocks, DomainPlanner, Followers, Heard, Source, Sources};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -19,6 +19,8 @@
 const DOMAINS: usize = 3;
 const BESIDE: usize = 6;
 const NODES: usize = DOMAINS * BESIDE;
+/// Moment at which the world begins, milliseconds: later than all suspensions of a run together.
+const START: Millis = 1 << 40;
 /// Time of one step.
 const STEP: Millis = 50;
 /// Time between two questions of a node that is told, and of one that is not.
@@ -41,14 +43,29 @@
     alive: bool,
     /// Until when it stands still.
     frozen: Millis,
+    /// Time in which its VM was suspended, which its steady clock did not count.
+    suspended: Millis,
     plans: bool,
     reachable: bool,
-    /// Version of the list that it knows, and when that was proven.
+    /// Version of the list that it knows, and when that was proven, on its own clock.
     list: Option<(usize, Millis)>,
     next_ask: Millis,
     next_read: Millis,
 }
 
+impl Node {
+    /// A moment of the world on the node's own clock.
+    fn clock(&self, at: Millis) -> Millis {
+        // The world begins late enough for it never to be negative.
+        Clocks { boot: at, steady: at - self.suspended }.now()
+    }
+
+    /// The list that it knows, and how old its proof seems to it.
+    fn known(&self, now: Millis) -> Option<(usize, Millis)> {
+        self.list.map(|(version, at)| (version, self.clock(now).saturating_sub(at)))
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Lease {
     node: usize,
@@ -75,14 +92,14 @@
 pub(crate) fn run(operations: &[u64], tally: &mut Tally) -> Result<(), Breach> {
     let seed = operations.first().copied().unwrap_or_default();
     let mut world = World {
-        nodes: (0..NODES).map(|i| node(i, 0)).collect(),
-        written: vec![0],
+        nodes: (0..NODES).map(|i| node(i, START)).collect(),
+        written: vec![START],
         leases: BTreeMap::new(),
         revision: 1,
         apart: [false; DOMAINS],
         serves: [true; NODES],
         turns: [0.0; DOMAINS],
-        now: 0,
+        now: START,
         rng: SmallRng::seed_from_u64(seed),
     };
     for number in operations {
@@ -121,6 +138,7 @@
         followers: Followers::default(),
         alive: true,
         frozen: 0,
+        suspended: 0,
         plans: false,
         reachable: true,
         list: None,
@@ -151,6 +169,12 @@
                 tally.fault("node stands still");
                 self.nodes[at].frozen = self.now + 200 + 100 * draw.below(20) as Millis;
             }
+            20 => {
+                tally.fault("VM suspended");
+                let time = 200 + 100 * draw.below(100) as Millis;
+                let node = &mut self.nodes[at];
+                (node.frozen, node.suspended) = (self.now + time, node.suspended + time);
+            }
             5 => {
                 tally.fault("failure domain cut off");
                 self.apart[at / BESIDE] = true;
@@ -254,12 +278,12 @@
             let standbys = self.nodes[j].sources.standbys().to_vec();
             self.nodes[i].sources.stand_by(standbys);
         }
-        let Some((version, proven)) = self.nodes[j].list.filter(|(_, at)| now < at + OLD) else {
-            return Ok(Heard::Empty);
-        };
-        let own = self.nodes[i].list;
-        let same = own.is_some_and(|(v, _)| v == version);
-        if !self.nodes[i].sources.takes(&name(j), proven, own.map(|(_, at)| at), same) {
+        let told = self.nodes[j].known(now).filter(|(_, age)| *age < OLD);
+        let Some((version, age)) = told else { return Ok(Heard::Empty) };
+        let (proven, node) = (now - age, &self.nodes[i]);
+        let same = node.list.is_some_and(|(v, _)| v == version);
+        let own = node.list.map(|(_, at)| at);
+        if !node.sources.takes(&name(j), node.clock(now) - age, own, same) {
             return Ok(Heard::Empty);
         }
         tally.event("told");
@@ -333,8 +357,8 @@
         Breach::unless(known.is_none_or(|(v, _)| v <= version), Promise::Told, || {
             format!("node {i} goes back from {known:?} to version {version}")
         })?;
-        let proven = known.map_or(proven, |(_, at)| at.max(proven));
-        self.nodes[i].list = Some((version, proven));
+        let at = self.nodes[i].clock(self.now) - (self.now - proven);
+        self.nodes[i].list = Some((version, known.map_or(at, |(_, known)| known.max(at))));
         Ok(())
     }
 }
@@ -373,7 +397,7 @@
 
     fn all_young(&self, when: &str) -> Result<(), Breach> {
         for (i, node) in self.nodes.iter().enumerate().filter(|(_, n)| n.alive) {
-            let age = node.list.map(|(_, at)| self.now - at);
+            let age = node.known(self.now).map(|(_, age)| age);
             Breach::unless(age.is_some_and(|age| age <= YOUNG), Promise::Told, || {
                 format!("node {i} knows what held {age:?} ms ago, {when}")
             })?;
--- a/crates/proof/tests/mechanisms.rs
+++ b/crates/proof/tests/mechanisms.rs
@@ -18,7 +18,10 @@
         Mechanism::ClaimReadBack | Mechanism::LedgerOnce | Mechanism::ForgottenIsRun => World::Keys,
         Mechanism::LeavingWord | Mechanism::ListOrder => World::Upstreams,
         Mechanism::RevisionOrder => World::Config,
-        Mechanism::Standbys | Mechanism::DrawnTurns | Mechanism::ListAge => World::Telling,
+        Mechanism::Standbys
+        | Mechanism::DrawnTurns
+        | Mechanism::ListAge
+        | Mechanism::SuspendedTime => World::Telling,
     }
 }
 
