--- a/crates/heathpitchd/tests/gateway_soak.rs
+++ b/crates/heathpitchd/tests/gateway_soak.rs
@@ -28,6 +28,13 @@
     play(&Script::draw(3, Duration::from_secs(5)).with_lives()).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_while_vms_are_suspended_and_a_request_ends_engines() {
+    for seed in [4, 5] {
+        play(&Script::draw(seed, Duration::from_secs(8)).with_ends()).await;
+    }
+}
+
 async fn play(script: &Script) {
     println!("seed {}: {:?}", script.seed, script.steps);
     let binary = PathBuf::from(env!("CARGO_BIN_EXE_heathpitchd"));
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -1,7 +1,7 @@
 //! Plays seeds of the soak by hand.
 //!
 //! ```sh
-//! cargo build --release --bin heathpitchd
+//! cargo build --release --bin heathpitchd --features heathpitchd/seams
 //! cargo run --release -p heathpitch-soak --example soak -- --seeds 50 --from 1
 //! ```
 
@@ -44,7 +44,7 @@
     for some in seeds.chunks(arguments.jobs.max(1)) {
         let runs = some.iter().map(|seed| {
             let (binary, script) =
-                (arguments.binary.clone(), Script::draw(*seed, length).with_lives());
+                (arguments.binary.clone(), Script::draw(*seed, length).with_lives().with_ends());
             tokio::spawn(async move { (script.seed, run(binary, &script).await) })
         });
         for one in runs.collect::<Vec<_>>() {
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -3,10 +3,10 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use heathpitch_standin::Seen;
+use heathpitch_standin::{Reply, Seen};
 
 use crate::load::{Kind, Told};
-use crate::world::EVENTS;
+use crate::world::{EVENTS, FATAL};
 
 /// Time beyond that of its route after which an answer is late.
 const LATE: Duration = Duration::from_millis(1_000);
@@ -15,6 +15,8 @@
 const DRAIN: Duration = Duration::from_millis(2_200);
 /// Time after trouble in which nothing is asked of a node as to engines that leave.
 const IN_TOUCH: Duration = Duration::from_millis(3_000);
+/// Sends of the fatal request that are allowed after that.
+const AGAIN: usize = 3;
 /// The account that every call belongs to.
 const ACCOUNT: &str = "desk";
 
@@ -99,7 +101,30 @@
                 move |promise| Breach { promise, id: Some(one.id.clone()), what: what.clone() };
             broken.into_iter().flatten().map(breach).collect::<Vec<_>>()
         });
-        of_calls.chain(self.strange()).chain(self.misled()).collect()
+        of_calls.chain(self.strange()).chain(self.misled()).chain(self.repeated()).collect()
+    }
+
+    /// The fatal request reached engines more often than agreed after it had ended three, from nodes that
+    /// nothing disturbed meanwhile; or a proper one was held back with it.
+    fn repeated(&self) -> Vec<Breach> {
+        let fatal = |s: &&Seen| &s.body[..] == FATAL.as_bytes();
+        let mut seen: Vec<&Seen> = self.seen.iter().filter(fatal).collect();
+        seen.sort_by_key(|s| s.at);
+        let third = seen.iter().filter(|s| s.ran).nth(2).map(|s| s.at);
+        let node = |s: &Seen| self.told.iter().find(|t| s.id() == Some(&t.id)).map(|t| t.node);
+        let later = seen.into_iter().filter(|s| third.is_some_and(|at| s.at > at + IN_TOUCH));
+        let more = later.filter(|s| !self.disturbed(node(s), s.at)).skip(AGAIN).map(|s| Breach {
+            promise: "a request that ended three engines reaches three more at most",
+            id: s.id().map(str::to_owned),
+            what: format!("at {:?}", s.engine()),
+        });
+        let held = |t: &&Told| t.body != FATAL && t.reply.as_ref().is_some_and(is_held_back);
+        let wrong = self.told.iter().filter(held).map(|t| Breach {
+            promise: "proper requests are not held back",
+            id: Some(t.id.clone()),
+            what: t.body.clone(),
+        });
+        more.chain(wrong).collect()
     }
 
     /// Requests that reached an engine long after its word that it leaves, from nodes that nothing
@@ -159,6 +184,11 @@
     }
 }
 
+/// Whether a call was refused because engines ended under its request.
+fn is_held_back(reply: &Reply) -> bool {
+    reply.status == 503 && String::from_utf8_lossy(&reply.body).contains("\"held_back\"")
+}
+
 /// A call that may run once ran more often.
 fn twice(one: &Told, runs: usize) -> Option<&'static str> {
     (one.kind == Kind::Book && runs > 1).then_some("at most once")
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -124,13 +124,26 @@
     }
 }
 
+/// Sends one call and gives what its caller saw.
 async fn once(caller: Caller, node: usize, kind: Kind, id: String, key: String) -> Told {
+    let body = if kind == Kind::Get { String::new() } else { format!("body of {id}") };
+    send(caller, node, kind, id, key, body).await
+}
+
+/// The same, with a body of its own.
+pub(crate) async fn send(
+    caller: Caller,
+    node: usize,
+    kind: Kind,
+    id: String,
+    key: String,
+    body: String,
+) -> Told {
     let (method, target) = match kind {
         Kind::Get => (Method::GET, "/get/x"),
         Kind::Book => (Method::POST, "/book/x"),
         Kind::Tell => (Method::POST, "/tell/x"),
     };
-    let body = if kind == Kind::Get { String::new() } else { format!("body of {id}") };
     let sent = Instant::now();
     let caller = caller.named(&id);
     let answered = tokio::time::timeout(PATIENCE, caller.call(method, target, &body)).await;
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -52,6 +52,7 @@
     }
     let stop = Arc::new(AtomicBool::new(false));
     let told: Arc<Mutex<Vec<Told>>> = Arc::default();
+    let tending = tokio::spawn(World::tend(world.clone()));
     let callers = tokio::spawn(load::run(world.clone(), script.seed, stop.clone(), told.clone()));
     breaches.extend(faults(&world, script).await?);
     if !world.ready().await {
@@ -63,6 +64,7 @@
     stop.store(true, Relaxed);
     // A caller that panicked is seen by the missing calls.
     let _ = callers.await;
+    tending.abort();
     let told = std::mem::take(&mut *told.lock());
     let calm: Vec<&Told> = told.iter().filter(|t| t.sent >= from).collect();
     let good = calm.iter().filter(|t| t.served()).count();
@@ -70,6 +72,7 @@
     if calm < SERVED {
         breaches.push(whole_run("a fleet recovers", format!("{calm:.2} served in calm")));
     }
+    let told: Vec<Told> = told.into_iter().chain(world.take_fatal()).collect();
     let (calls, served) = (told.len(), told.iter().filter(|t| t.served()).count());
     breaches.extend(world.evidence(told).judge());
     let story = breaches.iter().filter_map(|b| b.id.as_deref()).flat_map(|id| world.story(id));
@@ -120,6 +123,7 @@
             | Fault::Stop(node)
             | Fault::Pause(node, _)
             | Fault::StoreLink(node, ..)
+            | Fault::Suspend(node)
             | Fault::StoreLoss(node) => self.world.disturbed(Some(node), from),
             Fault::Store(..) => self.world.disturbed(None, from),
             _ => {}
@@ -162,6 +166,8 @@
             Fault::Revoke => world.revoke_key(serial),
             Fault::Rebirth(engine) => world.rebirth(engine),
             Fault::Foreign(text) => world.write_foreign(serial, text),
+            Fault::Suspend(node) => world.signal(node, "USR2")?,
+            Fault::Fatal(node) => world.send_fatal(node, serial).await,
         }
         Ok(None)
     }
--- a/crates/soak/src/script.rs
+++ b/crates/soak/src/script.rs
@@ -46,6 +46,10 @@
     Rebirth(usize),
     /// Another writer puts this in an entry's place.
     Foreign(&'static str),
+    /// A node's VM is suspended for ten seconds, as far as its clocks show.
+    Suspend(usize),
+    /// The request that ends every engine which begins to run it comes to a node.
+    Fatal(usize),
 }
 
 /// What other writers put in an entry's place.
@@ -58,6 +62,8 @@
 ];
 /// Added to a seed, so that what is added to a script is not drawn with it.
 const LIVES: u64 = 0x11fe;
+/// The same for suspended VMs and fatal requests.
+const ENDS: u64 = 0xe2d5;
 
 /// A fault and when it begins.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -100,6 +106,22 @@
 
 /// # Additions
 impl Script {
+    /// The same with VMs that are suspended and a request that ends engines, drawn apart likewise.
+    #[must_use]
+    pub fn with_ends(mut self) -> Self {
+        let mut rng = StdRng::seed_from_u64(self.seed.wrapping_add(ENDS));
+        let mut at = Duration::from_millis(rng.random_range(500..2_000));
+        while at < self.length {
+            let node = rng.random_range(0..NODES);
+            let fault =
+                if rng.random_bool(0.2) { Fault::Suspend(node) } else { Fault::Fatal(node) };
+            self.steps.push(Step { at, fault });
+            at += Duration::from_millis(rng.random_range(100..2_000));
+        }
+        self.steps.sort_by_key(|s| s.at);
+        self
+    }
+
     /// The same with engines that start again under their ids and entries of other writers, drawn apart, so
     /// that the rest of a seed's script stays as it is.
     #[must_use]
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -1,20 +1,26 @@
 //! Processes, engines and the store of a run, and what faults do to them.
 
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use heathpitch_standin::{
-    Engine, GatewayProcess, Link, Mode, Play, Proxy, RouteSpec, Site, StandInError, Store,
+    Caller, Engine, GatewayProcess, Link, Mode, Play, Proxy, RouteSpec, Site, StandInError, Store,
 };
 use parking_lot::Mutex;
 use serde_json::json;
 
 use crate::judge::{Evidence, Left, Revoked, Trouble};
-use crate::load::Told;
+use crate::load::{self, Kind, Told};
 use crate::script::{LAYERED, NODES, PLAIN};
 
 /// Key that stays.
 pub(crate) const KEY: &str = "key-of-desk";
+/// Body of the request that ends every engine which begins to run it.
+pub(crate) const FATAL: &str = "fatal";
+/// Time after which another engine starts in the place of one that ended, and after which its entry lapses.
+const BACK: Duration = Duration::from_millis(1_500);
+const LAPSE: Duration = Duration::from_millis(1_000);
 /// Route that comes and goes.
 pub(crate) const COMING: &str = "/coming/";
 /// Events of a whole stream.
@@ -24,6 +30,8 @@
 pub(crate) const STREAM_LIMIT: Duration = Duration::from_millis(5_000);
 /// Time between two events.
 const PAUSE: Duration = Duration::from_millis(15);
+/// Time after which the engine in a place is looked up again.
+const LOOK: Duration = Duration::from_millis(100);
 /// Layers of the stand-in's model, and of its first half.
 const LAYERS: (u32, u32) = (4, 8);
 /// Time for which a stopped node may go on.
@@ -62,6 +70,8 @@
     /// Nodes that stood still, and when they went on.
     stood: Mutex<Vec<(usize, Instant)>>,
     left: Mutex<Vec<Left>>,
+    /// What callers of the fatal request were told.
+    fatal: Mutex<Vec<Told>>,
     troubles: Mutex<Vec<Trouble>>,
 }
 
@@ -82,6 +92,7 @@
             revoked: Mutex::default(),
             stood: Mutex::default(),
             left: Mutex::default(),
+            fatal: Mutex::default(),
             troubles: Mutex::default(),
         };
         world.configure(|_| {});
@@ -104,6 +115,7 @@
         let link = Proxy::spawn(engine.address)?;
         engine.address = link.address();
         engine.play(usual(index));
+        engine.end_by(FATAL);
         match index {
             i if i < PLAIN => engine.list("ready"),
             i if i % 2 == 1 => engine.hold(0, LAYERS.0),
@@ -252,6 +264,43 @@
         stations[index].engine.list("ready");
     }
 
+    /// Has the fatal request come to a node, under another id each time.
+    pub(crate) async fn send_fatal(&self, node: usize, serial: u64) {
+        let Some(address) = self.listen(node) else { return };
+        let (caller, id, key) =
+            (Caller::new(address).key(KEY), format!("f{serial}"), KEY.to_owned());
+        let told = load::send(caller, node, Kind::Tell, id, key, FATAL.to_owned()).await;
+        self.fatal.lock().push(told);
+    }
+
+    /// What callers of the fatal request were told.
+    pub(crate) fn take_fatal(&self) -> Vec<Told> {
+        std::mem::take(&mut *self.fatal.lock())
+    }
+
+    /// Has the links of engines that end go with them, and others start in their places.
+    pub(crate) async fn tend(self: Arc<Self>) {
+        let every = (0..PLAIN + LAYERED).map(|index| self.clone().tend_one(index));
+        futures::future::join_all(every).await;
+    }
+
+    async fn tend_one(self: Arc<Self>, index: usize) {
+        for life in 1_000_000.. {
+            // A plain engine may be replaced meanwhile; the one that took its place is waited for then.
+            let engine = self.stations.lock()[index].engine.clone();
+            if tokio::time::timeout(LOOK, engine.wait_end()).await.is_err() {
+                continue;
+            }
+            self.stations.lock()[index].link.end();
+            tokio::time::sleep(LAPSE).await;
+            engine.unlist();
+            tokio::time::sleep(BACK.saturating_sub(LAPSE)).await;
+            let Ok(new) = self.station(index, life) else { return };
+            let old = std::mem::replace(&mut self.stations.lock()[index], new);
+            self.former.lock().push(old.engine);
+        }
+    }
+
     /// Another writer's text stands where an engine's entry would.
     pub(crate) fn write_foreign(&self, serial: u64, text: &str) {
         self.store.put_bytes(&format!("servers/f{serial}"), text.as_bytes());
