--- a/crates/proof/src/telling.rs
+++ b/crates/proof/src/telling.rs
@@ -9,16 +9,19 @@
 use std::collections::BTreeMap;
 
 use heathpitch_core::{Millis, Name, Revision};
-use heathpitch_policy::{Clocks, DomainPlanner, Followers, Heard, Source, Sources};
+use heathpitch_policy::{DomainPlanner, Heard};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use crate::breach::{Breach, Promise};
 use crate::tally::{Draw, Tally};
+use crate::telling_node::{Node, domain, index, name, node, source};
 
 const DOMAINS: usize = 3;
-const BESIDE: usize = 6;
-const NODES: usize = DOMAINS * BESIDE;
+/// Nodes of a failure domain.
+pub(crate) const BESIDE: usize = 6;
+/// Nodes of the world.
+pub(crate) const NODES: usize = DOMAINS * BESIDE;
 /// Moment at which the world begins, milliseconds: later than all suspensions of a run together.
 const START: Millis = 1 << 40;
 /// Time of one step.
@@ -36,36 +39,6 @@
 /// Turns a second that the nodes of a domain take together, and turns beyond that rate.
 const TURNS: (f64, f64) = (4.0, 16.0);
 
-#[derive(Debug)]
-struct Node {
-    sources: Sources,
-    followers: Followers,
-    alive: bool,
-    /// Until when it stands still.
-    frozen: Millis,
-    /// Time in which its VM was suspended, which its steady clock did not count.
-    suspended: Millis,
-    plans: bool,
-    reachable: bool,
-    /// Version of the list that it knows, and when that was proven, on its own clock.
-    list: Option<(usize, Millis)>,
-    next_ask: Millis,
-    next_read: Millis,
-}
-
-impl Node {
-    /// A moment of the world on the node's own clock.
-    fn clock(&self, at: Millis) -> Millis {
-        // The world begins late enough for it never to be negative.
-        Clocks { boot: at, steady: at - self.suspended }.now()
-    }
-
-    /// The list that it knows, and how old its proof seems to it.
-    fn known(&self, now: Millis) -> Option<(usize, Millis)> {
-        self.list.map(|(version, at)| (version, self.clock(now).saturating_sub(at)))
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Lease {
     node: usize,
@@ -109,44 +82,6 @@
     world.settle(tally)
 }
 
-thread_local! {
-    static NAMES: Vec<Name> =
-        (0..NODES).map(|i| heathpitch_core::digest(&[b"node", &[i as u8]])).collect();
-}
-
-fn name(i: usize) -> Name {
-    NAMES.with(|names| names[i].clone())
-}
-
-/// Domains have names of the same kind.
-fn domain(i: usize) -> Name {
-    name(i / BESIDE)
-}
-
-/// The node that a source names.
-fn index(source: &Source) -> Option<usize> {
-    NAMES.with(|names| names.iter().position(|n| n == &source.node))
-}
-
-fn source(i: usize) -> Source {
-    Source { node: name(i), address: ([10, 0, 0, i as u8], 7).into() }
-}
-
-fn node(i: usize, now: Millis) -> Node {
-    Node {
-        sources: Sources::new(name(i), domain(i), now),
-        followers: Followers::default(),
-        alive: true,
-        frozen: 0,
-        suspended: 0,
-        plans: false,
-        reachable: true,
-        list: None,
-        next_ask: now,
-        next_read: now,
-    }
-}
-
 /// # Faults
 impl World {
     fn operate(&mut self, draw: &mut Draw, tally: &mut Tally) -> Result<(), Breach> {
