World of telling: nodes tell each other of engines that ended; standbys that read the store ask other domains' planners too

Hypothesis: while a domain has no planner, nobody tells other domains what ended there. The world shows it: nodes of other domains that have not heard 3 s after a planner's death.

--- a/crates/heathpitchd/src/gateway/control/neighbours.rs
+++ b/crates/heathpitchd/src/gateway/control/neighbours.rs
@@ -39,12 +39,14 @@
     next: Millis,
 }
 
-/// Asks the planners of the other failure domains for as long as this node plans its own.
+/// Asks the planners of the other failure domains for as long as this node plans its own, or reads the store
+/// for it: while a domain has no planner nobody else would tell the others of engines that end there.
 pub(super) async fn follow(control: Rc<Control>) {
     let mut neighbours: HashMap<Name, Neighbour> = HashMap::new();
     loop {
         tokio::time::sleep(ASK).await;
-        if !control.plans() || control.shared.peer.is_none() {
+        let asks = control.plans() || control.reads();
+        if !asks || control.shared.peer.is_none() {
             neighbours.clear();
             continue;
         }
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -11,7 +11,6 @@
 mod requests;
 mod tally;
 mod telling;
-mod telling_node;
 mod upstreams;
 
 pub use breach::{Breach, Promise};
--- a/crates/proof/src/telling.rs
+++ b/crates/proof/src/telling.rs
@@ -1,11 +1,17 @@
 //! World of what nodes tell each other instead of the store: deaths, restarts of all, freezes, suspended VMs,
 //! cuts of links and of failure domains, a store that is away or turns nodes away.
 //!
+//! Nodes also tell each other of engines that ended, both ways, whether or not they hear from the store.
+//!
 //! Checked at every step: whatever a node takes for proven was so, its list never goes back within a life,
 //! and nodes without a duty leave the store alone but for their turns. Checked at the end: with everything
-//! healed only planners read; and a domain whose planner dies is told by its standbys, in time and without
+//! healed only planners read; an end is known to all within the time after which nodes count as in touch, also
+//! where the planner that would tell it has just died; and a domain whose planner dies is told by its standbys, in time and without
 //! a call by anyone else.
 
+mod ends;
+mod node;
+
 use std::collections::BTreeMap;
 
 use heathpitch_core::{Millis, Name, Revision};
@@ -15,13 +21,13 @@
 
 use crate::breach::{Breach, Promise};
 use crate::tally::{Draw, Tally};
-use crate::telling_node::{Node, domain, index, name, node, source};
+use node::{Node, domain, index, name, node, source};
 
 const DOMAINS: usize = 3;
 /// Nodes of a failure domain.
-pub(crate) const BESIDE: usize = 6;
+const BESIDE: usize = 6;
 /// Nodes of the world.
-pub(crate) const NODES: usize = DOMAINS * BESIDE;
+const NODES: usize = DOMAINS * BESIDE;
 /// Moment at which the world begins, milliseconds: later than all suspensions of a run together.
 const START: Millis = 1 << 40;
 /// Time of one step.
@@ -34,6 +40,8 @@
 const OLD: Millis = 1_500;
 /// Age up to which everyone knows the store once standbys have taken over.
 const YOUNG: Millis = 2_000;
+/// Time between two questions of a planner to those of other domains.
+const ASK_NEAR: Millis = 250;
 /// Lease of a planner.
 const LEASE: Millis = 2_400;
 /// Turns a second that the nodes of a domain take together, and turns beyond that rate.
@@ -59,6 +67,8 @@
     serves: [bool; NODES],
     turns: [f64; DOMAINS],
     now: Millis,
+    /// Engines that ended so far.
+    ended: u64,
     rng: SmallRng,
 }
 
@@ -73,6 +83,7 @@
         serves: [true; NODES],
         turns: [0.0; DOMAINS],
         now: START,
+        ended: 0,
         rng: SmallRng::seed_from_u64(seed),
     };
     for number in operations {
@@ -125,6 +136,10 @@
                 self.serves = [false; NODES];
             }
             10 | 11 => self.serves = [true; NODES],
+            21..=23 if self.nodes[at].alive => {
+                tally.event("engine ended");
+                self.end_engine(at, draw.below(4) as u64);
+            }
             // After the reads of this moment.
             12..=19 => self.written.push(self.now + 1),
             _ => {}
@@ -157,6 +172,11 @@
             let told = self.nodes[i].sources.teller().is_some();
             self.nodes[i].next_ask = self.now + if told { ASK.0 } else { ASK.1 };
         }
+        let asks = self.nodes[i].plans || self.nodes[i].sources.may_read(self.now);
+        if asks && self.now >= self.nodes[i].next_near {
+            self.ask_near(i);
+            self.nodes[i].next_near = self.now + ASK_NEAR;
+        }
         let node = &self.nodes[i];
         let fed = node.sources.teller().is_some();
         let reads = !fed && (node.plans || node.sources.may_read(self.now));
@@ -191,13 +211,20 @@
         Ok(())
     }
 
-    fn hear(&mut self, i: usize, j: usize, tally: &mut Tally) -> Result<Heard, Breach> {
+    /// Whether a node gets an answer of another one.
+    fn answers(&self, i: usize, j: usize) -> bool {
         let (from, to) = (i / BESIDE, j / BESIDE);
         let apart = from != to && (self.apart[from] || self.apart[to]);
-        if apart || !self.nodes[j].alive || self.now < self.nodes[j].frozen {
+        !apart && self.nodes[j].alive && self.now >= self.nodes[j].frozen
+    }
+
+    fn hear(&mut self, i: usize, j: usize, tally: &mut Tally) -> Result<Heard, Breach> {
+        if !self.answers(i, j) {
             tally.fault("no answer");
             return Ok(Heard::Lost);
         }
+        self.tell_ends(i, j);
+        self.tell_ends(j, i);
         let now = self.now;
         self.nodes[j].followers.asked(source(i), true, now);
         if self.nodes[j].plans {
@@ -280,6 +307,18 @@
                 self.nodes[i].plans = true;
             }
         }
+        if self.nodes[i].plans {
+            self.watch_planners(i);
+        }
+    }
+
+    /// A planner knows those of all domains.
+    fn watch_planners(&mut self, i: usize) {
+        for lease in self.leases.values().copied().collect::<Vec<_>>() {
+            let revision = Revision(lease.revision);
+            let planner = DomainPlanner { source: source(lease.node), revision };
+            self.meet(i, domain(lease.node), planner);
+        }
     }
 
     /// Takes a list, and checks it against what the store held.
@@ -310,6 +349,7 @@
         }
         self.pass(200, tally)?;
         self.all_young("with everything healed")?;
+        self.ends_are_known(tally)?;
         for key in 0..DOMAINS {
             let planners = (key * BESIDE..(key + 1) * BESIDE).filter(|i| self.nodes[*i].plans);
             let planners: Vec<usize> = planners.collect();
