Ends of a request are forgotten together, ten minutes after its last one; names read twice

Found by reading: each end was forgotten by its own age, so a request whose third end came late was let through before the time its callers were told. Renamed: EndMarks, inspect; one place for when a hold is renewed.

--- a/crates/heathpitchd/src/clock.rs
+++ b/crates/heathpitchd/src/clock.rs
@@ -14,7 +14,7 @@
 /// Milliseconds since the node started, those in which the VM was suspended included.
 ///
 /// Everything that decides on authority, freshness or time left goes by it; timers go by the steady
-/// clock, and are set anew once the VM goes on ([`Shared::reached`](crate::gateway::Gateway)).
+/// clock, and a gateway sets them anew once the VM goes on (`Shared::reached`).
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Clock {
     boot: Duration,
--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -4,6 +4,7 @@
 
 use heathpitch_core::{CallRoute, Catalog, Holder, Millis, RequestPrint, ServiceSpec};
 use heathpitch_net::{BodyError, CallBody, CallHead, read};
+use heathpitch_policy::Quarantine;
 use hyper::Request;
 use hyper::body::{Body as _, Incoming};
 use rand::Rng;
@@ -20,9 +21,6 @@
 /// the moment counted from.
 const REVOKE_MARGIN: Millis = 300;
 
-/// Time left of a request that is held back below which its coming again is told, milliseconds: half of it.
-const RENEW: Millis = 300_000;
-
 /// A call that was let in.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -113,7 +111,7 @@
 /// it may: one that denies it for good would be wrong once the engines are mended.
 fn hold_back(shared: &Shared, call: &Call, held: &HeldBack) -> Refused {
     let left = held.until.saturating_sub(shared.now());
-    if left < RENEW {
+    if Quarantine::is_renewed(left) {
         shared.tell(Notice::HeldBack(call.print()));
     }
     let detail = held.to_string();
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -43,14 +43,14 @@
 
 /// What this node and one that it asks have told each other of engines that ended.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Ends {
+pub(super) struct EndMarks {
     /// Up to where the other one knows what this node does.
     told: FeedMark,
     /// Up to where this node knows what the other one does.
     known: FeedMark,
 }
 
-impl Ends {
+impl EndMarks {
     /// Takes the answer to a question that told up to `told`.
     pub(super) fn answered(&mut self, told: FeedMark, answer: &FeedTold) {
         *self = Self { told, known: answer.ends_known };
@@ -63,7 +63,7 @@
     node: Option<Name>,
     client: Option<FeedClient>,
     known: FeedKnown,
-    ends: Ends,
+    ends: EndMarks,
     /// Until when the list of engines that was told last is young enough.
     until: Millis,
 }
@@ -250,7 +250,7 @@
     pub(super) fn question(
         &self,
         known: FeedKnown,
-        ends: &Ends,
+        ends: &EndMarks,
         reports: bool,
     ) -> (FeedAsk, FeedMark) {
         let settings = self.shared.settings.load();
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -4,8 +4,9 @@
 //! current; `feed` hears both from other nodes instead, as `turns` says, and `tell` answers these; `nodes`
 //! keeps the lease of the failure domain's planner and counts who follows it; `planner` orders layers by
 //! `orders`; `reports` asks engines how they do, and `neighbours` hears what those of the other failure
-//! domains do; `ends` finds out whether engines ended whose
-//! connections calls lost, and `quarantine` under which requests they do; `recovery` watches running streams and moves them off engines that `looks` finds lost. They
+//! domains do; `ends` finds out whether engines ended whose connections calls lost, and `quarantine` under
+//! which requests they do; `recovery` watches running streams and moves them off engines that `looks` finds
+//! lost; `suspended` finds out that the VM was suspended. They
 //! publish snapshots in [`Shared`], that of engines by `publish`; nothing else is shared with traffic.
 
 mod config;
@@ -128,7 +129,7 @@
     }));
     let s = shared.clone();
     tokio::spawn(serve(listeners.metrics, bounds, stop.clone(), move |request| {
-        let response = tell(&s, &request);
+        let response = inspect(&s, &request);
         async move { response }
     }));
 }
@@ -146,7 +147,7 @@
 }
 
 /// Answers who reads metrics, or asks which requests are held back.
-fn tell<B>(shared: &Shared, request: &Request<B>) -> Response<Body> {
+fn inspect<B>(shared: &Shared, request: &Request<B>) -> Response<Body> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/metrics") => metrics(shared),
         (&Method::GET, "/held") => Response::new(json(&shared.suspicion.load().rows(shared.now()))),
--- a/crates/heathpitchd/src/gateway/control/neighbours.rs
+++ b/crates/heathpitchd/src/gateway/control/neighbours.rs
@@ -14,7 +14,7 @@
 use heathpitch_net::{EdgeError, FeedClient, FeedKnown, FeedTold};
 use heathpitch_policy::Source;
 
-use super::feed::Ends;
+use super::feed::EndMarks;
 use super::reports;
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
@@ -34,7 +34,7 @@
     answers: bool,
     client: Option<FeedClient>,
     known: FeedKnown,
-    ends: Ends,
+    ends: EndMarks,
     /// When it is asked next.
     next: Millis,
 }
@@ -67,7 +67,7 @@
                 answers: false,
                 client: None,
                 known: FeedKnown::default(),
-                ends: Ends::default(),
+                ends: EndMarks::default(),
                 next: 0,
             };
             neighbours.insert(domain.clone(), neighbour);
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -126,7 +126,8 @@
 
     /// Takes what another node tells, known there for `age`; gives whether it says anything new.
     pub fn learn(&mut self, end: End, age: Millis, now: Millis) -> bool {
-        if age >= KEPT {
+        // One of a request whose last end is old too is forgotten with the others.
+        if age >= 2 * KEPT {
             return false;
         }
         let at = now.saturating_sub(age);
@@ -160,23 +161,25 @@
     /// A request that is held back came again: it is held for longer, once half of its time is over. Gives
     /// whether that was so.
     pub fn came(&mut self, print: RequestPrint, now: Millis) -> bool {
-        let of = |key: &(RequestPrint, EngineLife), k: &Known| key.0 == print && !k.void;
-        let due = self.ends.iter().any(|(key, k)| of(key, k) && now >= k.at + KEPT / 2);
+        let due = Self::is_renewed(self.left(print, now));
         if due {
             self.serial += 1;
-            for (key, known) in &mut self.ends {
-                if of(key, known) {
-                    (known.renewed, known.at, known.serial) = (known.renewed + 1, now, self.serial);
-                }
+            for (_, known) in self.ends.iter_mut().filter(|((p, _), k)| *p == print && !k.void) {
+                (known.renewed, known.at, known.serial) = (known.renewed + 1, now, self.serial);
             }
         }
         due
     }
 
-    /// Forgets what is old; gives whether anything was.
+    /// Forgets what is old, all ends of a request together; gives whether anything was.
     pub fn expire(&mut self, now: Millis) -> bool {
         let before = self.ends.len();
-        self.ends.retain(|_, k| now < k.at + KEPT);
+        let mut last: HashMap<RequestPrint, Millis> = HashMap::new();
+        for ((print, _), known) in &self.ends {
+            let at = last.entry(*print).or_default();
+            *at = known.at.max(*at);
+        }
+        self.ends.retain(|(print, _), _| now < last[print] + KEPT);
         self.ends.len() < before
     }
 
@@ -336,6 +339,11 @@
         of.map(|(_, k)| k.renewed).max().unwrap_or(0)
     }
 
+    /// Whether a request that is held back for so much longer is to be renewed if it comes.
+    pub fn is_renewed(left: Millis) -> bool {
+        left <= KEPT / 2
+    }
+
     /// Serial of the last change.
     pub fn serial(&self) -> u64 {
         self.serial
