--- a/crates/heathpitchd/tests/gateway/mod.rs
+++ b/crates/heathpitchd/tests/gateway/mod.rs
@@ -85,6 +85,17 @@
         spawn(self.store.address(), name, domain, &json!({}))
     }
 
+    /// A planner, its link to the store, and a node that it tells what the store holds.
+    pub(crate) async fn planner_and_follower(&self) -> (GatewayProcess, Proxy, GatewayProcess) {
+        let (planner, link) = self.start_behind("n1", &json!({}));
+        planner.wait_ready().await.unwrap();
+        wait("the first node plans", async || !planner.events("domain_planner").is_empty()).await;
+        let other = self.start("n2", &json!({}));
+        other.wait_ready().await.unwrap();
+        wait("the second node is fed", async || fed(&other) == Some(true)).await;
+        (planner, link, other)
+    }
+
     /// The same, and the link to the store that it is behind.
     pub(crate) fn start_behind(&self, name: &str, bounds: &Value) -> (GatewayProcess, Proxy) {
         let link = Proxy::spawn(self.store.address()).unwrap();
--- a/crates/heathpitchd/tests/gateway_crashing_requests.rs
+++ b/crates/heathpitchd/tests/gateway_crashing_requests.rs
@@ -77,6 +77,13 @@
     Instant::now()
 }
 
+/// Waits until every node holds the request back.
+async fn held_back(nodes: &[GatewayProcess]) {
+    for node in nodes {
+        wait("it is held back", async || !node.events("request_held_back").is_empty()).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_ended_three_engines_reaches_three_more_at_most() {
     let world = World::new();
@@ -99,8 +106,8 @@
     let nodes = nodes(&world).await;
     end_three(&nodes[..2], &engines).await;
     let third = wall_ms();
+    held_back(&nodes).await;
     for node in &nodes {
-        wait("it is held back", async || !node.events("request_held_back").is_empty()).await;
         let known = node.events("request_held_back")[0]["at"].as_u64().unwrap();
         let took = known.saturating_sub(third);
         println!("known after {took} ms");
@@ -114,8 +121,8 @@
     let engines = engines(&world, 18);
     let nodes = nodes(&world).await;
     end_three(&nodes, &engines).await;
+    held_back(&nodes).await;
     for node in &nodes {
-        wait("it is held back", async || !node.events("request_held_back").is_empty()).await;
         let begun = Instant::now();
         let reply = tell(node, FATAL).await;
         assert!(begun.elapsed() < Duration::from_millis(200), "{:?}", begun.elapsed());
@@ -183,9 +190,7 @@
     let engines = engines(&world, 18);
     let nodes = nodes(&world).await;
     end_three(&nodes, &engines).await;
-    for node in &nodes {
-        wait("it is held back", async || !node.events("request_held_back").is_empty()).await;
-    }
+    held_back(&nodes).await;
     let sent = sends(&engines).len();
     for (domain, name) in [("mem", "n4"), ("atl", "n5")] {
         let node = world.start_in(domain, name);
--- a/crates/heathpitchd/tests/gateway_feed.rs
+++ b/crates/heathpitchd/tests/gateway_feed.rs
@@ -103,12 +103,7 @@
 async fn a_planner_without_a_store_gives_its_followers_up() {
     let world = World::new();
     world.engine("a", "api");
-    let (planner, link) = world.start_behind("n1", &json!({}));
-    planner.wait_ready().await.unwrap();
-    wait("the first node plans", async || !planner.events("domain_planner").is_empty()).await;
-    let other = world.start("n2", &json!({}));
-    other.wait_ready().await.unwrap();
-    wait("the second node is fed", async || fed(&other) == Some(true)).await;
+    let (planner, link, other) = world.planner_and_follower().await;
     link.set(Link::Silent);
     wait("the feed is lost", async || fed(&other) == Some(false)).await;
     wait("the second node plans", async || {
--- a/crates/heathpitchd/tests/gateway_suspended.rs
+++ b/crates/heathpitchd/tests/gateway_suspended.rs
@@ -38,12 +38,7 @@
 async fn a_node_that_others_follow_tells_nothing_that_is_old() {
     let world = World::new();
     world.engine("a", "api");
-    let (planner, link) = world.start_behind("n1", &json!({}));
-    planner.wait_ready().await.unwrap();
-    wait("the first node plans", async || !planner.events("domain_planner").is_empty()).await;
-    let other = world.start("n2", &json!({}));
-    other.wait_ready().await.unwrap();
-    wait("the second node is told", async || fed(&other) == Some(true)).await;
+    let (planner, link, other) = world.planner_and_follower().await;
     link.set(Link::Silent);
     planner.signal("USR2").unwrap();
     let begun = Instant::now();
