--- a/crates/heathpitchd/tests/gateway_crashing_requests.rs
+++ b/crates/heathpitchd/tests/gateway_crashing_requests.rs
@@ -299,6 +299,7 @@
     };
     tokio::join!(call, fault);
     let gone = engines.iter().find(|e| e.ended()).unwrap();
+    engines.iter().for_each(|e| e.play(Play::Stream(2, Duration::from_millis(2))));
     for node in &nodes {
         let left = |e: &Value| e["engine"] == gone.id.as_str() && e["why"] == "it has ended";
         wait("it is left", async || node.events("engine_doubted").iter().any(left)).await;
