--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -65,6 +65,9 @@
     // A caller that panicked is seen by the missing calls.
     let _ = callers.await;
     tending.abort();
+    // It keeps the world, and with it the nodes, until it has ended: nodes that outlive a run ask for their
+    // store at an address that a later run's engine may have.
+    let _ = tending.await;
     let told = std::mem::take(&mut *told.lock());
     let calm: Vec<&Told> = told.iter().filter(|t| t.sent >= from).collect();
     let good = calm.iter().filter(|t| t.served()).count();
