Sight: what engines ask for in their answers is decoded, logged and counted

To tell whether a wish for rest is not read at all or lost on one way to an engine. Nothing is decided by it yet. One line for each answer that carries a wish, which a line of its call accompanies anyway. Seen with it: the wish is read nowhere; sends go out after it by every way.

--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use heathpitch_core::Path;
 use heathpitch_net::{
-    AnswerHead, Connection, Dispatch, EdgeError, Pool, Reuse, SendFailure, full, keep_time, read,
+    AnswerHead, Connection, Dispatch, EdgeError, EngineWish, Pool, Reuse, SendFailure, full,
+    keep_time, read,
 };
 use hyper::body::Incoming;
 use hyper::http::response;
@@ -12,6 +13,7 @@
 use super::Traffic;
 use super::admit::Call;
 use crate::gateway::engine_table::EngineView;
+use crate::gateway::event::GatewayEvent;
 use crate::gateway::shared::Notice;
 use crate::gateway::suspicion::life;
 
@@ -127,12 +129,40 @@
     })?;
     let (parts, body) = answer.into_parts();
     let head = traffic.edges.dialect.answer(&call.head.id, &parts);
+    if !head.wish.is_none() {
+        log_wish(traffic, call, view, &parts, head.wish);
+    }
     if let Some(load) = head.load {
         view.tally.tell(load.running + load.waiting, traffic.shared.now());
     }
     Ok(Answer { connection, parts, head, body })
 }
 
+/// What an engine asks for in its answer to a call.
+fn log_wish(
+    traffic: &Traffic,
+    call: &Call,
+    view: &EngineView,
+    parts: &response::Parts,
+    wish: EngineWish,
+) {
+    let metrics = &traffic.shared.metrics;
+    if wish.rest.is_some() {
+        metrics.wishes.with_label_values(&["rest"]).inc();
+    }
+    if wish.leaves {
+        metrics.wishes.with_label_values(&["leave"]).inc();
+    }
+    GatewayEvent::EngineWished {
+        engine: view.entry.id.clone(),
+        answer: call.head.id.to_string(),
+        status: parts.status.as_u16(),
+        rest_ms: wish.rest,
+        leaves: wish.leaves,
+    }
+    .log();
+}
+
 /// Refuses answers that belong to another call, that nothing vouches for, or that say that the
 /// call did not run.
 fn judge(answer: Answer) -> Result<Answer, Failure> {
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -238,6 +238,19 @@
         /// For how long.
         for_ms: Millis,
     },
+    /// An engine asked this node for rest, or said that it leaves.
+    EngineWished {
+        /// Engine.
+        engine: Name,
+        /// What it answered: a call, by its id, or a question of this node's own.
+        answer: String,
+        /// Status of that answer.
+        status: u16,
+        /// Time for which it wants nothing from this node, if it says so.
+        rest_ms: Option<Millis>,
+        /// Whether it leaves.
+        leaves: bool,
+    },
     /// An engine is slower than its card by another factor than before.
     EnginePaced {
         /// Engine.
@@ -314,7 +327,7 @@
 
 impl GatewayEvent {
     /// Stable names of all events.
-    pub const NAMES: [&'static str; 31] = [
+    pub const NAMES: [&'static str; 32] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -337,6 +350,7 @@
         "request_held_back",
         "request_let_through",
         "engine_doubted",
+        "engine_wished",
         "engine_paced",
         "layout_planned",
         "layers_ordered",
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Every metric of a gateway: name, help.
-pub const GATEWAY_METRICS: [(&str, &str); 17] = [
+pub const GATEWAY_METRICS: [(&str, &str); 18] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -25,6 +25,7 @@
     ("heathpitch_feed_asks_total", "Questions to the failure domain's planner, by result"),
     ("heathpitch_engine_list_age_seconds", "Age of the proof that the list of engines is current"),
     ("heathpitch_requests_held_back", "Requests sent nowhere because engines ended under them"),
+    ("heathpitch_engine_wishes_total", "Answers in which engines ask for rest or leave, by wish"),
 ];
 
 /// Bounds of the histogram of first answers, seconds.
@@ -53,6 +54,7 @@
     pub(crate) feed: IntCounterVec,
     pub(crate) list_age: Gauge,
     pub(crate) held: IntGauge,
+    pub(crate) wishes: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -86,6 +88,7 @@
             feed: IntCounterVec::new(opts(14), &["result"])?,
             list_age: Gauge::with_opts(opts(15))?,
             held: IntGauge::with_opts(opts(16))?,
+            wishes: IntCounterVec::new(opts(17), &["wish"])?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -113,6 +116,7 @@
             Box::new(self.feed.clone()),
             Box::new(self.list_age.clone()),
             Box::new(self.held.clone()),
+            Box::new(self.wishes.clone()),
         ]
     }
 
--- a/crates/net/src/dialect.rs
+++ b/crates/net/src/dialect.rs
@@ -11,7 +11,7 @@
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Method};
 
-use crate::{EdgeError, Item};
+use crate::{EdgeError, EngineWish, Item};
 
 /// Why a document of the store cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -104,6 +104,8 @@
     pub culprit: Option<SocketAddr>,
     /// Load of the engine.
     pub load: Option<EngineLoad>,
+    /// What it asks of this node.
+    pub wish: EngineWish,
 }
 
 /// An engine's own account of its state, some hundred milliseconds old.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -25,6 +25,7 @@
 mod platform_http;
 mod pool;
 mod store;
+mod wish;
 
 pub use body::{Body, BodyError, channel, empty, full, json, read};
 pub use client::{Client, Response};
@@ -52,3 +53,4 @@
 pub use platform_http::HttpPlatform;
 pub use pool::{Connection, Pool, Reuse, SendFailure, keep_time, strip_hop};
 pub use store::{Found, Item, ItemChange, LeaseId, Listing, Store, StoreError, Watched, Write};
+pub use wish::{EngineWish, RestError, retry_after};
