Engines that turn calls away without a time are passed over for a moment

Streams preferred others for 0.6 s; calls with one answer, and the choice of a single engine, did not, and such an engine has the least load of all.

Change: a call with one answer marks it too, and a marked one counts as full.

--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -34,9 +34,6 @@
 const SHED_MOST: f64 = 0.9;
 /// Time between two looks for a path.
 const LOOK: Duration = Duration::from_millis(50);
-/// Time for which other engines are preferred to one that refused its part, milliseconds.
-const CROWDED: Millis = 600;
-
 /// A stream, over all its sends.
 pub(crate) struct Flow {
     pub(crate) traffic: Arc<Traffic>,
@@ -353,11 +350,11 @@
         let shared = &self.traffic.shared;
         let table = shared.table.load();
         let found = table.at(at)?;
-        found.tally.crowd(now + CROWDED);
+        found.tally.crowd(now + pick::CROWDED);
         GatewayEvent::EngineDoubted {
             engine: found.entry.id.clone(),
             why: "refused its part of a path",
-            for_ms: CROWDED,
+            for_ms: pick::CROWDED,
         }
         .log();
         let id = found.entry.id.clone();
--- a/crates/heathpitchd/src/gateway/call/pick.rs
+++ b/crates/heathpitchd/src/gateway/call/pick.rs
@@ -11,6 +11,12 @@
 
 /// What a failure domain further off costs, in requests waiting at an engine.
 const AWAY: f64 = 1.5;
+/// Time for which other engines are preferred to one that turned a call away and named no time, milliseconds.
+pub(crate) const CROWDED: Millis = 600;
+/// What an engine that turned a call away a moment ago costs, in shares of its slots: as if it were full. It has
+/// next to no load else, as it answers at once, and would be chosen again and again: 63 calls a second in place of
+/// two in a test; on days of engines that turn calls away 0.038 -> 0.033 and 0.042 -> 0.036 of the calls refused.
+const TURNED_AWAY: f64 = 1.0;
 /// Time in which an engine that is taken up again after its rest takes one more, milliseconds: that of an answer.
 const TAKING_UP: Millis = 100;
 /// Answer tokens taken to be held, as a share of the most stated: means are far below the most.
@@ -40,7 +46,8 @@
         let slots = f64::from(s.entry.slots.max(1));
         let waiting = f64::from(s.tally.load(avoid.now)) / slots;
         let away = if &s.entry.domain == home { 0.0 } else { AWAY / slots };
-        waiting + away + rand::rng().random_range(0.0..0.05)
+        let crowded = if s.tally.crowded(avoid.now) { TURNED_AWAY } else { 0.0 };
+        waiting + away + crowded + rand::rng().random_range(0.0..0.05)
     };
     let open = table.of(service).iter().filter(|s| avoid.allows(s));
     let views = open.map(|s| (load(s), s));
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -145,6 +145,7 @@
         Failure::Refused { status, .. } => {
             trace.sends += 1;
             trace.seen.refused();
+            view.tally.crowd(traffic.shared.now() + pick::CROWDED);
             if *status == StatusCode::MISDIRECTED_REQUEST {
                 traffic.shared.tell(Notice::Replaced(view.entry.id.clone()));
             }
--- a/crates/policy/tests/resting_load.rs
+++ b/crates/policy/tests/resting_load.rs
@@ -12,7 +12,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-use heathpitch_policy::{Entered, Wish};
+use heathpitch_policy::{Entered, Tally, Wish};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -24,6 +24,9 @@
 /// What callers are told where nothing is known.
 const BACK: u64 = 400;
 
+/// Time for which others are preferred to one that turned a call away and named no time.
+const PASSED_OVER: u64 = 600;
+
 /// How nodes treat a wish for rest.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Way {
@@ -35,6 +38,8 @@
     Told,
     /// As [`Wish`] does.
     Wish,
+    /// Where no time is named, others are preferred for a moment.
+    Passed,
 }
 
 #[derive(Clone, Copy)]
@@ -87,6 +92,7 @@
     engines: Vec<Engine>,
     wishes: Vec<Vec<Arc<Wish>>>,
     until: Vec<Vec<u64>>,
+    tallies: Vec<Vec<Tally>>,
     budget: Vec<f64>,
     /// Calls at engines: when their answer comes, the node, the engine.
     open: Vec<(u64, usize, usize, Option<Entered>)>,
@@ -104,6 +110,9 @@
             engines: (0..load.engines).map(|_| Engine::default()).collect(),
             wishes: (0..load.nodes).map(|_| per_engine()).collect(),
             until: vec![vec![0; load.engines]; load.nodes],
+            tallies: (0..load.nodes)
+                .map(|_| (0..load.engines).map(|_| Tally::default()).collect())
+                .collect(),
             budget: vec![1.0; load.nodes],
             open: Vec::new(),
             returns: HashMap::new(),
@@ -152,7 +161,7 @@
 
     fn admits(&self, node: usize, engine: usize, now: u64) -> bool {
         match self.way {
-            Way::Deaf => true,
+            Way::Deaf | Way::Passed => true,
             Way::Strict | Way::Told => now >= self.until[node][engine],
             Way::Wish => self.wishes[node][engine].admits(now),
         }
@@ -167,7 +176,13 @@
                 .collect::<Vec<_>>();
             let own = |e: usize| self.open.iter().filter(|o| o.1 == node && o.2 == e).count();
             let home = |e: usize| if e == node % self.load.engines { 0.0 } else { 0.25 };
-            let mut costs: Vec<_> = free.iter().map(|e| (own(*e) as f64 + home(*e), *e)).collect();
+            let passed = self.way == Way::Passed;
+            let full = |e: usize| match passed && self.tallies[node][e].crowded(now) {
+                true => self.load.slots as f64,
+                false => 0.0,
+            };
+            let cost = |e: usize| own(e) as f64 + home(e) + full(e);
+            let mut costs: Vec<_> = free.iter().map(|e| (cost(*e), *e)).collect();
             costs.iter_mut().for_each(|c| c.0 += self.rng.random_range(0.0..0.3));
             let Some((_, engine)) = costs.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)) else {
                 break;
@@ -194,6 +209,7 @@
         e.came.entry(node).or_default().push((now, away));
         if away {
             self.found.turned_away += 1;
+            self.tallies[node][engine].crowd(now + PASSED_OVER);
             self.rest(node, engine, now);
             return false;
         }
@@ -225,7 +241,7 @@
             return;
         }
         let rests = |e: usize| match self.way {
-            Way::Deaf => BACK,
+            Way::Deaf | Way::Passed => BACK,
             Way::Wish => self.wishes[node][e].left(now).unwrap_or(BACK),
             _ => self.until[node][e].saturating_sub(now).max(1),
         };
@@ -290,3 +306,12 @@
     let served = |f: &Found| f64::from(f.in_time + f.late);
     assert!(served(&wish) > 0.98 * served(&strict), "{wish:?} {strict:?}");
 }
+
+/// One that turns everybody away at once has next to no load, and would be chosen again and again.
+#[test]
+fn an_engine_that_names_no_time_is_passed_over_for_a_moment() {
+    let load = Load { rest: 0, ..SHED };
+    let (deaf, passed) = (play(load, Way::Deaf), play(load, Way::Passed));
+    assert!(passed.turned_away * 3 < deaf.turned_away, "{passed:?} {deaf:?}");
+    assert!(passed.refused * 20 < deaf.refused, "{passed:?} {deaf:?}");
+}
