--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -43,8 +43,10 @@
     let mut broken = 0;
     for some in seeds.chunks(arguments.jobs.max(1)) {
         let runs = some.iter().map(|seed| {
-            let (binary, script) =
-                (arguments.binary.clone(), Script::draw(*seed, length).with_lives().with_ends());
+            let (binary, script) = (
+                arguments.binary.clone(),
+                Script::draw(*seed, length).with_lives().with_ends().with_wishes(),
+            );
             tokio::spawn(async move { (script.seed, run(binary, &script).await) })
         });
         for one in runs.collect::<Vec<_>>() {
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -15,6 +15,10 @@
 const DRAIN: Duration = Duration::from_millis(2_200);
 /// Time after trouble in which nothing is asked of a node as to engines that leave.
 const IN_TOUCH: Duration = Duration::from_millis(3_000);
+/// Time after an engine has asked for rest in which requests may come that were under way.
+const UNDER_WAY: Duration = Duration::from_millis(500);
+/// Requests that may come all the same until the rest is over.
+const IN_REST: usize = 2;
 /// Sends of the fatal request that are allowed after that.
 const AGAIN: usize = 3;
 /// The account that every call belongs to.
@@ -60,6 +64,17 @@
     pub until: Instant,
 }
 
+/// A time in which requests to an engine were held up, or in which it started again under its id.
+#[derive(Clone, Debug)]
+pub struct HeldUp {
+    /// Its id.
+    pub engine: String,
+    /// When it began.
+    pub from: Instant,
+    /// When it was over.
+    pub until: Instant,
+}
+
 /// What callers and engines saw in a run.
 #[derive(Debug, Default)]
 pub struct Evidence {
@@ -77,6 +92,8 @@
     pub left: Vec<Left>,
     /// When nodes were disturbed.
     pub troubles: Vec<Trouble>,
+    /// When requests to engines were held up.
+    pub held_up: Vec<HeldUp>,
 }
 
 /// # Judgement
@@ -101,7 +118,12 @@
                 move |promise| Breach { promise, id: Some(one.id.clone()), what: what.clone() };
             broken.into_iter().flatten().map(breach).collect::<Vec<_>>()
         });
-        of_calls.chain(self.strange()).chain(self.misled()).chain(self.repeated()).collect()
+        of_calls
+            .chain(self.strange())
+            .chain(self.misled())
+            .chain(self.repeated())
+            .chain(self.unheeded())
+            .collect()
     }
 
     /// The fatal request reached engines more often than agreed after it had ended three, from nodes that
@@ -145,6 +167,51 @@
         self.seen.iter().filter(late).map(breach).collect()
     }
 
+    /// Requests that reached an engine against what it had asked of the same node: more than two within a rest,
+    /// any long after it said that it leaves. What disturbed the node or held requests up meanwhile excuses it.
+    fn unheeded(&self) -> Vec<Breach> {
+        let nodes: HashMap<&str, usize> =
+            self.told.iter().map(|t| (t.id.as_str(), t.node)).collect();
+        let mut visits: HashMap<(&str, usize), Vec<&Seen>> = HashMap::new();
+        for seen in &self.seen {
+            let node = seen.id().and_then(|id| nodes.get(id)).copied();
+            if let (Some(engine), Some(node)) = (seen.engine(), node) {
+                visits.entry((engine, node)).or_default().push(seen);
+            }
+        }
+        let mut found = Vec::new();
+        for ((engine, node), seen) in visits {
+            for asked in &seen {
+                let later = |from: Duration| {
+                    let excused = |s: &&&Seen| self.excused(engine, node, asked.at, s.at);
+                    seen.iter().filter(move |s| s.at > asked.at + from).filter(move |s| !excused(s))
+                };
+                let rest = asked.rest.unwrap_or_default();
+                let within = later(UNDER_WAY).filter(|s| s.at < asked.at + rest).nth(IN_REST);
+                let after = later(DRAIN).next().filter(|_| asked.leaves);
+                let breach = |promise, s: &Seen| Breach {
+                    promise,
+                    id: s.id().map(str::to_owned),
+                    what: format!("at {engine}, {} ms later", (s.at - asked.at).as_millis()),
+                };
+                found.extend(within.map(|s| breach("an engine that asked for rest has it", s)));
+                found
+                    .extend(after.map(|s| breach("an engine that says it leaves gets no work", s)));
+            }
+        }
+        found
+    }
+
+    /// Whether a node was disturbed, or requests to an engine held up, between two moments.
+    fn excused(&self, engine: &str, node: usize, from: Instant, until: Instant) -> bool {
+        let of = |t: &&Trouble| t.node == Some(node);
+        let disturbed = self.troubles.iter().filter(of).any(|t| t.from <= until && t.until >= from);
+        let of = |h: &&HeldUp| h.engine == engine;
+        let held = self.held_up.iter().filter(of).any(|h| h.from <= until && h.until >= from);
+        let stood = self.stood.iter().any(|(n, at)| *n == node && *at >= from);
+        disturbed || held || stood
+    }
+
     /// Whether a node was disturbed at a moment, or shortly before.
     fn disturbed(&self, node: Option<usize>, at: Instant) -> bool {
         let of = |t: &&Trouble| t.node.is_none() || t.node == node;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,7 +10,7 @@
 mod script;
 mod world;
 
-pub use judge::{Breach, Evidence, Left, Revoked, Trouble};
+pub use judge::{Breach, Evidence, HeldUp, Left, Revoked, Trouble};
 pub use load::{Kind, Told};
 pub use play::{SoakReport, run};
 pub use script::{Fault, Script, Step};
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -66,6 +66,14 @@
         self.reply.as_ref().map(|r| r.status)
     }
 
+    /// What it met in place of a success: node, kind of call, status, and the node's word for it.
+    pub(crate) fn failure(&self) -> String {
+        let body = self.reply.as_ref().map(|r| String::from_utf8_lossy(&r.body).into_owned());
+        let error = body.and_then(|b| serde_json::from_str::<serde_json::Value>(&b).ok());
+        let kind = error.map(|e| e["error"]["kind"].to_string()).unwrap_or_default();
+        format!("n{} {:?} {:?} {kind}", self.node, self.kind, self.status())
+    }
+
     /// Whether a success came whole.
     pub(crate) fn served(&self) -> bool {
         self.reply.as_ref().is_some_and(|r| r.status == 200 && r.whole)
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -1,6 +1,6 @@
 //! A run: the load, the faults of a script, the end in calm, the judgement.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
@@ -73,7 +73,11 @@
     let good = calm.iter().filter(|t| t.served()).count();
     let calm = good as f64 / calm.len().max(1) as f64;
     if calm < SERVED {
-        breaches.push(whole_run("a fleet recovers", format!("{calm:.2} served in calm")));
+        let failed = told.iter().filter(|t| t.sent >= from && !t.served());
+        let mut why: BTreeMap<String, usize> = BTreeMap::new();
+        failed.for_each(|t| *why.entry(t.failure()).or_default() += 1);
+        let what = format!("{calm:.2} served in calm: {why:?}");
+        breaches.push(whole_run("a fleet recovers", what));
     }
     let told: Vec<Told> = told.into_iter().chain(world.take_fatal()).collect();
     let (calls, served) = (told.len(), told.iter().filter(|t| t.served()).count());
@@ -129,6 +133,9 @@
             | Fault::Suspend(node)
             | Fault::StoreLoss(node) => self.world.disturbed(Some(node), from),
             Fault::Store(..) => self.world.disturbed(None, from),
+            Fault::EngineLink(engine, ..) | Fault::Rebirth(engine) => {
+                self.world.held_up(engine, from);
+            }
             _ => {}
         }
         breach
@@ -171,6 +178,16 @@
             Fault::Foreign(text) => world.write_foreign(serial, text),
             Fault::Suspend(node) => world.signal(node, "USR2")?,
             Fault::Fatal(node) => world.send_fatal(node, serial).await,
+            Fault::Tire(engine, rest, time) => {
+                world.tire(engine, Some(rest));
+                tokio::time::sleep(time).await;
+                world.tire(engine, None);
+            }
+            Fault::Word(engine, time) => {
+                world.say_leaving(engine);
+                tokio::time::sleep(time).await;
+                world.replace(engine, serial)?;
+            }
         }
         Ok(None)
     }
--- a/crates/soak/src/script.rs
+++ b/crates/soak/src/script.rs
@@ -50,8 +50,15 @@
     Suspend(usize),
     /// The request that ends every engine which begins to run it comes to a node.
     Fatal(usize),
+    /// An engine turns everybody away for a while, and tells this Retry-After.
+    Tire(usize, &'static str, Duration),
+    /// A plain engine says in its answers that it leaves, for a while before its entry does, and another comes.
+    Word(usize, Duration),
 }
 
+/// What engines that turn requests away tell.
+const RESTS: [&str; 8] = ["3", "1", "0.7", "2.25", "0", "soon", "-1", "4"];
+
 /// What other writers put in an entry's place.
 const FOREIGN: [&str; 5] = [
     "null",
@@ -65,6 +72,9 @@
 /// The same for suspended VMs and fatal requests.
 const ENDS: u64 = 0xe2d5;
 
+/// The same for what engines ask for.
+const WISHES: u64 = 0x3e57;
+
 /// A fault and when it begins.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Step {
@@ -122,6 +132,27 @@
         self
     }
 
+    /// The same with engines that ask for rest, or say that they leave before their entries do, drawn apart likewise.
+    #[must_use]
+    pub fn with_wishes(mut self) -> Self {
+        let mut rng = StdRng::seed_from_u64(self.seed.wrapping_add(WISHES));
+        let mut at = Duration::from_millis(rng.random_range(300..2_000));
+        while at < self.length {
+            let time = Duration::from_millis(rng.random_range(200..2_500));
+            let fault = match rng.random_bool(0.7) {
+                true => {
+                    let rest = RESTS[rng.random_range(0..RESTS.len())];
+                    Fault::Tire(rng.random_range(0..PLAIN + LAYERED), rest, time)
+                }
+                false => Fault::Word(rng.random_range(0..PLAIN), time),
+            };
+            self.steps.push(Step { at, fault });
+            at += Duration::from_millis(rng.random_range(100..2_500));
+        }
+        self.steps.sort_by_key(|s| s.at);
+        self
+    }
+
     /// The same with engines that start again under their ids and entries of other writers, drawn apart, so
     /// that the rest of a seed's script stays as it is.
     #[must_use]
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use serde_json::json;
 
-use crate::judge::{Evidence, Left, Revoked, Trouble};
+use crate::judge::{Evidence, HeldUp, Left, Revoked, Trouble};
 use crate::load::{self, Kind, Told};
 use crate::script::{LAYERED, NODES, PLAIN};
 
@@ -73,6 +73,8 @@
     /// What callers of the fatal request were told.
     fatal: Mutex<Vec<Told>>,
     troubles: Mutex<Vec<Trouble>>,
+    /// Engines whose links held requests up, or that started again, and when.
+    held_up: Mutex<Vec<HeldUp>>,
 }
 
 /// # Start
@@ -94,6 +96,7 @@
             left: Mutex::default(),
             fatal: Mutex::default(),
             troubles: Mutex::default(),
+            held_up: Mutex::default(),
         };
         world.configure(|_| {});
         for index in 0..PLAIN + LAYERED {
@@ -172,6 +175,7 @@
             stood: self.stood.lock().clone(),
             left: self.left.lock().clone(),
             troubles: self.troubles.lock().clone(),
+            held_up: self.held_up.lock().clone(),
         }
     }
 
@@ -257,6 +261,27 @@
         Ok(())
     }
 
+    /// Has an engine turn everybody away and tell this Retry-After; none: as usual again.
+    pub(crate) fn tire(&self, index: usize, rest: Option<&str>) {
+        let engine = self.stations.lock()[index].engine.clone();
+        match rest {
+            Some(rest) => engine.rest(rest),
+            None => engine.name_no_rest(),
+        }
+        engine.play(rest.map_or(usual(index), |_| Play::Refuse));
+    }
+
+    /// Has an engine say in all its answers that it leaves; its entry does not.
+    pub(crate) fn say_leaving(&self, index: usize) {
+        self.stations.lock()[index].engine.leave(true);
+    }
+
+    /// Takes note of a time in which requests to an engine were held up, or in which it started again.
+    pub(crate) fn held_up(&self, index: usize, from: Instant) {
+        let engine = self.stations.lock()[index].engine.id.clone();
+        self.held_up.lock().push(HeldUp { engine, from, until: Instant::now() });
+    }
+
     /// An engine starts again under its id.
     pub(crate) fn rebirth(&self, index: usize) {
         let stations = self.stations.lock();
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use heathpitch_soak::{Evidence, Kind, Left, Revoked, Told, Trouble};
+use heathpitch_soak::{Evidence, HeldUp, Kind, Left, Revoked, Told, Trouble};
 use heathpitch_standin::{Reply, Seen};
 
 fn told(kind: Kind, status: u16, body: &str) -> Told {
@@ -112,3 +112,39 @@
     assert_eq!(judged(4_500, &[trouble(Some(0), 3_500)]), 1, "longer ago");
     assert_eq!(judged(2_500, &[trouble(Some(1), 2_000)]), 1, "another node was");
 }
+
+#[test]
+fn requests_against_what_an_engine_asked_for_are_found() {
+    let now = Instant::now() + Duration::from_secs(10);
+    let visit = |ms: u64| Seen {
+        at: now + Duration::from_millis(ms),
+        ran: false,
+        ..seen("body", "desk").at_engine("e1")
+    };
+    let asked = |ms, rest| Seen { rest: Some(Duration::from_millis(rest)), ..visit(ms) };
+    let judged = |seen: &[Seen], held_up: &[HeldUp], troubles: &[Trouble]| {
+        let evidence = Evidence {
+            told: vec![told(Kind::Get, 503, "")],
+            seen: seen.to_vec(),
+            held_up: held_up.to_vec(),
+            troubles: troubles.to_vec(),
+            ..Evidence::default()
+        };
+        evidence.judge().len()
+    };
+    let three = [asked(0, 3_000), visit(600), visit(700), visit(800)];
+    assert_eq!(judged(&three, &[], &[]), 1);
+    assert_eq!(judged(&three[..3], &[], &[]), 0, "two may come");
+    let early = [asked(0, 3_000), visit(300), visit(400), visit(450), visit(3_100)];
+    assert_eq!(judged(&early, &[], &[]), 0, "under way, and after its end");
+    let (from, until) = (now + Duration::from_millis(100), now + Duration::from_millis(200));
+    let held = HeldUp { engine: "e1".to_owned(), from, until };
+    assert_eq!(judged(&three, &[held.clone()], &[]), 0, "they were held up");
+    assert_eq!(judged(&three, &[HeldUp { engine: "e2".to_owned(), ..held }], &[]), 1);
+    let trouble = |node| Trouble { node: Some(node), from, until };
+    assert_eq!(judged(&three, &[], &[trouble(0)]), 0, "the node was disturbed");
+    assert_eq!(judged(&three, &[], &[trouble(1)]), 1, "another one was");
+    let leaves = Seen { leaves: true, ..visit(0) };
+    assert_eq!(judged(&[leaves.clone(), visit(2_100)], &[], &[]), 0);
+    assert_eq!(judged(&[leaves, visit(2_300)], &[], &[]), 1);
+}
