--- /dev/null
+++ b/crates/heathpitchd/tests/gateway_store_eras.rs
@@ -0,0 +1,104 @@
+//! A store that comes back from a copy some seconds old: what was written since is gone, and its revisions are
+//! given out again.
+
+#![allow(clippy::unwrap_used, reason = "what fails here fails its test")]
+
+mod gateway;
+
+use std::time::{Duration, Instant};
+
+use gateway::{KEY, KEY_2, World, status, wait};
+use heathpitch_standin::{Caller, GatewayProcess, RouteSpec, Store};
+use hyper::Method;
+
+/// Time in which a configuration has to be in force, and leaving engines left, as agreed.
+const AGREED: Duration = Duration::from_millis(2_000);
+/// Changes of others since the copy, so that the store's revision is again what it was.
+const GROWN: u64 = 200;
+
+fn caller(node: &GatewayProcess, key: &str) -> Caller {
+    Caller::new(node.listen).key(key)
+}
+
+/// Writes the configuration with one route more.
+fn add_route(world: &mut World, prefix: &str) {
+    world.site.routes.push(RouteSpec::idempotent(prefix, "api"));
+    world.site.version += 1;
+    world.configure();
+}
+
+async fn in_force(node: &GatewayProcess, target: &str) {
+    wait("the route is in force", async || status(&caller(node, KEY), target).await == 200).await;
+}
+
+/// Its revision is lower than that of the one in force, which is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_that_is_written_after_a_return_is_in_force_in_time() {
+    let mut world = World::new();
+    world.engine("a", "api");
+    let node = world.node().await;
+    world.store.copy();
+    (0..GROWN).for_each(|i| world.store.put_bytes(&format!("other/{i}"), b""));
+    add_route(&mut world, "/lost/");
+    in_force(&node, "/lost/x").await;
+    world.store.come_back(&[], 0);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(status(&caller(&node, KEY), "/lost/x").await, 200, "it does not go back");
+    world.configure();
+    add_route(&mut world, "/next/");
+    let written = Instant::now();
+    in_force(&node, "/next/x").await;
+    assert!(written.elapsed() < AGREED, "{:?}", written.elapsed());
+    assert_eq!(status(&caller(&node, KEY), "/lost/x").await, 200);
+}
+
+/// Revisions have grown past those that watches go on from, so that none of them is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_that_another_history_hides_are_heard_in_time() {
+    let mut world = World::new();
+    let (leaving, _other) = (world.engine("a", "api"), world.engine("b", "api"));
+    let node = world.node().await;
+    world.store.copy();
+    (0..GROWN / 2).for_each(|i| world.store.put_bytes(&format!("other/{i}"), b""));
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    world.site.routes.push(RouteSpec::idempotent("/next/", "api"));
+    world.site.version += 1;
+    let config = Store::config_entry(&world.site.json());
+    world.store.come_back(&[leaving.keyed_entry("draining"), config], GROWN);
+    let written = Instant::now();
+    in_force(&node, "/next/x").await;
+    assert!(written.elapsed() < AGREED, "{:?}", written.elapsed());
+    tokio::time::sleep(AGREED.saturating_sub(written.elapsed())).await;
+    let came = leaving.seen().len();
+    for _ in 0..20 {
+        assert_eq!(status(&caller(&node, KEY), "/get/x").await, 200);
+    }
+    assert_eq!(leaving.seen().len(), came);
+}
+
+/// It left, and ended, after the copy was made; so its entry is back, and says that it is ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_left_is_not_taken_back_with_its_entry() {
+    let world = World::new();
+    let engines = ["says-so", "goes", "other"].map(|id| world.engine(id, "api"));
+    let [says_so, goes, _] = &engines;
+    let node = world.node().await;
+    world.store.copy();
+    (0..GROWN).for_each(|i| world.store.put_bytes(&format!("other/{i}"), b""));
+    says_so.list("draining");
+    goes.unlist();
+    let known = async |event: &str, id: &str| {
+        wait("it is known", async || node.events(event).iter().any(|e| e["engine"] == id)).await;
+    };
+    known("engine_gone", "goes").await;
+    says_so.unlist();
+    known("engine_gone", "says-so").await;
+    let came = says_so.seen().len() + goes.seen().len();
+    world.store.come_back(&[], 0);
+    let back = Instant::now();
+    while back.elapsed() < Duration::from_millis(3_000) {
+        assert_eq!(status(&caller(&node, KEY), "/get/x").await, 200);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(says_so.seen().len() + goes.seen().len(), came);
+}
