A store that comes back older: revisions of two eras are told apart

Cause of the three failing tests: what is newer was told by the revision alone, and a watch went on from a number that stood for another change.

Conditions and leases of an older era are not sent; watches and lists over two eras are void; a rise gives all watches up. Across a return the operator's version decides which configuration is newer, and any node tells it to one that has an older one. Engines that had gone are not taken back with their entries. Verdicts are written again.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -41,6 +41,41 @@
     Incarnation(u64)
 }
 
+impl Revision {
+    /// Bits of the number within one era; the era stands above them. At a million changes a second they last for
+    /// nine years.
+    const NUMBER: u32 = 48;
+    /// Highest era that can be told apart.
+    pub const ERA_MOST: u64 = (1 << (64 - Self::NUMBER)) - 1;
+
+    /// The store's number within an era: how often the store has come back from an older copy of itself.
+    ///
+    /// Numbers of two eras say nothing of each other, so any of a later era counts as the higher one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use heathpitch_core::Revision;
+    ///
+    /// assert!(Revision::of(2, 90) > Revision::of(1, 140));
+    /// assert_eq!(Revision::of(0, 7), Revision(7));
+    /// ```
+    pub fn of(era: u64, number: u64) -> Self {
+        let number = number.min((1 << Self::NUMBER) - 1);
+        Self(era.min(Self::ERA_MOST) << Self::NUMBER | number)
+    }
+
+    /// The era.
+    pub fn era(self) -> u64 {
+        self.0 >> Self::NUMBER
+    }
+
+    /// The store's number within its era.
+    pub fn number(self) -> u64 {
+        self.0 & ((1 << Self::NUMBER) - 1)
+    }
+}
+
 impl Attempt {
     /// The attempt after this one.
     pub fn next(self) -> Self {
--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -62,8 +62,9 @@
     let key = control.edges.dialect.config_key();
     match control.call("get", control.edges.store.get(key)).await {
         Ok(Found { item: Some(item), at }) => {
-            adopt(control, &item);
-            prove(&control.shared.fresh, sent);
+            if adopt(control, &item) {
+                prove(&control.shared.fresh, sent);
+            }
             Some(at)
         }
         Ok(Found { item: None, .. }) | Err(_) => None,
@@ -90,7 +91,9 @@
         };
         for change in &watched.changes {
             match change {
-                ItemChange::Put(item) if &*item.key == key => adopt(control, item),
+                ItemChange::Put(item) if &*item.key == key => {
+                    adopt(control, item);
+                }
                 ItemChange::Put(_) | ItemChange::Gone(_) => {}
             }
         }
@@ -112,31 +115,50 @@
     match control.call("prove", control.edges.store.write(write)).await {
         Ok(_) => {}
         Err(StoreError::Conflict(items)) => match items.first() {
-            Some(item) => adopt(control, item),
-            None => return false,
+            Some(item) if adopt(control, item) => {}
+            Some(_) | None => return false,
         },
+        // What it was to hold for was read from another history.
+        Err(StoreError::Returned) => return read(control).await.is_some(),
         Err(_) => return false,
     }
     prove(&control.shared.fresh, sent);
     true
 }
 
-/// Puts a configuration in force unless a newer one is.
-pub(super) fn adopt(control: &Control, item: &Item) {
+/// Puts a configuration in force unless a newer one is; gives whether none newer than this one is.
+///
+/// Of two that one history of the store holds, the later is newer. Where the store came back from an older copy in
+/// between, the operator's own version decides: what was in force stays until it, or a newer one, is written again.
+pub(super) fn adopt(control: &Control, item: &Item) -> bool {
     let current = control.shared.catalog.load().as_ref().map(|c| (c.revision, c.version));
-    if current.is_some_and(|(revision, _)| item.revision <= revision) {
-        return;
+    let (revision, before) = (item.revision, current.map(|(revision, _)| revision));
+    let same = before.is_some_and(|b| b.era() == revision.era());
+    if same && before.is_some_and(|b| revision <= b) {
+        return true;
     }
     let catalog = match control.edges.dialect.catalog(item) {
         Ok(catalog) => catalog,
         Err(e) => {
             let error = e.to_string();
-            GatewayEvent::ConfigRejected { revision: item.revision, error }.log();
-            return;
+            GatewayEvent::ConfigRejected { revision, error }.log();
+            return true;
         }
     };
+    match current {
+        Some((_, in_force)) if !same && catalog.version < in_force => {
+            let version = catalog.version;
+            GatewayEvent::ConfigBehind { version, revision, in_force }.log();
+            return false;
+        }
+        // The one in force, as an older history had it.
+        Some((before, in_force)) if before > revision && catalog.version == in_force => {
+            return true;
+        }
+        Some(_) | None => {}
+    }
     *control.document.borrow_mut() = Some(item.clone());
-    check(Violation::RevisionOrder, current.is_none_or(|(r, _)| catalog.revision > r));
+    check(Violation::RevisionOrder, !same || before.is_none_or(|b| catalog.revision > b));
     control.shared.metrics.config.set(catalog.version as i64);
     GatewayEvent::ConfigAdopted {
         version: catalog.version,
@@ -146,4 +168,5 @@
     .log();
     control.shared.catalog.store(Some(Arc::new(catalog)));
     control.publish();
+    true
 }
--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -264,6 +264,7 @@
     match entry.state {
         EntryState::Leaving if !left => {
             control.leaving.borrow_mut().insert(id.clone(), control.now());
+            control.leavers.borrow_mut().learn(life(&entry), 0, control.now());
         }
         EntryState::Leaving => {}
         // It was off the list, and is back: streams stay on it.
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -165,15 +165,16 @@
     let own = control.shared.listed.load().at();
     // One who is asked for everything and tells no change has the same.
     let same = told.engines == FeedEngines::default();
-    if !told.live || !control.sources.borrow().takes(&source.node, proven, own, same) {
-        return Heard::Empty;
-    }
+    // A newer one was acknowledged, whatever the store says of it now.
     if let Some(config) = &told.config
         && let Err(e) = adopt(control, config)
     {
         log::warn!("the configuration that node {} tells cannot be read: {e}", source.node);
         return Heard::Empty;
     }
+    if !told.live || !control.sources.borrow().takes(&source.node, proven, own, same) {
+        return Heard::Empty;
+    }
     if let Err(e) = take_engines(control, &told.engines) {
         log::warn!("the engines that node {} tells cannot be read: {e}", source.node);
         return Heard::Empty;
@@ -260,6 +261,7 @@
             address: self.shared.peer.unwrap_or(settings.listen),
             able: nodes::is_able(&settings),
             revision: self.revision(),
+            version: self.version(),
             digest: self.mirror.borrow().digest(),
             known,
             reports,
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -23,6 +23,7 @@
 mod recovery;
 mod reports;
 mod state;
+mod store;
 mod suspended;
 mod tell;
 mod turns;
--- a/crates/heathpitchd/src/gateway/control/quarantine.rs
+++ b/crates/heathpitchd/src/gateway/control/quarantine.rs
@@ -49,6 +49,13 @@
     known: HashMap<RequestPrint, Entry>,
 }
 
+impl Entries {
+    /// Takes none of them to stand there, so that all are written that are not found.
+    pub(super) fn forget(&mut self) {
+        self.known.clear();
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     revision: Revision,
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -4,10 +4,9 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
-use std::time::Duration;
 
-use heathpitch_core::{EngineEntry, Millis, Name, Revision, ServiceSpec};
-use heathpitch_net::{Item, LeaseId, StoreError};
+use heathpitch_core::{EngineEntry, Millis, Name, ServiceSpec};
+use heathpitch_net::{Item, LeaseId};
 use heathpitch_policy::{Followers, Leavers, Lives, Mirror, Quarantine, Sources, Tally, Wish};
 use tokio::sync::Notify;
 
@@ -108,8 +107,10 @@
     pub(super) wishes: RefCell<HashMap<Name, Arc<Wish>>>,
     /// Engines that said in an answer that they leave, to this node or to one that told it.
     pub(super) leavers: RefCell<Leavers>,
-    reachable: Cell<bool>,
-    returned: Cell<Millis>,
+    pub(super) reachable: Cell<bool>,
+    pub(super) returned: Cell<Millis>,
+    /// Era of the store that this node has taken note of.
+    pub(super) era: Cell<u64>,
 }
 
 /// # Construction
@@ -160,6 +161,7 @@
             leavers: RefCell::default(),
             reachable: Cell::new(true),
             returned: Cell::new(0),
+            era: Cell::new(0),
         }
     }
 }
@@ -286,94 +288,3 @@
         self.now() >= self.renewed.get() + super::nodes::PLANNER_TTL
     }
 }
-
-/// # Store
-impl Control {
-    /// Waits for an answer of the store, but not once what its silence says is in doubt; none then.
-    pub(super) async fn until_doubt<T>(&self, answer: impl Future<Output = T>) -> Option<T> {
-        tokio::select! {
-            answer = answer => Some(answer),
-            () = self.store_doubted() => None,
-        }
-    }
-
-    /// Waits until the store ceases to answer or the node that told this one ceases to tell.
-    async fn store_doubted(&self) {
-        let (reachable, fed) = (self.reachable.get(), self.fed());
-        let lost = || (reachable && !self.reachable.get()) || (fed && !self.fed());
-        while !lost() {
-            self.turned.notified().await;
-        }
-    }
-
-    /// Waits for a while, but not beyond the store's return.
-    pub(super) async fn pause(&self, pause: Duration) {
-        // Either way the call is tried again.
-        let _ = tokio::time::timeout(pause, self.turned.notified()).await;
-    }
-
-    /// Makes a call on the store, counts it and takes note of whether the store answers.
-    pub(super) async fn call<T>(
-        &self,
-        name: &'static str,
-        call: impl Future<Output = Result<T, StoreError>>,
-    ) -> Result<T, StoreError> {
-        let sent = self.now();
-        let result = call.await;
-        self.note(name, sent, &result);
-        result
-    }
-
-    /// Waits up to `wait` for changes under a prefix after a revision, of something that the log names.
-    ///
-    /// A watch that is lost says nothing of the store: connections are lost alone, too.
-    pub(super) async fn watch(
-        &self,
-        of: &'static str,
-        prefix: &str,
-        after: Revision,
-        wait: Millis,
-    ) -> Result<heathpitch_net::Watched, StoreError> {
-        let sent = self.now();
-        let result = self.edges.store.watch(prefix, after, wait).await;
-        match &result {
-            Err(StoreError::Edge(e)) => {
-                self.shared.metrics.store.with_label_values(&["watch", "lost"]).inc();
-                let asked_ms = self.now().saturating_sub(sent);
-                GatewayEvent::WatchLost { of, asked_ms, error: e.to_string() }.log();
-            }
-            _ => self.note("watch", sent, &result),
-        }
-        result
-    }
-
-    /// Counts a call, sent at `sent`, and takes note of whether the store answers.
-    ///
-    /// One that was sent before the store's return and is lost afterwards says nothing of it any more:
-    /// taken for a second outage, it held the news of a configuration back by 0.17 s.
-    fn note<T>(&self, call: &'static str, sent: Millis, result: &Result<T, StoreError>) {
-        let (word, answers) = match result {
-            Ok(_) => ("ok", true),
-            Err(StoreError::Conflict(_)) => ("conflict", true),
-            Err(StoreError::Forgotten) => ("forgotten", true),
-            Err(StoreError::LeaseOver) => ("lease_over", true),
-            Err(StoreError::Refused(_)) => ("refused", false),
-            Err(StoreError::Edge(_)) => ("lost", false),
-        };
-        self.shared.metrics.store.with_label_values(&[call, word]).inc();
-        if !answers {
-            let (now, beside) = (self.now(), self.beside());
-            self.sources.borrow_mut().missed(now, beside, &mut rand::rng());
-        }
-        if answers == self.reachable.get() || (!answers && sent < self.returned.get()) {
-            return;
-        }
-        self.reachable.set(answers);
-        if answers {
-            self.returned.set(self.now());
-        }
-        self.turned.notify_waiters();
-        let error = result.as_ref().err().map(|e| format!("{call}: {e}"));
-        GatewayEvent::StoreReachable { reachable: answers, error }.log();
-    }
-}
--- a/crates/heathpitchd/src/gateway/control/tell.rs
+++ b/crates/heathpitchd/src/gateway/control/tell.rs
@@ -115,15 +115,20 @@
     told: &mut FeedTold,
 ) -> Result<(), EdgeError> {
     let (shared, now) = (&control.shared, control.now());
-    let ages = (shared.fresh.load().age(now), shared.listed.load().age(now));
-    let (Some(proof_ms), Some(list_ms)) = ages else { return Ok(()) };
-    if proof_ms >= PROOF_OLD || list_ms >= LIST_OLD {
-        return Ok(());
-    }
-    let config = match ask.revision < control.revision() {
+    let config = match control.has_newer(ask) {
         true => config(control)?,
         false => None,
     };
+    let ages = (shared.fresh.load().age(now), shared.listed.load().age(now));
+    let (proof_ms, list_ms) = match ages {
+        (Some(proof), Some(list)) if proof < PROOF_OLD && list < LIST_OLD => (proof, list),
+        // Whether there is a newer one still is not known, but this one is newer than theirs.
+        _ => {
+            let length = config.as_ref().map_or(0, |c| c.value.len());
+            told.config = config.filter(|_| control.large.take(length, now));
+            return Ok(());
+        }
+    };
     let engines = engines(control, ask.digest, known.serial)?;
     let packed = if let FeedEngines::Whole(packed) = &engines { packed.len() } else { 0 };
     let large = packed + config.as_ref().map_or(0, |c| c.value.len());
@@ -176,6 +181,20 @@
 
 /// # Revision
 impl Control {
+    /// Whether the configuration in force is newer than that of a node that asks.
+    fn has_newer(&self, ask: &FeedAsk) -> bool {
+        let (revision, version) = (self.revision(), self.version());
+        match revision.era() == ask.revision.era() {
+            true => ask.revision < revision,
+            false => ask.version < version || (ask.version == version && ask.revision < revision),
+        }
+    }
+
+    /// The operator's version of the configuration in force; 0 for none.
+    pub(super) fn version(&self) -> u64 {
+        self.shared.catalog.load().as_ref().map_or(0, |c| c.version)
+    }
+
     /// Revision of the configuration in force.
     pub(super) fn revision(&self) -> Revision {
         self.shared.catalog.load().as_ref().map_or(Revision(0), |c| c.revision)
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -330,6 +330,26 @@
         /// What it failed with; none if it answers.
         error: Option<String>,
     },
+    /// The store has come back from an older copy of itself: what was written there since may be gone.
+    StoreCameBack {
+        /// Era before.
+        from: u64,
+        /// Era now.
+        era: u64,
+        /// Revision of the configuration in force, which stays.
+        revision: Revision,
+        /// Engines that went before, whose entries the copy may have.
+        gone: Vec<Name>,
+    },
+    /// A configuration that the store holds is older than the one in force, which stays until it is written again.
+    ConfigBehind {
+        /// Version that the store holds.
+        version: u64,
+        /// Its revision.
+        revision: Revision,
+        /// Version in force.
+        in_force: u64,
+    },
     /// The store does not answer, or answers again.
     StoreReachable {
         /// Whether it answers.
@@ -339,65 +359,6 @@
     },
 }
 
-impl GatewayEvent {
-    /// Stable names of all events.
-    pub const NAMES: [&'static str; 34] = [
-        "gateway_started",
-        "gateway_reloaded",
-        "gateway_stopping",
-        "gateway_stopped",
-        "call_refused",
-        "call_routed",
-        "call_attempt_failed",
-        "call_rerouted",
-        "call_ended",
-        "config_adopted",
-        "config_rejected",
-        "watch_lost",
-        "engines_heard",
-        "engine_listed",
-        "engines_listed",
-        "engine_gone",
-        "engine_reborn",
-        "engine_ended",
-        "ends_heard",
-        "request_held_back",
-        "request_let_through",
-        "engine_doubted",
-        "engine_wished",
-        "engine_leaves",
-        "engine_stays",
-        "engine_paced",
-        "layout_planned",
-        "layers_ordered",
-        "vm_suspended",
-        "domain_planner",
-        "feed_changed",
-        "neighbour_changed",
-        "store_reachable",
-        "log_dropped",
-    ];
-
-    /// Writes the event to the log.
-    pub(crate) fn log(&self) {
-        let level = match self {
-            Self::CallRefused { .. }
-            | Self::CallAttemptFailed { .. }
-            | Self::EngineEnded { .. }
-            | Self::RequestHeldBack { .. }
-            | Self::CallEnded { whole: false, .. }
-            | Self::ConfigRejected { .. }
-            | Self::WatchLost { .. }
-            | Self::StoreReachable { reachable: false, .. } => log::Level::Warn,
-            _ => log::Level::Info,
-        };
-        match serde_json::to_string(self) {
-            Ok(line) => log::log!(target: "heathpitch", level, "{line}"),
-            Err(e) => log::error!("an event could not be written: {e}"),
-        }
-    }
-}
-
 /// Parts of a path as events show them.
 pub(crate) fn parts(path: Option<&Path>) -> Vec<(Name, LayerRange)> {
     let stages = path.map_or(&[][..], Path::stages);
--- /dev/null
+++ b/crates/heathpitchd/src/gateway/event_log.rs
@@ -0,0 +1,66 @@
+//! Stable names of a gateway's events, and how they are written.
+
+use super::event::GatewayEvent;
+
+impl GatewayEvent {
+    /// Stable names of all events.
+    pub const NAMES: [&'static str; 36] = [
+        "gateway_started",
+        "gateway_reloaded",
+        "gateway_stopping",
+        "gateway_stopped",
+        "call_refused",
+        "call_routed",
+        "call_attempt_failed",
+        "call_rerouted",
+        "call_ended",
+        "config_adopted",
+        "config_rejected",
+        "watch_lost",
+        "engines_heard",
+        "engine_listed",
+        "engines_listed",
+        "engine_gone",
+        "engine_reborn",
+        "engine_ended",
+        "ends_heard",
+        "request_held_back",
+        "request_let_through",
+        "engine_doubted",
+        "engine_wished",
+        "engine_leaves",
+        "engine_stays",
+        "engine_paced",
+        "layout_planned",
+        "layers_ordered",
+        "vm_suspended",
+        "domain_planner",
+        "feed_changed",
+        "neighbour_changed",
+        "store_came_back",
+        "config_behind",
+        "store_reachable",
+        "log_dropped",
+    ];
+
+    /// Writes the event to the log.
+    pub(crate) fn log(&self) {
+        let level = match self {
+            Self::CallRefused { .. }
+            | Self::CallAttemptFailed { .. }
+            | Self::EngineEnded { .. }
+            | Self::RequestHeldBack { .. }
+            | Self::CallEnded { whole: false, .. }
+            | Self::ConfigRejected { .. }
+            | Self::WatchLost { .. }
+            | Self::StoreCameBack { .. }
+            | Self::ConfigBehind { .. }
+            | Self::StoreReachable { reachable: false, .. } => log::Level::Warn,
+            _ => log::Level::Info,
+        };
+        match serde_json::to_string(self) {
+            Ok(line) => log::log!(target: "heathpitch", level, "{line}"),
+            Err(e) => log::error!("an event could not be written: {e}"),
+        }
+    }
+}
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Every metric of a gateway: name, help.
-pub const GATEWAY_METRICS: [(&str, &str); 18] = [
+pub const GATEWAY_METRICS: [(&str, &str); 19] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -25,6 +25,7 @@
     ("heathpitch_feed_asks_total", "Questions to the failure domain's planner, by result"),
     ("heathpitch_engine_list_age_seconds", "Age of the proof that the list of engines is current"),
     ("heathpitch_requests_held_back", "Requests sent nowhere because engines ended under them"),
+    ("heathpitch_store_era", "How often the store has come back from an older copy of itself"),
     ("heathpitch_engine_wishes_total", "Answers in which engines ask for rest or leave, by wish"),
 ];
 
@@ -54,6 +55,7 @@
     pub(crate) feed: IntCounterVec,
     pub(crate) list_age: Gauge,
     pub(crate) held: IntGauge,
+    pub(crate) era: IntGauge,
     pub(crate) wishes: IntCounterVec,
 }
 
@@ -88,7 +90,8 @@
             feed: IntCounterVec::new(opts(14), &["result"])?,
             list_age: Gauge::with_opts(opts(15))?,
             held: IntGauge::with_opts(opts(16))?,
-            wishes: IntCounterVec::new(opts(17), &["wish"])?,
+            era: IntGauge::with_opts(opts(17))?,
+            wishes: IntCounterVec::new(opts(18), &["wish"])?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -116,6 +119,7 @@
             Box::new(self.feed.clone()),
             Box::new(self.list_age.clone()),
             Box::new(self.held.clone()),
+            Box::new(self.era.clone()),
             Box::new(self.wishes.clone()),
         ]
     }
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod control;
 mod engine_table;
 mod event;
+mod event_log;
 mod live;
 mod metrics;
 mod shared;
--- a/crates/heathpitchd/tests/gateway_soak.rs
+++ b/crates/heathpitchd/tests/gateway_soak.rs
@@ -35,6 +35,13 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_while_engines_ask_for_rest_and_the_store_comes_back_older() {
+    for seed in [6, 7] {
+        play(&Script::draw(seed, Duration::from_secs(8)).with_wishes().with_returns()).await;
+    }
+}
+
 async fn play(script: &Script) {
     println!("seed {}: {:?}", script.seed, script.steps);
     let binary = PathBuf::from(env!("CARGO_BIN_EXE_heathpitchd"));
--- a/crates/heathpitchd/tests/gateway_store_eras.rs
+++ b/crates/heathpitchd/tests/gateway_store_eras.rs
@@ -102,3 +102,76 @@
     }
     assert_eq!(says_so.seen().len() + goes.seen().len(), came);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_taken_away_stays_taken_away_also_at_a_node_that_begins() {
+    let mut world = World::new();
+    world.engine("a", "api");
+    let (planner, _link, follower) = world.planner_and_follower().await;
+    world.store.copy();
+    (0..GROWN).for_each(|i| world.store.put_bytes(&format!("other/{i}"), b""));
+    world.site.tenants[0].1.retain(|key| key != KEY_2);
+    world.site.version += 1;
+    world.configure();
+    for node in [&planner, &follower] {
+        wait("it is taken away", async || status(&caller(node, KEY_2), "/get/x").await == 401)
+            .await;
+    }
+    world.store.come_back(&[], GROWN / 4);
+    let begun = world.start("n3", &serde_json::json!({}));
+    begun.wait_ready().await.unwrap();
+    let back = Instant::now();
+    while back.elapsed() < Duration::from_millis(4_000) {
+        for node in [&planner, &follower] {
+            assert_ne!(status(&caller(node, KEY_2), "/get/x").await, 200);
+            assert_ne!(status(&caller(node, KEY), "/open/x").await, 401);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_ne!(status(&caller(&begun, KEY_2), "/get/x").await, 200, "neighbours tell it");
+    world.configure();
+    for node in [&planner, &follower, &begun] {
+        wait("calls with keys are served", async || {
+            status(&caller(node, KEY), "/get/x").await == 200
+        })
+        .await;
+        assert_eq!(status(&caller(node, KEY_2), "/get/x").await, 401);
+    }
+}
+
+/// Leases are gone, or are back from the dead; two returns follow each other.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_domain_has_one_planner_again_and_all_is_served() {
+    let world = World::new();
+    world.engine("a", "api");
+    world.store.copy();
+    let (planner, _link, follower) = world.planner_and_follower().await;
+    let calls = async || {
+        for node in [&planner, &follower] {
+            assert_eq!(
+                caller(node, KEY).call(Method::GET, "/open/x", "").await.unwrap().status,
+                200
+            );
+        }
+    };
+    calls().await;
+    world.store.come_back(&[], GROWN);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    world.store.come_back(&[], GROWN / 4);
+    let back = Instant::now();
+    while back.elapsed() < Duration::from_millis(5_000) {
+        calls().await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let plans = |n: &GatewayProcess| n.events("domain_planner").last().map(|e| e["active"] == true);
+    let planning = [&planner, &follower].into_iter().filter(|n| plans(n) == Some(true)).count();
+    assert_eq!(planning, 1);
+    let told = |n: &GatewayProcess| {
+        n.events("feed_changed").last().is_some_and(|e| !e["planner"].is_null())
+    };
+    assert!(told(&planner) || told(&follower), "the other one is told");
+    for node in [&planner, &follower] {
+        assert_eq!(status(&caller(node, KEY), "/get/x").await, 200);
+        assert_eq!(node.events("store_came_back").last().map(|e| e["era"] == 3), Some(true));
+    }
+}
--- a/crates/net/schema/feed.capnp
+++ b/crates/net/schema/feed.capnp
@@ -42,6 +42,8 @@
   # Engines that say they leave, as the one asking learned since it asked the same node last.
   leavesSerial @13 :UInt64;
   # Those that the node asked told up to this serial of the same life are known.
+  version @14 :UInt64;
+  # The operator's version of the configuration that it has; 0 for none.
 }
 
 struct Leave {
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
+use hyper::http::response::Parts;
 use hyper::{Method, Request};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -135,17 +136,33 @@
         content: Option<&Q>,
         limit: Duration,
     ) -> Result<(u16, Bytes), EdgeError> {
+        let (parts, bytes) = self.exchange_whole(method, uri, content, limit).await?;
+        Ok((parts.status.as_u16(), bytes))
+    }
+
+    /// The same, with the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::exchange`].
+    pub async fn exchange_whole<Q: Serialize>(
+        &self,
+        method: Method,
+        uri: &str,
+        content: Option<&Q>,
+        limit: Duration,
+    ) -> Result<(Parts, Bytes), EdgeError> {
         let sent = content.map_or_else(Vec::new, |c| serde_json::to_vec(c).unwrap_or_default());
         self.bytes.fetch_add((sent.len() + HEAD_BYTES) as u64, Relaxed);
         let request = request(method, uri, body::full(sent))?;
         let work = async {
             let response = self.send(request, false).await?;
-            let status = response.status().as_u16();
-            let bytes = body::read(response.into_body(), MAX_JSON).await;
+            let (parts, body) = response.into_parts();
+            let bytes = body::read(body, MAX_JSON).await;
             match bytes {
                 Ok(bytes) => {
                     self.bytes.fetch_add(bytes.len() as u64, Relaxed);
-                    Ok((status, bytes))
+                    Ok((parts, bytes))
                 }
                 Err(body::BodyError::TooLarge) => Err(EdgeError::TooLarge(MAX_JSON)),
                 Err(e) => Err(EdgeError::Lost(e.to_string())),
--- a/crates/net/src/feed_codec.rs
+++ b/crates/net/src/feed_codec.rs
@@ -45,6 +45,7 @@
     to.set_address(from.address.to_string());
     to.set_able(from.able);
     to.set_revision(from.revision.0);
+    to.set_version(from.version);
     to.set_digest(from.digest);
     to.set_life(from.known.life);
     to.set_serial(from.known.serial);
@@ -63,6 +64,7 @@
         address: address(from.get_address()?)?,
         able: from.get_able(),
         revision: Revision(from.get_revision()),
+        version: from.get_version(),
         digest: from.get_digest(),
         known: FeedKnown {
             life: from.get_life(),
--- a/crates/net/src/feed_message.rs
+++ b/crates/net/src/feed_message.rs
@@ -19,6 +19,8 @@
     pub able: bool,
     /// Revision of the configuration that it has; 0 for none.
     pub revision: Revision,
+    /// The operator's version of it; 0 for none.
+    pub version: u64,
     /// Digest of the engines' entries that it has.
     pub digest: u64,
     /// What it knows of the one it asks.
--- a/crates/net/src/store.rs
+++ b/crates/net/src/store.rs
@@ -13,7 +13,12 @@
 
 /// Id of a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId {
+    /// Era of the store that granted it; in a later one it is worth nothing.
+    pub era: u64,
+    /// The store's own id.
+    pub number: u64,
+}
 
 /// An item of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,6 +90,9 @@
     /// The lease is over.
     #[error("the lease is over")]
     LeaseOver,
+    /// The store has come back from an older copy of itself since this was read: nothing was sent.
+    #[error("the store came back from an older copy since")]
+    Returned,
     /// The store refused the call: nothing was done.
     #[error("refused with status {0}")]
     Refused(u16),
@@ -95,6 +103,9 @@
 
 /// Calls on the store.
 pub trait Store: Send + Sync {
+    /// How often the store had come back from an older copy of itself, by its latest answer.
+    fn era(&self) -> u64;
+
     /// The item of a key, if there is one.
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Found, StoreError>>;
 
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -45,7 +45,7 @@
         let runs = some.iter().map(|seed| {
             let (binary, script) = (
                 arguments.binary.clone(),
-                Script::draw(*seed, length).with_lives().with_ends().with_wishes(),
+                Script::draw(*seed, length).with_lives().with_ends().with_wishes().with_returns(),
             );
             tokio::spawn(async move { (script.seed, run(binary, &script).await) })
         });
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -132,7 +132,7 @@
             | Fault::StoreLink(node, ..)
             | Fault::Suspend(node)
             | Fault::StoreLoss(node) => self.world.disturbed(Some(node), from),
-            Fault::Store(..) => self.world.disturbed(None, from),
+            Fault::Store(..) | Fault::Return(..) => self.world.disturbed(None, from),
             Fault::EngineLink(engine, ..) | Fault::Rebirth(engine) => {
                 self.world.held_up(engine, from);
             }
@@ -178,6 +178,7 @@
             Fault::Foreign(text) => world.write_foreign(serial, text),
             Fault::Suspend(node) => world.signal(node, "USR2")?,
             Fault::Fatal(node) => world.send_fatal(node, serial).await,
+            Fault::Return(age, changes) => world.return_store(age, changes).await,
             Fault::Tire(engine, rest, time) => {
                 world.tire(engine, Some(rest));
                 tokio::time::sleep(time).await;
--- a/crates/soak/src/script.rs
+++ b/crates/soak/src/script.rs
@@ -50,6 +50,8 @@
     Suspend(usize),
     /// The request that ends every engine which begins to run it comes to a node.
     Fatal(usize),
+    /// The store comes back from a copy this old, and has taken so many changes of others since.
+    Return(Duration, u64),
     /// An engine turns everybody away for a while, and tells this Retry-After.
     Tire(usize, &'static str, Duration),
     /// A plain engine says in its answers that it leaves, for a while before its entry does, and another comes.
@@ -75,6 +77,9 @@
 /// The same for what engines ask for.
 const WISHES: u64 = 0x3e57;
 
+/// The same for returns of the store.
+const RETURNS: u64 = 0x4e7a;
+
 /// A fault and when it begins.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Step {
@@ -132,6 +137,21 @@
         self
     }
 
+    /// The same with a store that comes back older, once or twice, drawn apart likewise.
+    #[must_use]
+    pub fn with_returns(mut self) -> Self {
+        let mut rng = StdRng::seed_from_u64(self.seed.wrapping_add(RETURNS));
+        let mut at = Duration::from_millis(rng.random_range(500..5_000));
+        while at < self.length {
+            let age = Duration::from_millis(rng.random_range(300..3_000));
+            let fault = Fault::Return(age, rng.random_range(0..200));
+            self.steps.push(Step { at, fault });
+            at += age + Duration::from_millis(rng.random_range(100..8_000));
+        }
+        self.steps.sort_by_key(|s| s.at);
+        self
+    }
+
     /// The same with engines that ask for rest, or say that they leave before their entries do, drawn apart likewise.
     #[must_use]
     pub fn with_wishes(mut self) -> Self {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -21,6 +21,8 @@
 /// Time after which another engine starts in the place of one that ended, and after which its entry lapses.
 const BACK: Duration = Duration::from_millis(1_500);
 const LAPSE: Duration = Duration::from_millis(1_000);
+/// Time after which operator and engines write again to a store that came back older.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(700);
 /// Route that comes and goes.
 pub(crate) const COMING: &str = "/coming/";
 /// Events of a whole stream.
@@ -261,6 +263,21 @@
         Ok(())
     }
 
+    /// Has the store come back from a copy that is `age` old by then; operator and engines write again.
+    pub(crate) async fn return_store(&self, age: Duration, changes: u64) {
+        self.store.copy();
+        tokio::time::sleep(age).await;
+        self.store.come_back(&[], changes);
+        tokio::time::sleep(WRITTEN_AGAIN).await;
+        self.store.configure(&self.site.lock().json());
+        let listed = |engine: &Engine, state| match engine.ended() {
+            true => engine.unlist(),
+            false => engine.list(state),
+        };
+        self.stations.lock().iter().for_each(|s| listed(&s.engine, "ready"));
+        self.former.lock().iter().for_each(|engine| listed(engine, "draining"));
+    }
+
     /// Has an engine turn everybody away and tell this Retry-After; none: as usual again.
     pub(crate) fn tire(&self, index: usize, rest: Option<&str>) {
         let engine = self.stations.lock()[index].engine.clone();
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -139,7 +139,7 @@
     assert_eq!(judged(&early, &[], &[]), 0, "under way, and after its end");
     let (from, until) = (now + Duration::from_millis(100), now + Duration::from_millis(200));
     let held = HeldUp { engine: "e1".to_owned(), from, until };
-    assert_eq!(judged(&three, &[held.clone()], &[]), 0, "they were held up");
+    assert_eq!(judged(&three, std::slice::from_ref(&held), &[]), 0, "they were held up");
     assert_eq!(judged(&three, &[HeldUp { engine: "e2".to_owned(), ..held }], &[]), 1);
     let trouble = |node| Trouble { node: Some(node), from, until };
     assert_eq!(judged(&three, &[], &[trouble(0)]), 0, "the node was disturbed");
