--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -49,7 +49,7 @@
     /// The engine of the attempt that runs, and the events passed on before it.
     begun: Option<(Arc<EngineEntry>, u64)>,
     /// Events that the last attempt whose connection was lost had brought.
-    lost: Option<u64>,
+    lost: Option<u32>,
     /// Whether to wait for a path where there is none.
     patient: bool,
     unsent: u32,
@@ -223,7 +223,7 @@
     /// Tells the control thread that the attempt's connection was lost, because its engine may have ended.
     fn tell_lost(&mut self) {
         let Some((engine, before)) = self.begun.take() else { return };
-        let events = self.events.count().saturating_sub(before);
+        let events = self.events.count().saturating_sub(before).min(u32::MAX.into()) as u32;
         self.lost = Some(events);
         let lost = LostSend { engine, print: self.call.print(), events };
         self.traffic.shared.tell(Notice::Lost(lost));
--- a/crates/heathpitchd/src/gateway/control/quarantine.rs
+++ b/crates/heathpitchd/src/gateway/control/quarantine.rs
@@ -70,13 +70,12 @@
     /// hear by it that the engine has ended, three seconds before its entry lapses.
     pub(super) fn engine_ended(&self, engine: &EngineEntry, lost: &[LostSend]) {
         let (now, life) = (self.now(), life(engine));
-        let events = |call: &LostSend| u32::try_from(call.events).unwrap_or(u32::MAX);
-        let youngest = lost.iter().map(events).min().unwrap_or(0);
-        let told = |call: &&LostSend| events(call) == youngest || has_just_begun(events(call));
+        let youngest = lost.iter().map(|call| call.events).min().unwrap_or(0);
+        let told = |call: &&LostSend| call.events == youngest || has_just_begun(call.events);
         let mut new = false;
         for call in lost.iter().filter(told) {
             let mut quarantine = self.quarantine.borrow_mut();
-            new |= quarantine.ended(call.print, life.clone(), events(call), now);
+            new |= quarantine.ended(call.print, life.clone(), call.events, now);
         }
         self.leave(&life);
         if new {
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -204,7 +204,7 @@
         /// Calls of this node that were lost with it.
         calls: usize,
         /// Those that had brought least: their prints and events, at most sixteen.
-        youngest: Vec<(RequestPrint, u64)>,
+        youngest: Vec<(RequestPrint, u32)>,
     },
     /// Another node told of engines that ended under requests.
     EndsHeard {
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -48,7 +48,7 @@
     pub(crate) engine: Arc<EngineEntry>,
     pub(crate) print: RequestPrint,
     /// Events that this send brought.
-    pub(crate) events: u64,
+    pub(crate) events: u32,
 }
 
 /// The platform, as an adapter speaks it.
--- a/crates/heathpitchd/src/gateway/suspicion.rs
+++ b/crates/heathpitchd/src/gateway/suspicion.rs
@@ -32,8 +32,8 @@
     /// Not if it had just begun, and another engine ended so before: a third one would end in the
     /// call that ended the second, with some fifty streams, where all that a proper request needs is
     /// that its caller comes back.
-    pub(crate) fn allows_again(&self, events: u64, print: impl FnOnce() -> RequestPrint) -> bool {
-        !has_just_begun(u32::try_from(events).unwrap_or(u32::MAX)) || !self.names(print)
+    pub(crate) fn allows_again(&self, events: u32, print: impl FnOnce() -> RequestPrint) -> bool {
+        !has_just_begun(events) || !self.names(print)
     }
 
     /// Whether engines ended under a request; its print is worked out only if any did under one.
