An order that finds no connection is not taken

Change: nothing was sent, so the order is refused and the engine left until a look finds it again; likewise where the end of an order is asked for. Ruled out by the log: rests (the refusals are `no_engine`), engines that leave. gateway_layers.rs: the new test fails on the code before, not in 20 s; passes.

--- a/crates/heathpitchd/src/gateway/control/orders.rs
+++ b/crates/heathpitchd/src/gateway/control/orders.rs
@@ -7,12 +7,12 @@
 use std::sync::Arc;
 
 use heathpitch_core::{EngineEntry, LayerRange, LayeredModel, Millis, Violation, check};
-use heathpitch_net::{EngineStatus, Ordered, Release};
+use heathpitch_net::{EdgeError, EngineStatus, Ordered, Release};
 use heathpitch_policy::{Assignment, LayoutReason};
 use tokio::task::spawn_local;
 
 use super::state::Control;
-use super::{engines, nodes};
+use super::{engines, looks, nodes};
 use crate::gateway::event::GatewayEvent;
 
 /// Time beside that of the load after which an engine is asked for the end of an order,
@@ -113,6 +113,12 @@
             engines::correct(&control, &engine, &status);
         }
         Ok(_) => {}
+        // What it was ordered to hold went with it, if it has ended; it is looked at again, and asked then.
+        Err(EdgeError::Connect(e)) => {
+            log::warn!("engine {} cannot be asked for the end of its order: {e}", engine.id);
+            control.pending.borrow_mut().remove(&engine.id);
+            looks::leave(&control, &engine.id, "a question finds no connection");
+        }
         Err(e) => log::warn!("engine {} does not tell its state: {e}", engine.id),
     }
 }
@@ -148,6 +154,12 @@
                 Some(status) if !status.busy && status.orders != orders => orders = status.orders,
                 Some(_) | None => return Sent::Busy,
             },
+            // Nothing was sent. Counted as taken it would stand in for layers that nobody loads, for as long as
+            // the engine's entry stays.
+            Err(EdgeError::Connect(_)) => {
+                looks::leave(control, &engine.id, "an order finds no connection");
+                return Sent::Refused;
+            }
             // An order without an answer may still be carried out: it stays pending.
             Err(_) => return Sent::Taken,
             Ok(Ordered::Conflict(_)) => return Sent::Busy,
--- a/crates/heathpitchd/tests/gateway_layers.rs
+++ b/crates/heathpitchd/tests/gateway_layers.rs
@@ -51,6 +51,24 @@
     wait("every layer is held again", async || whole(&engines)).await;
 }
 
+/// An engine's entry may outlive it, as long as the store is away or for good. Seen once: an order to one that had
+/// ended was counted as taken, so that a layer which it was to hold had no other engine any more, and no
+/// stream was served until the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn layers_are_not_left_to_an_engine_that_cannot_be_connected_to() {
+    let world = World::new();
+    let [ended, first, second, third] = ["a", "b", "c", "d"].map(|id| world.engine(id, "llm"));
+    ended.crash();
+    first.hold(0, 4);
+    [&second, &third].iter().for_each(|e| e.hold(4, 8));
+    let node = world.node().await;
+    let ordered = |e: &serde_json::Value| e["engine"] == "a";
+    wait("it is ordered", async || node.events("layers_ordered").iter().any(ordered)).await;
+    first.crash();
+    first.unlist();
+    wait("living engines hold every layer", async || whole(&[second.clone(), third.clone()])).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn another_node_plans_when_the_planner_dies() {
     let world = World::new();
