Nodes that are told by others take note of a return of the store too

The era stands in the revisions that it is told, and is heard from them. The test waits for each node's line. Without the header nothing is different.

--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -226,6 +226,7 @@
 /// Takes an entry, and adds it to `changed` if it says anything new; gives its engine's id if it can be
 /// read.
 fn put(control: &Control, item: &Item, changed: &mut Vec<Arc<EngineEntry>>) -> Option<Name> {
+    control.hear_era(item.revision.era());
     let entry = match read(control, item) {
         Ok(entry) => entry,
         Err(e) => {
--- a/crates/heathpitchd/src/gateway/control/store.rs
+++ b/crates/heathpitchd/src/gateway/control/store.rs
@@ -72,14 +72,25 @@
         result
     }
 
-    /// Takes note that the store has come back from an older copy of itself, if its last answer shows that.
+    /// Takes note of the era that the store's last answer told.
+    fn look_at_era(&self) {
+        self.hear_era(self.edges.store.era());
+    }
+
+    /// Takes note that the store has come back from an older copy of itself, if its own answers, or what a node that
+    /// heard from it tells, are of a later era than before.
     ///
     /// What was read before is of another history. All watches are given up, so that everything is read anew at the
     /// usual turns, and entries that the copy does not have are waited for as after an outage. Engines that had
     /// gone do not come back with their entries, which the copy may have.
-    fn look_at_era(&self) {
-        let (from, era) = (self.era.replace(self.edges.store.era()), self.era.get());
-        if from == era || from == 0 {
+    pub(super) fn hear_era(&self, era: u64) {
+        let from = self.era.get();
+        if era <= from {
+            return;
+        }
+        self.era.set(era);
+        // The first one that is heard is no return.
+        if from == 0 {
             return;
         }
         self.returned.set(self.now());
--- a/crates/heathpitchd/tests/gateway_store_eras.rs
+++ b/crates/heathpitchd/tests/gateway_store_eras.rs
@@ -178,6 +178,7 @@
     assert!(told(&planner) || told(&follower), "the other one is told");
     for node in [&planner, &follower] {
         assert_eq!(status(&caller(node, KEY), "/get/x").await, 200);
-        assert_eq!(node.events("store_came_back").last().map(|e| e["era"] == 3), Some(true));
+        let era = |e: &serde_json::Value| e["era"] == 3;
+        wait("it knows", async || node.events("store_came_back").iter().any(era)).await;
     }
 }
