Reading the change again: what stood twice is said once; nothing decided otherwise

- What an engine asked this node for is looked up in one place (`wish_of`), and for answers that ask for nothing not at all: each report of each engine did before.
- Which engine is at fault is sought only for answers that ask for rest.
- `engine_leaves` loses two arguments that never differed; the feed's news are read by one function for questions and answers.
- The soak's four additions to a script share one loop.

--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -34,6 +34,7 @@
 const SHED_MOST: f64 = 0.9;
 /// Time between two looks for a path.
 const LOOK: Duration = Duration::from_millis(50);
+
 /// A stream, over all its sends.
 pub(crate) struct Flow {
     pub(crate) traffic: Arc<Traffic>,
--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -1,5 +1,7 @@
 //! One dispatch of a call to one engine.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use heathpitch_core::Path;
 use heathpitch_net::{
@@ -65,7 +67,7 @@
         /// Its status.
         status: StatusCode,
         /// Engine further on that is at fault.
-        culprit: Option<std::net::SocketAddr>,
+        culprit: Option<SocketAddr>,
     },
     /// It may have run.
     #[error("lost: {0}")]
@@ -141,7 +143,7 @@
     drop(entered);
     heed(traffic, call, view, parts.status, &head);
     if !head.not_run {
-        view.tally.wish().answered(traffic.shared.now());
+        wish.answered(traffic.shared.now());
     }
     if let Some(load) = head.load {
         view.tally.tell(load.running + load.waiting, traffic.shared.now());
@@ -158,9 +160,9 @@
     if shared.heed(said, head.wish, view.tally.wish()) {
         shared.tell(Notice::Leaves(life(&view.entry)));
     }
-    let table = shared.table.load();
-    let culprit = head.culprit.filter(|at| *at != view.entry.address && head.wish.rest.is_some());
-    if let Some(other) = culprit.and_then(|at| table.at(at)) {
+    let elsewhere = |at: &SocketAddr| *at != view.entry.address && head.wish.rest.is_some();
+    let Some(culprit) = head.culprit.filter(elsewhere) else { return };
+    if let Some(other) = shared.table.load().at(culprit) {
         let said = Said { engine: &other.entry, of, status };
         let wish = EngineWish { leaves: false, ..head.wish };
         shared.heed(said, wish, other.tally.wish());
--- a/crates/heathpitchd/src/gateway/control/wishes.rs
+++ b/crates/heathpitchd/src/gateway/control/wishes.rs
@@ -10,7 +10,7 @@
 
 use heathpitch_core::{EngineEntry, EntryState, Millis};
 use heathpitch_net::{Answered, EdgeError, FeedLeave};
-use heathpitch_policy::EngineLife;
+use heathpitch_policy::{EngineLife, Wish};
 
 use super::engines;
 use super::state::Control;
@@ -28,13 +28,19 @@
     /// Takes note of what an engine asks for in an answer to this node's own question, and gives what it says.
     pub(super) fn heed<T>(&self, engine: &EngineEntry, of: &'static str, answer: Answered<T>) -> T {
         let Answered { said, status, wish: asked } = answer;
-        let wish = self.wishes.borrow_mut().entry(engine.id.clone()).or_default().clone();
-        if self.shared.heed(Said { engine, of, status }, asked, &wish) {
-            self.engine_leaves(&life(engine), 0, "its own answer");
+        let new = !asked.is_none()
+            && self.shared.heed(Said { engine, of, status }, asked, &self.wish_of(engine));
+        if new {
+            self.engine_leaves(&life(engine));
         }
         said
     }
 
+    /// What an engine asked this node for.
+    fn wish_of(&self, engine: &EngineEntry) -> Arc<Wish> {
+        self.wishes.borrow_mut().entry(engine.id.clone()).or_default().clone()
+    }
+
     /// Asks an engine whether it takes new work; none if it wants no questions now either, since a check takes
     /// a slot as calls do.
     pub(super) async fn check(
@@ -42,8 +48,7 @@
         engine: &EngineEntry,
         path: &str,
     ) -> Option<Result<Answered<bool>, EdgeError>> {
-        let wish = self.wishes.borrow_mut().entry(engine.id.clone()).or_default().clone();
-        let entered = wish.enter_check(self.now())?;
+        let entered = self.wish_of(engine).enter_check(self.now())?;
         let answer = self.edges.orders.healthy(engine, path).await;
         drop(entered);
         Some(answer.inspect(|answer| {
@@ -51,14 +56,14 @@
         }))
     }
 
-    /// An engine said in an answer of `age` ago that it leaves, as `by` tells.
-    pub(super) fn engine_leaves(&self, life: &EngineLife, age: Millis, by: &'static str) {
-        if self.leave_by_word(life, age, by) {
+    /// An engine said in an answer to this node that it leaves.
+    pub(super) fn engine_leaves(&self, life: &EngineLife) {
+        if self.leave_by_word(life, 0, "its own answer") {
             self.publish();
         }
     }
 
-    /// Takes such a word; gives whether a listed engine leaves by it that did not before.
+    /// Takes such a word of `age` ago, as `by` tells; gives whether a listed engine leaves by it that did not before.
     fn leave_by_word(&self, life: &EngineLife, age: Millis, by: &'static str) -> bool {
         if !self.leavers.borrow_mut().learn(life.clone(), age, self.now()) {
             return false;
@@ -130,9 +135,7 @@
         Some(Err(e)) => return log::info!("engine {} does not answer its check: {e}", entry.id),
     }
     control.leavers.borrow_mut().stay(life, control.now());
-    if let Some(wish) = control.wishes.borrow().get(&entry.id) {
-        wish.stay();
-    }
+    control.wish_of(&entry).stay();
     let ready = EngineEntry { state: EntryState::Ready, ..(*entry).clone() };
     control.entries.borrow_mut().insert(entry.id.clone(), Arc::new(ready));
     control.leaving.borrow_mut().remove(&entry.id);
--- a/crates/net/src/feed_codec.rs
+++ b/crates/net/src/feed_codec.rs
@@ -72,10 +72,7 @@
             reported: from.get_reported(),
         },
         reports: from.get_reports(),
-        news: FeedNews {
-            ends: from.get_ends()?.iter().map(read_end).collect::<capnp::Result<_>>()?,
-            leaves: from.get_leaves()?.iter().map(read_leave).collect::<capnp::Result<_>>()?,
-        },
+        news: read_news(from.get_ends()?, from.get_leaves()?)?,
         news_known: FeedMark {
             life: from.get_ends_life(),
             ends: from.get_ends_serial(),
@@ -161,10 +158,7 @@
         planners: from.get_planners()?.iter().map(read_planner).collect::<capnp::Result<_>>()?,
         vacant: from.get_vacant(),
         standbys: from.get_standbys()?.iter().map(read_source).collect::<capnp::Result<_>>()?,
-        news: FeedNews {
-            ends: from.get_ends()?.iter().map(read_end).collect::<capnp::Result<_>>()?,
-            leaves: from.get_leaves()?.iter().map(read_leave).collect::<capnp::Result<_>>()?,
-        },
+        news: read_news(from.get_ends()?, from.get_leaves()?)?,
         news_known: FeedMark {
             life: from.get_ends_life(),
             ends: from.get_ends_serial(),
@@ -226,6 +220,16 @@
     }
 }
 
+fn read_news(
+    ends: capnp::struct_list::Reader<'_, end::Owned>,
+    leaves: capnp::struct_list::Reader<'_, leave::Owned>,
+) -> capnp::Result<FeedNews> {
+    Ok(FeedNews {
+        ends: ends.iter().map(read_end).collect::<capnp::Result<_>>()?,
+        leaves: leaves.iter().map(read_leave).collect::<capnp::Result<_>>()?,
+    })
+}
+
 fn read_end(from: end::Reader<'_>) -> capnp::Result<FeedEnd> {
     Ok(FeedEnd {
         print: RequestPrint(from.get_print()),
--- a/crates/soak/src/script.rs
+++ b/crates/soak/src/script.rs
@@ -1,5 +1,6 @@
 //! What goes wrong when, drawn from a seed.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use heathpitch_standin::{Link, Mode, Play};
@@ -119,46 +120,34 @@
     }
 }
 
-/// # Additions
+/// # Additions, drawn apart, so that the rest of a seed's script stays as it is
 impl Script {
-    /// The same with VMs that are suspended and a request that ends engines, drawn apart likewise.
+    /// The same with VMs that are suspended and a request that ends engines.
     #[must_use]
-    pub fn with_ends(mut self) -> Self {
-        let mut rng = StdRng::seed_from_u64(self.seed.wrapping_add(ENDS));
-        let mut at = Duration::from_millis(rng.random_range(500..2_000));
-        while at < self.length {
+    pub fn with_ends(self) -> Self {
+        self.with(ENDS, 500..2_000, |rng| {
             let node = rng.random_range(0..NODES);
             let fault =
                 if rng.random_bool(0.2) { Fault::Suspend(node) } else { Fault::Fatal(node) };
-            self.steps.push(Step { at, fault });
-            at += Duration::from_millis(rng.random_range(100..2_000));
-        }
-        self.steps.sort_by_key(|s| s.at);
-        self
+            (fault, millis(rng, 100..2_000))
+        })
     }
 
-    /// The same with a store that comes back older, once or twice, drawn apart likewise.
+    /// The same with a store that comes back older, once or twice.
     #[must_use]
-    pub fn with_returns(mut self) -> Self {
-        let mut rng = StdRng::seed_from_u64(self.seed.wrapping_add(RETURNS));
-        let mut at = Duration::from_millis(rng.random_range(500..5_000));
-        while at < self.length {
-            let age = Duration::from_millis(rng.random_range(300..3_000));
+    pub fn with_returns(self) -> Self {
+        self.with(RETURNS, 500..5_000, |rng| {
+            let age = millis(rng, 300..3_000);
             let fault = Fault::Return(age, rng.random_range(0..200));
-            self.steps.push(Step { at, fault });
-            at += age + Duration::from_millis(rng.random_range(100..8_000));
-        }
-        self.steps.sort_by_key(|s| s.at);
-        self
+            (fault, age + millis(rng, 100..8_000))
+        })
     }
 
-    /// The same with engines that ask for rest, or say that they leave before their entries do, drawn apart likewise.
+    /// The same with engines that ask for rest, or say that they leave before their entries do.
     #[must_use]
-    pub fn with_wishes(mut self) -> Self {
-        let mut rng = StdRng::seed_from_u64(self.seed.wrapping_add(WISHES));
-        let mut at = Duration::from_millis(rng.random_range(300..2_000));
-        while at < self.length {
-            let time = Duration::from_millis(rng.random_range(200..2_500));
+    pub fn with_wishes(self) -> Self {
+        self.with(WISHES, 300..2_000, |rng| {
+            let time = millis(rng, 200..2_500);
             let fault = match rng.random_bool(0.7) {
                 true => {
                     let rest = RESTS[rng.random_range(0..RESTS.len())];
@@ -166,32 +155,46 @@
                 }
                 false => Fault::Word(rng.random_range(0..PLAIN), time),
             };
-            self.steps.push(Step { at, fault });
-            at += Duration::from_millis(rng.random_range(100..2_500));
-        }
-        self.steps.sort_by_key(|s| s.at);
-        self
+            (fault, millis(rng, 100..2_500))
+        })
     }
 
-    /// The same with engines that start again under their ids and entries of other writers, drawn apart, so
-    /// that the rest of a seed's script stays as it is.
+    /// The same with engines that start again under their ids and entries of other writers.
     #[must_use]
-    pub fn with_lives(mut self) -> Self {
-        let mut rng = StdRng::seed_from_u64(self.seed.wrapping_add(LIVES));
-        let mut at = Duration::from_millis(rng.random_range(500..3_000));
-        while at < self.length {
+    pub fn with_lives(self) -> Self {
+        self.with(LIVES, 500..3_000, |rng| {
             let fault = match rng.random_bool(0.6) {
                 true => Fault::Rebirth(rng.random_range(0..PLAIN + LAYERED)),
                 false => Fault::Foreign(FOREIGN[rng.random_range(0..FOREIGN.len())]),
             };
+            (fault, millis(rng, 200..4_000))
+        })
+    }
+
+    /// The same with faults that `draw` gives, each with the time to the next; the first one comes `first`
+    /// milliseconds from the start.
+    fn with(
+        mut self,
+        salt: u64,
+        first: Range<u64>,
+        draw: impl Fn(&mut StdRng) -> (Fault, Duration),
+    ) -> Self {
+        let mut rng = StdRng::seed_from_u64(self.seed.wrapping_add(salt));
+        let mut at = millis(&mut rng, first);
+        while at < self.length {
+            let (fault, gap) = draw(&mut rng);
             self.steps.push(Step { at, fault });
-            at += Duration::from_millis(rng.random_range(200..4_000));
+            at += gap;
         }
         self.steps.sort_by_key(|s| s.at);
         self
     }
 }
 
+fn millis(rng: &mut StdRng, range: Range<u64>) -> Duration {
+    Duration::from_millis(rng.random_range(range))
+}
+
 fn fault(rng: &mut StdRng) -> Fault {
     let node = rng.random_range(0..NODES);
     let engine = rng.random_range(0..PLAIN + LAYERED);
