Sight: limits that engines name are decoded, logged and counted

No logic is changed by it. engine_wished names the limit of an engine's answers when it is another one than before, at each node that an answer tells; so it shows which node knew which limit when it routed a call there.

--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use heathpitch_core::Path;
+use heathpitch_core::{Millis, Path};
 use heathpitch_net::{
     AnswerHead, Connection, Dispatch, EdgeError, EngineWish, Pool, Reuse, SendFailure, full,
     keep_time, read,
@@ -134,6 +134,7 @@
     *request.headers_mut() = traffic.edges.dialect.headers(&call.body.headers, &dispatch);
     // The engine may have asked for rest while the connection was made.
     let Some(entered) = wish.enter(traffic.shared.now()) else { return Err(Failure::Unwanted) };
+    let sent = traffic.shared.now();
     let answer = connection.send(request).await.map_err(|e| match e {
         SendFailure::Unsent(why) => Failure::Unsent(why),
         SendFailure::Lost(why) => Failure::Lost(why),
@@ -141,7 +142,7 @@
     let (parts, body) = answer.into_parts();
     let head = traffic.edges.dialect.answer(&call.head.id, &parts);
     drop(entered);
-    heed(traffic, call, view, parts.status, &head);
+    heed(traffic, call, view, sent, (parts.status, &head));
     if !head.not_run {
         wish.answered(traffic.shared.now());
     }
@@ -153,18 +154,24 @@
 
 /// Takes note of what an engine asks for in its answer to a call; of rest also where another engine of the path
 /// is at fault, which turned the call away.
-fn heed(traffic: &Traffic, call: &Call, view: &EngineView, status: StatusCode, head: &AnswerHead) {
+fn heed(
+    traffic: &Traffic,
+    call: &Call,
+    view: &EngineView,
+    sent: Millis,
+    (status, head): (StatusCode, &AnswerHead),
+) {
     let shared = &traffic.shared;
     let (of, status) = (&*call.head.id, status.as_u16());
-    let said = Said { engine: &view.entry, of, status };
+    let said = Said { engine: &view.entry, of, status, sent };
     if shared.heed(said, head.wish, view.tally.wish()) {
         shared.tell(Notice::Leaves(life(&view.entry)));
     }
     let elsewhere = |at: &SocketAddr| *at != view.entry.address && head.wish.rest.is_some();
     let Some(culprit) = head.culprit.filter(elsewhere) else { return };
     if let Some(other) = shared.table.load().at(culprit) {
-        let said = Said { engine: &other.entry, of, status };
-        let wish = EngineWish { leaves: false, ..head.wish };
+        let said = Said { engine: &other.entry, of, status, sent };
+        let wish = EngineWish { rest: head.wish.rest, ..EngineWish::default() };
         shared.heed(said, wish, other.tally.wish());
     }
 }
--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -94,7 +94,9 @@
     control: &Control,
     engine: &EngineEntry,
 ) -> Result<EngineStatus, EdgeError> {
-    let status = control.heed(engine, "report", control.edges.orders.status(engine).await?);
+    let sent = control.now();
+    let answer = control.edges.orders.status(engine).await?;
+    let status = control.heed(engine, "report", sent, answer);
     let word = control.lives.borrow_mut().hear(&engine.id, status.born, control.now());
     match word {
         Word::Current => {}
--- a/crates/heathpitchd/src/gateway/control/orders.rs
+++ b/crates/heathpitchd/src/gateway/control/orders.rs
@@ -134,8 +134,9 @@
     let release = release(reason, main);
     let mut orders = control.orders.borrow().get(&engine.id).copied().unwrap_or(0);
     for second in [false, true] {
+        let sent = control.now();
         let answer = control.edges.orders.place(engine, layers, release, orders).await;
-        let result = answer.map(|answer| control.heed(engine, "order", answer));
+        let result = answer.map(|answer| control.heed(engine, "order", sent, answer));
         let word = match &result {
             Ok(Ordered::Taken) => "taken".to_owned(),
             Ok(other) => format!("{other:?}"),
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -167,11 +167,12 @@
     let (control, live, engine) = (control.clone(), live.clone(), path.head().engine.clone());
     let (next, refused) = (watched.next.clone(), watched.refused.clone());
     spawn_local(async move {
-        let silent_ms = live.silent(control.now());
+        let sent = control.now();
+        let silent_ms = live.silent(sent);
         let answer = control.edges.orders.reroute(head, &engine, &live.request, &new).await;
         let entry = control.entries.borrow().get(&engine).cloned();
         let result = answer.map(|answer| match entry {
-            Some(entry) => control.heed(&entry, "order", answer),
+            Some(entry) => control.heed(&entry, "order", sent, answer),
             None => answer.said,
         });
         let label = if matches!(result, Ok(Ordered::Taken)) { "taken" } else { "failed" };
--- a/crates/heathpitchd/src/gateway/control/wishes.rs
+++ b/crates/heathpitchd/src/gateway/control/wishes.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use heathpitch_core::{EngineEntry, EntryState, Millis};
-use heathpitch_net::{Answered, EdgeError, FeedLeave};
+use heathpitch_net::{Answered, EdgeError, EngineWish, FeedLeave, LimitWord};
 use heathpitch_policy::{EngineLife, Wish};
 
 use super::engines;
@@ -26,11 +26,22 @@
 /// # What engines say to this node
 impl Control {
     /// Takes note of what an engine asks for in an answer to this node's own question, and gives what it says.
-    pub(super) fn heed<T>(&self, engine: &EngineEntry, of: &'static str, answer: Answered<T>) -> T {
+    pub(super) fn heed<T>(
+        &self,
+        engine: &EngineEntry,
+        of: &'static str,
+        sent: Millis,
+        answer: Answered<T>,
+    ) -> T {
         let Answered { said, status, wish: asked } = answer;
-        let new = !asked.is_none()
-            && self.shared.heed(Said { engine, of, status }, asked, &self.wish_of(engine));
-        if new {
+        // Nothing says that answers to questions name it too, as those to calls do.
+        let limit = match asked.limit {
+            LimitWord::Unlimited => LimitWord::Unknown,
+            word => word,
+        };
+        let asked = EngineWish { limit, ..asked };
+        let heard = Said { engine, of, status, sent };
+        if self.shared.heed(heard, asked, &self.wish_of(engine)) {
             self.engine_leaves(&life(engine));
         }
         said
@@ -49,10 +60,11 @@
         path: &str,
     ) -> Option<Result<Answered<bool>, EdgeError>> {
         let entered = self.wish_of(engine).enter_check(self.now())?;
+        let sent = self.now();
         let answer = self.edges.orders.healthy(engine, path).await;
         drop(entered);
         Some(answer.inspect(|answer| {
-            self.heed(engine, "check", *answer);
+            self.heed(engine, "check", sent, *answer);
         }))
     }
 
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -1,6 +1,6 @@
 //! Events of a gateway's log, each with a stable name.
 
-use heathpitch_core::{LayerRange, Millis, Name, Path, RequestPrint, Revision};
+use heathpitch_core::{LayerRange, Millis, Name, Path, Rate, RequestPrint, Revision};
 use heathpitch_policy::LayoutReason;
 use serde::Serialize;
 
@@ -238,7 +238,7 @@
         /// For how long.
         for_ms: Millis,
     },
-    /// An engine asked this node for rest, or said that it leaves.
+    /// An engine asked this node for rest, said that it leaves, or named another limit than before, or none any more.
     EngineWished {
         /// Engine.
         engine: Name,
@@ -250,6 +250,8 @@
         rest_ms: Option<Millis>,
         /// Whether it leaves.
         leaves: bool,
+        /// Requests a second that it takes from all nodes together, if it names a limit.
+        limit: Option<Rate>,
     },
     /// An engine leaves by its own word, whatever its entry says.
     EngineLeaves {
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -26,7 +26,10 @@
     ("heathpitch_engine_list_age_seconds", "Age of the proof that the list of engines is current"),
     ("heathpitch_requests_held_back", "Requests sent nowhere because engines ended under them"),
     ("heathpitch_store_era", "How often the store has come back from an older copy of itself"),
-    ("heathpitch_engine_wishes_total", "Answers in which engines ask for rest or leave, by wish"),
+    (
+        "heathpitch_engine_wishes_total",
+        "Answers in which engines ask for rest, leave or name a limit, by wish",
+    ),
 ];
 
 /// Bounds of the histogram of first answers, seconds.
--- a/crates/heathpitchd/src/gateway/wishes.rs
+++ b/crates/heathpitchd/src/gateway/wishes.rs
@@ -1,7 +1,7 @@
 //! What engines ask for in their answers, taken note of the same way whoever reads them.
 
-use heathpitch_core::EngineEntry;
-use heathpitch_net::EngineWish;
+use heathpitch_core::{EngineEntry, Millis};
+use heathpitch_net::{EngineWish, LimitWord};
 use heathpitch_policy::Wish;
 use rand::Rng;
 
@@ -17,6 +17,8 @@
     pub(crate) of: &'a str,
     /// Its status.
     pub(crate) status: u16,
+    /// When the call, or the question, was sent.
+    pub(crate) sent: Millis,
 }
 
 /// # Wishes
@@ -26,25 +28,32 @@
     /// From here on it binds all that goes to the engine from this node, before any other node or controller
     /// has heard of it.
     pub(crate) fn heed(&self, said: Said<'_>, asked: EngineWish, wish: &Wish) -> bool {
-        if asked.is_none() {
-            return false;
-        }
-        let Said { engine, of, status } = said;
+        let Said { engine, of, status, sent } = said;
+        let now = self.now();
+        let limited = match asked.limit {
+            LimitWord::Unknown => false,
+            LimitWord::Unlimited => wish.limit().omit(sent, now),
+            LimitWord::Named(rate) => {
+                self.metrics.wishes.with_label_values(&["limit"]).inc();
+                wish.limit().name(rate, sent, now)
+            }
+        };
         if let Some(time) = asked.rest {
-            wish.rest(time, rand::rng().random_range(0.0..1.0), self.now());
+            wish.rest(time, rand::rng().random_range(0.0..1.0), now);
             self.metrics.wishes.with_label_values(&["rest"]).inc();
         }
         let leaves = asked.leaves && wish.leave();
         if asked.leaves {
             self.metrics.wishes.with_label_values(&["leave"]).inc();
         }
-        if leaves || asked.rest.is_some() {
+        if leaves || limited || asked.rest.is_some() {
             GatewayEvent::EngineWished {
                 engine: engine.id.clone(),
                 answer: of.to_owned(),
                 status,
                 rest_ms: asked.rest,
                 leaves: asked.leaves,
+                limit: wish.limit().rate(),
             }
             .log();
         }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -54,4 +54,4 @@
 pub use platform_http::HttpPlatform;
 pub use pool::{Connection, Pool, Reuse, SendFailure, keep_time, strip_hop};
 pub use store::{Found, Item, ItemChange, LeaseId, Listing, Store, StoreError, Watched, Write};
-pub use wish::{Answered, EngineWish, RestError, retry_after};
+pub use wish::{Answered, EngineWish, LimitWord, RestError, retry_after};
--- a/crates/net/src/wish.rs
+++ b/crates/net/src/wish.rs
@@ -1,6 +1,6 @@
 //! What an engine asks, beside its answer, of the node that it answers.
 
-use heathpitch_core::Millis;
+use heathpitch_core::{Millis, Rate};
 use hyper::HeaderMap;
 use hyper::header::RETRY_AFTER;
 
@@ -15,13 +15,20 @@
     pub rest: Option<Millis>,
     /// Whether it leaves, and wants no new work from anybody.
     pub leaves: bool,
+    /// What it says of requests that it takes from all nodes together.
+    pub limit: LimitWord,
 }
 
-impl EngineWish {
-    /// Whether it asks for nothing.
-    pub fn is_none(&self) -> bool {
-        *self == Self::default()
-    }
+/// What an answer says of the requests that its engine takes from all nodes together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LimitWord {
+    /// Nothing that can be used: it cannot be read, or the answer may be another engine's, or of any time.
+    #[default]
+    Unknown,
+    /// That there is no limit: it names none.
+    Unlimited,
+    /// So many a second.
+    Named(Rate),
 }
 
 /// An engine's answer to a question or an order of this node's own, and what it asks for in it.
--- a/crates/policy/src/wish.rs
+++ b/crates/policy/src/wish.rs
@@ -14,6 +14,8 @@
 
 use heathpitch_core::Millis;
 
+use crate::EngineLimit;
+
 /// Part of a rest by which it is made longer, by a drawn share: nodes that were turned away together do not
 /// come back together. Of 135 000 calls at seven nodes, under 1.6 times what three engines can do, 28 500 are served in
 /// time without it and without room by and by, 51 900 with it, 80 200 with room alone, 84 900 with both
@@ -51,6 +53,7 @@
     /// Room up to which it doubles.
     quick: AtomicU32,
     leaves: AtomicBool,
+    limit: EngineLimit,
 }
 
 /// # Wishes
@@ -101,6 +104,11 @@
         self.until.load(Relaxed).checked_sub(now).filter(|left| *left > 0)
     }
 
+    /// What it says of the requests that it takes from all nodes together.
+    pub fn limit(&self) -> &EngineLimit {
+        &self.limit
+    }
+
     /// Whether it said that it leaves.
     pub fn leaves(&self) -> bool {
         self.leaves.load(Relaxed)
