--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -328,6 +328,12 @@
                 self.avoid.push(view.entry.id.clone());
                 RefusedKind::NoEngine
             }
+            // It is not asked again for this stream, so that others are, however many name limits.
+            Failure::NoRight(none) => {
+                self.seen.unsent();
+                self.avoid.push(none.engine.clone());
+                RefusedKind::NoEngine
+            }
             Failure::Refused { status, culprit } => {
                 self.sends += 1;
                 self.seen.refused();
--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! `admit` reads the head, finds route and account and checks that what is known of keys is new
 //! enough; `single` and `stream` run the call; `flow` is a stream over all its sends; `send` is one
-//! dispatch to one engine, `record` what is logged of it; `budget` bounds second sends, `returns` tells
+//! dispatch to one engine, `record` what is logged of it; `rights` are what a send needs to an engine that
+//! names a limit; `budget` bounds second sends, `returns` tells
 //! refused callers when to come back; `pick` chooses engines; `relay` passes a stream's events on. A
 //! filter ends a call with a `Refused`.
 
@@ -15,6 +16,7 @@
 mod refused;
 mod relay;
 mod returns;
+mod rights;
 mod send;
 mod single;
 mod stream;
--- a/crates/heathpitchd/src/gateway/call/pick.rs
+++ b/crates/heathpitchd/src/gateway/call/pick.rs
@@ -116,10 +116,13 @@
     Some((path, links))
 }
 
-/// Time until an engine, or a path, may take a call that none can take now only because engines rest; none if
-/// something else is missing too.
+/// Time until an engine, or a path, may take a call that none can take now only because engines rest, or name
+/// limits that are used up; none if something else is missing too.
 pub(crate) fn rest(table: &EngineTable, call: &Call, home: &Name, now: Millis) -> Option<Millis> {
-    let left = |s: &EngineView| s.tally.wish().left(now).unwrap_or(TAKING_UP);
+    let left = |s: &EngineView| {
+        let wish = s.tally.wish();
+        wish.left(now).max(wish.limit().wait(now)).unwrap_or(TAKING_UP)
+    };
     if call.service.model.is_none() {
         let working = || table.of(&call.service.name).iter().filter(|s| s.works(now));
         let rests = working().all(|s| !s.open(now));
--- a/crates/heathpitchd/src/gateway/call/refused.rs
+++ b/crates/heathpitchd/src/gateway/call/refused.rs
@@ -32,6 +32,8 @@
     Overloaded,
     /// Every engine that could take it wants rest.
     Resting,
+    /// Every engine that could take it wants rest, or names a limit that is used up.
+    Limited,
     /// Engines end when they begin to run it.
     HeldBack,
     /// Every engine asked refused it.
@@ -56,6 +58,7 @@
             Self::NoEngine => "no_engine",
             Self::Overloaded => "overloaded",
             Self::Resting => "resting",
+            Self::Limited => "limited",
             Self::HeldBack => "held_back",
             Self::EnginesRefused => "engines_refused",
             Self::Broken => "broken",
--- a/crates/heathpitchd/src/gateway/call/returns.rs
+++ b/crates/heathpitchd/src/gateway/call/returns.rs
@@ -9,19 +9,20 @@
 use super::Traffic;
 use super::admit::Call;
 use super::pick;
-use super::refused::RefusedKind;
+use super::refused::{Refused, RefusedKind};
+use super::rights;
 
 /// What a caller is told whose call finds every engine resting.
-pub(crate) const RESTING: &str = "every engine that could take the call asked this node for rest";
+const RESTING: &str = "every engine that could take the call asked this node for rest";
 
-/// Time after which a caller should come back whose call was refused for want of an engine, where only rests of
-/// engines are in the way.
-pub(crate) fn resting(
+/// The refusal of a call for want of an engine where only what engines ask for is in the way: they rest, or name
+/// limits that are used up.
+pub(crate) fn unwanted(
     traffic: &Traffic,
     call: &Call,
     kind: RefusedKind,
     seen: &Evidence,
-) -> Option<Millis> {
+) -> Option<Refused> {
     if !matches!(kind, RefusedKind::NoEngine | RefusedKind::EnginesRefused) {
         return None;
     }
@@ -30,7 +31,12 @@
     let shared = &traffic.shared;
     let (table, now) = (shared.table.load(), shared.now());
     let least = pick::rest(&table, call, &shared.settings.load().domain, now)?;
-    Some(traffic.returns.refuse_for(&call.service.name, least, call.left(now), now))
+    let back = traffic.returns.refuse_for(&call.service.name, least, call.left(now), now);
+    let (kind, detail) = match rights::limited(&table, &call.service.name, now) {
+        Some(limited) => (RefusedKind::Limited, limited.to_string()),
+        None => (RefusedKind::Resting, RESTING.to_owned()),
+    };
+    Some(Refused::given_up(kind, seen, &call.head.id, detail).until(back))
 }
 
 /// Times told to callers of one node, by service.
--- /dev/null
+++ b/crates/heathpitchd/src/gateway/call/rights.rs
@@ -0,0 +1,168 @@
+//! Rights of a call to be sent to engines that name a limit.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use heathpitch_core::{Millis, Name, Path, Rate};
+use heathpitch_policy::{EngineLimit, Entered, Right, Wish};
+use rand::Rng;
+use tokio::sync::oneshot;
+
+use super::Traffic;
+use crate::gateway::engine_table::{EngineTable, EngineView};
+use crate::gateway::shared::{Granted, Notice, RightsWanted};
+
+/// Time for which a call waits for a right: a question on a new connection, and a stall of the control thread.
+const LIMIT: Duration = Duration::from_millis(250);
+/// Nodes assumed where the fleet's size is not known: above that of the largest fleet served.
+const NODES_UNKNOWN: u32 = 512;
+
+/// No right to send a call to an engine now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct NoRight {
+    pub(crate) engine: Name,
+    /// Requests a second that it takes from all nodes together.
+    limit: Rate,
+    /// How long ago it said so, milliseconds.
+    age: Millis,
+    /// Nodes among which it is shared, if that is known.
+    nodes: Option<u32>,
+    /// Whether a node hands out rights that can be reached.
+    handed: bool,
+    /// Time until this node asks for one again, milliseconds.
+    back: Millis,
+}
+
+impl fmt::Display for NoRight {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { engine, limit, age, back, .. } = self;
+        write!(
+            f,
+            "engine {engine} takes {limit} requests a second from all nodes, as it said {age} ms ago; "
+        )?;
+        match (self.handed, self.nodes) {
+            (true, _) => write!(f, "none is left for this node before {back} ms"),
+            (false, Some(nodes)) => {
+                write!(f, "nobody hands them out, and this one of {nodes} nodes has drawn none")
+            }
+            (false, None) => f.write_str("nobody hands them out, and this node has drawn none"),
+        }
+    }
+}
+
+/// Rights of one send: to the engine that is asked, and to pass through those behind it.
+#[derive(Debug, Default)]
+pub(crate) struct Rights {
+    first: Option<Right>,
+    behind: Vec<(Arc<Wish>, Option<Right>)>,
+}
+
+impl Rights {
+    /// Uses them for a request that is about to be sent; none if it may not be sent.
+    pub(crate) fn enter(&mut self, wish: &Arc<Wish>, now: Millis) -> Option<Entered> {
+        self.first
+            .iter_mut()
+            .chain(self.behind.iter_mut().filter_map(|(_, r)| r.as_mut()))
+            .for_each(Right::unspend);
+        let passes = self.behind.iter_mut().all(|(wish, right)| wish.pass(right.as_mut(), now));
+        passes.then(|| wish.enter(self.first.as_mut(), now)).flatten()
+    }
+
+    /// Takes note that the request was not sent after all.
+    pub(crate) fn unspend(&mut self) {
+        let behind = self.behind.iter_mut().filter_map(|(_, right)| right.as_mut());
+        self.first.iter_mut().chain(behind).for_each(Right::unspend);
+    }
+}
+
+/// Seeks rights for a send to an engine, along a path if there is one.
+///
+/// # Errors
+///
+/// [`NoRight`] for the first engine without one; the others go back.
+pub(crate) async fn seek(
+    traffic: &Traffic,
+    view: &EngineView,
+    path: Option<&Path>,
+) -> Result<Rights, NoRight> {
+    let mut rights = Rights { first: right(traffic, view).await?, behind: Vec::new() };
+    let table = traffic.shared.table.load_full();
+    for behind in path.map_or(&[][..], Path::stages).iter().skip(1) {
+        let Some(view) = table.view(behind.engine.as_str()) else { continue };
+        let right = right(traffic, view).await?;
+        rights.behind.push((view.tally.wish().clone(), right));
+    }
+    Ok(rights)
+}
+
+/// A right to send a request to an engine; none if it names no limit.
+async fn right(traffic: &Traffic, view: &EngineView) -> Result<Option<Right>, NoRight> {
+    let (shared, wish) = (&traffic.shared, view.tally.wish());
+    let limit = wish.limit();
+    let Some(rate) = limit.rate() else { return Ok(None) };
+    let refuse = |handed, back| {
+        let now = shared.now();
+        let nodes = shared.table.load().nodes;
+        let (engine, age) = (view.entry.id.clone(), limit.age(now));
+        Err(NoRight { engine, limit: rate, age, nodes, handed, back })
+    };
+    let now = shared.now();
+    if let Some(right) = EngineLimit::take(wish, now) {
+        return Ok(Some(right));
+    }
+    if let Some(back) = limit.wait(now) {
+        return refuse(true, back);
+    }
+    let granted = ask(traffic, view, limit.wanted(now)).await;
+    let now = shared.now();
+    match granted {
+        Granted::Given(count, sent) => {
+            limit.put(count, sent, now);
+            match EngineLimit::take(wish, now) {
+                Some(right) => Ok(Some(right)),
+                // Another call took it, or it came too late.
+                None => refuse(true, 0),
+            }
+        }
+        Granted::Wait(back) => {
+            limit.hold(now + back);
+            refuse(true, back)
+        }
+        Granted::Nobody => {
+            let nodes = shared.table.load().nodes.unwrap_or(NODES_UNKNOWN);
+            match limit.draw(nodes, rand::rng().random_range(0.0..1.0), now) {
+                true => Ok(Some(Right::drawn(wish, now))),
+                false => refuse(false, limit.wait(now).unwrap_or(0)),
+            }
+        }
+    }
+}
+
+async fn ask(traffic: &Traffic, view: &EngineView, count: u64) -> Granted {
+    let (reply, granted) = oneshot::channel();
+    let wanted = RightsWanted { engine: view.entry.clone(), count, reply };
+    if !traffic.shared.tell(Notice::Rights(wanted)) {
+        return Granted::Nobody;
+    }
+    match tokio::time::timeout(LIMIT, granted).await {
+        Ok(Ok(granted)) => granted,
+        Ok(Err(_)) | Err(_) => Granted::Nobody,
+    }
+}
+
+/// The engine that names the limit for which callers have to come back, and what it says; none if none does.
+pub(crate) fn limited(table: &EngineTable, service: &Name, now: Millis) -> Option<NoRight> {
+    let views = table.of(service).iter().filter(|s| s.works(now));
+    let waits = views.filter_map(|s| Some((s.tally.wish().limit().wait(now)?, s)));
+    let (back, view) = waits.min_by_key(|(back, _)| *back)?;
+    let limit = view.tally.wish().limit();
+    Some(NoRight {
+        engine: view.entry.id.clone(),
+        limit: limit.rate()?,
+        age: limit.age(now),
+        nodes: table.nodes,
+        handed: true,
+        back,
+    })
+}
--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -14,6 +14,7 @@
 
 use super::Traffic;
 use super::admit::Call;
+use super::rights::{self, NoRight, Rights};
 use crate::gateway::engine_table::EngineView;
 use crate::gateway::shared::Notice;
 use crate::gateway::suspicion::life;
@@ -61,6 +62,9 @@
     /// No byte left this process: the engine asked this node for rest, or says that it leaves.
     #[error("not sent: the engine wants no requests now")]
     Unwanted,
+    /// No byte left this process: an engine names a limit, and this node has no right to send it one more.
+    #[error("not sent: {0}")]
+    NoRight(NoRight),
     /// The engine states that it did not run the call.
     #[error("refused with status {status}")]
     Refused {
@@ -83,14 +87,15 @@
     after: Option<u64>,
 ) -> Result<Answer, Failure> {
     let ended = traffic.shared.suspicion.load().has_ended(&view.entry);
+    let mut rights = rights::seek(traffic, view, path).await.map_err(Failure::NoRight)?;
     let reuse = if call.route.kind.repeatable() { Reuse::Idle } else { Reuse::Never };
-    let answer = match once(traffic, call, view, path, after, reuse).await {
+    let sending = Sending { call, view, path, after };
+    let mut answer = once(traffic, &sending, &mut rights, reuse).await;
+    if matches!(answer, Err(Failure::Unsent(_))) && reuse == Reuse::Idle {
         // The engine closed an idle connection: nothing was sent, and a new one can be made.
-        Err(Failure::Unsent(_)) if reuse == Reuse::Idle => {
-            once(traffic, call, view, path, after, Reuse::Never).await
-        }
-        other => other,
-    }?;
+        answer = once(traffic, &sending, &mut rights, Reuse::Never).await;
+    }
+    let answer = answer?;
     let answer = judge(answer)?;
     if ended {
         traffic.shared.tell(Notice::Lives(life(&view.entry)));
@@ -98,16 +103,23 @@
     Ok(answer)
 }
 
+/// What is sent where.
+struct Sending<'a> {
+    call: &'a Call,
+    view: &'a EngineView,
+    path: Option<&'a Path>,
+    after: Option<u64>,
+}
+
 async fn once(
     traffic: &Traffic,
-    call: &Call,
-    view: &EngineView,
-    path: Option<&Path>,
-    after: Option<u64>,
+    sending: &Sending<'_>,
+    rights: &mut Rights,
     reuse: Reuse,
 ) -> Result<Answer, Failure> {
+    let &Sending { call, view, path, after } = sending;
     let wish = view.tally.wish();
-    if !wish.admits(traffic.shared.now()) {
+    if wish.leaves() || wish.left(traffic.shared.now()).is_some() {
         return Err(Failure::Unwanted);
     }
     let life = view.entry.born.unwrap_or_default();
@@ -132,11 +144,14 @@
         .parse()
         .map_err(|_| Failure::Unsent("the path is not valid".to_owned()))?;
     *request.headers_mut() = traffic.edges.dialect.headers(&call.body.headers, &dispatch);
-    // The engine may have asked for rest while the connection was made.
-    let Some(entered) = wish.enter(traffic.shared.now()) else { return Err(Failure::Unwanted) };
+    // An engine may have asked for rest, or named a limit, while the connection was made.
+    let entered = rights.enter(wish, traffic.shared.now()).ok_or(Failure::Unwanted)?;
     let sent = traffic.shared.now();
     let answer = connection.send(request).await.map_err(|e| match e {
-        SendFailure::Unsent(why) => Failure::Unsent(why),
+        SendFailure::Unsent(why) => {
+            rights.unspend();
+            Failure::Unsent(why)
+        }
         SendFailure::Lost(why) => Failure::Lost(why),
     })?;
     let (parts, body) = answer.into_parts();
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -12,7 +12,7 @@
 use super::pick::{self, Avoid};
 use super::record::{Sending, pass_on};
 use super::refused::{Refused, RefusedKind};
-use super::returns::{RESTING, resting};
+use super::returns::unwanted;
 use super::send::{Failure, send};
 use crate::gateway::engine_table::EngineView;
 use crate::gateway::shared::{LostSend, Notice};
@@ -59,8 +59,8 @@
             RefusedKind::Expired
         }
     };
-    if let Some(back) = resting(traffic, call, refused, &trace.seen) {
-        return Err(Refused::given_up(RefusedKind::Resting, &trace.seen, id, RESTING).until(back));
+    if let Some(unwanted) = unwanted(traffic, call, refused, &trace.seen) {
+        return Err(unwanted);
     }
     let detail = match refused {
         RefusedKind::Expired => "no answer within the call's time",
@@ -142,6 +142,11 @@
             trace.seen.unsent();
             RefusedKind::NoEngine
         }
+        // It is not asked again for this call, so that others are, however many name limits.
+        Failure::NoRight(_) => {
+            trace.seen.unsent();
+            RefusedKind::NoEngine
+        }
         Failure::Refused { status, .. } => {
             trace.sends += 1;
             trace.seen.refused();
--- a/crates/heathpitchd/src/gateway/call/stream.rs
+++ b/crates/heathpitchd/src/gateway/call/stream.rs
@@ -16,7 +16,7 @@
 use super::record::pass_on;
 use super::refused::{Refused, RefusedKind};
 use super::relay::relay;
-use super::returns::{RESTING, resting};
+use super::returns::unwanted;
 
 /// Largest answer that is no stream, bytes.
 const ANSWER_MOST: usize = 1 << 20;
@@ -49,9 +49,8 @@
             return Err(Refused::unsent(RefusedKind::Overloaded, &id, why).until(back));
         }
         Some(Err(Ended::Refused(kind))) => {
-            if let Some(back) = resting(&flow.traffic, &flow.call, kind, &flow.seen) {
-                let kind = RefusedKind::Resting;
-                return Err(Refused::given_up(kind, &flow.seen, &id, RESTING).until(back));
+            if let Some(unwanted) = unwanted(&flow.traffic, &flow.call, kind, &flow.seen) {
+                return Err(unwanted);
             }
             let detail = match kind {
                 RefusedKind::NoEngine => "the engines that can be used do not hold every layer",
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -276,12 +276,15 @@
         let known = if known.life == self.life { known } else { FeedMark::default() };
         let (ends, ended) = self.ends_since(known.ends);
         let (leaves, left) = self.leaves_since(known.leaves);
-        (FeedNews { ends, leaves }, FeedMark { life: self.life, ends: ended, leaves: left })
+        let (limits, limited) = self.limits_since(known.limits);
+        let mark = FeedMark { life: self.life, ends: ended, leaves: left, limits: limited };
+        (FeedNews { ends, leaves, limits }, mark)
     }
 
     /// Takes what another node told in a message that was sent at `sent` or later.
     pub(super) fn hear_news(&self, news: &FeedNews, sent: Millis, by: &Name) {
         self.hear_ends(&news.ends, sent, by);
         self.hear_leaves(&news.leaves, sent);
+        self.hear_limits(&news.limits, sent);
     }
 }
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -5,7 +5,7 @@
 //! keeps the lease of the failure domain's planner and counts who follows it; `planner` orders layers by
 //! `orders`; `reports` asks engines how they do, and `neighbours` hears what those of the other failure
 //! domains do; `ends` finds out whether engines ended whose connections calls lost, and `quarantine` under
-//! which requests they do; `wishes` heeds what engines ask for in their answers; `recovery` watches running
+//! which requests they do; `wishes` heeds what engines ask for in their answers, and `rights` hands out their limits; `recovery` watches running
 //! streams and moves them off engines that `looks` finds lost; `suspended` finds out that the VM was
 //! suspended. They publish snapshots in [`Shared`], that of engines by `publish`; nothing else is shared with traffic.
 
@@ -22,6 +22,7 @@
 mod quarantine;
 mod recovery;
 mod reports;
+mod rights;
 mod state;
 mod store;
 mod suspended;
@@ -77,7 +78,11 @@
             let control = Rc::new(Control::new(shared, edges));
             if let Some(peers) = peers {
                 let c = control.clone();
-                let server = FeedServer::new(Rc::new(move |ask| tell::answer(&c, ask)));
+                let hander = control.clone();
+                let server = FeedServer::new(
+                    Rc::new(move |ask| tell::answer(&c, ask)),
+                    Rc::new(move |ask| hander.hand_out(&ask)),
+                );
                 spawn_local(server.serve(peers.into_socket()));
             }
             spawn_local(feed::follow(control.clone()));
@@ -93,6 +98,7 @@
             spawn_local(neighbours::follow(control.clone()));
             spawn_local(quarantine::run(control.clone()));
             spawn_local(wishes::run(control.clone()));
+            spawn_local(rights::run(control.clone()));
             spawn_local(suspended::watch(control.clone()));
             spawn_local(receive(control, inbox));
             let _ = stop.wait_for(|s| *s).await;
@@ -114,6 +120,8 @@
             Notice::Lives(life) => control.engine_lives(&life),
             Notice::Leaves(life) => control.engine_leaves(&life),
             Notice::HeldBack(print) => control.came_again(print),
+            Notice::Limited(life) => control.engine_limited(&life),
+            Notice::Rights(wanted) => rights::seek(&control, wanted),
         }
     }
 }
--- a/crates/heathpitchd/src/gateway/control/publish.rs
+++ b/crates/heathpitchd/src/gateway/control/publish.rs
@@ -54,7 +54,7 @@
             let model = catalog.as_ref().and_then(|c| c.services.get(&entry.service));
             let model = model.and_then(|s| s.model.as_ref());
             let card = entry.card.as_ref().and_then(|c| model?.card(c.as_str())).cloned();
-            let wish = wishes.entry(entry.id.clone()).or_default();
+            let wish = wishes.entry(entry.id.clone()).or_insert_with(|| self.new_wish(entry));
             let tally = tallies.entry(entry.id.clone());
             let tally = tally.or_insert_with(|| Arc::new(Tally::of(wish.clone()))).clone();
             let main = mains.contains(&entry.id);
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -221,9 +221,14 @@
     let now = control.now();
     let head = &path.head().engine;
     let usable = |s: &EngineView| {
-        let id = &s.entry.id;
+        let (id, wish) = (&s.entry.id, s.tally.wish());
+        // What runs there takes nothing of a limit anew; a right for a stream that is moved there is not sought.
+        let taken = match path.stages().iter().any(|stage| &stage.engine == id) {
+            true => s.works(now) && wish.left(now).is_none(),
+            false => s.open(now) && wish.limit().rate().is_none(),
+        };
         // One that has started again lost its tokens, and the same path would not be ordered.
-        id == head || (s.open(now) && !control.is_lost(id) && !is_reborn(control, live, id))
+        id == head || (taken && !control.is_lost(id) && !is_reborn(control, live, id))
     };
     let (service, tokens) = (&live.service, live.tokens);
     let links = table.links(&Wanted { service, model, tokens, now, current: Some(path) }, usable);
--- /dev/null
+++ b/crates/heathpitchd/src/gateway/control/rights.rs
@@ -0,0 +1,277 @@
+//! Controller of rights to send requests to engines that name a limit.
+//!
+//! The node that plans an engine's failure domain hands them out, one a request, as long as nobody else can: its lease
+//! is proven, or, while the store is away, more than half of the domain's nodes still ask it. One that begins to plan waits
+//! until an earlier one has ceased by either. Where nobody can be reached nodes draw a small part for
+//! themselves ([`EngineLimit`](heathpitch_policy::EngineLimit)). Nodes tell each other of limits with each question and answer
+//! of the feed, as of engines that leave.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use heathpitch_core::{EngineEntry, Millis, Name, Rate};
+use heathpitch_net::{EdgeError, FeedClient, FeedLimit, RightAsk, RightTold};
+use heathpitch_policy::{EngineLife, EngineLimit, LimitTold, Right, Source};
+use rand::Rng;
+use tokio::task::spawn_local;
+
+use super::state::Control;
+use crate::gateway::event::GatewayEvent;
+use crate::gateway::shared::{Granted, RightsWanted};
+
+/// Limits told in one message, some forty bytes each.
+const TOLD_MOST: usize = 256;
+/// Time for which a node has planned before it hands out rights, milliseconds: a planner before it has heard of it by
+/// then, or its followers have ceased to count.
+const QUIET: Millis = 1_300;
+/// Time for a question for rights: many times the delay between failure domains, and little beside the time
+/// within which answers are wanted.
+const LIMIT: Duration = Duration::from_millis(60);
+/// The same with a new connection.
+const LIMIT_NEW: Duration = Duration::from_millis(100);
+/// Time for which a node that does not answer, or hands out nothing, is not asked, milliseconds.
+const REST: Millis = 300;
+/// Time between two looks at what is old.
+const TICK: Duration = Duration::from_secs(5);
+
+/// Nodes that hand out rights, by failure domain.
+#[derive(Default)]
+pub(super) struct Handers {
+    domains: HashMap<Name, Hander>,
+}
+
+/// The node that hands out rights for the engines of one failure domain, as far as this one knows.
+#[derive(Default)]
+struct Hander {
+    /// Where it was asked last, on a connection that is kept.
+    client: Option<(SocketAddr, Rc<FeedClient>)>,
+    /// Whether it handed out rights when it was asked last, once it was.
+    active: Option<bool>,
+    /// Until when it is not asked.
+    rest: Millis,
+}
+
+/// # What engines say, and nodes tell each other
+impl Control {
+    /// An engine named another limit to this node than before, or none any more.
+    pub(super) fn engine_limited(&self, life: &EngineLife) {
+        let Some(wish) = self.wishes.borrow().get(&life.engine).cloned() else { return };
+        let (now, limit) = (self.now(), wish.limit());
+        let at = now.saturating_sub(limit.age(now));
+        self.learn_limit(life, limit.rate(), at, "its own answer");
+    }
+
+    fn learn_limit(
+        &self,
+        life: &EngineLife,
+        rate: Option<Rate>,
+        at: Millis,
+        by: &'static str,
+    ) -> bool {
+        let new = self.limits.borrow_mut().learn(life.clone(), rate, at);
+        if new {
+            let age_ms = self.now().saturating_sub(at);
+            let engine = life.engine.clone();
+            GatewayEvent::EngineLimited { engine, limit: rate, age_ms, by }.log();
+        }
+        new
+    }
+
+    /// Limits that others have not heard of who know them up to `serial`; and up to where they do then.
+    pub(super) fn limits_since(&self, serial: u64) -> (Vec<FeedLimit>, u64) {
+        let (new, upto) = self.limits.borrow().since(serial, TOLD_MOST, self.now());
+        let told = |LimitTold { life, rate, age }| FeedLimit {
+            engine: life.engine,
+            born: life.born,
+            rate,
+            age_ms: age,
+        };
+        (new.into_iter().map(told).collect(), upto)
+    }
+
+    /// Takes what another node told in a message that was sent at `sent` or later.
+    pub(super) fn hear_limits(&self, limits: &[FeedLimit], sent: Millis) {
+        for told in limits {
+            let life = EngineLife { engine: told.engine.clone(), born: told.born };
+            // A limit may be as young as it was when it was told, its end as old as the message may be.
+            let from = if told.rate.is_some() { self.now() } else { sent };
+            let at = from.saturating_sub(told.age_ms);
+            if !self.learn_limit(&life, told.rate, at, "another node") {
+                continue;
+            }
+            let entry = self.entries.borrow().get(&life.engine).cloned();
+            if let Some(entry) = entry.filter(|e| e.born == life.born) {
+                self.wish_of(&entry).limit().told(told.rate, at);
+            }
+        }
+    }
+}
+
+/// # Handing out
+impl Control {
+    /// Whether this node hands out rights for the engines of its failure domain.
+    fn hands_out(&self) -> bool {
+        let now = self.now();
+        let settled = self.planned().is_some_and(|since| now >= since + QUIET);
+        let asked = 2 * (self.followers.borrow().present(now) + 1) > self.beside();
+        settled && !self.stopping() && (!self.lease_doubted() || asked)
+    }
+
+    /// Hands out rights to a node that asks for them.
+    pub(super) fn hand_out(&self, ask: &RightAsk) -> RightTold {
+        let now = self.now();
+        self.hear_limits(std::slice::from_ref(&ask.limit), now);
+        if !self.hands_out() {
+            return RightTold::default();
+        }
+        let life = EngineLife { engine: ask.limit.engine.clone(), born: ask.limit.born };
+        let limit = self.limits.borrow().of(&life);
+        let Some((rate, _)) = limit else {
+            // Its limit is over, as the one asking will hear.
+            return RightTold { active: true, given: ask.wanted, wait_ms: 0 };
+        };
+        let draw = rand::rng().random_range(0.0..1.0);
+        let mut rights = self.rights.borrow_mut();
+        let grant = rights.hand_out(&life, rate, &ask.node, ask.wanted.into(), draw, now);
+        // Never more than were wanted.
+        RightTold { active: true, given: grant.given as u16, wait_ms: grant.wait }
+    }
+}
+
+/// Seeks rights for a call of this node.
+pub(super) fn seek(control: &Rc<Control>, wanted: RightsWanted) {
+    let control = control.clone();
+    spawn_local(async move {
+        let granted = ask(&control, &wanted.engine, wanted.count).await;
+        // One that waits no longer finds what was handed out the next time.
+        if let Err(Granted::Given(count, sent)) = wanted.reply.send(granted) {
+            let now = control.now();
+            control.wish_of(&wanted.engine).limit().put(count, sent, now);
+        }
+    });
+}
+
+/// A right to ask an engine something that takes a slot there; none if it needs none.
+///
+/// # Errors
+///
+/// What came instead of a right.
+pub(super) async fn right(
+    control: &Control,
+    engine: &EngineEntry,
+) -> Result<Option<Right>, Granted> {
+    let wish = control.wish_of(engine);
+    if wish.limit().rate().is_none() {
+        return Ok(None);
+    }
+    if let Some(right) = EngineLimit::take(&wish, control.now()) {
+        return Ok(Some(right));
+    }
+    match ask(control, engine, 1).await {
+        Granted::Given(count, sent) if count > 0 => {
+            wish.limit().put(count, sent, control.now());
+            EngineLimit::take(&wish, control.now()).map(Some).ok_or(Granted::Nobody)
+        }
+        other => Err(other),
+    }
+}
+
+/// Asks the node that hands out rights for an engine.
+async fn ask(control: &Control, engine: &EngineEntry, count: u64) -> Granted {
+    let sent = control.now();
+    let limit = control.wish_of(engine);
+    let (rate, age_ms) = (limit.limit().rate(), limit.limit().age(sent));
+    let ask = RightAsk {
+        node: control.node(),
+        limit: FeedLimit { engine: engine.id.clone(), born: engine.born, rate, age_ms },
+        wanted: count.min(u16::MAX.into()) as u16,
+    };
+    let told = match engine.domain == control.domain() && control.plans() {
+        true => Ok(control.hand_out(&ask)),
+        false => ask_planner(control, &engine.domain, &ask).await,
+    };
+    let granted = match told {
+        Ok(RightTold { active: false, .. }) | Err(_) => Granted::Nobody,
+        Ok(RightTold { given: 0, wait_ms, .. }) => Granted::Wait(wait_ms),
+        Ok(RightTold { given, .. }) => Granted::Given(given.into(), sent),
+    };
+    let label = match granted {
+        Granted::Given(..) => "given",
+        Granted::Wait(_) => "none",
+        Granted::Nobody => "nobody",
+    };
+    control.shared.metrics.rights.with_label_values(&[label]).inc();
+    granted
+}
+
+/// Asks the planner of another failure domain, or of this one, on the kept connection or on a new one.
+async fn ask_planner(
+    control: &Control,
+    domain: &Name,
+    ask: &RightAsk,
+) -> Result<RightTold, EdgeError> {
+    let none = || EdgeError::Connect("no planner is known, or it did not answer".to_owned());
+    let planner = control.sources.borrow().planner(domain).map(|p| p.source.clone());
+    let (Some(planner), Some(_)) = (planner, control.shared.peer) else { return Err(none()) };
+    let kept = {
+        let mut handers = control.handers.borrow_mut();
+        let hander = handers.domains.entry(domain.clone()).or_default();
+        let same = |(at, _): &&(SocketAddr, _)| *at == planner.address;
+        let kept = hander.client.as_ref().filter(same).map(|(_, client)| client.clone());
+        if kept.is_some() && control.now() < hander.rest {
+            return Err(none());
+        }
+        kept
+    };
+    let told = asked(kept, &planner, ask).await;
+    let mut handers = control.handers.borrow_mut();
+    let hander = handers.domains.entry(domain.clone()).or_default();
+    let (active, why) = match &told {
+        Ok((told, _)) if told.active => (true, "it answers".to_owned()),
+        Ok(_) => (false, "it cannot know that it is the only one".to_owned()),
+        Err(e) => (false, e.to_string()),
+    };
+    if !active {
+        hander.rest = control.now() + REST;
+    }
+    if hander.active.replace(active) != Some(active) {
+        let (planner, domain) = (Some(planner.node.clone()), domain.clone());
+        GatewayEvent::RightsChanged { planner, domain, active, why }.log();
+    }
+    let (told, client) = told?;
+    hander.client = Some((planner.address, client));
+    Ok(told)
+}
+
+async fn asked(
+    kept: Option<Rc<FeedClient>>,
+    planner: &Source,
+    ask: &RightAsk,
+) -> Result<(RightTold, Rc<FeedClient>), EdgeError> {
+    if let Some(client) = kept {
+        match client.right(ask, LIMIT).await {
+            Ok(told) => return Ok((told, client)),
+            Err(e) => log::info!("the connection to node {} was lost: {e}", planner.node),
+        }
+    }
+    let client = Rc::new(FeedClient::open(planner.address, LIMIT_NEW).await?);
+    let told = client.right(ask, LIMIT).await?;
+    Ok((told, client))
+}
+
+/// Forgets what is old, for as long as this node runs.
+pub(super) async fn run(control: Rc<Control>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = control.now();
+        control.rights.borrow_mut().expire(now);
+        let entries = control.entries.borrow();
+        let wishes = control.wishes.borrow();
+        let kept = |life: &EngineLife| {
+            entries.contains_key(&life.engine) || wishes.contains_key(&life.engine)
+        };
+        control.limits.borrow_mut().retain(kept, now);
+    }
+}
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -7,7 +7,9 @@
 
 use heathpitch_core::{EngineEntry, Millis, Name, ServiceSpec};
 use heathpitch_net::{Item, LeaseId};
-use heathpitch_policy::{Followers, Leavers, Lives, Mirror, Quarantine, Sources, Tally, Wish};
+use heathpitch_policy::{
+    Followers, Leavers, Limits, Lives, Mirror, Quarantine, Rights, Sources, Tally, Wish,
+};
 use tokio::sync::Notify;
 
 use super::ends::Ends;
@@ -16,6 +18,7 @@
 use super::quarantine::Entries;
 use super::recovery::Watched;
 use super::reports::Report;
+use super::rights::Handers;
 use super::tell::Large;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::shared::{Edges, Shared};
@@ -91,6 +94,8 @@
     /// Serial of the last of them.
     pub(super) reported: Cell<u64>,
     lease: Cell<Option<LeaseId>>,
+    /// Since when this node plans its failure domain, if it does.
+    planned: Cell<Millis>,
     renewed: Cell<Millis>,
     pub(super) pending: RefCell<HashMap<Name, Pending>>,
     pub(super) streams: RefCell<Vec<Watched>>,
@@ -107,6 +112,12 @@
     pub(super) wishes: RefCell<HashMap<Name, Arc<Wish>>>,
     /// Engines that said in an answer that they leave, to this node or to one that told it.
     pub(super) leavers: RefCell<Leavers>,
+    /// Limits that engines name, to this node or to one that told it.
+    pub(super) limits: RefCell<Limits>,
+    /// Rights that this node hands out.
+    pub(super) rights: RefCell<Rights>,
+    /// Nodes that hand out rights to this one.
+    pub(super) handers: RefCell<Handers>,
     pub(super) reachable: Cell<bool>,
     pub(super) returned: Cell<Millis>,
     /// Era of the store that this node has taken note of.
@@ -149,6 +160,7 @@
             reports: RefCell::default(),
             reported: Cell::new(0),
             lease: Cell::new(None),
+            planned: Cell::new(0),
             renewed: Cell::new(0),
             pending: RefCell::default(),
             streams: RefCell::default(),
@@ -159,6 +171,9 @@
             tallies: RefCell::default(),
             wishes: RefCell::default(),
             leavers: RefCell::default(),
+            limits: RefCell::default(),
+            rights: RefCell::default(),
+            handers: RefCell::default(),
             reachable: Cell::new(true),
             returned: Cell::new(0),
             era: Cell::new(0),
@@ -275,9 +290,17 @@
     pub(super) fn plan_by(&self, lease: Option<LeaseId>) {
         self.lease.set(lease);
         self.renewed.set(self.now());
+        self.planned.set(self.now());
+        // What an earlier planner handed out is not known to this one, nor what a later one will be.
+        self.rights.borrow_mut().clear();
         self.turned.notify_waiters();
     }
 
+    /// Since when this node plans its failure domain.
+    pub(super) fn planned(&self) -> Option<Millis> {
+        self.plans().then(|| self.planned.get())
+    }
+
     /// Takes note that the lease was renewed by a call sent at `sent`.
     pub(super) fn lease_renewed(&self, sent: Millis) {
         self.renewed.set(sent);
--- a/crates/heathpitchd/src/gateway/control/wishes.rs
+++ b/crates/heathpitchd/src/gateway/control/wishes.rs
@@ -13,6 +13,7 @@
 use heathpitch_policy::{EngineLife, Wish};
 
 use super::engines;
+use super::rights;
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::suspicion::life;
@@ -48,8 +49,18 @@
     }
 
     /// What an engine asked this node for.
-    fn wish_of(&self, engine: &EngineEntry) -> Arc<Wish> {
-        self.wishes.borrow_mut().entry(engine.id.clone()).or_default().clone()
+    pub(super) fn wish_of(&self, engine: &EngineEntry) -> Arc<Wish> {
+        let mut wishes = self.wishes.borrow_mut();
+        wishes.entry(engine.id.clone()).or_insert_with(|| self.new_wish(engine)).clone()
+    }
+
+    /// What an engine that this node has not asked yet said to others.
+    pub(super) fn new_wish(&self, engine: &EngineEntry) -> Arc<Wish> {
+        let wish = Wish::default();
+        if let Some((rate, at)) = self.limits.borrow().of(&life(engine)) {
+            wish.limit().told(Some(rate), at);
+        }
+        Arc::new(wish)
     }
 
     /// Asks an engine whether it takes new work; none if it wants no questions now either, since a check takes
@@ -59,7 +70,8 @@
         engine: &EngineEntry,
         path: &str,
     ) -> Option<Result<Answered<bool>, EdgeError>> {
-        let entered = self.wish_of(engine).enter_check(self.now())?;
+        let mut right = rights::right(self, engine).await.ok()?;
+        let entered = self.wish_of(engine).enter_check(right.as_mut(), self.now())?;
         let sent = self.now();
         let answer = self.edges.orders.healthy(engine, path).await;
         drop(entered);
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -262,6 +262,28 @@
         /// Who heard it.
         by: &'static str,
     },
+    /// An engine named another limit than was known, or none any more, to this node or to another one.
+    EngineLimited {
+        /// Engine.
+        engine: Name,
+        /// Requests a second that it takes from all nodes together, if it names a limit.
+        limit: Option<Rate>,
+        /// How long ago it said so.
+        age_ms: Millis,
+        /// Who heard it.
+        by: &'static str,
+    },
+    /// A node began or ceased to hand out rights for engines that name a limit to this one.
+    RightsChanged {
+        /// That node, the planner of the engine's failure domain; none if none is known.
+        planner: Option<Name>,
+        /// Its failure domain.
+        domain: Name,
+        /// Whether it hands out rights.
+        active: bool,
+        /// What decided it.
+        why: String,
+    },
     /// An engine that said that it leaves is still there long after, and does not say so any more.
     EngineStays {
         /// Engine.
--- a/crates/heathpitchd/src/gateway/event_log.rs
+++ b/crates/heathpitchd/src/gateway/event_log.rs
@@ -4,7 +4,7 @@
 
 impl GatewayEvent {
     /// Stable names of all events.
-    pub const NAMES: [&'static str; 36] = [
+    pub const NAMES: [&'static str; 38] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -29,6 +29,8 @@
         "engine_doubted",
         "engine_wished",
         "engine_leaves",
+        "engine_limited",
+        "rights_changed",
         "engine_stays",
         "engine_paced",
         "layout_planned",
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Every metric of a gateway: name, help.
-pub const GATEWAY_METRICS: [(&str, &str); 19] = [
+pub const GATEWAY_METRICS: [(&str, &str); 20] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -30,6 +30,7 @@
         "heathpitch_engine_wishes_total",
         "Answers in which engines ask for rest, leave or name a limit, by wish",
     ),
+    ("heathpitch_rights_total", "Questions for rights to ask engines that name a limit, by answer"),
 ];
 
 /// Bounds of the histogram of first answers, seconds.
@@ -60,6 +61,7 @@
     pub(crate) held: IntGauge,
     pub(crate) era: IntGauge,
     pub(crate) wishes: IntCounterVec,
+    pub(crate) rights: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -95,6 +97,7 @@
             held: IntGauge::with_opts(opts(16))?,
             era: IntGauge::with_opts(opts(17))?,
             wishes: IntCounterVec::new(opts(18), &["wish"])?,
+            rights: IntCounterVec::new(opts(19), &["answer"])?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -124,6 +127,7 @@
             Box::new(self.held.clone()),
             Box::new(self.era.clone()),
             Box::new(self.wishes.clone()),
+            Box::new(self.rights.clone()),
         ]
     }
 
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -8,7 +8,7 @@
 use heathpitch_core::{Catalog, EngineEntry, GatewaySettings, Millis, Name, RequestPrint};
 use heathpitch_net::{Dialect, Orders, Pool, Store};
 use heathpitch_policy::{EngineLife, Freshness};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::engine_table::EngineTable;
 use super::live::LiveStream;
@@ -40,6 +40,30 @@
     Leaves(EngineLife),
     /// A request that is held back came again.
     HeldBack(RequestPrint),
+    /// An engine named another limit than before, or none any more.
+    Limited(EngineLife),
+    /// A call wants to be sent to an engine that names a limit.
+    Rights(RightsWanted),
+}
+
+/// Rights that are wanted to send requests to an engine.
+#[derive(Debug)]
+pub(crate) struct RightsWanted {
+    pub(crate) engine: Arc<EngineEntry>,
+    pub(crate) count: u64,
+    /// Nobody waits for it any more if the time to answer is over.
+    pub(crate) reply: oneshot::Sender<Granted>,
+}
+
+/// What became of a question for rights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Granted {
+    /// So many were handed out to a question sent then.
+    Given(u64, Millis),
+    /// None before so many milliseconds.
+    Wait(Millis),
+    /// Nobody hands out rights who can be reached.
+    Nobody,
 }
 
 /// A send whose connection was lost while its engine may have been at work on it.
--- a/crates/heathpitchd/src/gateway/wishes.rs
+++ b/crates/heathpitchd/src/gateway/wishes.rs
@@ -6,7 +6,8 @@
 use rand::Rng;
 
 use super::event::GatewayEvent;
-use super::shared::Shared;
+use super::shared::{Notice, Shared};
+use super::suspicion::life;
 
 /// An engine's answer, as the log names it.
 #[derive(Clone, Copy, Debug)]
@@ -57,6 +58,9 @@
             }
             .log();
         }
+        if limited {
+            self.tell(Notice::Limited(life(engine)));
+        }
         leaves
     }
 }
--- a/crates/heathpitchd/tests/gateway_limits.rs
+++ b/crates/heathpitchd/tests/gateway_limits.rs
@@ -1,7 +1,10 @@
 //! Engines that name how many requests a second they take from all nodes together.
 //!
 //! Seen: two engines in need named limits of 4.9 and 3.6 requests a second in their answers, and got 38 and 37 requests
-//! within four seconds, of nodes that had passed such answers on.
+//! within four seconds, of nodes that had passed such answers on. It came about because each of three nodes went on choosing the
+//! engine by what it knew of its load, about three a second each. The cause: no node read the limit, and a sum over all
+//! nodes is kept by none that keeps it for itself. Proof: on that code the first test here counts 236 to 459 where 26 are
+//! agreed, by each way to an engine, and the log shows that each node had been told the limit.
 
 #![allow(clippy::unwrap_used, reason = "what fails here fails its test")]
 
@@ -138,6 +141,7 @@
         *most <= allowed(LIMIT.0) && *rate >= USED * LIMIT.0 && *unserved == 0
     };
     let allowed = allowed(LIMIT.0);
+    println!("most in a span ({allowed}), a second, calls not served: {found:?}");
     assert!(
         found.iter().all(fine),
         "most in a span ({allowed}), a second, calls not served: {found:?}"
--- a/crates/net/schema/feed.capnp
+++ b/crates/net/schema/feed.capnp
@@ -44,6 +44,20 @@
   # Those that the node asked told up to this serial of the same life are known.
   version @14 :UInt64;
   # The operator's version of the configuration that it has; 0 for none.
+  limits @15 :List(Limit);
+  # Limits that engines name, as the one asking learned since it asked the same node last.
+  limitsSerial @16 :UInt64;
+  # Those that the node asked told up to this serial of the same life are known.
+}
+
+struct Limit {
+  # What an engine says of the requests that it takes from all nodes together.
+  engine @0 :Text;
+  born @1 :UInt64;
+  # Unix time of the engine's start, milliseconds; 0 if it does not tell that.
+  parts @2 :UInt64;
+  # Thousandths of a request a second, and one more; 0 if it names no limit any more.
+  ageMs @3 :UInt64;
 }
 
 struct Leave {
@@ -110,6 +124,9 @@
   leaves @22 :List(Leave);
   leavesSerial @23 :UInt64;
   # Engines that say they leave, and up to where, in the same life, they are known once these are taken.
+  limits @24 :List(Limit);
+  limitsSerial @25 :UInt64;
+  # The same for limits that engines name.
 }
 
 struct Report {
@@ -133,6 +150,24 @@
   # Revision of its entry in the store: the higher one is the newer planner.
 }
 
+struct RightAsk {
+  node @0 :Text;
+  # The node that asks.
+  limit @1 :Limit;
+  # The engine, and what the node that asks knows of its limit.
+  wanted @2 :UInt16;
+  # Requests that it wants to send.
+}
+
+struct RightTold {
+  active @0 :Bool;
+  # Whether the node asked hands out rights for this engine.
+  given @1 :UInt16;
+  waitMs @2 :UInt64;
+  # Time after which asking again is worth it.
+}
+
 interface Feed {
   ask @0 (ask :Ask) -> (told :Told);
+  right @1 (ask :RightAsk) -> (told :RightTold);
 }
--- a/crates/net/src/feed.rs
+++ b/crates/net/src/feed.rs
@@ -14,25 +14,32 @@
 use tokio::task::JoinHandle;
 
 use crate::feed_capnp::feed;
-use crate::feed_codec::{read_ask, read_told, write_ask, write_told};
+use crate::feed_codec::{
+    read_ask, read_right_ask, read_right_told, read_told, write_ask, write_right_ask,
+    write_right_told, write_told,
+};
 use crate::peer::{network, serve_rpc};
-use crate::{EdgeError, FeedAsk, FeedTold};
+use crate::{EdgeError, FeedAsk, FeedTold, RightAsk, RightTold};
 
-/// Followers at once: those of a failure domain of the largest fleet, more than twice.
-const CONNECTIONS: usize = 192;
+/// Connections at once: the nodes of the largest fleet, each with one to follow by and one to ask for rights.
+const CONNECTIONS: usize = 1_024;
 /// Longest time of a connection; followers make a new one.
 const HOLD: Duration = Duration::from_secs(120);
 
-/// Answers followers by a function.
+/// Answers other nodes by functions.
 #[derive(Clone)]
 pub struct FeedServer {
     answer: Rc<dyn Fn(FeedAsk) -> FeedTold>,
+    hand_out: Rc<dyn Fn(RightAsk) -> RightTold>,
 }
 
 impl FeedServer {
-    /// A server that answers with `answer`.
-    pub fn new(answer: Rc<dyn Fn(FeedAsk) -> FeedTold>) -> Self {
-        Self { answer }
+    /// A server that answers followers with `answer`, and those who ask for rights with `hand_out`.
+    pub fn new(
+        answer: Rc<dyn Fn(FeedAsk) -> FeedTold>,
+        hand_out: Rc<dyn Fn(RightAsk) -> RightTold>,
+    ) -> Self {
+        Self { answer, hand_out }
     }
 
     /// Serves followers on `socket` until the task is dropped; must run in a `LocalSet`.
@@ -52,6 +59,16 @@
         write_told(&(self.answer)(ask), results.get().init_told());
         Ok(())
     }
+
+    async fn right(
+        self: Rc<Self>,
+        params: feed::RightParams,
+        mut results: feed::RightResults,
+    ) -> Result<(), capnp::Error> {
+        let ask = read_right_ask(params.get()?.get_ask()?)?;
+        write_right_told(&(self.hand_out)(ask), results.get().init_told());
+        Ok(())
+    }
 }
 
 /// A kept connection to a node that tells.
@@ -89,6 +106,21 @@
         let told = answer.get().and_then(|a| read_told(a.get_told()?));
         told.map_err(|e| EdgeError::Malformed(e.to_string()))
     }
+
+    /// Asks the node for rights to send requests to an engine.
+    ///
+    /// # Errors
+    ///
+    /// [`EdgeError::Lost`], also after `limit`; [`EdgeError::Malformed`].
+    pub async fn right(&self, ask: &RightAsk, limit: Duration) -> Result<RightTold, EdgeError> {
+        let mut request = self.client.right_request();
+        write_right_ask(ask, request.get().init_ask());
+        let answered = tokio::time::timeout(limit, request.send().promise).await;
+        let late = |_| EdgeError::Lost("no answer in time".to_owned());
+        let answer = answered.map_err(late)?.map_err(|e| EdgeError::Lost(e.to_string()))?;
+        let told = answer.get().and_then(|a| Ok(read_right_told(a.get_told()?)));
+        told.map_err(|e| EdgeError::Malformed(e.to_string()))
+    }
 }
 
 impl Drop for FeedClient {
--- a/crates/net/src/feed_codec.rs
+++ b/crates/net/src/feed_codec.rs
@@ -5,13 +5,15 @@
 
 use bytes::Bytes;
 use capnp::message::{Builder, ReaderOptions};
-use heathpitch_core::{Name, RequestPrint, Revision};
+use heathpitch_core::{Name, Rate, RequestPrint, Revision};
 
 use crate::deflate::{deflate_bytes, inflate_bytes};
-use crate::feed_capnp::{ask, end, item, items, leave, planner, report, source, told};
+use crate::feed_capnp::{
+    ask, end, item, items, leave, limit, planner, report, right_ask, right_told, source, told,
+};
 use crate::{
-    EdgeError, FeedAsk, FeedEnd, FeedEngines, FeedKnown, FeedLeave, FeedMark, FeedNews,
-    FeedPlanner, FeedReport, FeedTold, Item,
+    EdgeError, FeedAsk, FeedEnd, FeedEngines, FeedKnown, FeedLeave, FeedLimit, FeedMark, FeedNews,
+    FeedPlanner, FeedReport, FeedTold, Item, RightAsk, RightTold,
 };
 
 /// Packs items for a whole list: a hundred entries of engines take some 3 kB instead of 30.
@@ -54,8 +56,10 @@
     to.set_ends_life(from.news_known.life);
     to.set_ends_serial(from.news_known.ends);
     to.set_leaves_serial(from.news_known.leaves);
+    to.set_limits_serial(from.news_known.limits);
     write_ends(&from.news.ends, to.reborrow().init_ends(from.news.ends.len() as u32));
-    write_leaves(&from.news.leaves, to.init_leaves(from.news.leaves.len() as u32));
+    write_leaves(&from.news.leaves, to.reborrow().init_leaves(from.news.leaves.len() as u32));
+    write_limits(&from.news.limits, to.init_limits(from.news.limits.len() as u32));
 }
 
 pub(crate) fn read_ask(from: ask::Reader<'_>) -> capnp::Result<FeedAsk> {
@@ -72,11 +76,12 @@
             reported: from.get_reported(),
         },
         reports: from.get_reports(),
-        news: read_news(from.get_ends()?, from.get_leaves()?)?,
+        news: read_news(from.get_ends()?, from.get_leaves()?, from.get_limits()?)?,
         news_known: FeedMark {
             life: from.get_ends_life(),
             ends: from.get_ends_serial(),
             leaves: from.get_leaves_serial(),
+            limits: from.get_limits_serial(),
         },
     })
 }
@@ -120,8 +125,10 @@
     to.set_ends_life(from.news_known.life);
     to.set_ends_serial(from.news_known.ends);
     to.set_leaves_serial(from.news_known.leaves);
+    to.set_limits_serial(from.news_known.limits);
     write_ends(&from.news.ends, to.reborrow().init_ends(from.news.ends.len() as u32));
     write_leaves(&from.news.leaves, to.reborrow().init_leaves(from.news.leaves.len() as u32));
+    write_limits(&from.news.limits, to.reborrow().init_limits(from.news.limits.len() as u32));
     let mut standbys = to.init_standbys(from.standbys.len() as u32);
     for (i, (node, address)) in from.standbys.iter().enumerate() {
         write_source(node, *address, standbys.reborrow().get(i as u32));
@@ -158,11 +165,12 @@
         planners: from.get_planners()?.iter().map(read_planner).collect::<capnp::Result<_>>()?,
         vacant: from.get_vacant(),
         standbys: from.get_standbys()?.iter().map(read_source).collect::<capnp::Result<_>>()?,
-        news: read_news(from.get_ends()?, from.get_leaves()?)?,
+        news: read_news(from.get_ends()?, from.get_leaves()?, from.get_limits()?)?,
         news_known: FeedMark {
             life: from.get_ends_life(),
             ends: from.get_ends_serial(),
             leaves: from.get_leaves_serial(),
+            limits: from.get_limits_serial(),
         },
     })
 }
@@ -223,10 +231,12 @@
 fn read_news(
     ends: capnp::struct_list::Reader<'_, end::Owned>,
     leaves: capnp::struct_list::Reader<'_, leave::Owned>,
+    limits: capnp::struct_list::Reader<'_, limit::Owned>,
 ) -> capnp::Result<FeedNews> {
     Ok(FeedNews {
         ends: ends.iter().map(read_end).collect::<capnp::Result<_>>()?,
         leaves: leaves.iter().map(read_leave).collect::<capnp::Result<_>>()?,
+        limits: limits.iter().map(read_limit).collect::<capnp::Result<_>>()?,
     })
 }
 
@@ -259,6 +269,52 @@
     })
 }
 
+fn write_limits(from: &[FeedLimit], mut to: capnp::struct_list::Builder<'_, limit::Owned>) {
+    for (i, l) in from.iter().enumerate() {
+        write_limit(l, to.reborrow().get(i as u32));
+    }
+}
+
+fn write_limit(from: &FeedLimit, mut to: limit::Builder<'_>) {
+    to.set_engine(from.engine.as_str());
+    to.set_born(from.born.unwrap_or(0));
+    to.set_parts(from.rate.map_or(0, |r| r.thousandths().saturating_add(1)));
+    to.set_age_ms(from.age_ms);
+}
+
+fn read_limit(from: limit::Reader<'_>) -> capnp::Result<FeedLimit> {
+    Ok(FeedLimit {
+        engine: name(from.get_engine()?)?,
+        born: Some(from.get_born()).filter(|born| *born > 0),
+        rate: from.get_parts().checked_sub(1).map(Rate::from_thousandths),
+        age_ms: from.get_age_ms(),
+    })
+}
+
+pub(crate) fn write_right_ask(from: &RightAsk, mut to: right_ask::Builder<'_>) {
+    to.set_node(from.node.as_str());
+    to.set_wanted(from.wanted);
+    write_limit(&from.limit, to.init_limit());
+}
+
+pub(crate) fn read_right_ask(from: right_ask::Reader<'_>) -> capnp::Result<RightAsk> {
+    Ok(RightAsk {
+        node: name(from.get_node()?)?,
+        limit: read_limit(from.get_limit()?)?,
+        wanted: from.get_wanted(),
+    })
+}
+
+pub(crate) fn write_right_told(from: &RightTold, mut to: right_told::Builder<'_>) {
+    to.set_active(from.active);
+    to.set_given(from.given);
+    to.set_wait_ms(from.wait_ms);
+}
+
+pub(crate) fn read_right_told(from: right_told::Reader<'_>) -> RightTold {
+    RightTold { active: from.get_active(), given: from.get_given(), wait_ms: from.get_wait_ms() }
+}
+
 fn write_planner(from: &FeedPlanner, mut to: planner::Builder<'_>) {
     to.set_domain(from.domain.as_str());
     to.set_revision(from.revision.0);
--- a/crates/net/src/feed_message.rs
+++ b/crates/net/src/feed_message.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use heathpitch_core::{Millis, Name, RequestPrint, Revision};
+use heathpitch_core::{Millis, Name, Rate, RequestPrint, Revision};
 
 use crate::Item;
 
@@ -40,6 +40,8 @@
     pub ends: Vec<FeedEnd>,
     /// Engines that say they leave.
     pub leaves: Vec<FeedLeave>,
+    /// Limits that engines name.
+    pub limits: Vec<FeedLimit>,
 }
 
 /// A place in the news that one life of a node tells.
@@ -51,6 +53,43 @@
     pub ends: u64,
     /// Serial of the last engine that says it leaves; 0 for none.
     pub leaves: u64,
+    /// Serial of the last word on a limit; 0 for none.
+    pub limits: u64,
+}
+
+/// What an engine says of the requests that it takes from all nodes together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FeedLimit {
+    /// The engine.
+    pub engine: Name,
+    /// Unix time of its start, milliseconds, if it tells that.
+    pub born: Option<Millis>,
+    /// Its limit; none if it names none any more.
+    pub rate: Option<Rate>,
+    /// How long ago it said so.
+    pub age_ms: Millis,
+}
+
+/// A node asks the one that plans an engine's failure domain for rights to send requests there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RightAsk {
+    /// Node that asks.
+    pub node: Name,
+    /// The engine, and what that node knows of its limit.
+    pub limit: FeedLimit,
+    /// Requests that it wants to send.
+    pub wanted: u16,
+}
+
+/// What it is handed out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RightTold {
+    /// Whether the node asked hands out rights for this engine.
+    pub active: bool,
+    /// Rights.
+    pub given: u16,
+    /// Time after which asking again is worth it, milliseconds.
+    pub wait_ms: Millis,
 }
 
 /// An engine said in an answer that it leaves.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -41,8 +41,8 @@
 pub use feed::{FeedClient, FeedServer};
 pub use feed_codec::{pack, unpack};
 pub use feed_message::{
-    FeedAsk, FeedEnd, FeedEngines, FeedKnown, FeedLeave, FeedMark, FeedNews, FeedPlanner,
-    FeedReport, FeedTold,
+    FeedAsk, FeedEnd, FeedEngines, FeedKnown, FeedLeave, FeedLimit, FeedMark, FeedNews,
+    FeedPlanner, FeedReport, FeedTold, RightAsk, RightTold,
 };
 pub use frame::{Frame, GenerateCall, Hop};
 pub use generated::{feed_capnp, peer_capnp};
--- a/crates/policy/src/followers.rs
+++ b/crates/policy/src/followers.rs
@@ -74,6 +74,11 @@
 
 /// # Reading
 impl Followers {
+    /// Nodes that are there now.
+    pub fn present(&self, now: Millis) -> u32 {
+        self.seen.values().filter(|f| now < f.at + PRESENT).count() as u32
+    }
+
     /// Nodes that have asked within the last minute.
     pub fn count(&self, now: Millis) -> u32 {
         self.seen.values().filter(|f| now < f.at + COUNTED).count() as u32
--- a/crates/policy/src/wish.rs
+++ b/crates/policy/src/wish.rs
@@ -14,7 +14,7 @@
 
 use heathpitch_core::Millis;
 
-use crate::EngineLimit;
+use crate::{EngineLimit, Right};
 
 /// Part of a rest by which it is made longer, by a drawn share: nodes that were turned away together do not
 /// come back together. Of 135 000 calls at seven nodes, under 1.6 times what three engines can do, 28 500 are served in
@@ -38,9 +38,9 @@
 /// let wish = Arc::new(Wish::default());
 /// wish.rest(3_000, 0.0, 10);
 /// assert_eq!(wish.left(1_010), Some(2_000));
-/// assert!(wish.enter(3_009).is_none());
-/// let first = wish.enter(3_010);
-/// assert!(first.is_some() && wish.enter(3_010).is_none(), "one at first");
+/// assert!(wish.enter(None, 3_009).is_none());
+/// let first = wish.enter(None, 3_010);
+/// assert!(first.is_some() && wish.enter(None, 3_010).is_none(), "one at first");
 /// ```
 #[derive(Debug, Default)]
 pub struct Wish {
@@ -114,9 +114,9 @@
         self.leaves.load(Relaxed)
     }
 
-    /// Whether a request may go there at `now`.
+    /// Whether a request may go there at `now`, if it has a right or is handed out one.
     pub fn admits(&self, now: Millis) -> bool {
-        !self.leaves() && self.bears(now)
+        !self.leaves() && self.bears(now) && self.limit.wait(now).is_none()
     }
 
     /// Whether it bears one request more: it does not rest, nor has as many as it takes since.
@@ -132,17 +132,36 @@
     }
 
     /// Admits a request that is about to be sent at `now`, and counts it until its answer has come, or it is
-    /// given up.
-    pub fn enter(self: &Arc<Self>, now: Millis) -> Option<Entered> {
-        self.admits(now).then(|| self.count())
+    /// given up. An engine that names a limit takes only one with a right.
+    pub fn enter(self: &Arc<Self>, right: Option<&mut Right>, now: Millis) -> Option<Entered> {
+        (!self.leaves()).then(|| self.enter_check(right, now)).flatten()
     }
 
     /// The same for a check, which an engine that leaves may be asked too.
-    pub fn enter_check(self: &Arc<Self>, now: Millis) -> Option<Entered> {
-        self.bears(now).then(|| self.count())
+    pub fn enter_check(
+        self: &Arc<Self>,
+        right: Option<&mut Right>,
+        now: Millis,
+    ) -> Option<Entered> {
+        (self.bears(now) && self.passes(right, now)).then(|| self.count(now))
     }
 
-    fn count(self: &Arc<Self>) -> Entered {
+    /// Admits a request to pass through the engine, behind the first of its path, at `now`.
+    pub fn pass(self: &Arc<Self>, right: Option<&mut Right>, now: Millis) -> bool {
+        let passes = !self.leaves() && self.passes(right, now);
+        if passes {
+            self.limit.sent(now);
+        }
+        passes
+    }
+
+    fn passes(self: &Arc<Self>, right: Option<&mut Right>, now: Millis) -> bool {
+        // One that is not needed goes back.
+        self.limit.rate().is_none() || right.is_some_and(|r| r.spend(self, now))
+    }
+
+    fn count(self: &Arc<Self>, now: Millis) -> Entered {
+        self.limit.sent(now);
         self.open.fetch_add(1, Relaxed);
         Entered(self.clone())
     }
--- a/crates/policy/tests/resting_load.rs
+++ b/crates/policy/tests/resting_load.rs
@@ -201,7 +201,7 @@
 
     /// Whether an engine takes a call.
     fn ask(&mut self, node: usize, engine: usize, call: &Call, now: u64) -> bool {
-        let entered = (self.way == Way::Wish).then(|| self.wishes[node][engine].enter(now));
+        let entered = (self.way == Way::Wish).then(|| self.wishes[node][engine].enter(None, now));
         let slots = self.load.slots;
         let sheds = self.load.sheds && engine == 0 && (2_000..11_000).contains(&now);
         let e = &mut self.engines[engine];
--- a/crates/policy/tests/wish.rs
+++ b/crates/policy/tests/wish.rs
@@ -10,7 +10,7 @@
     let wish = Arc::new(Wish::default());
     assert!(wish.admits(0) && !wish.binds(0));
     wish.rest(3_000, 0.0, 100);
-    assert!(wish.enter(100).is_none() && wish.enter_check(3_099).is_none());
+    assert!(wish.enter(None, 100).is_none() && wish.enter_check(None, 3_099).is_none());
     assert_eq!((wish.left(100), wish.left(3_100)), (Some(3_000), None));
     assert!(wish.binds(3_099) && !wish.binds(3_100));
     assert!(wish.admits(3_100));
@@ -40,13 +40,13 @@
 #[test]
 fn after_a_rest_one_request_goes_first_and_each_answer_admits_one_more() {
     let wish = Arc::new(Wish::default());
-    let before: Vec<_> = (0..8).filter_map(|_| wish.enter(0)).collect();
+    let before: Vec<_> = (0..8).filter_map(|_| wish.enter(None, 0)).collect();
     wish.rest(1_000, 0.0, 10);
     drop(before);
     // It doubles up to half of what was there when it was turned away, and grows by one a round from there.
     for (round, room) in [1, 2, 4, 5, 6].into_iter().enumerate() {
         let now = 1_010 + round as u64 * 30;
-        let open: Vec<_> = std::iter::from_fn(|| wish.enter(now)).take(20).collect();
+        let open: Vec<_> = std::iter::from_fn(|| wish.enter(None, now)).take(20).collect();
         assert_eq!(open.len(), room, "round {round}");
         open.iter().for_each(|_| wish.answered(now + 29));
     }
@@ -57,7 +57,7 @@
     let wish = Arc::new(Wish::default());
     wish.rest(1_000, 0.0, 0);
     wish.answered(20_000);
-    let open: Vec<_> = std::iter::from_fn(|| wish.enter(20_001)).take(500).collect();
+    let open: Vec<_> = std::iter::from_fn(|| wish.enter(None, 20_001)).take(500).collect();
     assert_eq!(open.len(), 500);
 }
 
@@ -65,7 +65,11 @@
 fn one_that_leaves_gets_checks_and_nothing_else() {
     let wish = Arc::new(Wish::default());
     assert!(wish.leave() && !wish.leave());
-    assert!(!wish.admits(u64::MAX) && wish.enter(5).is_none() && wish.enter_check(5).is_some());
+    assert!(
+        !wish.admits(u64::MAX)
+            && wish.enter(None, 5).is_none()
+            && wish.enter_check(None, 5).is_some()
+    );
     assert!(wish.binds(u64::MAX));
     wish.stay();
     assert!(wish.admits(5));
@@ -96,7 +100,7 @@
                 1 => wish.answered(now),
                 2 => drop(open.pop()),
                 _ => {
-                    let entered = wish.enter(now);
+                    let entered = wish.enter(None, now);
                     prop_assert!(entered.is_none() || now >= until, "at {now}, rest until {until}");
                     open.extend(entered);
                 }
