A chain in which an engine would stand twice is sought anew with either part of its layers

The cause: the search knows no chain but the cheapest to each boundary, and the repair of one that names an engine twice looked for no other.

--- a/crates/policy/src/chain.rs
+++ b/crates/policy/src/chain.rs
@@ -21,6 +21,8 @@
 const CROSSING: f64 = 6.0;
 /// Most parts that a chain may have.
 const PARTS_MOST: usize = 32;
+/// Times that a search is parted because an engine stands twice.
+const SPLITS: u32 = 3;
 /// What a part that a running request already uses is worth: nothing has to be read again.
 const KEPT: f64 = 3.0;
 
@@ -85,10 +87,7 @@
 /// None if the links do not hold every layer, or the first part of the current chain is not among
 /// them.
 pub fn find_chain(search: &Search<'_>, links: &[Link]) -> Option<(Path, f64)> {
-    let mut table = Table::new(search, links)?;
-    table.fill();
-    let stages = merge(table.best()?);
-    let cost = table.price(&stages);
+    let (stages, cost) = cheapest(search, links, SPLITS)?;
     let model = Model::new(search.name.clone(), search.name.clone(), search.model.layers);
     match Path::new(&model, stages) {
         Ok(path) if path.stages().len() <= PARTS_MOST => Some((path, cost)),
@@ -96,6 +95,44 @@
     }
 }
 
+/// The cheapest stages. Where an engine stands twice they are sought anew with the one and with the other part of
+/// its layers alone, at most `splits` times one in the other: all that lies between may cost far more there.
+fn cheapest(search: &Search<'_>, links: &[Link], splits: u32) -> Option<(Vec<Stage>, f64)> {
+    let mut table = Table::new(search, links)?;
+    table.fill();
+    let stages = table.best()?;
+    let again = twice(&stages).filter(|_| splits > 0);
+    let stages = merge(stages);
+    let cost = table.price(&stages);
+    let Some((engine, between)) = again else { return Some((stages, cost)) };
+    let with = |part: &dyn Fn(LayerRange) -> LayerRange| {
+        let links: Vec<Link> = links
+            .iter()
+            .map(|l| match l.entry.id == engine {
+                true => {
+                    let entry = EngineEntry { layers: part(l.entry.layers), ..(*l.entry).clone() };
+                    Link { entry: Arc::new(entry), ..l.clone() }
+                }
+                false => l.clone(),
+            })
+            .collect();
+        cheapest(search, &links, splits - 1)
+    };
+    let before = with(&|held| LayerRange::new(held.first, between.end));
+    let after = with(&|held| LayerRange::new(between.first, held.end));
+    let found = [Some((stages, cost)), before, after].into_iter().flatten();
+    found.min_by(|a, b| a.1.total_cmp(&b.1))
+}
+
+/// An engine that stands twice, and the layers between its parts.
+fn twice(stages: &[Stage]) -> Option<(Name, LayerRange)> {
+    stages.iter().enumerate().find_map(|(i, first)| {
+        let second = stages[i + 1..].iter().find(|s| s.engine == first.engine)?;
+        let between = LayerRange::new(first.layers.end, second.layers.first);
+        Some((first.engine.clone(), between))
+    })
+}
+
 /// Has an engine that stands twice run all that lies between, which it holds as well.
 fn merge(stages: Vec<Stage>) -> Vec<Stage> {
     let mut merged: Vec<Stage> = Vec::new();
