--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -190,8 +190,7 @@
     /// longer the wait. Gives why.
     ///
     /// What is refused at once leaves the others in time, and can come back. Streams beyond the room
-    /// make engines drop others and read them anew: at 2.6 times the usual load a fleet that serves
-    /// 119 streams a second in time served 39; with this, 116.
+    /// make engines drop others and read them anew.
     fn admit(&self, choice: &Choice) -> Result<(), String> {
         if let Some(full) = &choice.full {
             return Err(full.to_string());
--- a/crates/heathpitchd/src/gateway/call/pick.rs
+++ b/crates/heathpitchd/src/gateway/call/pick.rs
@@ -14,8 +14,7 @@
 /// Time for which other engines are preferred to one that turned a call away and named no time, milliseconds.
 pub(crate) const CROWDED: Millis = 600;
 /// What an engine that turned a call away a moment ago costs, in shares of its slots: as if it were full. It has
-/// next to no load else, as it answers at once, and would be chosen again and again: 63 calls a second in place of
-/// two in a test; on days of engines that turn calls away 0.038 -> 0.033 and 0.042 -> 0.036 of the calls refused.
+/// next to no load else, as it answers at once, and would be chosen again and again.
 const TURNED_AWAY: f64 = 1.0;
 /// Time in which an engine that is taken up again after its rest takes one more, milliseconds: that of an answer.
 const TAKING_UP: Millis = 100;
--- a/crates/heathpitchd/src/gateway/control/rights.rs
+++ b/crates/heathpitchd/src/gateway/control/rights.rs
@@ -72,6 +72,9 @@
     ) -> bool {
         let new = self.limits.borrow_mut().learn(life.clone(), rate, at);
         if new {
+            if rate.is_none() {
+                self.rights.borrow_mut().remove(life);
+            }
             let age_ms = self.now().saturating_sub(at);
             let engine = life.engine.clone();
             GatewayEvent::EngineLimited { engine, limit: rate, age_ms, by }.log();
--- a/crates/heathpitchd/src/gateway/engine_table.rs
+++ b/crates/heathpitchd/src/gateway/engine_table.rs
@@ -8,8 +8,7 @@
 use heathpitch_policy::{Link, Tally};
 use rand::Rng;
 
-/// Share of an engine's room beyond which it takes no new requests. Full to 0.96, a fleet served as many
-/// in time as at 0.9 and more on days with losses (0.567 and 0.559 of a day's worth); at 0.7 0.525.
+/// Share of an engine's room beyond which it takes no new requests: beside it requests make each other be read anew.
 const ROOM_SHARE: f64 = 0.95;
 /// Cost of an engine without room, milliseconds a token: more than a path through another domain.
 const FULL: f64 = 16.0;
--- a/crates/policy/src/wish.rs
+++ b/crates/policy/src/wish.rs
@@ -4,8 +4,7 @@
 //! streams taken up there, checks. An answer's wish binds from the moment its head is read, on whatever
 //! call it came, and outlives the call.
 //!
-//! A rest is the node's alone: told to all, it would leave slots unused (17 and 22 of each 100 calls that this way
-//! serves in time, in the loads of `tests/resting_load.rs`). After it the engine is taken up again by one request at a
+//! A rest is the node's alone: told to all, it would leave slots unused. After it the engine is taken up again by one request at a
 //! time, and by one more with each that it answers up to half of what was there when it turned one away, then
 //! by one a round, so that neither this node's callers nor all nodes come back at one moment.
 
@@ -17,9 +16,7 @@
 use crate::{EngineLimit, Right};
 
 /// Part of a rest by which it is made longer, by a drawn share: nodes that were turned away together do not
-/// come back together. Of 135 000 calls at seven nodes, under 1.6 times what three engines can do, 28 500 are served in
-/// time without it and without room by and by, 51 900 with it, 80 200 with room alone, 84 900 with both
-/// (`tests/resting_load.rs`); with four times as much of it 81 000.
+/// come back together.
 const SPREAD: f64 = 0.1;
 /// One request, in the unit that room is counted in.
 const ONE: u32 = 256;
--- a/crates/policy/tests/limited_load.rs
+++ b/crates/policy/tests/limited_load.rs
@@ -6,6 +6,8 @@
 //! each second. The node that hands out rights dies, stands still or cannot be reached; nodes begin anew. Limits of 3.6, of
 //! nearly nothing, and of a hundred a second; seven, 70 and 300 nodes; eight seeds each.
 
+#![allow(clippy::unwrap_used, reason = "what fails here fails its test")]
+
 mod common;
 
 use std::collections::VecDeque;
