The limit of an engine that answers no calls ends with the answers to questions that named it

Those were believed when they named one and not when they named none, so it never ended. Now, once an answer to a question has named a limit, answers to questions end it as those to calls do. a_limit_of_an_engine_behind_the_first_holds_and_ends did not end on the code before.

--- a/crates/heathpitchd/src/gateway/control/wishes.rs
+++ b/crates/heathpitchd/src/gateway/control/wishes.rs
@@ -35,14 +35,18 @@
         answer: Answered<T>,
     ) -> T {
         let Answered { said, status, wish: asked } = answer;
-        // Nothing says that answers to questions name it too, as those to calls do.
+        let wish = self.wish_of(engine);
         let limit = match asked.limit {
-            LimitWord::Unlimited => LimitWord::Unknown,
+            // Until one did, nothing says that answers to questions name it as those to calls do.
+            LimitWord::Unlimited if !wish.limit().is_named_aside() => LimitWord::Unknown,
             word => word,
         };
+        if matches!(limit, LimitWord::Named(_)) {
+            wish.limit().name_aside();
+        }
         let asked = EngineWish { limit, ..asked };
         let heard = Said { engine, of, status, sent };
-        if self.shared.heed(heard, asked, &self.wish_of(engine)) {
+        if self.shared.heed(heard, asked, &wish) {
             self.engine_leaves(&life(engine));
         }
         said
--- a/crates/heathpitchd/tests/gateway_limits.rs
+++ b/crates/heathpitchd/tests/gateway_limits.rs
@@ -263,6 +263,32 @@
     assert!(begun.elapsed() < CONTACT, "{:?}", begun.elapsed());
 }
 
+/// It answers no calls, only the planner's questions: what these name holds, and ends with them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_of_an_engine_behind_the_first_holds_and_ends() {
+    let world = World::new();
+    let [first, behind] = ["a", "b"].map(|id| world.engine(id, "llm"));
+    first.hold(0, 4);
+    behind.hold(4, 8);
+    first.play(Play::Stream(3, Duration::from_millis(1)));
+    let node = world.node().await;
+    let tell = async || caller(&node).call(Method::POST, "/tell/x", "body").await.unwrap().status;
+    assert_eq!(tell().await, 200);
+    behind.limit(&["0"]);
+    wait("its limit is known", async || tell().await == 503).await;
+    let came = first.seen().len();
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(3) {
+        tell().await;
+        tokio::time::sleep(PAUSE).await;
+    }
+    assert!(first.seen().len() <= came + 2, "{} in three seconds", first.seen().len() - came);
+    behind.limit(&[]);
+    let begun = Instant::now();
+    wait("it is over", async || [tell().await, tell().await, tell().await] == [200; 3]).await;
+    assert!(begun.elapsed() < Duration::from_secs(4), "{:?}", begun.elapsed());
+}
+
 /// One that takes next to nothing is asked now and then, and used again when it says so no more; meanwhile callers hear at
 /// once when to come.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/policy/src/engine_limit.rs
+++ b/crates/policy/src/engine_limit.rs
@@ -61,6 +61,8 @@
     named: AtomicU64,
     /// Whether the last answer to this node named none although there is one.
     omitted: AtomicBool,
+    /// Whether answers to nodes' own questions name it, as those to calls do.
+    aside: AtomicBool,
     /// Rights of this node, and until when they may be used.
     stock: AtomicU64,
     /// Until when this node asks for none.
@@ -94,6 +96,17 @@
         again && now >= self.named.load(Relaxed) + ENDS_AFTER && self.set(None, now)
     }
 
+    /// Takes note that an answer to a question of this node's own names a limit.
+    pub fn name_aside(&self) {
+        self.aside.store(true, Relaxed);
+    }
+
+    /// Whether an answer to such a question that names none says that there is none: an engine behind the first of
+    /// all paths answers no calls.
+    pub fn is_named_aside(&self) -> bool {
+        self.aside.load(Relaxed)
+    }
+
     /// Takes what another node was told at `at`; gives whether that changes it. An end that may be older than the
     /// last answer to this node is none.
     pub fn told(&self, rate: Option<Rate>, at: Millis) -> bool {
