Layers of an engine whose limit binds are held by engines that can be spared, too

The planner, which hands out the rights and so knows what is asked for in vain, has copies of its layers loaded by workers that nobody needs, after a second of it; nobody else is moved, as a limit may be over before all is dealt out anew.

--- a/crates/heathpitchd/src/gateway/control/planner.rs
+++ b/crates/heathpitchd/src/gateway/control/planner.rs
@@ -126,6 +126,7 @@
             layers: ordered.unwrap_or(e.layers),
             free: !pending.contains_key(&e.id),
             open: table.view(e.id.as_str()).map_or(0, |s| s.tally.gauge().count()),
+            short: control.binds(e),
             new: since.get(&e.id).is_some_and(|at| now < at + NEW),
         })
     };
--- a/crates/heathpitchd/src/gateway/control/rights.rs
+++ b/crates/heathpitchd/src/gateway/control/rights.rs
@@ -20,6 +20,7 @@
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::shared::{Granted, RightsWanted};
+use crate::gateway::suspicion::life;
 
 /// Limits told in one message, some forty bytes each.
 const TOLD_MOST: usize = 256;
@@ -122,6 +123,12 @@
         settled && !self.stopping() && (!self.lease_doubted() || asked)
     }
 
+    /// Whether an engine takes less than is asked for.
+    pub(super) fn binds(&self, engine: &EngineEntry) -> bool {
+        let life = life(engine);
+        self.limits.borrow().of(&life).is_some() && self.rights.borrow().binds(&life)
+    }
+
     /// Hands out rights to a node that asks for them.
     pub(super) fn hand_out(&self, ask: &RightAsk) -> RightTold {
         let now = self.now();
--- a/crates/policy/src/bucket.rs
+++ b/crates/policy/src/bucket.rs
@@ -53,6 +53,12 @@
         }
     }
 
+    /// Whether nothing was taken for as long as it takes to fill.
+    pub fn is_full(&mut self, now: Millis) -> bool {
+        self.refill(now);
+        self.level >= self.burst
+    }
+
     /// Takes any amount; what is not there is owed.
     pub fn spend(&mut self, amount: f64) {
         self.level -= amount;
--- a/crates/policy/src/layout.rs
+++ b/crates/policy/src/layout.rs
@@ -26,6 +26,8 @@
     pub free: bool,
     /// Requests that run through it, as far as is known.
     pub open: u32,
+    /// Whether it takes less than it is asked for, by a limit that it names.
+    pub short: bool,
     /// Whether it came a moment ago: where it replaces another one, that one leaves next.
     pub new: bool,
 }
@@ -78,7 +80,7 @@
 /// };
 /// let worker = |name: &str| -> Result<Worker, heathpitch_core::NameError> {
 ///     let layers = LayerRange::new(0, 0);
-///     Ok(Worker { engine: name.parse()?, card: card.clone(), layers, free: true, open: 0, new: false })
+///     Ok(Worker { engine: name.parse()?, card: card.clone(), layers, free: true, open: 0, short: false, new: false })
 /// };
 /// let plan = lay_out(&model, &[worker("a")?, worker("b")?]);
 /// let held: Vec<_> = plan.iter().map(|a| a.layers.to_string()).collect();
@@ -86,6 +88,10 @@
 /// # Ok::<(), heathpitch_core::NameError>(())
 /// ```
 pub fn lay_out(model: &LayeredModel, workers: &[Worker]) -> Vec<Assignment> {
+    let short = workers.iter().any(|w| w.short);
+    if let Some(plan) = short.then(|| beside(model, workers)).flatten() {
+        return plan;
+    }
     match workers.iter().any(|w| w.layers.count() > 0) {
         false => fresh(model, workers),
         true => {
@@ -96,21 +102,34 @@
                 false if workers.iter().all(|w| w.free) => reorder(model, workers),
                 // What can be spared is kept for the gap until the others are done.
                 false => layout.into_plan(),
-                true => {
-                    if gaps.is_empty() {
-                        layout.relieve();
-                    }
-                    layout.stand_in();
-                    if gaps.is_empty() {
-                        layout.even_out();
-                    }
-                    layout.into_plan()
-                }
+                true => settle(layout, &gaps),
             }
         }
     }
 }
 
+/// Assignments beside workers that take less than they are asked for: what these hold is held by others too, if those
+/// hold it already or workers that can be spared are enough. Nobody else is moved for a limit, which may be over
+/// before a domain's layers are dealt out anew.
+fn beside(model: &LayeredModel, workers: &[Worker]) -> Option<Vec<Assignment>> {
+    let others: Vec<Worker> = workers.iter().filter(|w| !w.short).cloned().collect();
+    let gaps = uncovered(model.layers, others.iter().map(|w| w.layers));
+    let mut layout = Layout::new(model, &others);
+    gaps.iter().all(|gap| layout.spare(*gap)).then(|| settle(layout, &gaps))
+}
+
+/// The rest of a layout whose gaps are closed.
+fn settle(mut layout: Layout<'_>, gaps: &[LayerRange]) -> Vec<Assignment> {
+    if gaps.is_empty() {
+        layout.relieve();
+    }
+    layout.stand_in();
+    if gaps.is_empty() {
+        layout.even_out();
+    }
+    layout.into_plan()
+}
+
 /// Workers that requests run through by rule; the others are stand-ins.
 ///
 /// Every node comes to the same ones from the same list: those of one chain, and where the others hold
--- a/crates/policy/src/layout_repair.rs
+++ b/crates/policy/src/layout_repair.rs
@@ -98,6 +98,16 @@
         false
     }
 
+    /// Closes a gap by workers that can be spared alone; false if they are not enough, with little room if need be.
+    pub(crate) fn spare(&mut self, gap: LayerRange) -> bool {
+        let mut rooms = (ROOM_POOR..=self.wanted).rev().step_by(ROOM_STEP as usize);
+        let takers = rooms
+            .find_map(|room| Some(self.dispensable(room)).filter(|takers| enough(takers, gap)));
+        let Some(takers) = takers else { return false };
+        self.share_out(gap, &few(takers, gap));
+        true
+    }
+
     /// How workers within `reach` of a gap close it, if they can.
     fn shift(&self, gap: LayerRange, reach: usize, room: u32) -> Option<Shift> {
         let takers = self.dispensable(room);
--- a/crates/policy/src/rights.rs
+++ b/crates/policy/src/rights.rs
@@ -25,6 +25,11 @@
 const ASKER: Millis = 1_500;
 /// Share by which waits are drawn apart.
 const SPREAD: f64 = 0.3;
+/// Time for which more is asked for than there is until a limit counts as one that binds, milliseconds: a burst of
+/// calls is over, and loads of layers take longer.
+const BINDS_AFTER: Millis = 1_000;
+/// Time without a question after which that begins anew, milliseconds.
+const SHORT_GAP: Millis = 2_000;
 /// Time for which nothing is kept of an engine that nobody asks for, milliseconds.
 const KEPT: Millis = 30_000;
 
@@ -47,6 +52,10 @@
     bucket: Bucket,
     askers: HashMap<Name, Millis>,
     at: Millis,
+    /// Since when more is asked for than there is.
+    short: Option<Millis>,
+    /// Whether that lasted.
+    binds: bool,
 }
 
 /// Rights that one node hands out, by engine.
@@ -88,13 +97,18 @@
         let handed = self.engines.entry(engine.clone()).or_insert_with(|| {
             let mut bucket = Bucket::new(rate, saved, now);
             bucket.spend((saved - rate * FIRST_S).max(0.0));
-            Handed { bucket, askers: HashMap::new(), at: now }
+            Handed { bucket, askers: HashMap::new(), at: now, short: None, binds: false }
         });
         handed.bucket.set(rate, saved, now);
+        if now >= handed.at + SHORT_GAP || handed.bucket.is_full(now) {
+            handed.short = None;
+        }
         handed.at = now;
         handed.askers.insert(node.clone(), now);
         for given in 0..wanted {
             if let Err(next) = handed.bucket.take(now) {
+                let since = *handed.short.get_or_insert(now);
+                handed.binds |= now >= since + BINDS_AFTER;
                 let wait = if given > 0 { 0 } else { handed.wait(next, draw, now) };
                 return Grant { given, wait };
             }
@@ -107,6 +121,11 @@
         self.engines.clear();
     }
 
+    /// Whether more was asked for than an engine takes, for some time since it names its limit.
+    pub fn binds(&self, engine: &EngineLife) -> bool {
+        self.engines.get(engine).is_some_and(|h| h.binds)
+    }
+
     /// Forgets an engine whose limit is over.
     pub fn remove(&mut self, engine: &EngineLife) {
         self.engines.remove(engine);
--- a/crates/policy/tests/layout.rs
+++ b/crates/policy/tests/layout.rs
@@ -51,6 +51,7 @@
             layers: LayerRange::new(0, 0),
             free: true,
             open: 0,
+            short: false,
             new: false,
         })
     };
@@ -143,7 +144,15 @@
     let before = least_room(&workers);
     let card = cards().remove(2);
     let layers = LayerRange::new(0, 0);
-    workers.push(Worker { engine: name("new"), card, layers, free: true, open: 0, new: false });
+    workers.push(Worker {
+        engine: name("new"),
+        card,
+        layers,
+        free: true,
+        open: 0,
+        short: false,
+        new: false,
+    });
     settle(&mut workers);
     assert_eq!(gaps(&workers), []);
     assert!(least_room(&workers) > before, "{} after {before}", least_room(&workers));
@@ -157,6 +166,7 @@
     let replacement = Worker {
         engine: name("new"),
         layers: LayerRange::new(0, 0),
+        short: false,
         new: true,
         ..workers[old].clone()
     };
@@ -252,6 +262,37 @@
     }
 }
 
+/// The pattern: the engine that all streams of a domain begin at takes a third of them.
+#[test]
+fn layers_of_a_worker_that_names_a_limit_are_held_by_others_that_can_be_spared() {
+    for counts in [MEMPHIS, BIRMINGHAM, ATLANTA] {
+        let mut all = workers(counts);
+        settle(&mut all);
+        let before = all.clone();
+        let head = |w: &&mut Worker| w.layers.first == 0 && w.layers.count() > 0;
+        let short = all.iter_mut().filter(head).max_by_key(|w| w.layers.count()).unwrap();
+        short.short = true;
+        settle(&mut all);
+        let others: Vec<Worker> = all.iter().filter(|w| !w.short).cloned().collect();
+        assert_eq!(gaps(&others), [], "{counts:?}");
+        let stays = |(w, was): &(&Worker, &Worker)| w.layers == was.layers;
+        let kept = all.iter().zip(&before).filter(stays).map(|(w, _)| w.clone());
+        assert_eq!(gaps(&kept.collect::<Vec<_>>()), [], "{counts:?}: one that is needed moved");
+        // When it is over one may be relieved, and nobody else moves.
+        all.iter_mut().for_each(|w| w.short = false);
+        assert!(settle(&mut all) <= 1, "{counts:?}");
+    }
+}
+
+/// Dealing all layers out anew costs more than a limit, which may be over before they are loaded.
+#[test]
+fn nobody_moves_for_a_limit_where_none_can_be_spared() {
+    let mut all = workers([0, 4, 0, 0]);
+    settle(&mut all);
+    all[0].short = true;
+    assert_eq!(settle(&mut all), 0);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
 
@@ -271,6 +312,7 @@
                     layers: LayerRange::new(0, 0),
                     free: true,
                     open: 0,
+            short: false,
             new: false,
                 }),
                 false if workers.is_empty() => {}
--- a/crates/policy/tests/layout_whole_fleet.rs
+++ b/crates/policy/tests/layout_whole_fleet.rs
@@ -55,7 +55,15 @@
 
 fn worker(engine: &str, card: &Card) -> Worker {
     let layers = LayerRange::new(0, 0);
-    Worker { engine: name(engine), card: card.clone(), layers, free: true, open: 0, new: false }
+    Worker {
+        engine: name(engine),
+        card: card.clone(),
+        layers,
+        free: true,
+        open: 0,
+        short: false,
+        new: false,
+    }
 }
 
 /// A domain's workers as they settle from nothing.
