--- a/crates/heathpitchd/src/gateway/call/budget.rs
+++ b/crates/heathpitchd/src/gateway/call/budget.rs
@@ -12,8 +12,6 @@
 /// Share of the agreed ratio and slack that is used: calls and second sends arrive at an engine
 /// later than they are counted here.
 const MARGIN: f64 = 0.85;
-/// Nodes assumed where the fleet's size is not known: above that of the largest fleet served.
-const NODES_UNKNOWN: u32 = 512;
 /// Least slack of a node: one second send.
 const SLACK_LEAST: f64 = 1.0;
 
@@ -43,8 +41,8 @@
 
     fn share(&self) -> RetryShare {
         let bounds = &self.shared.settings.load().bounds;
-        let nodes = self.shared.table.load().nodes.unwrap_or(NODES_UNKNOWN);
-        let slack = bounds.retry_slack * MARGIN / f64::from(nodes.max(1));
+        let nodes = self.shared.table.load().sharers();
+        let slack = bounds.retry_slack * MARGIN / f64::from(nodes);
         RetryShare {
             ratio: bounds.retry_ratio * MARGIN,
             slack: slack.max(SLACK_LEAST),
--- a/crates/heathpitchd/src/gateway/call/rights.rs
+++ b/crates/heathpitchd/src/gateway/call/rights.rs
@@ -15,8 +15,6 @@
 
 /// Time for which a call waits for a right: a question on a new connection, and a stall of the control thread.
 const LIMIT: Duration = Duration::from_millis(250);
-/// Nodes assumed where the fleet's size is not known: above that of the largest fleet served.
-const NODES_UNKNOWN: u32 = 512;
 
 /// No right to send a call to an engine now.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -61,10 +59,6 @@
 impl Rights {
     /// Uses them for a request that is about to be sent; none if it may not be sent.
     pub(crate) fn enter(&mut self, wish: &Arc<Wish>, now: Millis) -> Option<Entered> {
-        self.first
-            .iter_mut()
-            .chain(self.behind.iter_mut().filter_map(|(_, r)| r.as_mut()))
-            .for_each(Right::unspend);
         let passes = self.behind.iter_mut().all(|(wish, right)| wish.pass(right.as_mut(), now));
         passes.then(|| wish.enter(self.first.as_mut(), now)).flatten()
     }
@@ -130,7 +124,7 @@
             refuse(true, back)
         }
         Granted::Nobody => {
-            let nodes = shared.table.load().nodes.unwrap_or(NODES_UNKNOWN);
+            let nodes = shared.table.load().sharers();
             match limit.draw(nodes, rand::rng().random_range(0.0..1.0), now) {
                 true => Ok(Some(Right::drawn(wish, now))),
                 false => refuse(false, limit.wait(now).unwrap_or(0)),
