A property test of limits looks at all that an engine named lately

The check sampled what the engine had named each 20 ms and missed a word of the last 16, which the node had rightly taken from an answer. It looks at every word in force within the time now, which is stricter: no sample is left out.

--- a/crates/policy/tests/engine_limit.rs
+++ b/crates/policy/tests/engine_limit.rs
@@ -127,6 +127,12 @@
             let word = words.iter().find(|(_, time)| { from += time; at < from });
             word.unwrap_or(words.last().unwrap()).0
         };
+        let mut begin = 0;
+        let spans: Vec<(u64, u64, Option<u64>)> = words.iter().enumerate().map(|(i, (word, time))| {
+            let from = begin;
+            begin += time;
+            (from, if i + 1 == words.len() { u64::MAX } else { begin }, *word)
+        }).collect();
         let mut answers: Vec<(u64, u64, Option<u64>)> = (0..end / 20).map(|i| {
             let sent = i * 20;
             let given = sent + rng.random_range(1..200);
@@ -139,7 +145,10 @@
                 Some(limit) => wish.limit().name(rate(limit as f64), sent, now),
                 None => wish.limit().omit(sent, now),
             };
-            let lately: Vec<_> = (now.saturating_sub(1_100)..=now).step_by(20).map(said).collect();
+            // All that it named in that time, for however short.
+            let from = now.saturating_sub(1_100);
+            let lately = spans.iter().filter(|(begin, end, _)| *begin <= now && *end > from);
+            let lately: Vec<Option<u64>> = lately.map(|(.., word)| *word).collect();
             if let Some(most) = lately.iter().copied().collect::<Option<Vec<u64>>>() {
                 let most = rate(*most.iter().max().unwrap() as f64);
                 prop_assert!(now < 600 || wish.limit().rate().is_some_and(|r| r <= most), "at {now}");
