A test of a call without a connection waits until its engine refuses connections

Traced: the stand-in's end returns before its listener is closed, so that a connection may still be taken and cut off, and "unknown" is true of such a call. What is asked of the answer stays as it was.

--- a/crates/heathpitchd/tests/outcomes.rs
+++ b/crates/heathpitchd/tests/outcomes.rs
@@ -7,6 +7,7 @@
 use common::{LIMIT, deployment, desk, name, wait};
 use heathpitch_fakes::{Deployment, Fault, Reply};
 use serde_json::json;
+use tokio::net::TcpStream;
 
 const NEVER: &[(&str, &str)] = &[("x-heathpitch-repeat", "never")];
 
@@ -39,6 +40,9 @@
 async fn no_connection_is_not_run() {
     let d = deployment(1, 1).await;
     fault(&d, Fault::Die);
+    // Its listener is closed a moment later; a connection that it still took may have run.
+    let engine = d.engines[0].0.address();
+    wait("it refuses connections", || async { TcpStream::connect(engine).await.is_err() }).await;
     let got = ask(&d, NEVER).await;
     assert_eq!(got.json["error"]["outcome"], "not_run");
     assert!(got.retry_after.is_some());
