What stood twice in policy is said once

Words with serials (engines that leave, limits) are told and forgotten by one piece, `news`; a gap is closed by workers that can be spared in one place, for losses and for limits; a chain is parted at one engine's link, found once. Nothing is decided otherwise: the tests of all three hold as they are.

--- a/crates/policy/src/chain.rs
+++ b/crates/policy/src/chain.rs
@@ -105,21 +105,17 @@
     let stages = merge(stages);
     let cost = table.price(&stages);
     let Some((engine, between)) = again else { return Some((stages, cost)) };
-    let with = |part: &dyn Fn(LayerRange) -> LayerRange| {
-        let links: Vec<Link> = links
-            .iter()
-            .map(|l| match l.entry.id == engine {
-                true => {
-                    let entry = EngineEntry { layers: part(l.entry.layers), ..(*l.entry).clone() };
-                    Link { entry: Arc::new(entry), ..l.clone() }
-                }
-                false => l.clone(),
-            })
-            .collect();
+    let Some(at) = links.iter().position(|l| l.entry.id == engine) else {
+        return Some((stages, cost));
+    };
+    let held = links[at].entry.layers;
+    let with = |layers| {
+        let mut links = links.to_vec();
+        links[at].entry = Arc::new(EngineEntry { layers, ..(*links[at].entry).clone() });
         cheapest(search, &links, splits - 1)
     };
-    let before = with(&|held| LayerRange::new(held.first, between.end));
-    let after = with(&|held| LayerRange::new(between.first, held.end));
+    let before = with(LayerRange::new(held.first, between.end));
+    let after = with(LayerRange::new(between.first, held.end));
     let found = [Some((stages, cost)), before, after].into_iter().flatten();
     found.min_by(|a, b| a.1.total_cmp(&b.1))
 }
--- a/crates/policy/src/layout.rs
+++ b/crates/policy/src/layout.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 
 use crate::layout_deal::{fresh, reorder};
-use crate::layout_repair::Layout;
+use crate::layout_repair::{Layout, ROOM_POOR};
 
 /// A worker that a layout may use.
 #[derive(Clone, Debug, PartialEq)]
@@ -115,7 +115,7 @@
     let others: Vec<Worker> = workers.iter().filter(|w| !w.short).cloned().collect();
     let gaps = uncovered(model.layers, others.iter().map(|w| w.layers));
     let mut layout = Layout::new(model, &others);
-    gaps.iter().all(|gap| layout.spare(*gap)).then(|| settle(layout, &gaps))
+    gaps.iter().all(|gap| layout.spare(*gap, ROOM_POOR)).then(|| settle(layout, &gaps))
 }
 
 /// The rest of a layout whose gaps are closed.
--- a/crates/policy/src/layout_repair.rs
+++ b/crates/policy/src/layout_repair.rs
@@ -12,7 +12,7 @@
 /// a few workers that stay empty.
 const COPIES: f64 = 2.2;
 /// Room that is put up with while other workers are still busy.
-const ROOM_POOR: u32 = 20_000;
+pub(crate) const ROOM_POOR: u32 = 20_000;
 /// Layers that one worker loads if others can share: about a second's load at the users' sizes.
 const LOAD_MOST: u32 = 7;
 /// Share of the room wanted below which a worker is relieved by one that can be spared.
@@ -82,12 +82,10 @@
     pub(crate) fn close(&mut self, gap: LayerRange) -> bool {
         let busy = self.workers.iter().any(|w| !w.free);
         let least = if busy { ROOM_POOR } else { ROOM_FLOOR };
-        let rooms = || (least..=self.wanted).rev().step_by(ROOM_STEP as usize);
-        if let Some(takers) = rooms().map(|r| self.dispensable(r)).find(|t| enough(t, gap)) {
-            self.share_out(gap, &few(takers, gap));
+        if self.spare(gap, least) {
             return true;
         }
-        for room in rooms() {
+        for room in self.rooms(least) {
             for reach in 1..=self.workers.len() {
                 if let Some(shift) = self.shift(gap, reach, room) {
                     self.carry_out(gap, &shift);
@@ -98,16 +96,20 @@
         false
     }
 
-    /// Closes a gap by workers that can be spared alone; false if they are not enough, with little room if need be.
-    pub(crate) fn spare(&mut self, gap: LayerRange) -> bool {
-        let mut rooms = (ROOM_POOR..=self.wanted).rev().step_by(ROOM_STEP as usize);
-        let takers = rooms
-            .find_map(|room| Some(self.dispensable(room)).filter(|takers| enough(takers, gap)));
+    /// Closes a gap by workers that can be spared alone; false if they are not enough, though they leave no more room
+    /// than `least`.
+    pub(crate) fn spare(&mut self, gap: LayerRange, least: u32) -> bool {
+        let takers = self.rooms(least).map(|r| self.dispensable(r)).find(|t| enough(t, gap));
         let Some(takers) = takers else { return false };
         self.share_out(gap, &few(takers, gap));
         true
     }
 
+    /// Rooms to be tried, down to `least`.
+    fn rooms(&self, least: u32) -> impl Iterator<Item = u32> + use<> {
+        (least..=self.wanted).rev().step_by(ROOM_STEP as usize)
+    }
+
     /// How workers within `reach` of a gap close it, if they can.
     fn shift(&self, gap: LayerRange, reach: usize, room: u32) -> Option<Shift> {
         let takers = self.dispensable(room);
--- a/crates/policy/src/leavers.rs
+++ b/crates/policy/src/leavers.rs
@@ -9,7 +9,7 @@
 
 use heathpitch_core::Millis;
 
-use crate::EngineLife;
+use crate::{EngineLife, news};
 
 /// Time after which an engine that is still there is asked whether it leaves, milliseconds: engines that do are
 /// gone within some ten seconds.
@@ -63,10 +63,7 @@
         }
         self.serial += 1;
         self.known.insert(life, Known { at, stays: None, serial: self.serial });
-        if self.known.len() > MOST {
-            let oldest = self.known.iter().min_by_key(|(_, k)| k.at).map(|(life, _)| life.clone());
-            oldest.map(|life| self.known.remove(&life));
-        }
+        news::bound(&mut self.known, |k| k.at, MOST);
         true
     }
 
@@ -99,10 +96,8 @@
     /// At most so many words that came after the one with this serial, with their ages; and the serial up to
     /// which all is known then.
     pub fn since(&self, serial: u64, most: usize, now: Millis) -> (Vec<(EngineLife, Millis)>, u64) {
-        let mut new: Vec<_> = self.known.iter().filter(|(_, k)| k.serial > serial).collect();
-        new.sort_unstable_by_key(|(_, k)| k.serial);
-        let upto = if new.len() > most { new[most - 1].1.serial } else { self.serial };
-        let told = new.into_iter().take(most).filter(|(_, k)| k.stays.is_none());
+        let (new, upto) = news::since(&self.known, |k| k.serial, serial, most, self.serial);
+        let told = new.into_iter().filter(|(_, k)| k.stays.is_none());
         (told.map(|(life, k)| (life.clone(), now.saturating_sub(k.at))).collect(), upto)
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
 mod members;
 mod meter;
 mod mirror;
+mod news;
 mod occupancy;
 mod pace;
 mod placement;
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -8,7 +8,7 @@
 
 use heathpitch_core::{Millis, Rate};
 
-use crate::EngineLife;
+use crate::{EngineLife, news};
 
 /// Time for which the end of a limit is told, milliseconds: all nodes in touch have heard of it by then.
 const END_TOLD: Millis = 10_000;
@@ -67,10 +67,7 @@
         }
         self.serial += 1;
         self.known.insert(life, Known { rate, at, serial: self.serial });
-        if self.known.len() > MOST {
-            let oldest = self.known.iter().min_by_key(|(_, k)| k.at).map(|(life, _)| life.clone());
-            oldest.map(|life| self.known.remove(&life));
-        }
+        news::bound(&mut self.known, |k| k.at, MOST);
         true
     }
 
@@ -86,14 +83,12 @@
 
     /// At most so many words that came after the one with this serial; and the serial up to which all is known then.
     pub fn since(&self, serial: u64, most: usize, now: Millis) -> (Vec<LimitTold>, u64) {
-        let mut new: Vec<_> = self.known.iter().filter(|(_, k)| k.serial > serial).collect();
-        new.sort_unstable_by_key(|(_, k)| k.serial);
-        let upto = if new.len() > most { new[most - 1].1.serial } else { self.serial };
+        let (new, upto) = news::since(&self.known, |k| k.serial, serial, most, self.serial);
         let told = |(life, k): (&EngineLife, &Known)| LimitTold {
             life: life.clone(),
             rate: k.rate,
             age: now.saturating_sub(k.at),
         };
-        (new.into_iter().take(most).map(told).collect(), upto)
+        (new.into_iter().map(told).collect(), upto)
     }
 }
