A limit beyond any number is a limit

An engine that names `inf` or 1e300 was taken to name none: the rate filled its 64 bits, and the number one higher by which it is kept was 0 again (in a debug build the node's thread ended). With each of its answers the limit then counted as new, logged and told.

--- a/crates/net/src/feed_codec.rs
+++ b/crates/net/src/feed_codec.rs
@@ -278,7 +278,7 @@
 fn write_limit(from: &FeedLimit, mut to: limit::Builder<'_>) {
     to.set_engine(from.engine.as_str());
     to.set_born(from.born.unwrap_or(0));
-    to.set_parts(from.rate.map_or(0, |r| r.thousandths().saturating_add(1)));
+    to.set_parts(Rate::pack(from.rate));
     to.set_age_ms(from.age_ms);
 }
 
@@ -286,7 +286,7 @@
     Ok(FeedLimit {
         engine: name(from.get_engine()?)?,
         born: Some(from.get_born()).filter(|born| *born > 0),
-        rate: from.get_parts().checked_sub(1).map(Rate::from_thousandths),
+        rate: Rate::unpack(from.get_parts()),
         age_ms: from.get_age_ms(),
     })
 }
--- a/crates/policy/src/engine_limit.rs
+++ b/crates/policy/src/engine_limit.rs
@@ -53,7 +53,7 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct EngineLimit {
-    /// Thousandths of a request a second, and one more; 0 without a limit.
+    /// The limit, packed.
     rate: AtomicU64,
     /// When that changed last.
     changed: AtomicU64,
@@ -120,7 +120,7 @@
         self.omitted.store(false, Relaxed);
         // Rights that were handed out by another limit do not hold.
         self.stock.store(0, Relaxed);
-        self.rate.store(rate.map_or(0, |r| r.thousandths() + 1), Relaxed);
+        self.rate.store(Rate::pack(rate), Relaxed);
         true
     }
 }
@@ -226,7 +226,7 @@
 impl EngineLimit {
     /// The limit, if there is one.
     pub fn rate(&self) -> Option<Rate> {
-        self.rate.load(Relaxed).checked_sub(1).map(Rate::from_thousandths)
+        Rate::unpack(self.rate.load(Relaxed))
     }
 
     /// How long ago the limit changed, or ended.
--- a/crates/policy/tests/engine_limit.rs
+++ b/crates/policy/tests/engine_limit.rs
@@ -33,6 +33,17 @@
     assert_eq!((limit.rate(), limit.age(250)), (Some(rate(5.0)), 50));
 }
 
+/// Such a limit binds nobody, and is one all the same: nothing changes with each answer that names it.
+#[test]
+fn a_limit_beyond_any_number_is_a_limit() {
+    for requests in [1e300, f64::INFINITY] {
+        let wish = Arc::<Wish>::default();
+        assert!(wish.limit().name(rate(requests), 0, 1));
+        assert!(wish.limit().rate().is_some() && !wish.limit().name(rate(requests), 10, 20));
+        assert!(wish.limit().name(rate(3.0), 30, 40));
+    }
+}
+
 #[test]
 fn one_answer_that_names_none_ends_nothing() {
     let wish = limited(3.0);
