Soak: the node of each call, and the engine in a place, are looked up in one place each

The judge made the same map three times, and the world locked its places for each thing said to an engine.

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -154,11 +154,15 @@
         more.chain(wrong).collect()
     }
 
+    /// The node that each call came to.
+    fn nodes(&self) -> HashMap<&str, usize> {
+        self.told.iter().map(|t| (t.id.as_str(), t.node)).collect()
+    }
+
     /// Requests that reached an engine long after its word that it leaves, from nodes that nothing
     /// disturbed meanwhile; that the node which tells them was disturbed is no excuse.
     fn misled(&self) -> Vec<Breach> {
-        let nodes: HashMap<&str, usize> =
-            self.told.iter().map(|t| (t.id.as_str(), t.node)).collect();
+        let nodes = self.nodes();
         let late = |s: &&Seen| {
             let left = self.left.iter().find(|l| s.engine() == Some(&l.engine));
             let node = s.id().and_then(|id| nodes.get(id)).copied();
@@ -175,8 +179,7 @@
     /// Requests that reached an engine against what it had asked of the same node: more than two within a rest,
     /// any long after it said that it leaves. What disturbed the node or held requests up meanwhile excuses it.
     fn unheeded(&self) -> Vec<Breach> {
-        let nodes: HashMap<&str, usize> =
-            self.told.iter().map(|t| (t.id.as_str(), t.node)).collect();
+        let nodes = self.nodes();
         let mut visits: HashMap<(&str, usize), Vec<&Seen>> = HashMap::new();
         for seen in &self.seen {
             let node = seen.id().and_then(|id| nodes.get(id)).copied();
@@ -210,8 +213,7 @@
     /// Engines that got more than the limit that they named for some time allows, from all nodes together, told or
     /// not. What was disturbed itself is not counted; that the store was, or the node that hands out rights, is no excuse.
     fn exceeded(&self) -> Vec<Breach> {
-        let nodes: HashMap<&str, usize> =
-            self.told.iter().map(|t| (t.id.as_str(), t.node)).collect();
+        let nodes = self.nodes();
         let mut visits: HashMap<&str, Vec<&Seen>> = HashMap::new();
         for seen in &self.seen {
             visits.entry(seen.engine().unwrap_or_default()).or_default().push(seen);
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -191,7 +191,7 @@
                 engine.limit(&[]);
             }
             Fault::Word(engine, time) => {
-                world.say_leaving(engine);
+                world.engine(engine).leave(true);
                 tokio::time::sleep(time).await;
                 world.replace(engine, serial)?;
             }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -246,7 +246,7 @@
 
     /// Has an engine treat requests in this way; none: as usual.
     pub(crate) fn engine_play(&self, index: usize, play: Option<Play>) {
-        self.stations.lock()[index].engine.play(play.unwrap_or(usual(index)));
+        self.engine(index).play(play.unwrap_or(usual(index)));
     }
 
     /// A plain engine says that it leaves, and another one comes.
@@ -280,7 +280,7 @@
 
     /// Has an engine turn everybody away and tell this Retry-After; none: as usual again.
     pub(crate) fn tire(&self, index: usize, rest: Option<&str>) {
-        let engine = self.stations.lock()[index].engine.clone();
+        let engine = self.engine(index);
         match rest {
             Some(rest) => engine.rest(rest),
             None => engine.name_no_rest(),
@@ -293,22 +293,17 @@
         self.stations.lock()[index].engine.clone()
     }
 
-    /// Has an engine say in all its answers that it leaves; its entry does not.
-    pub(crate) fn say_leaving(&self, index: usize) {
-        self.stations.lock()[index].engine.leave(true);
-    }
-
     /// Takes note of a time in which requests to an engine were held up, or in which it started again.
     pub(crate) fn held_up(&self, index: usize, from: Instant) {
-        let engine = self.stations.lock()[index].engine.id.clone();
+        let engine = self.engine(index).id;
         self.held_up.lock().push(HeldUp { engine, from, until: Instant::now() });
     }
 
     /// An engine starts again under its id.
     pub(crate) fn rebirth(&self, index: usize) {
-        let stations = self.stations.lock();
-        stations[index].engine.restart();
-        stations[index].engine.list("ready");
+        let engine = self.engine(index);
+        engine.restart();
+        engine.list("ready");
     }
 
     /// Has the fatal request come to a node, under another id each time.
@@ -334,7 +329,7 @@
     async fn tend_one(self: Arc<Self>, index: usize) {
         for life in 1_000_000.. {
             // A plain engine may be replaced meanwhile; the one that took its place is waited for then.
-            let engine = self.stations.lock()[index].engine.clone();
+            let engine = self.engine(index);
             if tokio::time::timeout(LOOK, engine.wait_end()).await.is_err() {
                 continue;
             }
