Sends: engines of a path are looked up once, rights are taken one way

A stream looked each engine of its path up twice, among all that are listed: for the count of what it holds and for rights, which most paths need none of. Where a call is sent is one `Target` now. What was handed out is received by one function, for calls and for checks; what keeps a call from an engine is said by one; a question of the feed and one for rights wait for their answers the same way. Counts of rights have one width, the map of who hands them out no wrapper, and the event no planner that there may not be.

--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use heathpitch_core::{EngineEntry, Evidence, Millis, Name, Path, Stage};
+use heathpitch_core::{EngineEntry, Evidence, Millis, Name, Path};
 use heathpitch_net::Events;
 use hyper::StatusCode;
 use rand::Rng;
@@ -15,7 +15,7 @@
 use super::pick::{self, Avoid, Chosen, Full};
 use super::record::Sending;
 use super::refused::RefusedKind;
-use super::send::{Answer, Failure, send};
+use super::send::{Answer, Failure, Target, send};
 use crate::gateway::engine_table::EngineView;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::live::LiveStream;
@@ -264,7 +264,9 @@
         let traffic = self.traffic.clone();
         let now = traffic.shared.now();
         self.sending(&view.entry.id, self.sends + 1).routed(path, self.events.last());
-        self.hold(view, path);
+        let table = traffic.shared.table.load_full();
+        let behind = path.map_or_else(Vec::new, |p| table.behind(p));
+        self.hold(view, &behind);
         self.begun = Some((view.entry.clone(), self.events.count()));
         self.head = Some(view.entry.id.clone());
         self.live = path.map(|p| {
@@ -275,7 +277,8 @@
         self.seen.sent();
         let _waiting = Waiting::new(view.tally.clone());
         let after = self.events.last();
-        let sent = send(&traffic, &self.call, view, path, after);
+        let target = Target { view, behind: &behind, path, after };
+        let sent = send(&traffic, &self.call, &target);
         let Some(live) = self.live.clone() else { return sent.await };
         traffic.shared.tell(Notice::Stream(live.clone()));
         tokio::select! {
@@ -292,15 +295,9 @@
         }
     }
 
-    fn hold(&mut self, view: &EngineView, path: Option<&Path>) {
-        let table = self.traffic.shared.table.load();
-        let tallies = match path {
-            Some(path) => {
-                let of = |s: &Stage| Some(table.view(s.engine.as_str())?.tally.clone());
-                path.stages().iter().filter_map(of).collect()
-            }
-            None => vec![view.tally.clone()],
-        };
+    fn hold(&mut self, view: &EngineView, behind: &[&EngineView]) {
+        let engines = std::iter::once(view).chain(behind.iter().copied());
+        let tallies = engines.map(|s| s.tally.clone()).collect();
         self.held =
             Some(Held::new(self.traffic.shared.clone(), tallies, pick::need(&self.call) as u64));
     }
--- a/crates/heathpitchd/src/gateway/call/rights.rs
+++ b/crates/heathpitchd/src/gateway/call/rights.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use heathpitch_core::{Millis, Name, Path, Rate};
+use heathpitch_core::{Millis, Name, Rate};
 use heathpitch_policy::{EngineLimit, Entered, Right, Wish};
 use rand::Rng;
 use tokio::sync::oneshot;
@@ -32,6 +32,14 @@
     back: Millis,
 }
 
+impl NoRight {
+    /// What keeps a call from an engine that names this limit, until `back` milliseconds from `now`.
+    fn of(view: &EngineView, limit: Rate, nodes: Option<u32>, back: Millis, now: Millis) -> Self {
+        let (engine, age) = (view.entry.id.clone(), view.tally.wish().limit().age(now));
+        Self { engine, limit, age, nodes, handed: true, back }
+    }
+}
+
 impl fmt::Display for NoRight {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { engine, limit, age, back, .. } = self;
@@ -51,12 +59,12 @@
 
 /// Rights of one send: to the engine that is asked, and to pass through those behind it.
 #[derive(Debug, Default)]
-pub(crate) struct Rights {
+pub(crate) struct SendRights {
     first: Option<Right>,
     behind: Vec<(Arc<Wish>, Option<Right>)>,
 }
 
-impl Rights {
+impl SendRights {
     /// Uses them for a request that is about to be sent; none if it may not be sent.
     pub(crate) fn enter(&mut self, wish: &Arc<Wish>, now: Millis) -> Option<Entered> {
         let passes = self.behind.iter_mut().all(|(wish, right)| wish.pass(right.as_mut(), now));
@@ -70,7 +78,7 @@
     }
 }
 
-/// Seeks rights for a send to an engine, along a path if there is one.
+/// Seeks rights for a send to an engine, and to pass through those behind it.
 ///
 /// # Errors
 ///
@@ -78,12 +86,10 @@
 pub(crate) async fn seek(
     traffic: &Traffic,
     view: &EngineView,
-    path: Option<&Path>,
-) -> Result<Rights, NoRight> {
-    let mut rights = Rights { first: right(traffic, view).await?, behind: Vec::new() };
-    let table = traffic.shared.table.load_full();
-    for behind in path.map_or(&[][..], Path::stages).iter().skip(1) {
-        let Some(view) = table.view(behind.engine.as_str()) else { continue };
+    behind: &[&EngineView],
+) -> Result<SendRights, NoRight> {
+    let mut rights = SendRights { first: right(traffic, view).await?, behind: Vec::new() };
+    for &view in behind {
         let right = right(traffic, view).await?;
         rights.behind.push((view.tally.wish().clone(), right));
     }
@@ -95,45 +101,38 @@
     let (shared, wish) = (&traffic.shared, view.tally.wish());
     let limit = wish.limit();
     let Some(rate) = limit.rate() else { return Ok(None) };
-    let refuse = |handed, back| {
-        let now = shared.now();
-        let nodes = shared.table.load().nodes;
-        let (engine, age) = (view.entry.id.clone(), limit.age(now));
-        Err(NoRight { engine, limit: rate, age, nodes, handed, back })
-    };
+    let none = |back| NoRight::of(view, rate, shared.table.load().nodes, back, shared.now());
     let now = shared.now();
     if let Some(right) = EngineLimit::take(wish, now) {
         return Ok(Some(right));
     }
     if let Some(back) = limit.wait(now) {
-        return refuse(true, back);
+        return Err(none(back));
     }
     let granted = ask(traffic, view, limit.wanted(now)).await;
     let now = shared.now();
     match granted {
         Granted::Given(count, sent) => {
-            limit.put(count, sent, now);
-            match EngineLimit::take(wish, now) {
-                Some(right) => Ok(Some(right)),
-                // Another call took it, or it came too late.
-                None => refuse(true, 0),
-            }
+            EngineLimit::receive(wish, count, sent, now).map(Some).ok_or_else(|| none(0))
         }
         Granted::Wait(back) => {
             limit.hold(now + back);
-            refuse(true, back)
+            Err(none(back))
         }
         Granted::Nobody => {
             let nodes = shared.table.load().sharers();
             match limit.draw(nodes, rand::rng().random_range(0.0..1.0), now) {
                 true => Ok(Some(Right::drawn(wish, now))),
-                false => refuse(false, limit.wait(now).unwrap_or(0)),
+                false => {
+                    let back = limit.wait(now).unwrap_or(0);
+                    Err(NoRight { handed: false, ..none(back) })
+                }
             }
         }
     }
 }
 
-async fn ask(traffic: &Traffic, view: &EngineView, count: u64) -> Granted {
+async fn ask(traffic: &Traffic, view: &EngineView, count: u16) -> Granted {
     let (reply, granted) = oneshot::channel();
     let wanted = RightsWanted { engine: view.entry.clone(), count, reply };
     if !traffic.shared.tell(Notice::Rights(wanted)) {
@@ -150,13 +149,6 @@
     let views = table.of(service).iter().filter(|s| s.works(now));
     let waits = views.filter_map(|s| Some((s.tally.wish().limit().wait(now)?, s)));
     let (back, view) = waits.min_by_key(|(back, _)| *back)?;
-    let limit = view.tally.wish().limit();
-    Some(NoRight {
-        engine: view.entry.id.clone(),
-        limit: limit.rate()?,
-        age: limit.age(now),
-        nodes: table.nodes,
-        handed: true,
-        back,
-    })
+    let rate = view.tally.wish().limit().rate()?;
+    Some(NoRight::of(view, rate, table.nodes, back, now))
 }
--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -3,20 +3,21 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use heathpitch_core::{Millis, Path};
+use heathpitch_core::Path;
 use heathpitch_net::{
     AnswerHead, Connection, Dispatch, EdgeError, EngineWish, Pool, Reuse, SendFailure, full,
     keep_time, read,
 };
+use heathpitch_policy::Wish;
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, StatusCode};
 
 use super::Traffic;
 use super::admit::Call;
-use super::rights::{self, NoRight, Rights};
+use super::rights::{self, NoRight, SendRights};
 use crate::gateway::engine_table::EngineView;
-use crate::gateway::shared::Notice;
+use crate::gateway::shared::{Notice, Shared};
 use crate::gateway::suspicion::life;
 use crate::gateway::wishes::Said;
 
@@ -78,46 +79,48 @@
     Lost(String),
 }
 
+/// Where a call is sent.
+pub(crate) struct Target<'a> {
+    /// The engine asked.
+    pub(crate) view: &'a EngineView,
+    /// Those that it passes through behind that one.
+    pub(crate) behind: &'a [&'a EngineView],
+    /// All of them.
+    pub(crate) path: Option<&'a Path>,
+    /// Event after which a stream goes on.
+    pub(crate) after: Option<u64>,
+}
+
 /// Sends a call and reads the head of the answer.
 pub(crate) async fn send(
     traffic: &Traffic,
     call: &Call,
-    view: &EngineView,
-    path: Option<&Path>,
-    after: Option<u64>,
+    target: &Target<'_>,
 ) -> Result<Answer, Failure> {
+    let &Target { view, behind, .. } = target;
     let ended = traffic.shared.suspicion.load().has_ended(&view.entry);
-    let mut rights = rights::seek(traffic, view, path).await.map_err(Failure::NoRight)?;
+    let mut rights = rights::seek(traffic, view, behind).await.map_err(Failure::NoRight)?;
     let reuse = if call.route.kind.repeatable() { Reuse::Idle } else { Reuse::Never };
-    let sending = Sending { call, view, path, after };
-    let mut answer = once(traffic, &sending, &mut rights, reuse).await;
+    let mut answer = once(traffic, call, target, &mut rights, reuse).await;
     if matches!(answer, Err(Failure::Unsent(_))) && reuse == Reuse::Idle {
         // The engine closed an idle connection: nothing was sent, and a new one can be made.
-        answer = once(traffic, &sending, &mut rights, Reuse::Never).await;
+        answer = once(traffic, call, target, &mut rights, Reuse::Never).await;
     }
-    let answer = answer?;
-    let answer = judge(answer)?;
+    let answer = judge(answer?)?;
     if ended {
         traffic.shared.tell(Notice::Lives(life(&view.entry)));
     }
     Ok(answer)
 }
 
-/// What is sent where.
-struct Sending<'a> {
-    call: &'a Call,
-    view: &'a EngineView,
-    path: Option<&'a Path>,
-    after: Option<u64>,
-}
-
 async fn once(
     traffic: &Traffic,
-    sending: &Sending<'_>,
-    rights: &mut Rights,
+    call: &Call,
+    target: &Target<'_>,
+    rights: &mut SendRights,
     reuse: Reuse,
 ) -> Result<Answer, Failure> {
-    let &Sending { call, view, path, after } = sending;
+    let &Target { view, path, after, .. } = target;
     let wish = view.tally.wish();
     if wish.leaves() || wish.left(traffic.shared.now()).is_some() {
         return Err(Failure::Unwanted);
@@ -157,7 +160,9 @@
     let (parts, body) = answer.into_parts();
     let head = traffic.edges.dialect.answer(&call.head.id, &parts);
     drop(entered);
-    heed(traffic, call, view, sent, (parts.status, &head));
+    let status = parts.status.as_u16();
+    let said = Said { engine: &view.entry, of: &call.head.id, status, sent };
+    heed(&traffic.shared, said, wish, &head);
     if !head.not_run {
         wish.answered(traffic.shared.now());
     }
@@ -169,25 +174,17 @@
 
 /// Takes note of what an engine asks for in its answer to a call; of rest also where another engine of the path
 /// is at fault, which turned the call away.
-fn heed(
-    traffic: &Traffic,
-    call: &Call,
-    view: &EngineView,
-    sent: Millis,
-    (status, head): (StatusCode, &AnswerHead),
-) {
-    let shared = &traffic.shared;
-    let (of, status) = (&*call.head.id, status.as_u16());
-    let said = Said { engine: &view.entry, of, status, sent };
-    if shared.heed(said, head.wish, view.tally.wish()) {
-        shared.tell(Notice::Leaves(life(&view.entry)));
+fn heed(shared: &Shared, said: Said<'_>, wish: &Wish, head: &AnswerHead) {
+    let engine = said.engine;
+    if shared.heed(said, head.wish, wish) {
+        shared.tell(Notice::Leaves(life(engine)));
     }
-    let elsewhere = |at: &SocketAddr| *at != view.entry.address && head.wish.rest.is_some();
+    let elsewhere = |at: &SocketAddr| *at != engine.address && head.wish.rest.is_some();
     let Some(culprit) = head.culprit.filter(elsewhere) else { return };
     if let Some(other) = shared.table.load().at(culprit) {
-        let said = Said { engine: &other.entry, of, status, sent };
-        let wish = EngineWish { rest: head.wish.rest, ..EngineWish::default() };
-        shared.heed(said, wish, other.tally.wish());
+        let said = Said { engine: &other.entry, ..said };
+        let rest = EngineWish { rest: head.wish.rest, ..EngineWish::default() };
+        shared.heed(said, rest, other.tally.wish());
     }
 }
 
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -13,7 +13,7 @@
 use super::record::{Sending, pass_on};
 use super::refused::{Refused, RefusedKind};
 use super::returns::unwanted;
-use super::send::{Failure, send};
+use super::send::{Failure, Target, send};
 use crate::gateway::engine_table::EngineView;
 use crate::gateway::shared::{LostSend, Notice};
 
@@ -168,6 +168,7 @@
 }
 
 async fn whole(traffic: &Traffic, call: &Call, view: &EngineView) -> Result<Whole, Failure> {
-    let answer = send(traffic, call, view, None, None).await?;
+    let target = Target { view, behind: &[], path: None, after: None };
+    let answer = send(traffic, call, &target).await?;
     answer.whole(&traffic.pool, ANSWER_MOST).await
 }
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -5,9 +5,9 @@
 //! keeps the lease of the failure domain's planner and counts who follows it; `planner` orders layers by
 //! `orders`; `reports` asks engines how they do, and `neighbours` hears what those of the other failure
 //! domains do; `ends` finds out whether engines ended whose connections calls lost, and `quarantine` under
-//! which requests they do; `wishes` heeds what engines ask for in their answers, and `rights` hands out their limits; `recovery` watches running
-//! streams and moves them off engines that `looks` finds lost; `suspended` finds out that the VM was
-//! suspended. They publish snapshots in [`Shared`], that of engines by `publish`; nothing else is shared with traffic.
+//! which requests they do; `wishes` heeds what engines ask for in their answers, and `rights` hands out their
+//! limits; `recovery` watches running streams and moves them off engines that `looks` finds lost; `suspended`
+//! finds out that the VM was suspended. They publish snapshots in [`Shared`], that of engines by `publish`; nothing else is shared with traffic.
 
 mod config;
 mod ends;
--- a/crates/heathpitchd/src/gateway/control/rights.rs
+++ b/crates/heathpitchd/src/gateway/control/rights.rs
@@ -6,7 +6,6 @@
 //! themselves ([`EngineLimit`](heathpitch_policy::EngineLimit)). Nodes tell each other of limits with each question and answer
 //! of the feed, as of engines that leave.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,15 +36,9 @@
 /// Time between two looks at what is old.
 const TICK: Duration = Duration::from_secs(5);
 
-/// Nodes that hand out rights, by failure domain.
-#[derive(Default)]
-pub(super) struct Handers {
-    domains: HashMap<Name, Hander>,
-}
-
 /// The node that hands out rights for the engines of one failure domain, as far as this one knows.
 #[derive(Default)]
-struct Hander {
+pub(super) struct Hander {
     /// Where it was asked last, on a connection that is kept.
     client: Option<(SocketAddr, Rc<FeedClient>)>,
     /// Whether it handed out rights when it was asked last, once it was.
@@ -144,9 +137,8 @@
         };
         let draw = rand::rng().random_range(0.0..1.0);
         let mut rights = self.rights.borrow_mut();
-        let grant = rights.hand_out(&life, rate, &ask.node, ask.wanted.into(), draw, now);
-        // Never more than were wanted.
-        RightTold { active: true, given: grant.given as u16, wait_ms: grant.wait }
+        let grant = rights.hand_out(&life, rate, &ask.node, ask.wanted, draw, now);
+        RightTold { active: true, given: grant.given, wait_ms: grant.wait }
     }
 }
 
@@ -180,23 +172,22 @@
         return Ok(Some(right));
     }
     match ask(control, engine, 1).await {
-        Granted::Given(count, sent) if count > 0 => {
-            wish.limit().put(count, sent, control.now());
-            EngineLimit::take(&wish, control.now()).map(Some).ok_or(Granted::Nobody)
+        granted @ Granted::Given(count, sent) => {
+            EngineLimit::receive(&wish, count, sent, control.now()).map(Some).ok_or(granted)
         }
-        other => Err(other),
+        granted => Err(granted),
     }
 }
 
 /// Asks the node that hands out rights for an engine.
-async fn ask(control: &Control, engine: &EngineEntry, count: u64) -> Granted {
+async fn ask(control: &Control, engine: &EngineEntry, count: u16) -> Granted {
     let sent = control.now();
-    let limit = control.wish_of(engine);
-    let (rate, age_ms) = (limit.limit().rate(), limit.limit().age(sent));
+    let wish = control.wish_of(engine);
+    let (rate, age_ms) = (wish.limit().rate(), wish.limit().age(sent));
     let ask = RightAsk {
         node: control.node(),
         limit: FeedLimit { engine: engine.id.clone(), born: engine.born, rate, age_ms },
-        wanted: count.min(u16::MAX.into()) as u16,
+        wanted: count,
     };
     let told = match engine.domain == control.domain() && control.plans() {
         true => Ok(control.hand_out(&ask)),
@@ -205,7 +196,7 @@
     let granted = match told {
         Ok(RightTold { active: false, .. }) | Err(_) => Granted::Nobody,
         Ok(RightTold { given: 0, wait_ms, .. }) => Granted::Wait(wait_ms),
-        Ok(RightTold { given, .. }) => Granted::Given(given.into(), sent),
+        Ok(RightTold { given, .. }) => Granted::Given(given, sent),
     };
     let label = match granted {
         Granted::Given(..) => "given",
@@ -227,7 +218,7 @@
     let (Some(planner), Some(_)) = (planner, control.shared.peer) else { return Err(none()) };
     let kept = {
         let mut handers = control.handers.borrow_mut();
-        let hander = handers.domains.entry(domain.clone()).or_default();
+        let hander = handers.entry(domain.clone()).or_default();
         let same = |(at, _): &&(SocketAddr, _)| *at == planner.address;
         let kept = hander.client.as_ref().filter(same).map(|(_, client)| client.clone());
         if kept.is_some() && control.now() < hander.rest {
@@ -237,7 +228,7 @@
     };
     let told = asked(kept, &planner, ask).await;
     let mut handers = control.handers.borrow_mut();
-    let hander = handers.domains.entry(domain.clone()).or_default();
+    let hander = handers.entry(domain.clone()).or_default();
     let (active, why) = match &told {
         Ok((told, _)) if told.active => (true, "it answers".to_owned()),
         Ok(_) => (false, "it cannot know that it is the only one".to_owned()),
@@ -247,7 +238,7 @@
         hander.rest = control.now() + REST;
     }
     if hander.active.replace(active) != Some(active) {
-        let (planner, domain) = (Some(planner.node.clone()), domain.clone());
+        let (planner, domain) = (planner.node.clone(), domain.clone());
         GatewayEvent::RightsChanged { planner, domain, active, why }.log();
     }
     let (told, client) = told?;
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -18,7 +18,7 @@
 use super::quarantine::Entries;
 use super::recovery::Watched;
 use super::reports::Report;
-use super::rights::Handers;
+use super::rights::Hander;
 use super::tell::Large;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::shared::{Edges, Shared};
@@ -116,8 +116,8 @@
     pub(super) limits: RefCell<Limits>,
     /// Rights that this node hands out.
     pub(super) rights: RefCell<Rights>,
-    /// Nodes that hand out rights to this one.
-    pub(super) handers: RefCell<Handers>,
+    /// Nodes that hand out rights to this one, by failure domain.
+    pub(super) handers: RefCell<HashMap<Name, Hander>>,
     pub(super) reachable: Cell<bool>,
     pub(super) returned: Cell<Millis>,
     /// Era of the store that this node has taken note of.
--- a/crates/heathpitchd/src/gateway/engine_table.rs
+++ b/crates/heathpitchd/src/gateway/engine_table.rs
@@ -127,6 +127,11 @@
         self.services.values().flatten().find(|s| s.entry.address == address)
     }
 
+    /// The engines behind the first of a path, as far as they are listed.
+    pub(crate) fn behind(&self, path: &Path) -> Vec<&EngineView> {
+        path.stages().iter().skip(1).filter_map(|s| self.view(s.engine.as_str())).collect()
+    }
+
     /// The engine of this id.
     pub(crate) fn view(&self, engine: &str) -> Option<&EngineView> {
         self.services.values().flatten().find(|s| s.entry.id.as_str() == engine)
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -275,8 +275,8 @@
     },
     /// A node began or ceased to hand out rights for engines that name a limit to this one.
     RightsChanged {
-        /// That node, the planner of the engine's failure domain; none if none is known.
-        planner: Option<Name>,
+        /// That node, the planner of the engine's failure domain.
+        planner: Name,
         /// Its failure domain.
         domain: Name,
         /// Whether it hands out rights.
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -50,7 +50,7 @@
 #[derive(Debug)]
 pub(crate) struct RightsWanted {
     pub(crate) engine: Arc<EngineEntry>,
-    pub(crate) count: u64,
+    pub(crate) count: u16,
     /// Nobody waits for it any more if the time to answer is over.
     pub(crate) reply: oneshot::Sender<Granted>,
 }
@@ -59,7 +59,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Granted {
     /// So many were handed out to a question sent then.
-    Given(u64, Millis),
+    Given(u16, Millis),
     /// None before so many milliseconds.
     Wait(Millis),
     /// Nobody hands out rights who can be reached.
--- a/crates/net/src/feed.rs
+++ b/crates/net/src/feed.rs
@@ -100,9 +100,7 @@
     pub async fn ask(&self, ask: &FeedAsk, limit: Duration) -> Result<FeedTold, EdgeError> {
         let mut request = self.client.ask_request();
         write_ask(ask, request.get().init_ask());
-        let answered = tokio::time::timeout(limit, request.send().promise).await;
-        let late = |_| EdgeError::Lost("no answer in time".to_owned());
-        let answer = answered.map_err(late)?.map_err(|e| EdgeError::Lost(e.to_string()))?;
+        let answer = within(limit, request.send().promise).await?;
         let told = answer.get().and_then(|a| read_told(a.get_told()?));
         told.map_err(|e| EdgeError::Malformed(e.to_string()))
     }
@@ -115,14 +113,22 @@
     pub async fn right(&self, ask: &RightAsk, limit: Duration) -> Result<RightTold, EdgeError> {
         let mut request = self.client.right_request();
         write_right_ask(ask, request.get().init_ask());
-        let answered = tokio::time::timeout(limit, request.send().promise).await;
-        let late = |_| EdgeError::Lost("no answer in time".to_owned());
-        let answer = answered.map_err(late)?.map_err(|e| EdgeError::Lost(e.to_string()))?;
+        let answer = within(limit, request.send().promise).await?;
         let told = answer.get().and_then(|a| Ok(read_right_told(a.get_told()?)));
         told.map_err(|e| EdgeError::Malformed(e.to_string()))
     }
 }
 
+/// An answer that comes within `limit`.
+async fn within<T>(
+    limit: Duration,
+    answer: impl Future<Output = Result<T, capnp::Error>>,
+) -> Result<T, EdgeError> {
+    let late = |_| EdgeError::Lost("no answer in time".to_owned());
+    let answered = tokio::time::timeout(limit, answer).await.map_err(late)?;
+    answered.map_err(|e| EdgeError::Lost(e.to_string()))
+}
+
 impl Drop for FeedClient {
     fn drop(&mut self) {
         self.system.abort();
--- a/crates/policy/src/engine_limit.rs
+++ b/crates/policy/src/engine_limit.rs
@@ -31,7 +31,7 @@
 /// Span over which this node's own requests are counted, milliseconds; as many rights are asked for at a time.
 const PULSE: Millis = 250;
 /// Most rights asked for at a time.
-const WANTED_MOST: u64 = 256;
+const WANTED_MOST: u16 = 256;
 /// Bits of a count beside a time.
 const COUNT_BITS: u32 = 16;
 const COUNT_MASK: u64 = (1 << COUNT_BITS) - 1;
@@ -136,8 +136,15 @@
         taken.ok().map(|s| Right { wish: wish.clone(), until: until(s), used: false })
     }
 
+    /// Takes `count` rights that were handed out to a question sent at `sent`, and one of them; none if they came too
+    /// late, or another call was faster.
+    pub fn receive(wish: &Arc<Wish>, count: u16, sent: Millis, now: Millis) -> Option<Right> {
+        wish.limit().put(count, sent, now);
+        Self::take(wish, now)
+    }
+
     /// Takes `count` rights that were handed out to a question sent at `sent`.
-    pub fn put(&self, count: u64, sent: Millis, now: Millis) {
+    pub fn put(&self, count: u16, sent: Millis, now: Millis) {
         let end = sent + RIGHT_LIFE;
         let add = |stock: u64| {
             // The earlier end holds for all, so that none is used too late.
@@ -145,7 +152,7 @@
                 held if held > 0 && until(stock) > now => (held, until(stock).min(end)),
                 _ => (0, end),
             };
-            Some((end << COUNT_BITS) | (held + count).min(COUNT_MASK))
+            Some((end << COUNT_BITS) | (held + u64::from(count)).min(COUNT_MASK))
         };
         // It always gives a value, so that it cannot fail.
         let _ = self.stock.fetch_update(Relaxed, Relaxed, add);
@@ -185,14 +192,14 @@
     }
 
     /// Rights to ask for: as many as requests were sent in the last span.
-    pub fn wanted(&self, now: Millis) -> u64 {
+    pub fn wanted(&self, now: Millis) -> u16 {
         let (span, count, before) = pulse(self.pulse.load(Relaxed));
         let last = match (now / PULSE).saturating_sub(span) {
             0 => before,
             1 => count,
             _ => 0,
         };
-        last.clamp(1, WANTED_MOST)
+        last.clamp(1, WANTED_MOST.into()) as u16
     }
 
     /// Counts a request that is sent.
--- a/crates/policy/src/rights.rs
+++ b/crates/policy/src/rights.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grant {
     /// Rights.
-    pub given: u64,
+    pub given: u16,
     /// Time after which asking again is worth it; 0 if all were given that were wanted.
     pub wait: Millis,
 }
@@ -88,7 +88,7 @@
         engine: &EngineLife,
         limit: Rate,
         node: &Name,
-        wanted: u64,
+        wanted: u16,
         draw: f64,
         now: Millis,
     ) -> Grant {
@@ -116,7 +116,7 @@
         Grant { given: wanted, wait: 0 }
     }
 
-    /// Forgets all, when this node ceases to hand out rights.
+    /// Forgets all, when this node begins or ceases to hand out rights.
     pub fn clear(&mut self) {
         self.engines.clear();
     }
--- a/crates/policy/src/wish.rs
+++ b/crates/policy/src/wish.rs
@@ -1,12 +1,12 @@
-//! What one engine asked this node for: rest, or no new work because it leaves.
+//! What one engine asked this node for: rest, no new work because it leaves, or no more than its limit of all nodes.
 //!
 //! The one place that decides whether anything that takes a slot may go to an engine: calls, second tries,
 //! streams taken up there, checks. An answer's wish binds from the moment its head is read, on whatever
 //! call it came, and outlives the call.
 //!
-//! A rest is the node's alone: told to all, it would leave slots unused. After it the engine is taken up again by one request at a
-//! time, and by one more with each that it answers up to half of what was there when it turned one away, then
-//! by one a round, so that neither this node's callers nor all nodes come back at one moment.
+//! A rest is the node's alone: told to all, it would leave slots unused. After it the engine is taken up again by one
+//! request at a time, and by one more with each that it answers up to half of what was there when it turned one
+//! away, then by one a round, so that neither this node's callers nor all nodes come back at one moment.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::Relaxed};
