Second sends of a fleet of any size stay within what is agreed

A bound on a sum over all nodes, kept by each for itself: each node had one second send at least, so that from about as many nodes on as the slack has sends all together had more than is agreed. A node that did not know the fleet's size took 512 for it, "above that of the largest fleet served".

--- a/crates/heathpitchd/src/gateway/call/rights.rs
+++ b/crates/heathpitchd/src/gateway/call/rights.rs
@@ -120,7 +120,7 @@
             Err(none(back))
         }
         Granted::Nobody => {
-            let nodes = shared.table.load().sharers();
+            let nodes = shared.table.load().nodes;
             match limit.draw(nodes, rand::rng().random_range(0.0..1.0), now) {
                 true => Ok(Some(Right::drawn(wish, now))),
                 false => {
--- a/crates/heathpitchd/src/gateway/engine_table.rs
+++ b/crates/heathpitchd/src/gateway/engine_table.rs
@@ -8,8 +8,6 @@
 use heathpitch_policy::{Link, Tally};
 use rand::Rng;
 
-/// Nodes assumed where the fleet's size is not known: above that of the largest fleet served.
-const NODES_UNKNOWN: u32 = 512;
 /// Share of an engine's room beyond which it takes no new requests: beside it requests make each other be read anew.
 const ROOM_SHARE: f64 = 0.95;
 /// Cost of an engine without room, milliseconds a token: more than a path through another domain.
@@ -81,11 +79,6 @@
 }
 
 impl EngineTable {
-    /// Nodes that share what is agreed for the fleet, at least 1.
-    pub(crate) fn sharers(&self) -> u32 {
-        self.nodes.unwrap_or(NODES_UNKNOWN).max(1)
-    }
-
     /// Engines of a service.
     pub(crate) fn of(&self, service: &Name) -> &[EngineView] {
         self.services.get(service).map_or(&[], Vec::as_slice)
--- a/crates/policy/src/engine_limit.rs
+++ b/crates/policy/src/engine_limit.rs
@@ -175,10 +175,11 @@
     }
 
     /// Takes note that nobody hands out rights at `now` in a fleet of `nodes`; gives whether this node has
-    /// drawn one. `draw`, from 0 to 1, draws the next.
-    pub fn draw(&self, nodes: u32, draw: f64, now: Millis) -> bool {
+    /// drawn one, which it does not while it does not know how many there are. `draw`, from 0 to 1, draws the next.
+    pub fn draw(&self, nodes: Option<u32>, draw: f64, now: Millis) -> bool {
         let Some(rate) = self.rate() else { return true };
         self.hold(now + SEEK_AGAIN);
+        let Some(nodes) = nodes else { return false };
         let due = self.drawn.load(Relaxed);
         let over = due == 0 || now >= due + DRAWN_LIFE;
         let drawn = !over && now >= due;
--- a/crates/policy/tests/engine_limit.rs
+++ b/crates/policy/tests/engine_limit.rs
@@ -109,7 +109,7 @@
         for now in (1..120_000).step_by(50) {
             for wish in &wishes {
                 let draw = rng.random_range(0.0..1.0);
-                if wish.limit().draw(nodes, draw, now) {
+                if wish.limit().draw(Some(nodes), draw, now) {
                     drawn.push(now);
                 }
             }
--- a/crates/policy/tests/limited_load.rs
+++ b/crates/policy/tests/limited_load.rs
@@ -290,7 +290,8 @@
         }
         let draw = self.rng.random_range(0.0..1.0);
         if !self.reaches(node, now) {
-            return limit.draw(self.load.nodes as u32, draw, now).then(|| Right::drawn(wish, now));
+            let nodes = Some(self.load.nodes as u32);
+            return limit.draw(nodes, draw, now).then(|| Right::drawn(wish, now));
         }
         self.found.asks += 1.0;
         let wanted = limit.wanted(now);
