Nodes that begin on small VMs ask seeds who plans, and not the store

The platform names the listeners of up to three VMs in each node's settings if a role serves `control`: they are the nodes' listeners for each other now. A node on a small VM asks one of them, for planners and nothing large, each time it finds nobody to ask, and looks at the store itself only if that was in vain for a while.

Ruled out: a drawn wait alone, since nobody can be asked when it is over; stale reads, a tenth of the price each.

--- a/crates/core/src/gateway_settings.rs
+++ b/crates/core/src/gateway_settings.rs
@@ -25,6 +25,9 @@
     /// to, and then it asks no other node either.
     #[serde(default)]
     pub peer: Option<SocketAddr>,
+    /// Listeners of a few nodes for others, which a node that begins asks who plans; may be stale, or down.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Whether the whole fleet starts now for the first time, so that nobody has read the store yet.
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -17,6 +17,7 @@
     inflate_bytes, unpack,
 };
 use heathpitch_policy::{DomainPlanner, Heard, Source};
+use rand::seq::IndexedRandom;
 
 use super::state::{Control, Fleet};
 use super::{config, engines, nodes, reports};
@@ -92,6 +93,9 @@
 }
 
 async fn round(control: &Rc<Control>, followed: &mut Followed) {
+    if control.sources.borrow().knows_nobody() {
+        ask_seed(control).await;
+    }
     while let Some(source) = control.next_source() {
         let heard = hear(control, followed, &source).await;
         control.heard(&source.node, heard);
@@ -102,6 +106,21 @@
     control.silent();
 }
 
+/// Asks one of the seeds who plans; lists and the configuration are left to planners.
+async fn ask_seed(control: &Control) {
+    let Some(seed) = control.seeds.choose(&mut rand::rng()) else { return };
+    let (ask, _) = control.question(FeedKnown::default(), &NewsMarks::default(), true);
+    let sent = control.now();
+    let answer = async { FeedClient::open(seed.address, LIMIT).await?.ask(&ask, LIMIT).await };
+    match answer.await {
+        Ok(told) => {
+            take_nodes(control, seed, &told);
+            control.hear_news(&told.news, sent, &seed.node);
+        }
+        Err(e) => log::info!("seed {} does not tell: {e}", seed.address),
+    }
+}
+
 async fn hear(control: &Rc<Control>, followed: &mut Followed, source: &Source) -> Heard {
     let begun = control.now();
     let answer = ask(control, followed, source).await;
--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use heathpitch_core::{GatewaySettings, Millis, Name, Revision};
 use heathpitch_net::{Item, ItemChange, StoreError, Write};
-use heathpitch_policy::{DomainPlanner, Source};
+use heathpitch_policy::{DomainPlanner, FleetStart, Source};
 use rand::Rng;
 
 use super::state::{Control, Fleet};
@@ -59,12 +59,12 @@
 pub(super) async fn follow(control: Rc<Control>) {
     let key = planner_key(&control.domain());
     let mut retry = RETRY;
-    // Nobody plans yet: whoever waits finds a planner at its first look.
-    let settings = control.shared.settings.load_full();
-    if settings.first_start && !is_able(&settings) {
-        let wait = SMALL + rand::rng().random_range(0..SMALL);
-        tokio::time::sleep(Duration::from_millis(wait)).await;
-    }
+    let (first_start, able) = {
+        let settings = control.shared.settings.load();
+        (settings.first_start, is_able(&settings))
+    };
+    let start = FleetStart { first_start, able, seeded: !control.seeds.is_empty() };
+    control.sources.borrow_mut().begin(start, control.now(), &mut rand::rng());
     let mut seen = None;
     loop {
         control.claim().await;
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -2,13 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 
-use heathpitch_core::{EngineEntry, Millis, Name, ServiceSpec};
+use heathpitch_core::{EngineEntry, GatewaySettings, Millis, Name, ServiceSpec};
 use heathpitch_net::{Item, LeaseId};
 use heathpitch_policy::{
-    Followers, Leavers, Limits, Lives, Mirror, Quarantine, Rights, Sources, Tally, Wish,
+    Followers, Leavers, Limits, Lives, Mirror, Quarantine, Rights, Source, Sources, Tally, Wish,
 };
 use tokio::sync::Notify;
 
@@ -58,6 +59,8 @@
     pub(super) document: RefCell<Option<Item>>,
     /// This life of the node, which serials of `mirror` belong to.
     pub(super) life: u64,
+    /// Nodes that are asked who plans while this one knows nobody; none if it is one of them.
+    pub(super) seeds: Vec<Source>,
     /// Whom this node asks instead of the store.
     pub(super) sources: RefCell<Sources>,
     /// Who asks this node.
@@ -138,6 +141,7 @@
             lives: RefCell::default(),
             mirror: RefCell::default(),
             document: RefCell::default(),
+            seeds: seeds(&settings, shared.peer),
             life: rand::random(),
             sources: RefCell::new(Sources::new(
                 settings.node.clone(),
@@ -185,6 +189,17 @@
     }
 }
 
+/// Seeds of a node that other nodes ask at `own`.
+fn seeds(settings: &GatewaySettings, own: Option<SocketAddr>) -> Vec<Source> {
+    if own.is_none_or(|own| settings.seeds.contains(&own)) {
+        return Vec::new();
+    }
+    let seed = |(number, address): (usize, &SocketAddr)| {
+        Some(Source { node: format!("seed-{number}").parse().ok()?, address: *address })
+    };
+    settings.seeds.iter().enumerate().filter_map(seed).collect()
+}
+
 /// # Reading
 impl Control {
     /// Now, on the node's clock.
--- a/crates/heathpitchd/tests/gateway/mod.rs
+++ b/crates/heathpitchd/tests/gateway/mod.rs
@@ -85,6 +85,14 @@
         spawn(self.store.address(), name, domain, &json!({}))
     }
 
+    /// A node on a small VM that is told of seeds.
+    pub(crate) fn start_seeded(&self, name: &str, seeds: &[&str]) -> GatewayProcess {
+        let binary = Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
+        let vm = json!({ "link_mbps": 20.0, "cpu_share": 0.12 });
+        let settings = json!({ "seeds": seeds, "vm": vm });
+        GatewayProcess::spawn_with(binary, self.store.address(), name, "mem", settings).unwrap()
+    }
+
     /// A planner, its link to the store, and a node that it tells what the store holds.
     pub(crate) async fn planner_and_follower(&self) -> (GatewayProcess, Proxy, GatewayProcess) {
         let (planner, link) = self.start_behind("n1", &json!({}));
--- a/crates/heathpitchd/tests/gateway_feed.rs
+++ b/crates/heathpitchd/tests/gateway_feed.rs
@@ -269,3 +269,27 @@
     })
     .await;
 }
+
+/// A node that begins on a small VM is told who plans by a seed, and all else by the planner; where no seed answers it looks
+/// at the store after a while.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_seeds_tell_of_the_planner_makes_no_call_on_the_store() {
+    let world = World::new();
+    let _engine = world.engine("a", "api");
+    let planner = world.node().await;
+    let seed = planner.events("gateway_started")[0]["peer"].as_str().unwrap().to_owned();
+    let calls = async |node: &GatewayProcess| {
+        let text = node.metrics().await.unwrap();
+        let counted = text.lines().filter(|l| l.starts_with("heathpitch_store_calls_total{"));
+        counted.map(|l| l.rsplit(' ').next().unwrap().parse::<f64>().unwrap()).sum::<f64>()
+    };
+    let node = world.start_seeded("n2", &["127.0.0.1:1", &seed]);
+    node.wait_ready().await.unwrap();
+    wait("it is told", async || fed(&node) == Some(true)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(calls(&node).await, 0.0);
+    assert!(calls(&planner).await > 0.0);
+    let alone = world.start_seeded("n3", &["127.0.0.1:1"]);
+    alone.wait_ready().await.unwrap();
+    assert!(calls(&alone).await > 0.0);
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -94,7 +94,7 @@
 pub use rights::{Grant, Rights};
 pub use router::{Ask, NoPath, choose};
 pub use settle::{Settlement, settle};
-pub use sources::{DomainPlanner, Heard, STANDBYS, Source, Sources};
+pub use sources::{DomainPlanner, FleetStart, Heard, STANDBYS, Source, Sources};
 pub use split::{Capable, Split, split};
 pub use suspects::{Sign, suspects};
 pub use switch::Mechanism;
--- a/crates/policy/src/sources.rs
+++ b/crates/policy/src/sources.rs
@@ -39,6 +39,14 @@
 /// store's answer.
 const CLAIM_STEP: Millis = 100;
 
+/// Time before the first look at the store of a node on a small VM, when the whole fleet starts for the first time, and over
+/// how much more such nodes are spread, milliseconds: others plan by then.
+const FIRST_LOOK_MS: (Millis, Millis) = (250, 250);
+/// The same of a node that asks seeds: they name a planner after some rounds.
+const FIRST_LOOK_SEEDED_MS: (Millis, Millis) = (2_000, 8_000);
+/// The same when callers may be waiting: some answers of seeds.
+const LOOK_SEEDED_MS: (Millis, Millis) = (400, 400);
+
 /// A node that may tell others what the store holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Source {
@@ -57,6 +65,17 @@
     pub revision: Revision,
 }
 
+/// How a node begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetStart {
+    /// Whether the whole fleet starts for the first time, so that no caller waits and nobody plans yet.
+    pub first_start: bool,
+    /// Whether this node's VM can carry a planner's work.
+    pub able: bool,
+    /// Whether it can ask seeds who plans.
+    pub seeded: bool,
+}
+
 /// What came of asking a source.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Heard {
@@ -179,6 +198,11 @@
         self.planners.iter()
     }
 
+    /// Whether no planner is known, so that nobody but seeds can be asked.
+    pub fn knows_nobody(&self) -> bool {
+        self.planners.is_empty()
+    }
+
     /// The standbys of this failure domain, in their order.
     pub fn standbys(&self) -> &[Source] {
         &self.standbys
@@ -258,6 +282,21 @@
         }
     }
 
+    /// Decides when a node that begins looks at the store for the first time.
+    ///
+    /// A call by each node is most of what a start of all costs the store. A node on a small VM need not make it: by
+    /// the time that it leaves to others one of them plans, and a seed names it.
+    pub fn begin(&mut self, start: FleetStart, now: Millis, rng: &mut impl Rng) {
+        let (wait, spread) = match start {
+            FleetStart { able: true, .. } => (0, 0),
+            FleetStart { first_start: true, seeded: true, .. } => FIRST_LOOK_SEEDED_MS,
+            FleetStart { first_start: true, seeded: false, .. } => FIRST_LOOK_MS,
+            FleetStart { first_start: false, seeded: true, .. } => LOOK_SEEDED_MS,
+            FleetStart { first_start: false, seeded: false, .. } => (0, 0),
+        };
+        self.claim = Some(now + wait + rng.random_range(0..=spread));
+    }
+
     /// Takes note that another node holds the planner's lease, and is asked first.
     pub fn put_off(&mut self, now: Millis, beside: u32, rng: &mut impl Rng) {
         if self.claim.is_some() {
