The proof of the configuration proves the list of engines, too

A planner asked for changes of engines each 0.6 s, because a watch that waits proves nothing: 1.7 calls a second and domain. The proof of the configuration is answered with the store's revision. If the watch has told all changes up to just that revision, the list is proven, and the watch may wait; if not, it is asked anew after a tenth of a second. A watch that is dead hides a change for 1.1 s then, 1.8 s before. The list was also read anew each 15 s, seven pages of it at 3 005 engines: now a page each 15 s.

gateway_feed.rs: 6 to 10 calls in eight seconds of calm; 13 watches and 8 proofs before, by the intervals.

--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -1,8 +1,10 @@
 //! Controller of the list of engines.
 //!
-//! A watch brings changes; a list read anew every few seconds corrects whatever a watch missed. A
-//! watch that waits proves nothing, and its connection may be dead while other calls are answered, so
-//! waits are short, and one from before an outage is given up.
+//! A watch brings changes; a list read anew now and then corrects whatever a watch missed. A
+//! watch that waits proves nothing, and its connection may be dead while other calls are answered. So waits
+//! are short, but where the proofs of the configuration tell the store's revision and the watch has told all up to
+//! it, that proves the list too, and a watch is left to wait until a proof shows that it has missed something. One from
+//! before an outage is given up.
 //! While the store is away nothing is taken off the list. What is missing at its return, or goes
 //! soon after, is waited for, because entries lapse while engines cannot renew them: much of the
 //! list for as long as entries take to come back, a few of them for as long as an engine that left
@@ -22,10 +24,17 @@
 use crate::gateway::shared::prove;
 use crate::gateway::suspicion::life;
 
-/// Longest wait of a watch, milliseconds. Keeps the age of the list below 1.4 s and two answers' time, and
-/// a dead watch from hiding for longer than this and the limit of a call (1.8 s) that an engine leaves;
-/// 15 s hid it for 12.7 s. Costs 1.7 calls a second of those that read the store.
+/// Longest wait of a watch that nothing else proves, milliseconds. Keeps the age of the list below 1.4 s and two
+/// answers' time, and a dead watch from hiding for longer than this and the limit of a call that an engine leaves.
 const WATCH: Millis = 600;
+/// The same while proofs of the configuration prove the list.
+const WATCH_PROVEN: Millis = 20_000;
+/// Age of the list from which a watch that waits is asked anew, milliseconds: below that beyond which a list is not told.
+const LIST_UNPROVEN: Millis = 1_200;
+/// Time that a watch has to tell what a proof shows to be new, milliseconds: many times the store's usual answer.
+const WATCH_BEHIND: Millis = 100;
+/// Time between two looks at whether a watch that waits is in doubt.
+const WATCH_LOOK: Duration = Duration::from_millis(100);
 /// Time over which changes are gathered into one call: a small part of the time for which a leaving
 /// engine may still be sent work.
 const GATHER: Duration = Duration::from_millis(200);
@@ -33,8 +42,11 @@
 const GATHER_START: Duration = Duration::from_millis(600);
 /// Time between two tries while the store does not answer.
 const RETRY: Duration = Duration::from_millis(350);
-/// Time after which the list is read anew although the watch works, milliseconds.
+/// Time after which the list is read anew although the watch works, milliseconds, for each page of it that there may be:
+/// calls for that do not grow with the fleet.
 const RELIST: Millis = 15_000;
+/// Entries of a page.
+const PAGE_ENTRIES: usize = 500;
 /// One missing entry in so many listed ones shows that entries lapsed, not that engines left.
 const LAPSED: usize = 4;
 /// Time in which all nodes hear of what their planner has heard of, milliseconds: gathering (200), a
@@ -146,22 +158,61 @@
     drop_missing(control, gone, "not listed");
     heard(control, "list", sent, sent, listing.items.len());
     control.publish();
+    control.engines_at.set(listing.at);
     Some(listing.at)
 }
 
+/// Takes note that the store was at a revision when it answered a proof sent at `sent`: if the watch has told all
+/// changes up to it, the list is proven too.
+pub(super) fn prove_at(control: &Control, at: Revision, sent: Millis) {
+    control.store_at.set(at);
+    if at == control.engines_at.get() {
+        prove(&control.shared.listed, sent);
+    }
+}
+
+/// Whether proofs of the configuration prove the list.
+fn is_proven(control: &Control) -> bool {
+    let age = control.shared.listed.load().age(control.now());
+    let told = control.store_at.get() == control.engines_at.get();
+    control.plans() && told && age.is_some_and(|age| age < LIST_UNPROVEN)
+}
+
+/// Waits until the list grows old, or the store holds what its watch does not tell.
+async fn watch_doubted(control: &Control) {
+    let mut behind = None;
+    loop {
+        let now = control.now();
+        match is_proven(control) {
+            true => behind = None,
+            false if now >= *behind.get_or_insert(now) + WATCH_BEHIND => return,
+            false => {}
+        }
+        tokio::time::sleep(WATCH_LOOK).await;
+    }
+}
+
 async fn watch(control: &Control, from: Revision) {
     let prefix = control.edges.dialect.engines_prefix();
-    let start = control.now();
+    let pages = control.entries.borrow().len() / PAGE_ENTRIES + 1;
+    let over = control.now() + RELIST * pages as Millis;
     let mut at = from;
-    while control.now() < start + RELIST && control.reads() {
+    while control.now() < over && control.reads() {
+        let left = over.saturating_sub(control.now()).max(1);
         let wait = match expire(control) {
+            None if is_proven(control) => WATCH_PROVEN.min(left),
             None => WATCH,
             // Read the list again: whatever is still missing is gone.
             Some(0) => return,
             Some(soon) => soon,
         };
         let sent = control.now();
-        let Ok(watched) = control.watch("engines", prefix, at, wait).await else {
+        let answer = control.watch("engines", prefix, at, wait);
+        let answer = tokio::select! {
+            answer = answer => answer,
+            () = watch_doubted(control), if wait > WATCH => continue,
+        };
+        let Ok(watched) = answer else {
             return tokio::time::sleep(GATHER).await;
         };
         // An empty answer comes when the wait is over: until then there was no change.
@@ -181,6 +232,7 @@
         }
         drop_missing(control, gone, "its entry is gone");
         at = watched.at;
+        control.engines_at.set(at);
         if changed {
             control.publish();
             tokio::time::sleep(gather(control)).await;
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 
-use heathpitch_core::{EngineEntry, GatewaySettings, Millis, Name, ServiceSpec};
+use heathpitch_core::{EngineEntry, GatewaySettings, Millis, Name, Revision, ServiceSpec};
 use heathpitch_net::{Item, LeaseId};
 use heathpitch_policy::{
     Followers, Leavers, Limits, Lives, Mirror, Quarantine, Rights, Source, Sources, Tally, Wish,
@@ -124,6 +124,10 @@
     pub(super) rights: RefCell<Rights>,
     /// Nodes that hand out rights to this one, by failure domain.
     pub(super) handers: RefCell<HashMap<Name, Hander>>,
+    /// Revision of the store up to which its watch of the engines has told this node all changes; 0 while it does not watch.
+    pub(super) engines_at: Cell<Revision>,
+    /// Revision of the store at its last proof of the configuration.
+    pub(super) store_at: Cell<Revision>,
     pub(super) reachable: Cell<bool>,
     pub(super) returned: Cell<Millis>,
     /// Era of the store that this node has taken note of.
@@ -182,6 +186,8 @@
             limit_record: RefCell::default(),
             rights: RefCell::default(),
             handers: RefCell::default(),
+            engines_at: Cell::new(Revision(0)),
+            store_at: Cell::new(Revision(0)),
             reachable: Cell::new(true),
             returned: Cell::new(0),
             era: Cell::new(0),
--- a/crates/heathpitchd/tests/gateway_feed.rs
+++ b/crates/heathpitchd/tests/gateway_feed.rs
@@ -270,6 +270,29 @@
     .await;
 }
 
+/// While nothing changes, the planner's proofs of the configuration show that its list of engines is the newest too.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_in_calm_asks_the_store_once_a_second() {
+    let world = World::new();
+    let _engine = world.engine("a", "api");
+    let node = world.node().await;
+    let calls = || {
+        ["kv-watch", "kv-txn", "kv-range", "kv-key"]
+            .iter()
+            .map(|c| world.store.calls(c))
+            .sum::<u64>()
+    };
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let before = calls();
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    let made = calls() - before;
+    assert!((6..=10).contains(&made), "{made} calls in eight seconds");
+    let text = node.metrics().await.unwrap();
+    let age = text.lines().find_map(|l| l.strip_prefix("heathpitch_engine_list_age_seconds "));
+    let age: f64 = age.unwrap().parse().unwrap();
+    assert!(age < 1.5, "{age}");
+}
+
 /// A node that begins on a small VM is told who plans by a seed, and all else by the planner; where no seed answers it looks
 /// at the store after a while.
 #[tokio::test(flavor = "multi_thread")]
