Layouts follow what requests hold, not the number of engines

Chains are added now while there are fewer than twelve copies, or fewer than six times what requests hold, fastest cards first. Where memory is for less than that, as on all deployments so far, layouts are as they were.

--- a/crates/heathpitchd/src/gateway/control/planner.rs
+++ b/crates/heathpitchd/src/gateway/control/planner.rs
@@ -120,12 +120,14 @@
             return None;
         }
         let ordered = pending.get(&e.id).and_then(Pending::layers);
+        let view = table.view(e.id.as_str());
         Some(Worker {
             engine: e.id.clone(),
             card,
             layers: ordered.unwrap_or(e.layers),
             free: !pending.contains_key(&e.id),
-            open: table.view(e.id.as_str()).map_or(0, |s| s.tally.gauge().count()),
+            open: view.map_or(0, |s| s.tally.gauge().count()),
+            held: view.map_or(0.0, |s| s.tally.occupancy().held(table.beside, now)),
             short: control.binds(e),
             new: since.get(&e.id).is_some_and(|at| now < at + NEW),
         })
--- a/crates/policy/src/layout.rs
+++ b/crates/policy/src/layout.rs
@@ -26,6 +26,8 @@
     pub free: bool,
     /// Requests that run through it, as far as is known.
     pub open: u32,
+    /// Tokens that requests hold there, as far as is known.
+    pub held: f64,
     /// Whether it takes less than it is asked for, by a limit that it names.
     pub short: bool,
     /// Whether it came a moment ago: where it replaces another one, that one leaves next.
@@ -80,7 +82,7 @@
 /// };
 /// let worker = |name: &str| -> Result<Worker, heathpitch_core::NameError> {
 ///     let layers = LayerRange::new(0, 0);
-///     Ok(Worker { engine: name.parse()?, card: card.clone(), layers, free: true, open: 0, short: false, new: false })
+///     Ok(Worker { engine: name.parse()?, card: card.clone(), layers, free: true, open: 0, held: 0.0, short: false, new: false })
 /// };
 /// let plan = lay_out(&model, &[worker("a")?, worker("b")?]);
 /// let held: Vec<_> = plan.iter().map(|a| a.layers.to_string()).collect();
--- a/crates/policy/src/layout_copies.rs
+++ b/crates/policy/src/layout_copies.rs
@@ -1,20 +1,34 @@
 //! Copies of layers: what empty workers hold, and who takes over what has become thin.
 
-use heathpitch_core::LayerRange;
+use heathpitch_core::{LayerRange, LayeredModel};
 
-use crate::layout_deal::spares_ample;
+use crate::layout_deal::{ROOM_MOST, spares_ample};
 use crate::layout_repair::Layout;
 use crate::{LayoutReason, Worker, copies};
 
+/// Copies of each layer beyond which further ones wait until requests need their room. Each costs as many orders as it
+/// has workers, and each worker that holds layers is asked for its state and weighed for every request.
+const COPIES_IDLE: usize = 12;
+/// Room of further chains that is kept for each token which requests hold.
+const HEADROOM: f64 = 6.0;
+
+/// Copies of each layer that a domain's workers are to hold, if there are enough of them.
+pub(crate) fn copies_wanted(model: &LayeredModel, workers: &[Worker]) -> usize {
+    let held: f64 = workers.iter().map(|w| w.held * f64::from(w.layers.count())).sum();
+    let chains = held / f64::from(model.layers.max(1)) / f64::from(ROOM_MOST);
+    COPIES_IDLE.max((chains * HEADROOM).ceil() as usize)
+}
+
 /// # Copies
 impl Layout<'_> {
     /// Gives empty workers a further copy of what has the fewest copies: a second one of each layer, and
-    /// where all have two, more of them while a few workers stay empty.
+    /// where all have two, more of them while they are wanted and a few workers stay empty.
     pub(crate) fn stand_in(&mut self) {
         let empty = |w: &Worker| w.free && !w.new && w.layers.count() == 0;
         let mut empties: Vec<usize> =
             (0..self.workers.len()).filter(|i| empty(&self.workers[*i])).collect();
         let spares = spares_ample(self.workers.len());
+        let wanted = copies_wanted(self.model, &self.workers);
         let speed = |i: &usize| self.workers[*i].card.speed();
         if fewest(&self.copies()) > 1 {
             empties.sort_by(|a, b| speed(a).total_cmp(&speed(b)));
@@ -23,7 +37,7 @@
         for index in empties {
             let copies = self.copies();
             let few = fewest(&copies).max(1);
-            if few > 1 && left <= spares {
+            if few > 1 && (left <= spares || few >= wanted) {
                 return;
             }
             let most = self.most(index);
--- a/crates/policy/src/layout_deal.rs
+++ b/crates/policy/src/layout_deal.rs
@@ -3,6 +3,7 @@
 use heathpitch_core::{LayerRange, LayeredModel};
 
 use crate::chain::HOP;
+use crate::layout_copies::copies_wanted;
 use crate::layout_repair::Layout;
 use crate::{Assignment, LayoutReason, Worker};
 
@@ -80,7 +81,8 @@
     let Some((_, mut plan)) = chosen else { return Vec::new() };
     if ample {
         fill_last(model, &order, &mut plan);
-        further(model, &order, spares_ample(order.len()), &mut plan);
+        let further_chains = copies_wanted(model, workers) - 1;
+        further(model, &order, spares_ample(order.len()), further_chains, &mut plan);
     }
     let mut held: Vec<Worker> = workers.to_vec();
     for w in &mut held {
@@ -94,15 +96,22 @@
     plan
 }
 
-/// Adds whole chains of workers that `plan` leaves, fastest first, while `spares` of them stay.
+/// Adds up to so many whole `chains` of workers that `plan` leaves, fastest first, while `spares` of them stay.
 ///
 /// Memory for requests is what a fleet lacks first. A fleet of 86 engines laid out once in each of three failure
 /// domains, with second copies that stood by, was full with its usual traffic; with further chains it serves
 /// twice that (0.569 to 0.779 of a day's worth, by 15 days with losses).
-fn further(model: &LayeredModel, order: &[&Worker], spares: usize, plan: &mut Vec<Assignment>) {
+fn further(
+    model: &LayeredModel,
+    order: &[&Worker],
+    spares: usize,
+    chains: usize,
+    plan: &mut Vec<Assignment>,
+) {
     let within = |chain: &[Assignment], w: &Worker| chain.iter().any(|a| a.engine == w.engine);
     let mut left: Vec<&Worker> = order.iter().copied().filter(|w| !within(plan, w)).collect();
-    while let Some(mut chain) = cover(model, &left, ROOM_MOST, spares) {
+    for _ in 0..chains {
+        let Some(mut chain) = cover(model, &left, ROOM_MOST, spares) else { return };
         fill_last(model, &left, &mut chain);
         left.retain(|w| !within(&chain, w));
         plan.extend(chain);
--- a/crates/policy/tests/layout.rs
+++ b/crates/policy/tests/layout.rs
@@ -51,6 +51,7 @@
             layers: LayerRange::new(0, 0),
             free: true,
             open: 0,
+            held: 0.0,
             short: false,
             new: false,
         })
@@ -150,6 +151,7 @@
         layers,
         free: true,
         open: 0,
+        held: 0.0,
         short: false,
         new: false,
     });
@@ -312,6 +314,7 @@
                     layers: LayerRange::new(0, 0),
                     free: true,
                     open: 0,
+                    held: 0.0,
             short: false,
             new: false,
                 }),
--- a/crates/policy/tests/layout_whole_fleet.rs
+++ b/crates/policy/tests/layout_whole_fleet.rs
@@ -61,6 +61,7 @@
         layers,
         free: true,
         open: 0,
+        held: 0.0,
         short: false,
         new: false,
     }
