Nodes that do not plan sleep; the control thread looks engines up by id

Every node looked 25 times a second through all engines for lives to forget, and kept the timers of planners: some 45 of its 72 wake-ups a second. Planners walked over all engines for each look-up by id, 600 of them each 150 ms, and primary chains were sought by walking all engines once for each service and domain. Now planners' controllers wait until the node plans, old lives are looked for once a second, streams are looked at five times a second while there are none, look-ups go by the tallies' map, and primary chains are sought in one walk.

--- a/crates/heathpitchd/src/gateway/control/limit_records.rs
+++ b/crates/heathpitchd/src/gateway/control/limit_records.rs
@@ -36,6 +36,7 @@
 /// Keeps the record for as long as this node runs, whenever it plans.
 pub(super) async fn run(control: Rc<Control>) {
     loop {
+        control.planning().await;
         tokio::time::sleep(TICK).await;
         if !control.plans() || !control.reachable() || control.stopping() {
             continue;
--- a/crates/heathpitchd/src/gateway/control/neighbours.rs
+++ b/crates/heathpitchd/src/gateway/control/neighbours.rs
@@ -44,12 +44,12 @@
 pub(super) async fn follow(control: Rc<Control>) {
     let mut neighbours: HashMap<Name, Neighbour> = HashMap::new();
     loop {
-        tokio::time::sleep(ASK).await;
-        let asks = control.plans() || control.reads();
-        if !asks || control.shared.peer.is_none() {
+        let asks = || (control.plans() || control.reads()) && control.shared.peer.is_some();
+        while !asks() {
             neighbours.clear();
-            continue;
+            control.turned.notified().await;
         }
+        tokio::time::sleep(ASK).await;
         meet(&control, &mut neighbours);
         let now = control.now();
         let due = neighbours.iter_mut().filter(|(_, n)| now >= n.next);
--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -154,6 +154,7 @@
 /// Renews the planner's lease for as long as this node plans; ends it when the node stops.
 pub(super) async fn renew(control: Rc<Control>) {
     loop {
+        control.planning().await;
         tokio::time::sleep(PLANNER_RENEW).await;
         let Some(lease) = control.lease() else { continue };
         if control.stopping() {
@@ -176,18 +177,16 @@
 
 /// Counts the nodes of the fleet for as long as this node plans.
 pub(super) async fn count(control: Rc<Control>) {
-    let mut since = None;
     loop {
-        tokio::time::sleep(COUNT).await;
-        let now = control.now();
-        if !control.plans() {
-            since = None;
-            control.followers.borrow_mut().clear();
-            continue;
-        }
-        let begun = *since.get_or_insert(now);
-        if now >= begun + COUNT_FIRST {
-            count_once(&control, now);
+        control.planning().await;
+        control.followers.borrow_mut().clear();
+        let begun = control.now();
+        while control.plans() {
+            tokio::time::sleep(COUNT).await;
+            let now = control.now();
+            if control.plans() && now >= begun + COUNT_FIRST {
+                count_once(&control, now);
+            }
         }
     }
 }
--- a/crates/heathpitchd/src/gateway/control/planner.rs
+++ b/crates/heathpitchd/src/gateway/control/planner.rs
@@ -22,6 +22,7 @@
 /// Plans for as long as this node holds the lease.
 pub(super) async fn run(control: Rc<Control>) {
     loop {
+        control.planning().await;
         tokio::time::sleep(TICK).await;
         if control.plans() {
             plan(&control);
@@ -110,7 +111,7 @@
 
 fn workers(control: &Control, model: &LayeredModel, engines: &[Arc<EngineEntry>]) -> Vec<Worker> {
     let pending = control.pending.borrow();
-    let table = control.shared.table.load();
+    let (tallies, beside) = (control.tallies.borrow(), control.shared.table.load().beside);
     let since = control.since.borrow();
     let now = control.now();
     let worker = |e: &Arc<EngineEntry>| {
@@ -120,14 +121,14 @@
             return None;
         }
         let ordered = pending.get(&e.id).and_then(Pending::layers);
-        let view = table.view(e.id.as_str());
+        let tally = tallies.get(&e.id);
         Some(Worker {
             engine: e.id.clone(),
             card,
             layers: ordered.unwrap_or(e.layers),
             free: !pending.contains_key(&e.id),
-            open: view.map_or(0, |s| s.tally.gauge().count()),
-            held: view.map_or(0.0, |s| s.tally.occupancy().held(table.beside, now)),
+            open: tally.map_or(0, |t| t.gauge().count()),
+            held: tally.map_or(0.0, |t| t.occupancy().held(beside, now)),
             short: control.binds(e),
             new: since.get(&e.id).is_some_and(|at| now < at + NEW),
         })
--- a/crates/heathpitchd/src/gateway/control/publish.rs
+++ b/crates/heathpitchd/src/gateway/control/publish.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use heathpitch_core::{EngineEntry, EntryState, Name};
+use heathpitch_core::{EntryState, LayerRange, Name};
 use heathpitch_policy::{Tally, Wish, mains};
 
 use super::state::Control;
@@ -15,22 +15,22 @@
     fn mains(&self) -> HashSet<Name> {
         let Some(catalog) = self.shared.catalog.load_full() else { return HashSet::new() };
         let entries = self.entries.borrow();
-        let domains: HashSet<&Name> = entries.values().map(|e| &e.domain).collect();
+        // By service and failure domain, in one walk.
+        let mut holders: HashMap<(&Name, &Name), Vec<(&Name, f64, LayerRange)>> = HashMap::new();
+        for e in entries.values() {
+            let holds = e.state == EntryState::Ready && e.layers.count() > 0;
+            let model = catalog.services.get(&e.service).and_then(|s| s.model.as_ref());
+            let card = model.zip(e.card.as_ref()).and_then(|(m, card)| m.card(card.as_str()));
+            if let Some(card) = card.filter(|_| holds && !self.is_lost(&e.id)) {
+                let pace = card.pace * self.slowness(&e.id);
+                holders.entry((&e.service, &e.domain)).or_default().push((&e.id, pace, e.layers));
+            }
+        }
         let mut found = HashSet::new();
-        for (service, domain) in
-            catalog.services.values().flat_map(|s| domains.iter().map(move |d| (s, *d)))
-        {
-            let Some(model) = &service.model else { continue };
-            let held = entries.values().filter(|e| {
-                e.service == service.name
-                    && &e.domain == domain
-                    && e.state == EntryState::Ready
-                    && !self.is_lost(&e.id)
-            });
-            let pace = |e: &EngineEntry| model.card(e.card.as_ref()?.as_str()).map(|c| c.pace);
-            let held =
-                held.filter_map(|e| Some((&e.id, pace(e)? * self.slowness(&e.id), e.layers)));
-            found.extend(mains(model.layers, held).into_iter().cloned());
+        for ((service, _), held) in holders {
+            let model = catalog.services.get(service).and_then(|s| s.model.as_ref());
+            let layers = model.map_or(0, |m| m.layers);
+            found.extend(mains(layers, held.into_iter()).into_iter().cloned());
         }
         found
     }
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -24,6 +24,10 @@
 
 /// Time between two looks.
 const TICK: Duration = Duration::from_millis(40);
+/// The same while no stream runs and no engine is lost: below the silence of a new stream that is looked into.
+const TICK_IDLE: Duration = Duration::from_millis(200);
+/// Time between two looks at what is old.
+const FORGET_MS: Millis = 1_000;
 /// Time between two looks beyond which this process stood still itself, milliseconds.
 const STOOD: Millis = 200;
 /// Time for which nothing is judged after this process stood still, milliseconds.
@@ -67,17 +71,23 @@
 pub(super) async fn run(control: Rc<Control>) {
     let mut before = control.now();
     let mut rest = 0;
+    let mut forgotten = 0;
     let mut looked: Vec<(Name, Millis)> = Vec::new();
     loop {
-        tokio::time::sleep(TICK).await;
+        let idle = control.streams.borrow().is_empty() && control.lost.borrow().is_empty();
+        let tick = if idle { TICK_IDLE } else { TICK };
+        tokio::time::sleep(tick).await;
         let now = control.now();
-        if now.saturating_sub(before) > STOOD {
+        if now.saturating_sub(before) > tick.as_millis() as Millis + STOOD {
             rest = now + REST;
         }
         before = now;
         control.streams.borrow_mut().retain(|w| w.live.strong_count() > 0);
-        control.leaving.borrow_mut().retain(|_, since| now < *since + LEFT);
-        control.forget_lives();
+        if now >= forgotten + FORGET_MS {
+            forgotten = now;
+            control.leaving.borrow_mut().retain(|_, since| now < *since + LEFT);
+            control.forget_lives();
+        }
         if now < rest {
             continue;
         }
--- a/crates/heathpitchd/src/gateway/control/reports.rs
+++ b/crates/heathpitchd/src/gateway/control/reports.rs
@@ -55,6 +55,7 @@
 /// Asks engines for as long as this node plans.
 pub(super) async fn run(control: Rc<Control>) {
     for round in 0_u32.. {
+        control.planning().await;
         tokio::time::sleep(ROUND).await;
         if !control.plans() {
             continue;
@@ -170,10 +171,9 @@
         GatewayEvent::EnginePaced { engine: engine.clone(), pace: report.pace }.log();
     }
     control.reports.borrow_mut().insert(engine.clone(), report);
-    let table = control.shared.table.load();
-    if let Some(view) = table.view(engine.as_str()) {
-        view.tally.report(report.pace, report.at);
-        view.tally.occupancy().tell(report.held as u64, report.at);
+    if let Some(tally) = control.tallies.borrow().get(engine) {
+        tally.report(report.pace, report.at);
+        tally.occupancy().tell(report.held as u64, report.at);
     }
     changed
 }
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -271,16 +271,16 @@
 impl Control {
     /// Keeps new work from an engine for a while, because of `why`.
     pub(super) fn doubt(&self, engine: &Name, why: &'static str, for_ms: Millis) {
-        if let Some(view) = self.shared.table.load().view(engine.as_str()) {
-            view.tally.gauge().doubt(self.now() + for_ms);
+        if let Some(tally) = self.tallies.borrow().get(engine) {
+            tally.gauge().doubt(self.now() + for_ms);
         }
         GatewayEvent::EngineDoubted { engine: engine.clone(), why, for_ms }.log();
     }
 
     /// Lifts the doubt.
     pub(super) fn trust(&self, engine: &Name) {
-        if let Some(view) = self.shared.table.load().view(engine.as_str()) {
-            view.tally.gauge().trust();
+        if let Some(tally) = self.tallies.borrow().get(engine) {
+            tally.gauge().trust();
         }
     }
 }
--- a/crates/heathpitchd/src/gateway/control/turns.rs
+++ b/crates/heathpitchd/src/gateway/control/turns.rs
@@ -93,6 +93,13 @@
         }
     }
 
+    /// Waits until this node plans its failure domain.
+    pub(super) async fn planning(&self) {
+        while !self.plans() {
+            self.turned.notified().await;
+        }
+    }
+
     /// Waits until this node need not look for that lease any more.
     pub(super) async fn unclaim(&self) {
         while self.claims() {
