--- a/crates/heathpitchd/src/control/exchange.rs
+++ b/crates/heathpitchd/src/control/exchange.rs
@@ -16,7 +16,7 @@
 /// Reports passed on in an exchange.
 const REPORTS: usize = 8;
 /// Peers told at once of a new revision.
-const EAGER: usize = 2;
+const PEERS_TOLD_AT_ONCE: usize = 2;
 /// Time for an exchange.
 const LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -25,7 +25,7 @@
     let period = Duration::from_millis(control.shared.settings.timing.peer_ms);
     loop {
         let news = tokio::time::timeout(period, control.news.notified()).await.is_ok();
-        let count = if news { EAGER } else { 1 };
+        let count = if news { PEERS_TOLD_AT_ONCE } else { 1 };
         for _ in 0..count {
             let now = control.now();
             let peer = control.members.borrow().pick(now, &mut *control.rng.borrow_mut());
--- a/crates/heathpitchd/src/filters/run/attempt.rs
+++ b/crates/heathpitchd/src/filters/run/attempt.rs
@@ -17,7 +17,7 @@
 /// Time between two looks for a path.
 const LOOK: Duration = Duration::from_millis(40);
 /// Predicted first-token times that an attempt may take before it counts as stalled.
-const PATIENCE: f64 = 4.0;
+const STALL_FACTOR: f64 = 4.0;
 
 /// # Attempts
 impl Run {
@@ -105,7 +105,7 @@
         let on_path = engines.iter().filter(|u| path.uses(u.vm.name.as_str()));
         self.opened = Some(Opened::new(on_path.map(|u| u.gauge.clone()).collect()));
         let settings = &self.matched.route.settings;
-        let soon = (self.predicted * PATIENCE) as Millis;
+        let soon = (self.predicted * STALL_FACTOR) as Millis;
         let first = settings.first_ms.max(soon);
         self.pace = Pace::new(settings.stall_ms, first, shared.now()).expecting(soon);
         self.look = None;
--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -353,11 +353,11 @@
         let shared = &self.traffic.shared;
         let table = shared.table.load();
         let found = table.at(at)?;
-        found.tally.crowd(now + pick::CROWDED);
+        found.tally.crowd(now + pick::REJECTION_COOLDOWN_MS);
         GatewayEvent::EngineDoubted {
             engine: found.entry.id.clone(),
             why: "refused its part of a path",
-            for_ms: pick::CROWDED,
+            for_ms: pick::REJECTION_COOLDOWN_MS,
         }
         .log();
         let id = found.entry.id.clone();
--- a/crates/heathpitchd/src/gateway/call/pick.rs
+++ b/crates/heathpitchd/src/gateway/call/pick.rs
@@ -12,7 +12,7 @@
 /// What a failure domain further off costs, in requests waiting at an engine.
 const AWAY: f64 = 1.5;
 /// Time for which other engines are preferred to one that turned a call away and named no time, milliseconds.
-pub(crate) const CROWDED: Millis = 600;
+pub(crate) const REJECTION_COOLDOWN_MS: Millis = 600;
 /// What an engine that turned a call away a moment ago costs, in shares of its slots: as if it were full. It has
 /// next to no load else, as it answers at once, and would be chosen again and again.
 const TURNED_AWAY: f64 = 1.0;
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -150,7 +150,7 @@
         Failure::Refused { status, .. } => {
             trace.sends += 1;
             trace.seen.refused();
-            view.tally.crowd(traffic.shared.now() + pick::CROWDED);
+            view.tally.crowd(traffic.shared.now() + pick::REJECTION_COOLDOWN_MS);
             if *status == StatusCode::MISDIRECTED_REQUEST {
                 traffic.shared.tell(Notice::Replaced(view.entry.id.clone()));
             }
--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -57,7 +57,7 @@
 const LAPSED_LOOK: Millis = 200;
 
 /// Entries that are logged one by one if they change together; more are logged in one line. A node that
-/// begins hears all: 86 000 lines a minute with 295 nodes and 222 engines.
+/// begins hears all.
 const LOGGED_ALONE: usize = 16;
 
 /// Keeps the list of engines.
--- a/crates/heathpitchd/src/gateway/control/looks.rs
+++ b/crates/heathpitchd/src/gateway/control/looks.rs
@@ -34,7 +34,7 @@
 /// Engines looked at in one round: a failure domain that is cut off is not looked at all at once.
 const LOOKS_MOST: usize = 24;
 /// Time for which new work is kept from it, milliseconds; renewed by each look.
-const DOUBT: Millis = 4_500;
+const SUSPECT_MS: Millis = 4_500;
 /// Time for which an engine's word that it takes no new work is believed, milliseconds: engines
 /// leave within a few seconds of it.
 const REFUSING: Millis = 4_000;
@@ -144,7 +144,7 @@
             (false, _) => {
                 lose(control, &suspect.engine, now);
                 changed |= !was;
-                control.doubt(&suspect.engine, "it cannot be reached", DOUBT);
+                control.doubt(&suspect.engine, "it cannot be reached", SUSPECT_MS);
             }
         }
     }
@@ -156,7 +156,7 @@
 /// Leaves an engine that is known to be gone, because of `why`.
 pub(super) fn leave(control: &Control, engine: &Name, why: &'static str) {
     if lose(control, engine, control.now()) {
-        control.doubt(engine, why, DOUBT);
+        control.doubt(engine, why, SUSPECT_MS);
         control.publish();
     }
 }
@@ -209,5 +209,5 @@
     if !lose(control, &view.entry.id, now) {
         return;
     }
-    control.doubt(&view.entry.id, "the first engine of a path waits for it", DOUBT);
+    control.doubt(&view.entry.id, "the first engine of a path waits for it", SUSPECT_MS);
 }
--- a/crates/heathpitchd/src/gateway/control/publish.rs
+++ b/crates/heathpitchd/src/gateway/control/publish.rs
@@ -9,6 +9,9 @@
 use super::state::Control;
 use crate::gateway::engine_table::{EngineTable, EngineView};
 
+/// An engine, its pace, and the layers that it holds.
+type Holder<'a> = (&'a Name, f64, LayerRange);
+
 /// # Publishing
 impl Control {
     /// Engines that requests run through by rule, in each failure domain.
@@ -16,7 +19,7 @@
         let Some(catalog) = self.shared.catalog.load_full() else { return HashSet::new() };
         let entries = self.entries.borrow();
         // By service and failure domain, in one walk.
-        let mut holders: HashMap<(&Name, &Name), Vec<(&Name, f64, LayerRange)>> = HashMap::new();
+        let mut holders: HashMap<(&Name, &Name), Vec<Holder<'_>>> = HashMap::new();
         for e in entries.values() {
             let holds = e.state == EntryState::Ready && e.layers.count() > 0;
             let model = catalog.services.get(&e.service).and_then(|s| s.model.as_ref());
--- a/crates/heathpitchd/src/gateway/control/quarantine.rs
+++ b/crates/heathpitchd/src/gateway/control/quarantine.rs
@@ -33,7 +33,7 @@
 const TOLD_MOST: usize = 256;
 /// Time after an engine's end in which those who hear of it leave the engine, milliseconds: its entry is off
 /// the list after three seconds, and another engine may have its address.
-const NEWS: Millis = 1_500;
+const LEAVE_WITHIN_MS: Millis = 1_500;
 /// Time between two looks at what is old or has to be written to the store.
 const TICK: Duration = Duration::from_millis(300);
 /// Time that planners leave to the one of the first failure domain by name, milliseconds, so that one writes.
@@ -148,7 +148,7 @@
                 continue;
             }
             new += 1;
-            if !told.void && age < NEWS {
+            if !told.void && age < LEAVE_WITHIN_MS {
                 self.leave(&life);
             }
         }
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -29,17 +29,17 @@
 /// Time between two looks at what is old.
 const FORGET_MS: Millis = 1_000;
 /// Time between two looks beyond which this process stood still itself, milliseconds.
-const STOOD: Millis = 200;
+const STALL_SELF_MS: Millis = 200;
 /// Time for which nothing is judged after this process stood still, milliseconds.
 const REST: Millis = 150;
 /// Silence of a stream before its first event which is looked into, milliseconds: prompts are read
 /// meanwhile.
 const SILENT_FIRST: Millis = 350;
 /// Time for which new work is kept from an engine without room for a moved stream, milliseconds.
-const CROWDED: Millis = 250;
+const MOVE_COOLDOWN_MS: Millis = 250;
 /// Part of the time for which a leaving engine goes on serving at least, after which streams are moved
 /// off it; most end before.
-const LINGER: f64 = 0.6;
+const DRAIN_SHARE: f64 = 0.6;
 /// Time after which an engine that left is forgotten, milliseconds.
 const LEFT: Millis = 60_000;
 /// Time between two moves of the same stream, milliseconds.
@@ -78,7 +78,7 @@
         let tick = if idle { TICK_IDLE } else { TICK };
         tokio::time::sleep(tick).await;
         let now = control.now();
-        if now.saturating_sub(before) > tick.as_millis() as Millis + STOOD {
+        if now.saturating_sub(before) > tick.as_millis() as Millis + STALL_SELF_MS {
             rest = now + REST;
         }
         before = now;
@@ -156,7 +156,7 @@
 fn leaves(control: &Control, path: &Path) -> bool {
     let now = control.now();
     let leaving = control.leaving.borrow();
-    let linger = (control.shared.settings.load().bounds.drain_ms as f64 * LINGER) as Millis;
+    let linger = (control.shared.settings.load().bounds.drain_ms as f64 * DRAIN_SHARE) as Millis;
     let left = |e: &Name| leaving.get(e).is_some_and(|since| now >= since + linger);
     path.stages().iter().skip(1).any(|s| control.is_refusing(&s.engine) || left(&s.engine))
 }
@@ -219,7 +219,7 @@
 fn crowd(control: &Control, address: SocketAddr) {
     let now = control.now();
     if let Some(view) = control.shared.table.load().at(address) {
-        view.tally.crowd(now + CROWDED);
+        view.tally.crowd(now + MOVE_COOLDOWN_MS);
     }
 }
 
--- a/crates/heathpitchd/src/gateway/control/reports.rs
+++ b/crates/heathpitchd/src/gateway/control/reports.rs
@@ -45,8 +45,7 @@
     /// Whether it says what is taken of an engine without a report: that it holds nothing and is as fast as its
     /// card.
     ///
-    /// Said again it is not told on: with all of 3 005 engines in use on a quiet day, most of them idle, the
-    /// busiest of 300 nodes sent 8.4 MB a second and the middle one took 24 % of a core.
+    /// Said again it is not told on: most engines in use are idle on a quiet day.
     fn is_idle(&self) -> bool {
         self.held == 0.0 && (self.pace - 1.0).abs() <= CHANGE
     }
@@ -79,8 +78,6 @@
 
 /// Reports for the nodes that this one tells, of all engines or of those in one failure domain, that came
 /// after the one with serial `known`; and the serial of the last one.
-///
-/// Told whole each time, 222 engines' reports took 1.8 MB a second of a planner with 59 followers.
 pub(super) fn told(control: &Control, domain: Option<&Name>, known: u64) -> (Vec<FeedReport>, u64) {
     let now = control.now();
     let (reports, entries) = (control.reports.borrow(), control.entries.borrow());
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -27,7 +27,7 @@
 
 /// Time after the store's return in which entries that lapsed meanwhile may come back: the
 /// platform promises about two seconds.
-const COMEBACK: Millis = 2_500;
+const EXPECTED_RETURN_MS: Millis = 2_500;
 /// Time without a new engine after which a failure domain has settled, milliseconds: engines are listed
 /// over some seconds after a start.
 const SETTLE: Millis = 1_300;
@@ -246,8 +246,8 @@
     /// Time for which entries that are missing may still come back.
     pub(super) fn patience(&self) -> Millis {
         match self.reachable.get() {
-            true => (self.returned.get() + COMEBACK).saturating_sub(self.now()),
-            false => COMEBACK,
+            true => (self.returned.get() + EXPECTED_RETURN_MS).saturating_sub(self.now()),
+            false => EXPECTED_RETURN_MS,
         }
     }
 
--- a/crates/heathpitchd/src/gateway/control/tell.rs
+++ b/crates/heathpitchd/src/gateway/control/tell.rs
@@ -1,7 +1,7 @@
 //! What this node tells others instead of the store.
 //!
 //! Any node tells what it knows, with its true age; only what is young enough is told. Whole lists and
-//! configurations are packed once and told within a part of the VM's link, so that sixty nodes that
+//! configurations are packed once and told within a part of the VM's link, so that nodes that
 //! begin together are told one after the other, by more than one node, and small answers are not held up.
 
 use std::cell::RefCell;
--- a/crates/heathpitchd/src/gateway/engine_table.rs
+++ b/crates/heathpitchd/src/gateway/engine_table.rs
@@ -22,7 +22,7 @@
 const WAIT_SPREAD: f64 = 50.0;
 /// Cost of an engine that stands in for others, milliseconds a token: more than any detour inside a
 /// domain, so that it is free to take other layers.
-const STAND_IN: f64 = 0.6;
+const REPLICA_PENALTY: f64 = 0.6;
 /// Spread of costs between engines that are alike, milliseconds a token: nodes do not all choose
 /// the same one.
 const JITTER: f64 = 0.02;
@@ -104,7 +104,7 @@
             let full = !kept && taken && share > ROOM_SHARE;
             let crowded = !kept && s.tally.crowded(now);
             let jitter = rand::rng().random_range(0.0..JITTER);
-            let stand_in = if s.main { 0.0 } else { STAND_IN };
+            let stand_in = if s.main { 0.0 } else { REPLICA_PENALTY };
             let none = if full || crowded { FULL } else { 0.0 };
             let penalty = LOADED * share * share + none + stand_in + jitter;
             let wait = s.tally.wait_ms(now) - WAIT_USUAL;
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -23,7 +23,7 @@
 /// Time to wait after an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Bytes of a word.
-const WORD: u64 = 8;
+const WORD_BYTES: u64 = 8;
 /// Bytes of an exchange beside its updates: connection, bootstrap, call and return.
 const OVERHEAD: u64 = 900;
 /// Largest message, eight-byte words.
@@ -120,7 +120,7 @@
     let answer = answer.and_then(|a| {
         let update = a.get()?.get_update()?;
         let words = sent + update.total_size()?.word_count;
-        Ok((peer_codec::read(update)?, words * WORD + OVERHEAD))
+        Ok((peer_codec::read(update)?, words * WORD_BYTES + OVERHEAD))
     });
     let _ = disconnector.await;
     running.abort();
--- a/crates/policy/src/claims.rs
+++ b/crates/policy/src/claims.rs
@@ -14,7 +14,7 @@
 use crate::{ClaimEntry, ClaimPage};
 
 /// Time a claim may wait for the platform, milliseconds.
-const PATIENCE: Millis = 2_000;
+const CLAIM_TIMEOUT_MS: Millis = 2_000;
 /// Time to wait before the platform is tried again, milliseconds.
 const PAUSE: Millis = 100;
 /// Claims waiting on one node.
@@ -227,7 +227,7 @@
 
     fn expire(&mut self, now: Millis, actions: &mut Vec<ClaimAction>) {
         for slot in self.slots.values_mut() {
-            while let Some(w) = slot.waiting.pop_front_if(|w| now >= w.since + PATIENCE) {
+            while let Some(w) = slot.waiting.pop_front_if(|w| now >= w.since + CLAIM_TIMEOUT_MS) {
                 self.count -= 1;
                 actions.push(ClaimAction::Answer(w.id, Verdict::Unavailable));
             }
--- a/crates/policy/src/gauge.rs
+++ b/crates/policy/src/gauge.rs
@@ -5,7 +5,7 @@
 use heathpitch_core::{Millis, Violation, check};
 
 /// Time for which a failure keeps new work away, milliseconds.
-const DOUBT: Millis = 3_000;
+const SUSPECT_MS: Millis = 3_000;
 
 /// This node's own open requests on an upstream, and the doubt it is under.
 ///
@@ -40,7 +40,7 @@
 
     /// Takes note of a failure at `now`: new work is kept away for three seconds.
     pub fn fail(&self, now: Millis) {
-        self.doubt(now + DOUBT);
+        self.doubt(now + SUSPECT_MS);
     }
 
     /// Lifts the doubt.
--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -13,7 +13,7 @@
 /// Members kept of each other failure domain.
 const FOREIGN: usize = 8;
 /// Beats without an advance after which a member counts as dead.
-const MISSED: u64 = 30;
+const DEAD_AFTER_BEATS: u64 = 30;
 /// One exchange in this many goes to another failure domain.
 const ABROAD: u32 = 5;
 
@@ -136,7 +136,7 @@
     /// Counts a heartbeat and forgets the dead.
     pub fn beat(&mut self, now: Millis) {
         self.me.beat += 1;
-        let forget = self.period * MISSED * 3;
+        let forget = self.period * DEAD_AFTER_BEATS * 3;
         self.known.retain(|_, h| now.saturating_sub(h.at) < forget);
     }
 
@@ -176,6 +176,6 @@
     }
 
     fn lives(&self, h: &Heard, now: Millis) -> bool {
-        now.saturating_sub(h.at) <= self.period * MISSED
+        now.saturating_sub(h.at) <= self.period * DEAD_AFTER_BEATS
     }
 }
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -16,7 +16,7 @@
 
 /// Engines that must have ended under a request before it is held back. Two happen to proper requests: one
 /// that is moved beside the request at fault. What three cost is bounded by what is agreed, three more.
-const ENOUGH: usize = 3;
+const ENGINES_TO_HOLD: usize = 3;
 /// Events up to which a request counts as one that its engine had just begun to run: some 0.4 s of a
 /// stream at its usual pace. What ends an engine does so when it begins to run. Where engines end again and
 /// again, many proper ones are as young, 167 of 288 sends cut off on such a day: so that alone blames nobody.
@@ -270,7 +270,7 @@
                 return blamed;
             };
             let alike = |s: &Suspect<'_>| s.print != worst.print && s.lives == worst.lives;
-            if worst.lives.len() > ENOUGH || !left.clone().any(alike) {
+            if worst.lives.len() > ENGINES_TO_HOLD || !left.clone().any(alike) {
                 blamed.insert(worst.print);
             }
             explained.extend(&worst.lives);
@@ -286,7 +286,7 @@
             suspect.lives.insert(life);
             suspect.events += known.events;
         }
-        suspects.into_values().filter(|s| s.lives.len() >= ENOUGH).collect()
+        suspects.into_values().filter(|s| s.lives.len() >= ENGINES_TO_HOLD).collect()
     }
 }
 
--- a/crates/policy/src/returns.rs
+++ b/crates/policy/src/returns.rs
@@ -14,7 +14,7 @@
 /// usual load has room for beside that.
 const SHARE: f64 = 0.25;
 /// Part of a caller's time that it waits at most before it comes back: with the rest it is served.
-const PATIENCE: f64 = 0.3;
+const WAIT_SHARE: f64 = 0.3;
 /// Time over which the streams let in are counted, milliseconds.
 const SPAN: f64 = 2_000.0;
 /// Least rate at which callers come back, a millisecond: a node that lets nobody in now will again.
@@ -65,7 +65,7 @@
         rng: &mut impl Rng,
     ) -> Millis {
         self.fade(now);
-        let most = (left as f64 * PATIENCE) as Millis;
+        let most = (left as f64 * WAIT_SHARE) as Millis;
         let rate = (self.admitted / SPAN * SHARE).max(RATE_LEAST);
         let at = self.next.max(now + least);
         if at > now + most {
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -12,7 +12,7 @@
 use crate::{BLOCK, Need, PrefixIndex, Upstream, predict};
 
 /// Part by which the engine that a prefix is assigned to may be worse and still be taken.
-const LOYALTY: f64 = 0.25;
+const PREFIX_AFFINITY: f64 = 0.25;
 /// Part of a prompt's blocks that the engine it is assigned to is taken to hold.
 const ASSUMED: f64 = 0.75;
 /// Cost of one more stage on a path, milliseconds.
@@ -123,7 +123,7 @@
         (Some(a), _) => a,
         (None, _) => any,
     };
-    if best.1 <= any.1 * (1.0 + LOYALTY) { best } else { any }
+    if best.1 <= any.1 * (1.0 + PREFIX_AFFINITY) { best } else { any }
 }
 
 /// Blocks that the engine a prefix is assigned to may be taken to hold: it was sent all prompts
--- a/crates/policy/src/sources.rs
+++ b/crates/policy/src/sources.rs
@@ -3,8 +3,7 @@
 //! In each failure domain one node, its planner, reads the store, and a few others, its standbys, read
 //! it when the planner does not tell. Everyone else is told by these, then by the planners of other
 //! failure domains, and goes to the store only at a turn drawn for it. So the loss of one planner
-//! costs a few calls and not those of a whole domain: with sixty nodes in each of five domains a
-//! planner cut off from the store for 7 s cost 3 800 calls while every node read for itself.
+//! costs a few calls and not those of a whole domain.
 //!
 //! Nothing is agreed here. What a source tells carries its true age, whoever passes it on; two planners
 //! or a wrong order of standbys cost calls, never a wrong answer; all of it may be forgotten.
@@ -22,22 +21,22 @@
 /// nodes away in one of 27 cases, and then other domains tell.
 pub const STANDBYS: usize = 3;
 /// Time for which a source that did not answer is not asked, milliseconds: three limits of an answer.
-const REST_LOST: Millis = 1_000;
+const BACKOFF_UNREACHABLE_MS: Millis = 1_000;
 /// The same for one that answered that it knows nothing young enough, at first and at most; doubled each
 /// time. Standbys know what the store holds some 20 ms after they begin to read it.
-const REST_EMPTY: (Millis, Millis) = (50, 400);
+const BACKOFF_STALE_MS: (Millis, Millis) = (50, 400);
 /// Time without a source after which the planners of other failure domains are asked, milliseconds:
 /// standbys take over in less, and what these tell crosses no domain.
-const FAR_AFTER: Millis = 300;
+const REMOTE_SOURCES_AFTER_MS: Millis = 300;
 /// Time for which a node without a source waits for one before its turn, milliseconds: other domains'
 /// planners have answered by then.
-const GRACE: Millis = 700;
+const SOURCE_GRACE_MS: Millis = 700;
 /// Time between two turns of the nodes of a failure domain, milliseconds: two calls a second, whatever
 /// the number of nodes.
-const TURN: Millis = 500;
+const READ_SLOT_MS: Millis = 500;
 /// Time that a standby leaves to the one before it to take a free lease, milliseconds: many times the
 /// store's answer.
-const CLAIM_STEP: Millis = 100;
+const CLAIM_STEP_MS: Millis = 100;
 
 /// Time before the first look at the store of a node on a small VM, when the whole fleet starts for the first time, and over
 /// how much more such nodes are spread, milliseconds: others plan by then.
@@ -229,7 +228,7 @@
         let rested = |s: &&Source| {
             s.node != self.own && self.rests.get(&s.node).is_none_or(|r| now >= r.until)
         };
-        let alone = self.silent.is_none_or(|since| now >= since + FAR_AFTER);
+        let alone = self.silent.is_none_or(|since| now >= since + REMOTE_SOURCES_AFTER_MS);
         let far = alone && !(reachable && self.place().is_some());
         self.near().chain(self.far().filter(|_| far)).find(rested)
     }
@@ -300,7 +299,7 @@
     /// Takes note that another node holds the planner's lease, and is asked first.
     pub fn put_off(&mut self, now: Millis, beside: u32, rng: &mut impl Rng) {
         if self.claim.is_some() {
-            self.claim = Some(now + self.claim_wait(beside, rng).max(GRACE));
+            self.claim = Some(now + self.claim_wait(beside, rng).max(SOURCE_GRACE_MS));
         }
     }
 
@@ -351,9 +350,9 @@
 
     fn rest(&self, node: &Name, heard: Heard) -> Millis {
         match (heard, self.rests.get(node)) {
-            (Heard::Lost, _) => REST_LOST,
-            (_, None) => REST_EMPTY.0,
-            (_, Some(rest)) => (rest.pause * 2).clamp(REST_EMPTY.0, REST_EMPTY.1),
+            (Heard::Lost, _) => BACKOFF_UNREACHABLE_MS,
+            (_, None) => BACKOFF_STALE_MS.0,
+            (_, Some(rest)) => (rest.pause * 2).clamp(BACKOFF_STALE_MS.0, BACKOFF_STALE_MS.1),
         }
     }
 
@@ -370,7 +369,7 @@
 
     fn claim_wait(&self, beside: u32, rng: &mut impl Rng) -> Millis {
         match self.place() {
-            Some(place) => CLAIM_STEP * place as Millis,
+            Some(place) => CLAIM_STEP_MS * place as Millis,
             None => wait(beside, rng),
         }
     }
@@ -379,7 +378,7 @@
 /// Time until a turn, drawn so that those of a failure domain are spread evenly.
 fn wait(beside: u32, rng: &mut impl Rng) -> Millis {
     if !on(Mechanism::DrawnTurns) {
-        return GRACE;
+        return SOURCE_GRACE_MS;
     }
-    GRACE + rng.random_range(0..=TURN * u64::from(beside.max(1)))
+    SOURCE_GRACE_MS + rng.random_range(0..=READ_SLOT_MS * u64::from(beside.max(1)))
 }
--- a/crates/proof/src/telling.rs
+++ b/crates/proof/src/telling.rs
@@ -39,7 +39,7 @@
 /// Age beyond which nothing is told.
 const OLD: Millis = 1_500;
 /// Age up to which everyone knows the store once standbys have taken over.
-const YOUNG: Millis = 2_000;
+const YOUNG_MS: Millis = 2_000;
 /// Time between two questions of a planner to those of other domains.
 const ASK_NEAR: Millis = 250;
 /// Lease of a planner.
@@ -373,7 +373,7 @@
     fn all_young(&self, when: &str) -> Result<(), Breach> {
         for (i, node) in self.nodes.iter().enumerate().filter(|(_, n)| n.alive) {
             let age = node.known(self.now).map(|(_, age)| age);
-            Breach::unless(age.is_some_and(|age| age <= YOUNG), Promise::Told, || {
+            Breach::unless(age.is_some_and(|age| age <= YOUNG_MS), Promise::Told, || {
                 format!("node {i} knows what held {age:?} ms ago, {when}")
             })?;
         }
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -16,7 +16,7 @@
 /// Callers of each node.
 const CALLERS: usize = 3;
 /// Time after which a caller leaves an answer that does not end.
-const PATIENCE: Duration = Duration::from_secs(8);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Kinds of calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -154,7 +154,7 @@
     };
     let sent = Instant::now();
     let caller = caller.named(&id);
-    let answered = tokio::time::timeout(PATIENCE, caller.call(method, target, &body)).await;
+    let answered = tokio::time::timeout(ANSWER_TIMEOUT, caller.call(method, target, &body)).await;
     let reply = answered.ok().and_then(Result::ok);
     Told { id, node, kind, body, key, sent, took: sent.elapsed(), reply }
 }
