--- a/crates/heathpitchd/tests/reference.rs
+++ b/crates/heathpitchd/tests/reference.rs
@@ -67,6 +67,9 @@
         }
         "bounds.retryBudgetRatio" => "0.2".to_owned(),
         "firstStart" => "true".to_owned(),
+        // A list of one entry.
+        "." => "10.0.0.1:80".to_owned(),
+        "#seeds" | "," | "/seeds" => String::new(),
         _ => "1000".to_owned(),
     };
     let mut filled = String::new();
@@ -78,7 +81,8 @@
         rest = after;
     }
     filled.push_str(rest);
-    GatewaySettings::parse(&filled).unwrap();
+    let settings = GatewaySettings::parse(&filled).unwrap();
+    assert_eq!(settings.seeds, [settings.peer.unwrap()]);
 }
 
 #[test]
