--- a/crates/heathpitchd/src/gateway/control/planner.rs
+++ b/crates/heathpitchd/src/gateway/control/planner.rs
@@ -111,7 +111,7 @@
 
 fn workers(control: &Control, model: &LayeredModel, engines: &[Arc<EngineEntry>]) -> Vec<Worker> {
     let pending = control.pending.borrow();
-    let (tallies, beside) = (control.tallies.borrow(), control.shared.table.load().beside);
+    let tallies = control.tallies.borrow();
     let since = control.since.borrow();
     let now = control.now();
     let worker = |e: &Arc<EngineEntry>| {
@@ -128,7 +128,7 @@
             layers: ordered.unwrap_or(e.layers),
             free: !pending.contains_key(&e.id),
             open: tally.map_or(0, |t| t.gauge().count()),
-            held: tally.map_or(0.0, |t| t.occupancy().held(beside, now)),
+            held: control.held(&e.id),
             short: control.binds(e),
             new: since.get(&e.id).is_some_and(|at| now < at + NEW),
         })
--- a/crates/heathpitchd/src/gateway/control/reports.rs
+++ b/crates/heathpitchd/src/gateway/control/reports.rs
@@ -177,6 +177,13 @@
 
 /// # Reports
 impl Control {
+    /// Tokens that requests hold at an engine by its report; what this node alone sends says little of all.
+    pub(super) fn held(&self, engine: &Name) -> f64 {
+        let now = self.now();
+        let reports = self.reports.borrow();
+        reports.get(engine).filter(|r| now < r.at + OLD).map_or(0.0, |r| r.held)
+    }
+
     /// Factor by which an engine is slower than its card, as far as is known.
     pub(super) fn slowness(&self, engine: &Name) -> f64 {
         let now = self.now();
