A list that a proof does not prove is asked for at once

A configuration moves the store's revision on, so that the next proof does not prove the list; the watch was given up a tenth of a second later and asked anew for 0.6 s, at the end of which the list was 1.8 s old, and is told up to 1.5 s.

--- a/crates/heathpitchd/src/gateway/control/engines.rs
+++ b/crates/heathpitchd/src/gateway/control/engines.rs
@@ -31,10 +31,9 @@
 const WATCH_PROVEN: Millis = 20_000;
 /// Age of the list from which a watch that waits is asked anew, milliseconds: below that beyond which a list is not told.
 const LIST_UNPROVEN: Millis = 1_200;
-/// Time that a watch has to tell what a proof shows to be new, milliseconds: many times the store's usual answer.
-const WATCH_BEHIND: Millis = 100;
-/// Time between two looks at whether a watch that waits is in doubt.
-const WATCH_LOOK: Duration = Duration::from_millis(100);
+/// Wait of the watch that takes the place of one in doubt, milliseconds: it tells at once what there is, so that the list
+/// does not grow too old to be told.
+const WATCH_NOW: Millis = 1;
 /// Time over which changes are gathered into one call: a small part of the time for which a leaving
 /// engine may still be sent work.
 const GATHER: Duration = Duration::from_millis(200);
@@ -166,8 +165,9 @@
 /// changes up to it, the list is proven too.
 pub(super) fn prove_at(control: &Control, at: Revision, sent: Millis) {
     control.store_at.set(at);
-    if at == control.engines_at.get() {
-        prove(&control.shared.listed, sent);
+    match at == control.engines_at.get() {
+        true => prove(&control.shared.listed, sent),
+        false => control.engines_behind.notify_waiters(),
     }
 }
 
@@ -178,17 +178,18 @@
     control.plans() && told && age.is_some_and(|age| age < LIST_UNPROVEN)
 }
 
-/// Waits until the list grows old, or the store holds what its watch does not tell.
+/// Waits until the list grows old, or the store holds what its watch has not told.
 async fn watch_doubted(control: &Control) {
-    let mut behind = None;
     loop {
-        let now = control.now();
-        match is_proven(control) {
-            true => behind = None,
-            false if now >= *behind.get_or_insert(now) + WATCH_BEHIND => return,
-            false => {}
+        let age = control.shared.listed.load().age(control.now()).unwrap_or(LIST_UNPROVEN);
+        if age >= LIST_UNPROVEN {
+            return;
+        }
+        let left = Duration::from_millis(LIST_UNPROVEN - age);
+        tokio::select! {
+            () = control.engines_behind.notified() => return,
+            () = tokio::time::sleep(left) => {}
         }
-        tokio::time::sleep(WATCH_LOOK).await;
     }
 }
 
@@ -197,9 +198,11 @@
     let pages = control.entries.borrow().len() / PAGE_ENTRIES + 1;
     let over = control.now() + RELIST * pages as Millis;
     let mut at = from;
+    let mut doubted = false;
     while control.now() < over && control.reads() {
         let left = over.saturating_sub(control.now()).max(1);
         let wait = match expire(control) {
+            None if doubted => WATCH_NOW,
             None if is_proven(control) => WATCH_PROVEN.min(left),
             None => WATCH,
             // Read the list again: whatever is still missing is gone.
@@ -210,8 +213,12 @@
         let answer = control.watch("engines", prefix, at, wait);
         let answer = tokio::select! {
             answer = answer => answer,
-            () = watch_doubted(control), if wait > WATCH => continue,
+            () = watch_doubted(control), if wait > WATCH => {
+                doubted = true;
+                continue;
+            }
         };
+        doubted = false;
         let Ok(watched) = answer else {
             return tokio::time::sleep(GATHER).await;
         };
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -126,6 +126,8 @@
     pub(super) handers: RefCell<HashMap<Name, Hander>>,
     /// Revision of the store up to which its watch of the engines has told this node all changes; 0 while it does not watch.
     pub(super) engines_at: Cell<Revision>,
+    /// Wakes the watch of the engines when a proof shows what it has not told.
+    pub(super) engines_behind: Notify,
     /// Revision of the store at its last proof of the configuration.
     pub(super) store_at: Cell<Revision>,
     pub(super) reachable: Cell<bool>,
@@ -187,6 +189,7 @@
             rights: RefCell::default(),
             handers: RefCell::default(),
             engines_at: Cell::new(Revision(0)),
+            engines_behind: Notify::new(),
             store_at: Cell::new(Revision(0)),
             reachable: Cell::new(true),
             returned: Cell::new(0),
--- a/crates/heathpitchd/tests/gateway_feed.rs
+++ b/crates/heathpitchd/tests/gateway_feed.rs
@@ -316,3 +316,20 @@
     alone.wait_ready().await.unwrap();
     assert!(calls(&alone).await > 0.0);
 }
+
+/// What is written beside engines' entries moves the store's revision on, so that proofs of the configuration do not prove
+/// the list for a moment: it is asked for at once then, and no follower is left without a source.
+#[tokio::test(flavor = "multi_thread")]
+async fn followers_keep_their_planner_while_configurations_come_in_quick_succession() {
+    let mut world = World::new();
+    let _engine = world.engine("a", "api");
+    let (_planner, _link, other) = world.planner_and_follower().await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = other.events("feed_changed").len();
+    for version in 10..28 {
+        world.site.version = version;
+        world.configure();
+        tokio::time::sleep(Duration::from_millis(330)).await;
+    }
+    assert_eq!(other.events("feed_changed").len(), before);
+}
