The limit of an engine behind the first ends after its nodes began anew

The limit of an engine that answers no calls is ended by answers to nodes' own questions only, and these count only once one has named it, which nodes that begin, and read the limit in the store, have never seen.

The record says now whether answers to questions name a limit, and nodes that read it let such answers end it. gateway_limits.rs, after all nodes were killed: the limit ends within 6 s.

--- a/crates/heathpitchd/src/gateway/control/limit_records.rs
+++ b/crates/heathpitchd/src/gateway/control/limit_records.rs
@@ -8,7 +8,7 @@
 
 use heathpitch_core::{Name, Revision};
 use heathpitch_net::{Item, StoreError, Write};
-use heathpitch_policy::{EngineLife, LimitRecord, LimitRecorder};
+use heathpitch_policy::{EngineLife, LimitEntry, LimitRecord, LimitRecorder};
 
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
@@ -53,8 +53,14 @@
 fn current(control: &Control) -> LimitRecord {
     let (domain, entries) = (control.domain(), control.entries.borrow());
     let own = |life: &EngineLife| entries.get(&life.engine).is_some_and(|e| e.domain == domain);
-    let limits = control.limits.borrow();
-    LimitRecord::of(limits.named().filter(|(life, _)| own(life)))
+    let (limits, wishes) = (control.limits.borrow(), control.wishes.borrow());
+    let aside =
+        |life: &EngineLife| wishes.get(&life.engine).is_some_and(|w| w.limit().is_named_aside());
+    let named = limits.named().filter(|(life, _)| own(life));
+    LimitRecord::of(named.map(|(life, rate)| {
+        let limit = LimitEntry { rate, aside: aside(&life) };
+        (life, limit)
+    }))
 }
 
 async fn write(control: &Control, record: LimitRecord) -> Result<(), StoreError> {
@@ -98,7 +104,7 @@
     if unread > 0 {
         log::warn!("{unread} lines of record {} of engines' limits cannot be read", item.key);
     }
-    record.limits().for_each(|(life, rate)| control.restore_limit(life, rate));
+    record.limits().for_each(|(life, limit)| control.restore_limit(life, limit));
     if *item.key == *key(&control.domain()) {
         keep(control, record, item.revision);
     }
--- a/crates/heathpitchd/src/gateway/control/rights.rs
+++ b/crates/heathpitchd/src/gateway/control/rights.rs
@@ -12,7 +12,7 @@
 
 use heathpitch_core::{EngineEntry, Millis, Name, Rate};
 use heathpitch_net::{EdgeError, FeedClient, FeedLimit, RightAsk, RightTold};
-use heathpitch_policy::{EngineLife, EngineLimit, LimitTold, Right, Source};
+use heathpitch_policy::{EngineLife, EngineLimit, LimitEntry, LimitTold, Right, Source};
 use rand::Rng;
 use tokio::task::spawn_local;
 
@@ -102,9 +102,15 @@
     }
 
     /// Takes a limit that a record of the store holds.
-    pub(super) fn restore_limit(&self, life: &EngineLife, rate: Rate) {
+    pub(super) fn restore_limit(&self, life: &EngineLife, limit: LimitEntry) {
         let now = self.now();
-        if !self.limits.borrow_mut().restore(life.clone(), rate, now) {
+        let new = self.limits.borrow_mut().restore(life.clone(), limit, now);
+        if limit.aside
+            && let Some(wish) = self.wishes.borrow().get(&life.engine)
+        {
+            wish.limit().name_aside();
+        }
+        if !new {
             return;
         }
         let Some((rate, at)) = self.limits.borrow().of(life) else { return };
--- a/crates/heathpitchd/src/gateway/control/wishes.rs
+++ b/crates/heathpitchd/src/gateway/control/wishes.rs
@@ -61,9 +61,13 @@
     /// What an engine that this node has not asked yet said to others.
     pub(super) fn new_wish(&self, engine: &EngineEntry) -> Arc<Wish> {
         let wish = Wish::default();
-        if let Some((rate, at)) = self.limits.borrow().of(&life(engine)) {
+        let (life, limits) = (life(engine), self.limits.borrow());
+        if let Some((rate, at)) = limits.of(&life) {
             wish.limit().told(Some(rate), at);
         }
+        if limits.is_named_aside(&life) {
+            wish.limit().name_aside();
+        }
         Arc::new(wish)
     }
 
--- a/crates/heathpitchd/tests/gateway_limits.rs
+++ b/crates/heathpitchd/tests/gateway_limits.rs
@@ -355,6 +355,36 @@
     .await;
 }
 
+/// Such an engine answers no calls, and nodes that begin have seen none of its answers to questions.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_of_an_engine_behind_the_first_ends_after_all_nodes_were_killed() {
+    let world = World::new();
+    let [first, behind] = ["a", "b"].map(|id| world.engine(id, "llm"));
+    first.hold(0, 4);
+    behind.hold(4, 8);
+    first.play(Play::Stream(3, Duration::from_millis(1)));
+    let tell = async |node: &GatewayProcess| {
+        caller(node).call(Method::POST, "/tell/x", "body").await.unwrap().status
+    };
+    let node = world.node().await;
+    behind.limit(&["0"]);
+    wait("the store holds it", async || !node.events("limits_stored").is_empty()).await;
+    drop(node);
+    behind.limit(&[]);
+    let node = world.start("n1", &json!({}));
+    node.wait_ready().await.unwrap();
+    wait("it is known", async || {
+        node.events("engine_limited").iter().any(|e| e["by"] == "the store")
+    })
+    .await;
+    let begun = Instant::now();
+    wait("it is over", async || {
+        [tell(&node).await, tell(&node).await, tell(&node).await] == [200; 3]
+    })
+    .await;
+    assert!(begun.elapsed() < Duration::from_secs(6), "{:?}", begun.elapsed());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_limit_that_cannot_be_read_is_none_and_of_two_the_lower_holds_until_a_new_life() {
     let world = World::new();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -75,7 +75,7 @@
 pub use layout::{Assignment, LayoutReason, Worker, copies, lay_out, mains, uncovered};
 pub use leavers::Leavers;
 pub use ledger::{Ledger, Record, Start};
-pub use limit_record::{LimitRecord, LimitRecorder};
+pub use limit_record::{LimitEntry, LimitRecord, LimitRecorder};
 pub use limits::{LimitTold, Limits};
 pub use lives::{Lives, Word};
 pub use members::{Member, MemberState, Members};
--- a/crates/policy/src/limit_record.rs
+++ b/crates/policy/src/limit_record.rs
@@ -18,29 +18,44 @@
 /// Most engines of a record, some fifty bytes each.
 const RECORD_MAX_ENGINES: usize = 2_048;
 
+/// Words by which a record says whether answers to nodes' own questions name a limit.
+const ASIDE: &str = "questions";
+const NOT_ASIDE: &str = "calls";
+
+/// What a record says of one engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitEntry {
+    /// Requests a second that it takes from all nodes together.
+    pub rate: Rate,
+    /// Whether answers to nodes' own questions name it, as those to calls do. Of an engine that answers no calls only these
+    /// end it, and a node that begins has not seen one.
+    pub aside: bool,
+}
+
 /// Limits of the engines of one failure domain, as a record of the store holds them.
 ///
 /// # Examples
 ///
 /// ```
 /// use heathpitch_core::Rate;
-/// use heathpitch_policy::{EngineLife, LimitRecord};
+/// use heathpitch_policy::{EngineLife, LimitEntry, LimitRecord};
 ///
 /// let life = EngineLife { engine: "i-1".parse()?, born: Some(17) };
-/// let record = LimitRecord::of([(life.clone(), Rate::from_thousandths(3_600))]);
-/// assert_eq!(record.text(), "i-1 17 3.6\n");
-/// let (read, unread) = LimitRecord::read("i-1 17 3.6\ni-2 nonsense\n");
+/// let limit = LimitEntry { rate: Rate::from_thousandths(3_600), aside: false };
+/// let record = LimitRecord::of([(life, limit)]);
+/// assert_eq!(record.text(), "i-1 17 3.6 calls\n");
+/// let (read, unread) = LimitRecord::read("i-1 17 3.6 calls\ni-2 nonsense\n");
 /// assert_eq!((read, unread), (record, 1));
 /// # Ok::<(), heathpitch_core::NameError>(())
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LimitRecord {
-    limits: BTreeMap<EngineLife, Rate>,
+    limits: BTreeMap<EngineLife, LimitEntry>,
 }
 
 impl LimitRecord {
     /// A record of these limits.
-    pub fn of(limits: impl IntoIterator<Item = (EngineLife, Rate)>) -> Self {
+    pub fn of(limits: impl IntoIterator<Item = (EngineLife, LimitEntry)>) -> Self {
         Self { limits: limits.into_iter().take(RECORD_MAX_ENGINES).collect() }
     }
 
@@ -52,35 +67,44 @@
         (Self { limits }, unread)
     }
 
-    /// The text of the record: a line for each engine, with its start (0 if it tells none) and its limit, requests a second.
+    /// The text of the record: a line for each engine, with its start (0 if it tells none), its limit, requests a second, and
+    /// which answers name that.
     pub fn text(&self) -> String {
         let mut text = String::new();
-        for (life, rate) in &self.limits {
+        for (life, LimitEntry { rate, aside }) in &self.limits {
+            let by = if *aside { ASIDE } else { NOT_ASIDE };
             // Writing to a string cannot fail.
-            let _ = writeln!(text, "{} {} {rate}", life.engine, life.born.unwrap_or(0));
+            let _ = writeln!(text, "{} {} {rate} {by}", life.engine, life.born.unwrap_or(0));
         }
         text
     }
 
     /// Its limits.
-    pub fn limits(&self) -> impl Iterator<Item = (&EngineLife, Rate)> {
-        self.limits.iter().map(|(life, rate)| (life, *rate))
+    pub fn limits(&self) -> impl Iterator<Item = (&EngineLife, LimitEntry)> {
+        self.limits.iter().map(|(life, limit)| (life, *limit))
     }
 
     /// Whether nodes that know only this record send an engine more than `current` lets them.
     fn exceeds(&self, current: &Self) -> bool {
-        let exceeded =
-            |(life, rate): (&EngineLife, Rate)| self.limits.get(life).is_none_or(|r| *r > rate);
+        let exceeded = |(life, limit): (&EngineLife, LimitEntry)| {
+            self.limits.get(life).is_none_or(|l| l.rate > limit.rate)
+        };
         current.limits().any(exceeded)
     }
 }
 
-fn read_line(line: &str) -> Option<(EngineLife, Rate)> {
+fn read_line(line: &str) -> Option<(EngineLife, LimitEntry)> {
     let mut words = line.split(' ');
     let engine = words.next()?.parse().ok()?;
     let born = words.next()?.parse().ok()?;
     let rate = Rate::per_second(words.next()?.parse().ok()?)?;
-    Some((EngineLife { engine, born: Some(born).filter(|b| *b > 0) }, rate))
+    let aside = match words.next()? {
+        ASIDE => true,
+        NOT_ASIDE => false,
+        _ => return None,
+    };
+    let born = Some(born).filter(|b| *b > 0);
+    Some((EngineLife { engine, born }, LimitEntry { rate, aside }))
 }
 
 /// Decides when the planner of a failure domain writes its record.
@@ -89,10 +113,11 @@
 ///
 /// ```
 /// use heathpitch_core::Rate;
-/// use heathpitch_policy::{EngineLife, LimitRecord, LimitRecorder};
+/// use heathpitch_policy::{EngineLife, LimitEntry, LimitRecord, LimitRecorder};
 ///
 /// let life = EngineLife { engine: "i-1".parse()?, born: None };
-/// let named = LimitRecord::of([(life, Rate::from_thousandths(3_600))]);
+/// let limit = LimitEntry { rate: Rate::from_thousandths(3_600), aside: false };
+/// let named = LimitRecord::of([(life, limit)]);
 /// let mut recorder = LimitRecorder::default();
 /// assert!(!recorder.is_due(&LimitRecord::default(), 0), "nothing to say");
 /// assert!(recorder.is_due(&named, 0));
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -4,11 +4,11 @@
 //! newest word holds. Ages grow on the way, so the end of a limit is taken to be as old as it may be, and a limit
 //! as young as it may be.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use heathpitch_core::{Millis, Rate};
 
-use crate::{EngineLife, news};
+use crate::{EngineLife, LimitEntry, news};
 
 /// Time for which the end of a limit is told, milliseconds: all nodes in touch have heard of it by then.
 const END_TOLD: Millis = 10_000;
@@ -55,6 +55,8 @@
 pub struct Limits {
     serial: u64,
     known: HashMap<EngineLife, Known>,
+    /// Engines whose answers to nodes' own questions name a limit, as a record of the store says.
+    aside: HashSet<EngineLife>,
 }
 
 impl Limits {
@@ -74,9 +76,17 @@
     /// Takes the limit of an engine from a record of the store; gives whether nothing was known of the engine.
     ///
     /// How old the record is is not known: it counts as no younger than any word that nodes still tell.
-    pub fn restore(&mut self, life: EngineLife, rate: Rate, now: Millis) -> bool {
+    pub fn restore(&mut self, life: EngineLife, limit: LimitEntry, now: Millis) -> bool {
+        if limit.aside {
+            self.aside.insert(life.clone());
+        }
         let unknown = !self.known.contains_key(&life);
-        unknown && self.learn(life, Some(rate), now.saturating_sub(END_TOLD).max(1))
+        unknown && self.learn(life, Some(limit.rate), now.saturating_sub(END_TOLD).max(1))
+    }
+
+    /// Whether answers to nodes' own questions name the limit of an engine, as a record of the store says.
+    pub fn is_named_aside(&self, life: &EngineLife) -> bool {
+        self.aside.contains(life)
     }
 
     /// The limit of an engine and since when it is known, if it names one.
@@ -92,6 +102,7 @@
     /// Forgets engines that are not to be kept, and ends of limits that all nodes have heard of.
     pub fn retain(&mut self, keep: impl Fn(&EngineLife) -> bool, now: Millis) {
         self.known.retain(|life, k| keep(life) && (k.rate.is_some() || now < k.at + END_TOLD));
+        self.aside.retain(|life| self.known.contains_key(life));
     }
 
     /// At most so many words that came after the one with this serial; and the serial up to which all is known then.
--- a/crates/policy/tests/limited_load.rs
+++ b/crates/policy/tests/limited_load.rs
@@ -16,7 +16,8 @@
 use common::name;
 use heathpitch_core::{Name, Rate};
 use heathpitch_policy::{
-    Bucket, EngineLife, EngineLimit, LimitRecord, LimitRecorder, Limits, Right, Rights, Wish,
+    Bucket, EngineLife, EngineLimit, LimitEntry, LimitRecord, LimitRecorder, Limits, Right, Rights,
+    Wish,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -205,7 +206,9 @@
 
     /// The planner writes what it knows to the store, when that is due.
     fn write_record(&mut self, now: u64) {
-        let record = LimitRecord::of(self.limits.named());
+        let record = LimitRecord::of(
+            self.limits.named().map(|(life, rate)| (life, LimitEntry { rate, aside: false })),
+        );
         if self.recorder.is_due(&record, now) {
             self.record = record.text();
             self.recorder.stored(record, now);
@@ -216,8 +219,8 @@
     fn read_record(&mut self, now: u64) {
         let (record, _) = LimitRecord::read(&self.record);
         self.limits = Limits::default();
-        for (life, rate) in record.limits() {
-            assert!(self.limits.restore(life.clone(), rate, now));
+        for (life, limit) in record.limits() {
+            assert!(self.limits.restore(life.clone(), limit, now));
         }
         self.recorder.stored(record, now);
         let Some((rate, at)) = self.limits.of(&self.life) else { return };
