--- a/crates/heathpitchd/tests/gateway_soak.rs
+++ b/crates/heathpitchd/tests/gateway_soak.rs
@@ -49,6 +49,13 @@
     }
 }
 
+/// An engine behind the first named a limit, which the store kept; all nodes began anew, and it did not end for them.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_when_a_limit_ends_after_all_nodes_began_anew() {
+    let script = Script::draw(44_029, Duration::from_secs(12));
+    play(&script.with_lives().with_ends().with_wishes().with_returns().with_limits()).await;
+}
+
 async fn play(script: &Script) {
     println!("seed {}: {:?}", script.seed, script.steps);
     let binary = PathBuf::from(env!("CARGO_BIN_EXE_heathpitchd"));
