Interfaces for decisions under load: settings, feed fields, pressure of a path

Two customers bring load that the gateway can't share fairly or place well (docs/design/hard-load.md). The parts that answer it exchange demand, promised retries and queue lengths, and are switched one by one.

- gateway.load.*: auto or off for each part; nothing reads them yet
- feed: demand and promises of a node in its poll; shares, outstanding promises and their rate in the response; queued requests in the report of an engine, which is recorded and passed on
- policy::Pressure, computed for the chosen path from what is known today and named in the reason of a shed stream

No decision changes.

--- a/crates/core/src/gateway_settings.rs
+++ b/crates/core/src/gateway_settings.rs
@@ -41,6 +41,43 @@
     /// Bounds agreed with the platform.
     #[serde(default)]
     pub bounds: PlatformBounds,
+    /// Decisions under load.
+    #[serde(default)]
+    pub load: LoadSettings,
+}
+
+/// Which decisions under load a node makes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LoadSettings {
+    /// Who is admitted when capacity runs short, by rank and client account.
+    pub sharing: LoadMode,
+    /// Forecast of memory and queues between reports of engines.
+    pub forecast: LoadMode,
+    /// When rejected callers may return.
+    pub returns: LoadMode,
+    /// Which part of the calls runs in other failure domains.
+    pub balance: LoadMode,
+    /// When streams are moved off lost engines, and in which order.
+    pub recovery: LoadMode,
+}
+
+/// Whether a decision under load is made.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LoadMode {
+    /// Wherever the configuration has what it decides about.
+    #[default]
+    Auto,
+    /// Nowhere.
+    Off,
+}
+
+impl LoadMode {
+    /// Whether it may be made.
+    pub fn is_on(self) -> bool {
+        self == Self::Auto
+    }
 }
 
 /// Capacity of a VM.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -42,7 +42,7 @@
 pub use document::Document;
 pub use engine_entry::{EngineEntry, EntryState};
 pub use error::{ConfigError, ErrorKind};
-pub use gateway_settings::{GatewaySettings, PlatformBounds, VmCapacity};
+pub use gateway_settings::{GatewaySettings, LoadMode, LoadSettings, PlatformBounds, VmCapacity};
 pub use ids::{Attempt, Epoch, Incarnation, Millis, RequestId, Revision};
 pub use index::Index;
 pub use invariant::{Invariant, check};
--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -6,6 +6,7 @@
 
 use heathpitch_core::{EngineEntry, Evidence, Millis, Name, Path};
 use heathpitch_net::Events;
+use heathpitch_policy::Pressure;
 use hyper::StatusCode;
 use rand::Rng;
 
@@ -63,6 +64,8 @@
     view: EngineView,
     path: Option<Path>,
     full: Option<Full>,
+    /// Load of the path; zero for an engine without one.
+    pressure: Pressure,
 }
 
 /// Why no engine took a stream.
@@ -201,7 +204,10 @@
         let wait = choice.view.stats.wait_ms(self.traffic.shared.now());
         let share = (wait / target - SHED_START) / SHED_SPAN;
         match share > 0.0 && rand::rng().random_bool(share.min(MAX_SHED_PROBABILITY)) {
-            true => Err(format!("the first event would come late, after about {wait:.0} ms")),
+            true => Err(format!(
+                "the first event would come late, after about {wait:.0} ms, at a pressure of {:.2}",
+                choice.pressure.level()
+            )),
             false => Ok(()),
         }
     }
@@ -252,13 +258,14 @@
         let avoid = Avoid { engines: &self.avoid, now: shared.now() };
         match &self.call.service.model {
             Some(_) => {
-                let Chosen { path, full } = pick::path(&table, &self.call, &domain, avoid)?;
+                let Chosen { path, full, pressure } =
+                    pick::path(&table, &self.call, &domain, avoid)?;
                 let view = table.by_id(path.head().engine.as_str())?.clone();
-                Some(Choice { view, path: Some(path), full })
+                Some(Choice { view, path: Some(path), full, pressure })
             }
             None => {
                 let view = pick::engine(&table, &self.call.service.name, &domain, avoid)?;
-                Some(Choice { view, path: None, full: None })
+                Some(Choice { view, path: None, full: None, pressure: Pressure::default() })
             }
         }
     }
--- a/crates/heathpitchd/src/gateway/call/pick.rs
+++ b/crates/heathpitchd/src/gateway/call/pick.rs
@@ -3,11 +3,11 @@
 use std::fmt;
 
 use heathpitch_core::{Millis, Name, Path};
-use heathpitch_policy::{ChainEngine, ChainQuery, find_local_chain};
+use heathpitch_policy::{ChainEngine, ChainQuery, Pressure, find_local_chain};
 use rand::Rng;
 
 use super::admit::Call;
-use crate::gateway::engine_table::{EngineTable, EngineView, PathQuery};
+use crate::gateway::engine_table::{EngineTable, EngineView, MAX_UTILIZATION, PathQuery};
 
 /// Cost of an engine in another failure domain, in requests waiting at an engine.
 const REMOTE_PENALTY_REQUESTS: f64 = 1.5;
@@ -60,6 +60,8 @@
     pub(crate) path: Path,
     /// The fullest of its engines, if that one has no capacity for the call.
     pub(crate) full: Option<Full>,
+    /// Load of the path once it runs the call.
+    pub(crate) pressure: Pressure,
 }
 
 /// An engine without capacity for a call.
@@ -96,15 +98,22 @@
 ) -> Option<Chosen> {
     let now = avoid.now;
     let (path, engines) = chain(table, call, home, now, |s| avoid.allows(s))?;
-    let on_path = |l: &&ChainEngine| l.full && path.stages().iter().any(|s| s.engine == l.entry.id);
+    let on_path = |l: &&ChainEngine| path.stages().iter().any(|s| s.engine == l.entry.id);
     let fullest =
         engines.iter().filter(on_path).max_by(|a, b| a.utilization.total_cmp(&b.utilization));
-    let full = fullest.map(|l| {
+    let wait_ms =
+        table.by_id(path.head().engine.as_str()).map_or(0.0, |head| head.stats.wait_ms(now));
+    let pressure = Pressure {
+        memory: fullest.map_or(0.0, |l| l.utilization) / MAX_UTILIZATION,
+        start: wait_ms / call.route.latency_target_ms.max(1) as f64,
+    };
+    let full_on_path = engines.iter().filter(|l| l.full && on_path(l));
+    let full = full_on_path.max_by(|a, b| a.utilization.total_cmp(&b.utilization)).map(|l| {
         let report_age =
             table.by_id(l.entry.id.as_str()).and_then(|v| v.stats.occupancy().age(now));
         Full { engine: l.entry.id.clone(), utilization: l.utilization, report_age }
     });
-    Some(Chosen { path, full })
+    Some(Chosen { path, full, pressure })
 }
 
 /// The cheapest path through usable engines, and all the engines considered.
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -291,6 +291,8 @@
             reports_only,
             notices,
             notice_cursor: cursors.received,
+            demand: Vec::new(),
+            promises: Vec::new(),
         };
         (request, end)
     }
--- a/crates/heathpitchd/src/gateway/control/reports.rs
+++ b/crates/heathpitchd/src/gateway/control/reports.rs
@@ -37,17 +37,21 @@
     slowdown: f64,
     /// Tokens that requests held at the engine.
     held_tokens: f64,
+    /// Requests that wait for their start.
+    queued: u32,
     at: Millis,
     /// Position among all reports that this node recorded.
     serial: u64,
 }
 
 impl Report {
-    /// Whether it equals what is assumed without a report: no tokens held, and as fast as the card.
+    /// Whether it equals what is assumed without a report: nothing held or queued, and as fast as the card.
     ///
     /// Repeated idle reports are not forwarded, since at low load most engines are idle.
     fn is_idle(&self) -> bool {
-        self.held_tokens == 0.0 && (self.slowdown - 1.0).abs() <= SLOWDOWN_CHANGE
+        self.held_tokens == 0.0
+            && self.queued == 0
+            && (self.slowdown - 1.0).abs() <= SLOWDOWN_CHANGE
     }
 }
 
@@ -96,6 +100,7 @@
         engine: engine.clone(),
         slowdown: r.slowdown,
         held_tokens: r.held_tokens,
+        queued: r.queued,
         age_ms: now.saturating_sub(r.at),
     };
     (reports.iter().filter(new).map(report).collect(), control.report_serial.get())
@@ -106,7 +111,9 @@
     let mut changed = false;
     for r in reports {
         let at = sent.saturating_sub(r.age_ms);
-        changed |= record(control, &r.engine, r.slowdown, r.held_tokens, at);
+        let (slowdown, held_tokens, queued) = (r.slowdown, r.held_tokens, r.queued);
+        changed |=
+            record(control, &r.engine, Report { slowdown, held_tokens, queued, at, serial: 0 });
     }
     if changed {
         control.publish();
@@ -151,17 +158,19 @@
     let held_tokens = status.held_tokens(mean_tokens).unwrap_or(0.0);
     let at = control.now().saturating_sub(lag_ms);
     // The reports of a round are published together.
-    let _ = record(control, &engine.id, status.slowdown, held_tokens, at);
+    let (slowdown, queued) = (status.slowdown, status.waiting);
+    let report = Report { slowdown, held_tokens, queued, at, serial: 0 };
+    let _ = record(control, &engine.id, report);
 }
 
 /// Records a report, and returns whether it may make another engine the faster one.
-fn record(control: &Control, engine: &Name, slowdown: f64, held_tokens: f64, at: Millis) -> bool {
+fn record(control: &Control, engine: &Name, mut report: Report) -> bool {
+    let at = report.at;
     let known = control.reports.borrow().get(engine).is_some_and(|r| r.at >= at);
     // A report from another node may be of the engine's previous incarnation.
     if known || control.incarnations.borrow().restarted_since(engine, at) {
         return false;
     }
-    let mut report = Report { slowdown, held_tokens, at, serial: 0 };
     report.serial = match control.reports.borrow().get(engine) {
         Some(old) if old.is_idle() && report.is_idle() => old.serial,
         _ => {
--- a/crates/heathpitchd/src/gateway/engine_table.rs
+++ b/crates/heathpitchd/src/gateway/engine_table.rs
@@ -10,7 +10,7 @@
 
 /// Share of an engine's token capacity above which it gets no new requests: beyond it, requests
 /// evict each other's tokens and have to be prefilled again.
-const MAX_UTILIZATION: f64 = 0.95;
+pub(crate) const MAX_UTILIZATION: f64 = 0.95;
 /// Cost of an engine without capacity, milliseconds per token: more than a path through another
 /// failure domain.
 const FULL_PENALTY_MS: f64 = 16.0;
--- a/crates/heathpitchd/tests/reference.rs
+++ b/crates/heathpitchd/tests/reference.rs
@@ -7,8 +7,8 @@
 use std::path::{Path, PathBuf};
 
 use heathpitch_core::{
-    GatewaySettings, PlatformBounds, RouteSettings, Timing, VmCapacity, parse_document,
-    parse_settings,
+    GatewaySettings, LoadSettings, PlatformBounds, RouteSettings, Timing, VmCapacity,
+    parse_document, parse_settings,
 };
 use heathpitchd::{Event, GATEWAY_METRICS, GatewayEvent, METRICS};
 use serde_json::Value;
@@ -54,8 +54,9 @@
     let bounds =
         keys(&PlatformBounds::default()).into_iter().map(|k| format!("gateway.bounds.{k}"));
     let vm = keys(&VmCapacity::default()).into_iter().map(|k| format!("gateway.vm.{k}"));
+    let load = keys(&LoadSettings::default()).into_iter().map(|k| format!("gateway.load.{k}"));
     let missing: Vec<String> =
-        top.chain(bounds).chain(vm).filter(|k| !documented.contains(k)).collect();
+        top.chain(bounds).chain(vm).chain(load).filter(|k| !documented.contains(k)).collect();
     assert_eq!(missing, Vec::<String>::new());
 }
 
--- a/crates/net/schema/feed.capnp
+++ b/crates/net/schema/feed.capnp
@@ -48,6 +48,41 @@
   # Rate limits that the requesting node has learned of since its last poll of the same node.
   limitsSerial @16 :UInt64;
   # Serial of the last known rate limit of the same incarnation.
+  demand @17 :List(Demand);
+  # Streams that callers asked of the requesting node since its last answered poll of the same node.
+  promises @18 :List(Promise);
+  # Returns promised by the requesting node since then.
+}
+
+struct Demand {
+  # Streams of one service, rank and client account.
+  service @0 :Text;
+  rank @1 :UInt8;
+  account @2 :UInt64;
+  # Digest of the account; 0 for none.
+  asked @3 :UInt32;
+  admitted @4 :UInt32;
+}
+
+struct Promise {
+  # Times at which rejected callers were told to return.
+  service @0 :Text;
+  inMs @1 :UInt32;
+  # Time from this message to the slot.
+  count @2 :UInt32;
+}
+
+struct Share {
+  # Part of an account's requests that is within its share.
+  service @0 :Text;
+  account @1 :UInt64;
+  fraction @2 :Float32;
+}
+
+struct PromiseRate {
+  # Returns that one slot of a service has capacity for.
+  service @0 :Text;
+  perSlot @1 :Float32;
 }
 
 struct Limit {
@@ -127,6 +162,15 @@
   limits @24 :List(Limit);
   limitsSerial @25 :UInt64;
   # Rate limits, and the position after them in the same incarnation.
+  shares @26 :List(Share);
+  # Accounts that ask for more than their share.
+  sharesMs @27 :UInt64;
+  # Time since the shares were computed.
+  sharesKnown @28 :Bool;
+  # Whether the polled node has computed shares; otherwise `shares` is empty because nothing is known.
+  promises @29 :List(Promise);
+  # Outstanding promised returns to the failure domain.
+  promiseRates @30 :List(PromiseRate);
 }
 
 struct Report {
@@ -136,6 +180,8 @@
   ageMs @2 :UInt64;
   held @3 :Float64;
   # Tokens held by requests.
+  queued @4 :UInt32;
+  # Requests that wait for their start.
 }
 
 struct Source {
--- a/crates/net/src/feed_codec.rs
+++ b/crates/net/src/feed_codec.rs
@@ -9,11 +9,13 @@
 
 use crate::deflate::{deflate_bytes, inflate_bytes};
 use crate::feed_capnp::{
-    ask, end, item, items, leave, limit, planner, report, right_ask, right_told, source, told,
+    ask, demand, end, item, items, leave, limit, planner, promise, promise_rate, report, right_ask,
+    right_told, share, source, told,
 };
 use crate::{
-    FeedCursor, FeedDrain, FeedEngines, FeedExit, FeedLimit, FeedNotices, FeedPlanner, FeedReport,
-    FeedRequest, FeedResponse, Item, NoticeCursor, RightsRequest, RightsResponse, RpcError,
+    FeedCursor, FeedDemand, FeedDrain, FeedEngines, FeedExit, FeedLimit, FeedNotices, FeedPlanner,
+    FeedPromise, FeedPromiseRate, FeedReport, FeedRequest, FeedResponse, FeedShare, FeedShares,
+    Item, NoticeCursor, RightsRequest, RightsResponse, RpcError,
 };
 
 /// Encodes and compresses a complete list of items: 100 engine entries take about 3 kB instead of
@@ -60,7 +62,9 @@
     to.set_limits_serial(from.notice_cursor.limits);
     write_exits(&from.notices.exits, to.reborrow().init_ends(from.notices.exits.len() as u32));
     write_drains(&from.notices.drains, to.reborrow().init_leaves(from.notices.drains.len() as u32));
-    write_limits(&from.notices.limits, to.init_limits(from.notices.limits.len() as u32));
+    write_limits(&from.notices.limits, to.reborrow().init_limits(from.notices.limits.len() as u32));
+    write_demand(&from.demand, to.reborrow().init_demand(from.demand.len() as u32));
+    write_promises(&from.promises, to.init_promises(from.promises.len() as u32));
 }
 
 pub(crate) fn read_request(from: ask::Reader<'_>) -> capnp::Result<FeedRequest> {
@@ -84,6 +88,8 @@
             drains: from.get_leaves_serial(),
             limits: from.get_limits_serial(),
         },
+        demand: from.get_demand()?.iter().map(read_demand).collect::<capnp::Result<_>>()?,
+        promises: from.get_promises()?.iter().map(read_promise).collect::<capnp::Result<_>>()?,
     })
 }
 
@@ -130,6 +136,16 @@
     write_exits(&from.notices.exits, to.reborrow().init_ends(from.notices.exits.len() as u32));
     write_drains(&from.notices.drains, to.reborrow().init_leaves(from.notices.drains.len() as u32));
     write_limits(&from.notices.limits, to.reborrow().init_limits(from.notices.limits.len() as u32));
+    if let Some(known) = &from.shares {
+        to.set_shares_known(true);
+        to.set_shares_ms(known.age_ms);
+        write_shares(&known.accounts, to.reborrow().init_shares(known.accounts.len() as u32));
+    }
+    write_promises(&from.promises, to.reborrow().init_promises(from.promises.len() as u32));
+    write_promise_rates(
+        &from.promise_rates,
+        to.reborrow().init_promise_rates(from.promise_rates.len() as u32),
+    );
     let mut standbys = to.init_standbys(from.standbys.len() as u32);
     for (i, (node, address)) in from.standbys.iter().enumerate() {
         write_source(node, *address, standbys.reborrow().get(i as u32));
@@ -147,6 +163,13 @@
             removed: from.get_gone()?.iter().map(key).collect::<capnp::Result<_>>()?,
         },
     };
+    let shares = match from.get_shares_known() {
+        true => Some(FeedShares {
+            accounts: from.get_shares()?.iter().map(read_share).collect::<capnp::Result<_>>()?,
+            age_ms: from.get_shares_ms(),
+        }),
+        false => None,
+    };
     Ok(FeedResponse {
         fresh: from.get_live(),
         cursor: FeedCursor {
@@ -173,6 +196,13 @@
             drains: from.get_leaves_serial(),
             limits: from.get_limits_serial(),
         },
+        shares,
+        promises: from.get_promises()?.iter().map(read_promise).collect::<capnp::Result<_>>()?,
+        promise_rates: from
+            .get_promise_rates()?
+            .iter()
+            .map(read_promise_rate)
+            .collect::<capnp::Result<_>>()?,
     })
 }
 
@@ -204,6 +234,7 @@
     to.set_engine(from.engine.as_str());
     to.set_pace(from.slowdown);
     to.set_held(from.held_tokens);
+    to.set_queued(from.queued);
     to.set_age_ms(from.age_ms);
 }
 
@@ -212,10 +243,81 @@
         engine: name(from.get_engine()?)?,
         slowdown: from.get_pace(),
         held_tokens: from.get_held(),
+        queued: from.get_queued(),
         age_ms: from.get_age_ms(),
     })
 }
 
+fn write_demand(from: &[FeedDemand], mut to: capnp::struct_list::Builder<'_, demand::Owned>) {
+    for (i, d) in from.iter().enumerate() {
+        let mut to = to.reborrow().get(i as u32);
+        to.set_service(d.service.as_str());
+        to.set_rank(d.rank);
+        to.set_account(d.account);
+        to.set_asked(d.asked);
+        to.set_admitted(d.admitted);
+    }
+}
+
+fn read_demand(from: demand::Reader<'_>) -> capnp::Result<FeedDemand> {
+    Ok(FeedDemand {
+        service: name(from.get_service()?)?,
+        rank: from.get_rank(),
+        account: from.get_account(),
+        asked: from.get_asked(),
+        admitted: from.get_admitted(),
+    })
+}
+
+fn write_promises(from: &[FeedPromise], mut to: capnp::struct_list::Builder<'_, promise::Owned>) {
+    for (i, p) in from.iter().enumerate() {
+        let mut to = to.reborrow().get(i as u32);
+        to.set_service(p.service.as_str());
+        to.set_in_ms(p.in_ms.min(u32::MAX.into()) as u32);
+        to.set_count(p.count);
+    }
+}
+
+fn read_promise(from: promise::Reader<'_>) -> capnp::Result<FeedPromise> {
+    Ok(FeedPromise {
+        service: name(from.get_service()?)?,
+        in_ms: from.get_in_ms().into(),
+        count: from.get_count(),
+    })
+}
+
+fn write_promise_rates(
+    from: &[FeedPromiseRate],
+    mut to: capnp::struct_list::Builder<'_, promise_rate::Owned>,
+) {
+    for (i, r) in from.iter().enumerate() {
+        let mut to = to.reborrow().get(i as u32);
+        to.set_service(r.service.as_str());
+        to.set_per_slot(r.per_slot);
+    }
+}
+
+fn read_promise_rate(from: promise_rate::Reader<'_>) -> capnp::Result<FeedPromiseRate> {
+    Ok(FeedPromiseRate { service: name(from.get_service()?)?, per_slot: from.get_per_slot() })
+}
+
+fn write_shares(from: &[FeedShare], mut to: capnp::struct_list::Builder<'_, share::Owned>) {
+    for (i, s) in from.iter().enumerate() {
+        let mut to = to.reborrow().get(i as u32);
+        to.set_service(s.service.as_str());
+        to.set_account(s.account);
+        to.set_fraction(s.fraction);
+    }
+}
+
+fn read_share(from: share::Reader<'_>) -> capnp::Result<FeedShare> {
+    Ok(FeedShare {
+        service: name(from.get_service()?)?,
+        account: from.get_account(),
+        fraction: from.get_fraction(),
+    })
+}
+
 fn write_exits(from: &[FeedExit], mut to: capnp::struct_list::Builder<'_, end::Owned>) {
     for (i, e) in from.iter().enumerate() {
         let mut to = to.reborrow().get(i as u32);
--- a/crates/net/src/feed_message.rs
+++ b/crates/net/src/feed_message.rs
@@ -31,6 +31,66 @@
     pub notices: FeedNotices,
     /// Notices of the polled node that the requesting node already has.
     pub notice_cursor: NoticeCursor,
+    /// Streams that callers asked of the requesting node since its last answered poll of the same
+    /// node.
+    pub demand: Vec<FeedDemand>,
+    /// Returns promised by the requesting node since then.
+    pub promises: Vec<FeedPromise>,
+}
+
+/// Streams of one service, rank and client account.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FeedDemand {
+    /// The service.
+    pub service: Name,
+    /// Priority rank; 0 comes first.
+    pub rank: u8,
+    /// Digest of the client account; 0 for none.
+    pub account: u64,
+    /// Streams asked for.
+    pub asked: u32,
+    /// Streams admitted.
+    pub admitted: u32,
+}
+
+/// Returns promised to rejected callers in one slot of time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FeedPromise {
+    /// The service.
+    pub service: Name,
+    /// Time from the message to the slot, milliseconds.
+    pub in_ms: Millis,
+    /// Number of returns.
+    pub count: u32,
+}
+
+/// Returns that one slot of a service has capacity for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FeedPromiseRate {
+    /// The service.
+    pub service: Name,
+    /// Returns per slot.
+    pub per_slot: f32,
+}
+
+/// Shares of client accounts in a failure domain.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FeedShares {
+    /// Accounts that ask for more than their share.
+    pub accounts: Vec<FeedShare>,
+    /// Time since the shares were computed.
+    pub age_ms: Millis,
+}
+
+/// Share of one account that asks for more.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FeedShare {
+    /// The service.
+    pub service: Name,
+    /// Digest of the client account.
+    pub account: u64,
+    /// Part of its requests that is within its share, 0 to 1.
+    pub fraction: f32,
 }
 
 /// Observations about engines, made by calls and status queries.
@@ -170,6 +230,12 @@
     pub notices: FeedNotices,
     /// Position in the notices after this response.
     pub notice_cursor: NoticeCursor,
+    /// Shares of client accounts, if the polled node has computed them.
+    pub shares: Option<FeedShares>,
+    /// Outstanding promised returns to the failure domain.
+    pub promises: Vec<FeedPromise>,
+    /// Returns that a slot has capacity for, by service.
+    pub promise_rates: Vec<FeedPromiseRate>,
 }
 
 /// Engine entries in a response.
@@ -201,6 +267,8 @@
     pub slowdown: f64,
     /// Tokens held by requests.
     pub held_tokens: f64,
+    /// Requests that wait for their start.
+    pub queued: u32,
     /// Age of the report.
     pub age_ms: Millis,
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -43,8 +43,9 @@
 pub use feed::{FeedClient, FeedServer};
 pub use feed_codec::{pack, unpack};
 pub use feed_message::{
-    FeedCursor, FeedDrain, FeedEngines, FeedExit, FeedLimit, FeedNotices, FeedPlanner, FeedReport,
-    FeedRequest, FeedResponse, NoticeCursor, RightsRequest, RightsResponse,
+    FeedCursor, FeedDemand, FeedDrain, FeedEngines, FeedExit, FeedLimit, FeedNotices, FeedPlanner,
+    FeedPromise, FeedPromiseRate, FeedReport, FeedRequest, FeedResponse, FeedShare, FeedShares,
+    NoticeCursor, RightsRequest, RightsResponse,
 };
 pub use frame::{Frame, GenerateCall, Hop};
 pub use generated::{feed_capnp, peer_capnp};
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,6 +40,7 @@
 mod placement;
 mod predict;
 mod prefix;
+mod pressure;
 mod probes;
 mod quarantine;
 mod relay;
@@ -91,6 +92,7 @@
 };
 pub use predict::{Need, predict};
 pub use prefix::{BlockEvent, PrefixIndex};
+pub use pressure::Pressure;
 pub use probes::{ProbeResult, suspects};
 pub use quarantine::{EngineExit, EngineIncarnation, Quarantine, just_started};
 pub use relay::{Broken, EndReason, Relay, RelayAction, RelayEvent, RelayPlan, Repeat};
