Feed: a poll names its node, and another one at the address refuses

Cause: two soaks in one test binary failed together, once: calls of one ran on engines of the other, and after recovery a third of its fleet answered with the other's keys. A killed node's peer port had gone to a node of the other soak, and a follower that still polled it adopted that fleet's configuration, which had a higher revision. Nodes of both soaks had the same names.

Change: the poll carries the name of the node that is meant (`to`), if known; seeds are known by address only. Soak nodes have names of their own.

--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -152,6 +152,7 @@
         *state = FeedState { node: Some(source.node.clone()), ..FeedState::default() };
     }
     let (request, sent_to) = control.feed_request(state.cursor, &state.notices, false);
+    let request = FeedRequest { to: Some(source.node.clone()), ..request };
     if let Some(client) = &state.client {
         let sent = control.now();
         match client.poll(&request, POLL_TIMEOUT).await {
@@ -281,6 +282,7 @@
         let settings = self.shared.settings.load();
         let (notices, end) = self.notices_since(cursors.sent);
         let request = FeedRequest {
+            to: None,
             node: settings.node.clone(),
             address: self.shared.peer.unwrap_or(settings.listen),
             can_plan: nodes::can_plan(&settings),
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -88,6 +88,7 @@
                 let c = control.clone();
                 let issuer = control.clone();
                 let server = FeedServer::new(
+                    control.shared.settings.load().node.clone(),
                     Rc::new(move |request| feed_server::answer(&c, request)),
                     Rc::new(move |request| issuer.issue_rights(&request)),
                 );
--- a/crates/heathpitchd/src/gateway/control/neighbours.rs
+++ b/crates/heathpitchd/src/gateway/control/neighbours.rs
@@ -11,7 +11,7 @@
 
 use futures::future::join_all;
 use heathpitch_core::{Millis, Name};
-use heathpitch_net::{FeedClient, FeedCursor, FeedResponse, RpcError};
+use heathpitch_net::{FeedClient, FeedCursor, FeedRequest, FeedResponse, RpcError};
 use heathpitch_policy::Source;
 
 use super::feed::NoticeCursors;
@@ -113,6 +113,7 @@
         None => FeedClient::open(neighbour.planner.address, POLL_TIMEOUT).await?,
     };
     let (request, sent_to) = control.feed_request(neighbour.cursor, &neighbour.notices, true);
+    let request = FeedRequest { to: Some(neighbour.planner.node.clone()), ..request };
     let response = client.poll(&request, POLL_TIMEOUT).await?;
     neighbour.notices.advance(sent_to, &response);
     neighbour.client = Some(client);
--- a/crates/net/schema/feed.capnp
+++ b/crates/net/schema/feed.capnp
@@ -52,6 +52,8 @@
   # Streams that callers asked of the requesting node since its last answered poll of the same node.
   promises @18 :List(Promise);
   # Returns promised by the requesting node since then.
+  to @19 :Text;
+  # Node that is polled; empty if its name is not known. Another node that has its address by now refuses.
 }
 
 struct Demand {
--- a/crates/net/src/feed.rs
+++ b/crates/net/src/feed.rs
@@ -11,6 +11,7 @@
 use capnp_rpc::RpcSystem;
 use capnp_rpc::new_client;
 use capnp_rpc::rpc_twoparty_capnp::Side;
+use heathpitch_core::Name;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
@@ -31,17 +32,19 @@
 /// Server for followers and for nodes that request rights.
 #[derive(Clone)]
 pub struct FeedServer {
+    node: Name,
     respond: Rc<dyn Fn(FeedRequest) -> FeedResponse>,
     issue_rights: Rc<dyn Fn(RightsRequest) -> RightsResponse>,
 }
 
 impl FeedServer {
-    /// A server with handlers for polls and for requests of rights.
+    /// The server of `node`, with handlers for polls and for requests of rights.
     pub fn new(
+        node: Name,
         respond: Rc<dyn Fn(FeedRequest) -> FeedResponse>,
         issue_rights: Rc<dyn Fn(RightsRequest) -> RightsResponse>,
     ) -> Self {
-        Self { respond, issue_rights }
+        Self { node, respond, issue_rights }
     }
 
     /// Serves other nodes on `socket` until the future is dropped; must run in a `LocalSet`.
@@ -58,6 +61,10 @@
         mut results: feed::AskResults,
     ) -> Result<(), capnp::Error> {
         let request = read_request(params.get()?.get_ask()?)?;
+        if let Some(to) = request.to.as_ref().filter(|to| **to != self.node) {
+            let (node, by) = (&self.node, &request.node);
+            return Err(capnp::Error::failed(format!("{by} polls node {to}, this is {node}")));
+        }
         write_response(&(self.respond)(request), results.get().init_told());
         Ok(())
     }
--- a/crates/net/src/feed_codec.rs
+++ b/crates/net/src/feed_codec.rs
@@ -46,6 +46,7 @@
 }
 
 pub(crate) fn write_request(from: &FeedRequest, mut to: ask::Builder<'_>) {
+    to.set_to(from.to.as_ref().map_or("", Name::as_str));
     to.set_node(from.node.as_str());
     to.set_address(from.address.to_string());
     to.set_able(from.can_plan);
@@ -68,7 +69,9 @@
 }
 
 pub(crate) fn read_request(from: ask::Reader<'_>) -> capnp::Result<FeedRequest> {
+    let to = Some(from.get_to()?).filter(|to| !to.is_empty()).map(name).transpose()?;
     Ok(FeedRequest {
+        to,
         node: name(from.get_node()?)?,
         address: address(from.get_address()?)?,
         can_plan: from.get_able(),
--- a/crates/net/src/feed_message.rs
+++ b/crates/net/src/feed_message.rs
@@ -11,6 +11,9 @@
 /// Poll of one node by another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FeedRequest {
+    /// Node that is polled, if its name is known. Another node that has its address by now refuses:
+    /// it may belong to another fleet.
+    pub to: Option<Name>,
     /// Requesting node.
     pub node: Name,
     /// Address at which it can be polled itself.
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -138,7 +138,9 @@
         let domain = if index < 2 { "mem" } else { "atl" };
         let bounds = json!({ "revoke_ms": REVOKE_MS });
         let store = self.store_proxies[index].address();
-        let name = format!("n{index}");
+        // Unique among soaks that run side by side: a node that gets the port of another soak's
+        // killed node must not be taken for that one.
+        let name = format!("n{index}-{}", self.store.address().port());
         let node = GatewayProcess::spawn(&self.binary, store, &name, domain, &bounds)?;
         *self.nodes[index].lock() = Some(node);
         Ok(())
