Ranks: accounts are compared before routes instead of replacing their rank

Cause: the platform states a rank for every account, 1 for all of them. It replaced that of the route, so that of three kinds of stream with ranks 0, 1 and 2 all went to engines as 1, and the most urgent kind was served worst. The agreement says that an account's rank comes before that of the route.

Change: a call's rank is its position in the order by account and then route, among the ranks that calls to its service may have.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -1,6 +1,6 @@
 //! The configuration in force on a gateway: routes, services, client accounts and request limits.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::{CallRoute, Millis, Name, Revision, ServiceSpec};
@@ -34,7 +34,7 @@
 pub struct KeyHolder {
     /// Name of the account.
     pub account: Name,
-    /// Priority rank of its requests, 0 first; overrides that of the route.
+    /// Priority rank of its requests, 0 first; compared before that of the route.
     pub rank: Option<u8>,
 }
 
@@ -51,8 +51,14 @@
     pub services: HashMap<Name, Arc<ServiceSpec>>,
     routes: HashMap<Arc<str>, Vec<Arc<CallRoute>>>,
     keys: Option<HashMap<Arc<str>, KeyHolder>>,
+    ranks: HashMap<Name, Vec<RankPair>>,
 }
 
+/// Rank of an account and of a route.
+///
+/// An account without a rank has that of the route.
+type RankPair = (u8, u8);
+
 /// Why a lookup for a request failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum LookupError {
@@ -75,6 +81,7 @@
         routes: Vec<CallRoute>,
         keys: Option<HashMap<Arc<str>, KeyHolder>>,
     ) -> Self {
+        let ranks = service_ranks(&routes, keys.as_ref());
         let mut hosts: HashMap<Arc<str>, Vec<Arc<CallRoute>>> = HashMap::new();
         for route in routes {
             hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
@@ -83,7 +90,7 @@
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
-        Self { revision, version, limits, services, routes: hosts, keys }
+        Self { revision, version, limits, services, routes: hosts, keys, ranks }
     }
 }
 
@@ -121,8 +128,44 @@
         }
     }
 
+    /// Priority rank of a call to a service, 0 first.
+    ///
+    /// Accounts are compared first and routes second: if all accounts have the same rank, as is usual,
+    /// the routes decide. The rank is the position among those that calls to the service may have. If
+    /// there is only one, it is that of the account, or else of the route.
+    pub fn rank(&self, service: &Name, route: &CallRoute, holder: Option<&KeyHolder>) -> u8 {
+        let pair = rank_pair(route, holder.and_then(|h| h.rank));
+        match self.ranks.get(service).map_or(&[][..], Vec::as_slice) {
+            [] | [_] => pair.0,
+            ranks => ranks.partition_point(|r| *r < pair).min(u8::MAX.into()) as u8,
+        }
+    }
+
     /// All routes, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<CallRoute>> {
         self.routes.values().flatten()
     }
 }
+
+fn rank_pair(route: &CallRoute, account: Option<u8>) -> RankPair {
+    (account.unwrap_or(route.rank), route.rank)
+}
+
+/// Distinct ranks that calls to each service may have, most urgent first.
+fn service_ranks(
+    routes: &[CallRoute],
+    keys: Option<&HashMap<Arc<str>, KeyHolder>>,
+) -> HashMap<Name, Vec<RankPair>> {
+    let accounts: BTreeSet<Option<u8>> =
+        keys.into_iter().flat_map(HashMap::values).map(|h| h.rank).collect();
+    let mut ranks: HashMap<Name, BTreeSet<RankPair>> = HashMap::new();
+    for route in routes {
+        let without = (keys.is_none() || route.public).then_some(None);
+        let pairs = accounts.iter().copied().chain(without).map(|a| rank_pair(route, a));
+        let pairs: Vec<RankPair> = pairs.collect();
+        for target in &route.targets {
+            ranks.entry(target.service.clone()).or_default().extend(&pairs);
+        }
+    }
+    ranks.into_iter().map(|(service, pairs)| (service, pairs.into_iter().collect())).collect()
+}
--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -52,7 +52,7 @@
 
     /// Its priority rank; 0 is the highest.
     pub(crate) fn rank(&self) -> u8 {
-        self.holder.as_ref().and_then(|h| h.rank).unwrap_or(self.route.rank)
+        self.catalog.rank(&self.service.name, &self.route, self.holder.as_ref())
     }
 }
 
