--- a/crates/policy/src/chain.rs
+++ b/crates/policy/src/chain.rs
@@ -77,16 +77,18 @@
 pub fn find_local_chain(search: &ChainQuery<'_>, engines: &[ChainEngine]) -> Option<(Path, f64)> {
     let local: Vec<ChainEngine> =
         engines.iter().filter(|l| &l.entry.domain == search.home).cloned().collect();
-    let full = |path: &Path| {
-        let used = |l: &&ChainEngine| path.stages().iter().any(|s| s.engine == l.entry.id);
-        local.iter().filter(used).any(|l| l.full || l.deprioritized)
-    };
     match find_chain(search, &local) {
-        Some((path, cost)) if !full(&path) => Some((path, cost)),
+        Some((path, cost)) if has_capacity(&path, &local) => Some((path, cost)),
         local => find_chain(search, engines).or(local),
     }
 }
 
+/// Whether no engine of a chain through some of `engines` is full or deprioritized.
+pub fn has_capacity(path: &Path, engines: &[ChainEngine]) -> bool {
+    let used = |l: &&ChainEngine| path.stages().iter().any(|s| s.engine == l.entry.id);
+    !engines.iter().filter(used).any(|l| l.full || l.deprioritized)
+}
+
 /// Finds the cheapest chain, with its cost in milliseconds per token.
 ///
 /// None if the engines do not hold every layer, or the first engine of the current path is not
