Gateway: draw the failure domain of a stream by its fractions

A stream that is drawn for another domain takes a path that lies in it, unless that is full; otherwise the path is chosen as before.

--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -17,6 +17,7 @@
 use super::record::AttemptLog;
 use super::refusal::RefusalKind;
 use super::send::{Answer, Failure, Target, send};
+use crate::gateway::balance::{BalancedService, Locality};
 use crate::gateway::engine_table::EngineView;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::live::LiveStream;
@@ -66,6 +67,8 @@
     full: Option<Full>,
     /// Load of the path; zero for an engine without one.
     pressure: Pressure,
+    /// Where the path lies; none for an engine without one.
+    locality: Option<Locality>,
 }
 
 /// Why no engine took a stream.
@@ -117,13 +120,16 @@
                     .retry_schedules
                     .admit(&self.call.service.name, self.traffic.shared.now());
             }
-            let Choice { view, path, .. } = choice;
+            let Choice { view, path, locality, .. } = choice;
             if self.attempts > 0 && !self.allows_retry() {
                 return Err(DispatchError::Refused(kind));
             }
             if self.attempts > 0 && !self.traffic.retry_budgets.spend(&self.call.service.name) {
                 return Err(DispatchError::Refused(kind));
             }
+            if let Some(locality) = locality {
+                self.traffic.shared.metrics.routed.with_label_values(&[locality.label()]).inc();
+            }
             match self.attempt(&view, path.as_ref()).await {
                 Ok(answer) if answer.parts.status == StatusCode::OK => {
                     self.attempts += 1;
@@ -257,15 +263,20 @@
         let domain = shared.settings.load().domain.clone();
         let avoid = Avoid { engines: &self.avoid, now: shared.now() };
         match &self.call.service.model {
-            Some(_) => {
-                let Chosen { path, full, pressure } =
-                    pick::path(&table, &self.call, &domain, avoid)?;
+            Some(model) => {
+                let service =
+                    BalancedService { name: &self.call.service.name, model, home: &domain };
+                let drawn = shared.balances.draw(shared, &table, service);
+                let Chosen { path, full, pressure, locality } =
+                    pick::path(&table, &self.call, &domain, drawn.as_ref(), avoid)?;
                 let view = table.by_id(path.head().engine.as_str())?.clone();
-                Some(Choice { view, path: Some(path), full, pressure })
+                let locality = Some(locality);
+                Some(Choice { view, path: Some(path), full, pressure, locality })
             }
             None => {
                 let view = pick::engine(&table, &self.call.service.name, &domain, avoid)?;
-                Some(Choice { view, path: None, full: None, pressure: Pressure::default() })
+                let pressure = Pressure::default();
+                Some(Choice { view, path: None, full: None, pressure, locality: None })
             }
         }
     }
--- a/crates/heathpitchd/src/gateway/call/pick.rs
+++ b/crates/heathpitchd/src/gateway/call/pick.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 
 use super::admit::Call;
+use crate::gateway::balance::{Locality, chain_within};
 use crate::gateway::engine_table::{EngineTable, EngineView, MAX_UTILIZATION, PathQuery};
 
 /// Cost of an engine in another failure domain, in requests waiting at an engine.
@@ -62,6 +63,7 @@
     pub(crate) full: Option<Full>,
     /// Load of the path once it runs the call.
     pub(crate) pressure: Pressure,
+    pub(crate) locality: Locality,
 }
 
 /// An engine without capacity for a call.
@@ -88,16 +90,18 @@
     }
 }
 
-/// The cheapest path through the engines of a layered model: within the own failure domain if that
-/// holds the model and has capacity, else through any engines.
+/// The cheapest path through the engines of a layered model: within the failure domain that the call
+/// was drawn for, or else the own one, if that holds the model and has capacity, else through any
+/// engines.
 pub(crate) fn path(
     table: &EngineTable,
     call: &Call,
     home: &Name,
+    drawn: Option<&Name>,
     avoid: Avoid<'_>,
 ) -> Option<Chosen> {
     let now = avoid.now;
-    let (path, engines) = chain(table, call, home, now, |s| avoid.allows(s))?;
+    let (path, engines) = chain(table, call, home, drawn, now, |s| avoid.allows(s))?;
     let on_path = |l: &&ChainEngine| path.stages().iter().any(|s| s.engine == l.entry.id);
     let fullest =
         engines.iter().filter(on_path).max_by(|a, b| a.utilization.total_cmp(&b.utilization));
@@ -113,7 +117,8 @@
             table.by_id(l.entry.id.as_str()).and_then(|v| v.stats.occupancy().age(now));
         Full { engine: l.entry.id.clone(), utilization: l.utilization, report_age }
     });
-    Some(Chosen { path, full, pressure })
+    let locality = Locality::of(&path, table, home, drawn);
+    Some(Chosen { path, full, pressure, locality })
 }
 
 /// The cheapest path through usable engines, and all the engines considered.
@@ -121,6 +126,7 @@
     table: &EngineTable,
     call: &Call,
     home: &Name,
+    drawn: Option<&Name>,
     now: Millis,
     usable: impl Fn(&EngineView) -> bool,
 ) -> Option<(Path, Vec<ChainEngine>)> {
@@ -129,7 +135,11 @@
     let engines =
         table.chain_engines(&PathQuery { service, model, tokens, now, current: None }, usable);
     let query = ChainQuery { model, name: service, home, current: None };
-    let (path, _) = find_local_chain(&query, &engines)?;
+    let balanced = drawn.and_then(|domain| chain_within(&query, &engines, domain));
+    let path = match balanced {
+        Some(path) => path,
+        None => find_local_chain(&query, &engines)?.0,
+    };
     Some((path, engines))
 }
 
@@ -151,7 +161,7 @@
         let all_wait = in_service().all(|s| !s.is_available(now));
         return in_service().map(wait).min().filter(|_| all_wait);
     }
-    let (path, _) = chain(table, call, home, now, |s| s.is_in_service(now))?;
+    let (path, _) = chain(table, call, home, None, now, |s| s.is_in_service(now))?;
     let engines = path.stages().iter().filter_map(|stage| table.by_id(stage.engine.as_str()));
     engines.filter(|s| !s.is_available(now)).map(wait).max()
 }
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -356,6 +356,15 @@
         /// Its response.
         result: String,
     },
+    /// The fractions of a service's calls that this node sends to other failure domains changed.
+    BalanceChanged {
+        /// Service.
+        service: Name,
+        /// Fraction of the calls by other domain.
+        fractions: Vec<(Name, f64)>,
+        /// Pressure of the best path by domain, of those with recent reports.
+        pressures: Vec<(Name, f64)>,
+    },
     /// The VM was resumed after a suspension.
     VmSuspended {
         /// Duration of the suspension.
--- a/crates/heathpitchd/src/gateway/event_log.rs
+++ b/crates/heathpitchd/src/gateway/event_log.rs
@@ -4,7 +4,7 @@
 
 impl GatewayEvent {
     /// Names of all events; they do not change between versions.
-    pub const NAMES: [&'static str; 39] = [
+    pub const NAMES: [&'static str; 40] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -36,6 +36,7 @@
         "engine_paced",
         "layout_planned",
         "layers_ordered",
+        "balance_changed",
         "vm_suspended",
         "domain_planner",
         "feed_changed",
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! reached only through the traits in [`Clients`].
 
 mod backpressure;
+mod balance;
 mod call;
 mod control;
 mod engine_table;
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -11,6 +11,7 @@
 use heathpitch_policy::{EngineIncarnation, Freshness};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use super::balance::Balances;
 use super::engine_table::EngineTable;
 use super::live::LiveStream;
 use super::metrics::GatewayMetrics;
@@ -118,6 +119,8 @@
     pub(crate) list_freshness: ArcSwap<Freshness>,
     /// Requests that were running on engines when these exited.
     pub(crate) quarantine: ArcSwap<QuarantineSnapshot>,
+    /// Fractions of calls that run in other failure domains.
+    pub(crate) balances: Balances,
     pub(crate) stopping: AtomicBool,
     pub(crate) open_calls: AtomicUsize,
     /// How often the VM was resumed after a suspension.
@@ -145,6 +148,7 @@
             config_freshness: ArcSwap::default(),
             list_freshness: ArcSwap::default(),
             quarantine: ArcSwap::default(),
+            balances: Balances::default(),
             stopping: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
             resumed: watch::Sender::new(0),
