--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -13,7 +13,7 @@
 use heathpitch_core::{Millis, Name};
 
 use crate::DomainLoad;
-use crate::water_level::{Level, flows};
+use crate::water_level::{FILL_LEVEL, Level, flows};
 
 /// Largest fraction of the calls that runs in other domains.
 ///
@@ -29,6 +29,12 @@
 const MAX_RISE_STEP_MS: Millis = 250;
 /// Time constant of a fall, milliseconds: longer than reports take to show the calls that came back.
 const FALL_MS: f64 = 2_000.0;
+/// Time constant of a fall while the other domain is reported above the home domain or as nearly full, milliseconds: the
+/// time of a rise.
+const QUICK_FALL_MS: f64 = 500.0;
+/// Difference to its target up to which a fraction does not rise: random arrivals cause such
+/// differences, and since falls are slow, each of them would add to the fraction.
+const DEAD_BAND: f64 = 0.05;
 /// Time constant after which reports contain a fraction, milliseconds: the delay of a report and
 /// the duration of a stream.
 const EFFECT_MS: f64 = 2_000.0;
@@ -83,6 +89,8 @@
     fraction: f64,
     /// Part of the calls that the reports show to run there.
     effect: f64,
+    /// Whether the domain is reported above the home domain, or as nearly full.
+    is_too_full: bool,
     /// Whether the domain relieves the home domain.
     is_active: bool,
     /// Fraction that was noted last.
@@ -92,7 +100,14 @@
 impl Share {
     fn new(domain: &Name) -> Self {
         let domain = domain.clone();
-        Self { domain, fraction: 0.0, effect: 0.0, is_active: false, noted: 0.0 }
+        Self {
+            domain,
+            fraction: 0.0,
+            effect: 0.0,
+            is_too_full: false,
+            is_active: false,
+            noted: 0.0,
+        }
     }
 }
 
@@ -113,11 +128,15 @@
         self.follow_effect(elapsed);
         let known: Vec<&DomainLoad> = domains.iter().filter(|d| d.is_known()).collect();
         self.add_domains(&known);
+        let home = known.iter().find(|d| d.domain == self.home);
         for share in &mut self.shares {
             let load = known.iter().find(|d| d.domain == share.domain);
             if !load.is_some_and(|d| d.takes_calls()) {
                 (share.fraction, share.is_active) = (0.0, false);
             }
+            share.is_too_full = load
+                .zip(home)
+                .is_some_and(|(d, h)| pressure_of(d) > pressure_of(h).min(FILL_LEVEL));
         }
         let targets = self.targets(&known);
         self.approach(&targets, elapsed);
@@ -194,9 +213,10 @@
 
     /// Moves the fractions towards their targets: falls are exponential, rises share one rate.
     fn approach(&mut self, targets: &[f64], elapsed: Millis) {
-        let kept = (-(elapsed as f64) / FALL_MS).exp();
         let pairs = || targets.iter().copied();
         for (share, target) in self.shares.iter_mut().zip(pairs()) {
+            let fall_ms = if share.is_too_full { QUICK_FALL_MS } else { FALL_MS };
+            let kept = (-(elapsed as f64) / fall_ms).exp();
             if share.fraction > target {
                 share.fraction = target + (share.fraction - target) * kept;
             }
@@ -204,14 +224,13 @@
                 share.fraction = 0.0;
             }
         }
-        let wanted: f64 =
-            self.shares.iter().zip(pairs()).map(|(s, t)| (t - s.fraction).max(0.0)).sum();
+        let wanted: f64 = self.shares.iter().zip(pairs()).map(|(s, t)| missing(s, t)).sum();
         let step = elapsed.min(MAX_RISE_STEP_MS) as f64 / RISE_MS * MAX_AWAY;
         let left = (MAX_AWAY - self.fractions().map(|(_, f)| f).sum::<f64>()).max(0.0);
         let rise = step.min(left).min(wanted);
         for (share, target) in self.shares.iter_mut().zip(pairs()) {
-            if target > share.fraction && wanted > 0.0 {
-                share.fraction += (target - share.fraction) * (rise / wanted);
+            if wanted > 0.0 {
+                share.fraction += missing(share, target) * (rise / wanted);
             }
         }
     }
@@ -235,6 +254,14 @@
     }
 }
 
+/// What a fraction lacks to its target.
+fn missing(share: &Share, target: f64) -> f64 {
+    match target - share.fraction {
+        lacking if lacking >= DEAD_BAND => lacking,
+        _ => 0.0,
+    }
+}
+
 fn pressure_of(load: &DomainLoad) -> f64 {
     load.pressure.level().clamp(0.0, MAX_PRESSURE)
 }
--- a/crates/policy/src/water_level.rs
+++ b/crates/policy/src/water_level.rs
@@ -10,7 +10,7 @@
 const KEEP_LEVEL: f64 = 0.5;
 /// Pressure up to which a domain is filled by others. The rest covers the growth of its own demand
 /// until the next reports.
-const FILL_LEVEL: f64 = 0.9;
+pub(crate) const FILL_LEVEL: f64 = 0.9;
 /// Pressure by which a relieved domain stays above those that relieve it, so that reports that are
 /// slightly off don't move calls to the more loaded domain.
 const MARGIN: f64 = 0.05;
