--- a/crates/heathpitchd/src/gateway/balance.rs
+++ b/crates/heathpitchd/src/gateway/balance.rs
@@ -170,7 +170,7 @@
     let &PathQuery { service, model, now, .. } = query;
     let search = ChainQuery { model, name: service, home: domain, current: None };
     let (path, step_ms) = find_chain(&search, engines)?;
-    let views = engines.iter().filter_map(|l| table.by_id(l.entry.id.as_str()));
+    let views = table.engines_of(service).iter().filter(|v| &v.entry.domain == domain);
     // An engine without a report is idle as long as others of the domain are reported.
     let age = views.filter_map(|v| v.stats.occupancy().age(now)).min()?;
     let pressure = path_pressure(table, &path, engines, targets.latency, now);
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -1,10 +1,10 @@
 //! Which fraction of a service's calls runs in other failure domains.
 //!
 //! A node decides from reports that are a second old, and load follows its decisions by the duration
-//! of a stream. If it compared the reported pressures only, it would add calls until the effect of the
-//! first ones is reported, and remove them all afterwards. It therefore tracks how much of its
+//! of a stream. Fractions computed from the reported pressures alone would shrink as soon as they
+//! work, since the difference that they follow from shrinks. A node therefore tracks how much of its
 //! own fractions the reports already contain, and computes the pressures that the domains would have
-//! without them. From these the same fraction follows again and again while demand is unchanged.
+//! without them. From these the same fractions follow again while demand is unchanged.
 //!
 //! The nodes of a domain read the same reports and arrive at about the same fractions without talking
 //! to each other. Calls that come back late cost more than calls that stay away too long,
@@ -29,8 +29,8 @@
 const MAX_RISE_STEP_MS: Millis = 250;
 /// Time constant of a fall, milliseconds: longer than reports take to show the calls that came back.
 const FALL_MS: f64 = 2_000.0;
-/// Time constant of a fall while the other domain is reported above the home domain or as nearly full, milliseconds: the
-/// time of a rise.
+/// Time constant of a fall while the other domain is reported above the home domain or as nearly
+/// full, milliseconds: the time of a rise.
 const QUICK_FALL_MS: f64 = 500.0;
 /// Difference to its target up to which a fraction does not rise: random arrivals cause such
 /// differences, and since falls are slow, each of them would add to the fraction.
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -2,8 +2,9 @@
 //!
 //! Nodes decide from reports that are up to 1.5 s old, while load follows their decisions by the
 //! duration of the streams. The failures guarded against: nodes that all react to the same old report
-//! push the relieved domain's load onto another one and back again, or domains that together use
-//! the free capacity of a third one exceed it.
+//! push the relieved domain's load onto another one and back again; fractions shrink as soon as
+//! they work, so that a domain stays loaded; domains that together use the free capacity of a third
+//! one exceed it.
 
 #![allow(clippy::unwrap_used, reason = "a failure here fails the test")]
 
@@ -107,15 +108,15 @@
                 target[home] += demand[home] * (1.0 - away);
                 (0..3).for_each(|d| target[d] += demand[home] * fraction[home][d]);
             }
-            for d in 0..3 {
-                let follow = STEP_MS as f64 / self.stream_ms;
+            let follow = STEP_MS as f64 / self.stream_ms;
+            self.load = std::array::from_fn(|d| {
                 let load = self.load[d] + (target[d] - self.load[d]) * follow;
-                self.load[d] = load.min(self.capacity[d]);
-            }
+                load.min(self.capacity[d])
+            });
             self.history.push_front(self.load);
             self.history.truncate(1_000);
             self.update_nodes();
-            if self.now % UPDATE_MS == 0 {
+            if self.now.is_multiple_of(UPDATE_MS) {
                 let pressure = std::array::from_fn(|d| self.load[d] / self.capacity[d]);
                 samples.push(Sample { at: self.now, pressure, fraction });
             }
