--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -1,6 +1,6 @@
 //! The configuration in force on a gateway: routes, services, client accounts and request limits.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::{CallRoute, Millis, Name, Revision, ServiceSpec};
@@ -51,6 +51,10 @@
     pub services: HashMap<Name, Arc<ServiceSpec>>,
     routes: HashMap<Arc<str>, Vec<Arc<CallRoute>>>,
     keys: Option<HashMap<Arc<str>, KeyHolder>>,
+    /// Ranks of the stream routes of each service, ascending.
+    stream_ranks: HashMap<Name, Vec<u8>>,
+    /// Names of all accounts, ascending.
+    accounts: Vec<Name>,
 }
 
 /// Why a lookup for a request failed.
@@ -75,6 +79,10 @@
         routes: Vec<CallRoute>,
         keys: Option<HashMap<Arc<str>, KeyHolder>>,
     ) -> Self {
+        let stream_ranks = stream_ranks(&routes);
+        let holders = keys.iter().flat_map(HashMap::values);
+        let accounts: BTreeSet<Name> = holders.map(|h| h.account.clone()).collect();
+        let accounts = accounts.into_iter().collect();
         let mut hosts: HashMap<Arc<str>, Vec<Arc<CallRoute>>> = HashMap::new();
         for route in routes {
             hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
@@ -83,10 +91,21 @@
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
-        Self { revision, version, limits, services, routes: hosts, keys }
+        Self { revision, version, limits, services, routes: hosts, keys, stream_ranks, accounts }
     }
 }
 
+/// Distinct ranks of the stream routes of each service, ascending.
+fn stream_ranks(routes: &[CallRoute]) -> HashMap<Name, Vec<u8>> {
+    let mut ranks: HashMap<Name, BTreeSet<u8>> = HashMap::new();
+    for route in routes.iter().filter(|r| r.kind.streams()) {
+        for target in route.targets.iter().filter(|t| t.weight > 0) {
+            ranks.entry(target.service.clone()).or_default().insert(route.rank);
+        }
+    }
+    ranks.into_iter().map(|(service, ranks)| (service, ranks.into_iter().collect())).collect()
+}
+
 /// # Lookups
 impl Catalog {
     /// The route of a request: the one with the longest matching path prefix among those of its
@@ -121,6 +140,16 @@
         }
     }
 
+    /// Ranks of the stream routes that use a service, most urgent first, without repetition.
+    pub fn stream_ranks(&self, service: &Name) -> &[u8] {
+        self.stream_ranks.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Names of all client accounts, in ascending order.
+    pub fn accounts(&self) -> &[Name] {
+        &self.accounts
+    }
+
     /// All routes, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<CallRoute>> {
         self.routes.values().flatten()
--- a/crates/policy/src/followers.rs
+++ b/crates/policy/src/followers.rs
@@ -78,6 +78,11 @@
 
 /// # Queries
 impl Followers {
+    /// Whether a node polled within the last minute.
+    pub fn contains(&self, node: &Name, now: Millis) -> bool {
+        self.seen.get(node).is_some_and(|f| now < f.at + COUNTED_MS)
+    }
+
     /// Number of followers that are present.
     pub fn present(&self, now: Millis) -> u32 {
         self.seen.values().filter(|f| now < f.at + PRESENT_MS).count() as u32
