Gateway: admission of streams by rank, account and age; shares from the domain's planner

Cause: Flow::admit knew only the wait for the first event.

- the traffic thread reports each new stream to the control thread, which counts it; counts go to the planner or standby of the own failure domain with the next poll, shares come back with the answer; without shares younger than 2.5 s a node divides its own counts
- a call's age follows from its deadline and the largest one of its route in the last 15 to 30 s
- an engine without a path has a pressure too, from its wait; its streams could not be shed otherwise

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -32,6 +32,8 @@
     pub(crate) holder: Option<KeyHolder>,
     pub(crate) received: Millis,
     pub(crate) deadline: Millis,
+    /// Time since its caller first asked, as far as its deadline shows.
+    pub(crate) age_ms: Millis,
     fingerprint: OnceLock<RequestFingerprint>,
 }
 
@@ -94,12 +96,26 @@
     let service = pick_service(&catalog, &route, &id)?;
     let limit = head.deadline.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let deadline = received + limit;
+    let age_ms = match head.deadline {
+        Some(_) => traffic.usual_deadlines.age(&route.name, limit, received),
+        None => 0,
+    };
     let content = read_body(body, &catalog, &id).await?;
     let target = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
     let body = CallBody { method: parts.method, target, headers: parts.headers, content };
     let fingerprint = OnceLock::new();
-    let call =
-        Call { head, body, catalog, route, service, holder, received, deadline, fingerprint };
+    let call = Call {
+        head,
+        body,
+        catalog,
+        route,
+        service,
+        holder,
+        received,
+        deadline,
+        age_ms,
+        fingerprint,
+    };
     match shared.quarantine.load().held_back(|| call.fingerprint()) {
         Some(held) => Err(hold_back(shared, &call, held)),
         None => Ok(call),
@@ -116,7 +132,8 @@
         shared.notify_control(ControlMessage::HeldBack(call.fingerprint()));
     }
     let detail = held.to_string();
-    Refusal::unsent(RefusalKind::HeldBack, &call.head.id, detail).with_retry_after(remaining)
+    let refusal = Refusal::unsent(RefusalKind::HeldBack, &call.head.id, detail);
+    refusal.with_retry_after(remaining).of_call(call)
 }
 
 fn pick_service(
--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -6,16 +6,16 @@
 
 use heathpitch_core::{EngineEntry, Evidence, Millis, Name, Path};
 use heathpitch_net::Events;
-use heathpitch_policy::Pressure;
+use heathpitch_policy::{Pressure, ShedReason};
 use hyper::StatusCode;
-use rand::Rng;
 
 use super::Traffic;
+use super::admission::{self, Load, Sharing, Shed};
 use super::admit::Call;
 use super::open::{HeldTokens, OpenCall, WaitingRequest};
 use super::pick::{self, Avoid, Chosen, Full};
 use super::record::AttemptLog;
-use super::refusal::RefusalKind;
+use super::refusal::{CallLoad, RefusalKind};
 use super::send::{Answer, Failure, Target, send};
 use crate::gateway::engine_table::EngineView;
 use crate::gateway::event::GatewayEvent;
@@ -27,12 +27,6 @@
 /// Time for which a started stream waits for a path: callers disconnect after two seconds of
 /// silence.
 const PATH_WAIT_MS: Millis = 1_700;
-/// Wait, as a share of the latency target, from which streams are shed.
-const SHED_START: f64 = 0.7;
-/// Further share of the target over which the shedding probability grows to 1.
-const SHED_SPAN: f64 = 0.8;
-/// Largest shedding probability: the streams still admitted show whether the wait is over.
-const MAX_SHED_PROBABILITY: f64 = 0.9;
 /// Interval of searches for a path.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -47,7 +41,11 @@
     pub(crate) live: Option<Arc<LiveStream>>,
     pub(crate) head: Option<Name>,
     pub(crate) _open: OpenCall,
+    /// Load that the last choice of an engine is based on.
+    pub(crate) load: Option<CallLoad>,
     held: Option<HeldTokens>,
+    /// Whether it is counted as demand.
+    counted: bool,
     /// The engine of the running attempt, and the events relayed before it.
     started: Option<(Arc<EngineEntry>, u64)>,
     /// Events of the last attempt whose connection was lost.
@@ -64,14 +62,14 @@
     view: EngineView,
     path: Option<Path>,
     full: Option<Full>,
-    /// Load of the path; zero for an engine without one.
+    /// Load of the path, or of an engine without one.
     pressure: Pressure,
 }
 
 /// Why no engine took a stream.
 pub(crate) enum DispatchError {
-    /// It was shed, for this reason.
-    Shed(String),
+    /// It was shed.
+    Shed(Shed),
     /// An engine's error response, to be passed on unchanged.
     Failed(Box<Answer>),
     /// There is no response to pass on.
@@ -91,7 +89,9 @@
             live: None,
             head: None,
             _open: open,
+            load: None,
             held: None,
+            counted: false,
             started: None,
             lost_events: None,
             waits_for_path: false,
@@ -110,9 +110,14 @@
             let Some(choice) = self.choose().await else {
                 return Err(DispatchError::Refused(kind));
             };
+            let sharing = Sharing::of_call(&self.traffic, &self.call);
+            self.load = Some(match &sharing {
+                Some(sharing) => sharing.load(choice.pressure),
+                None => CallLoad { pressure: choice.pressure.level(), share: None },
+            });
             // A started stream is never shed: it is worth more than the capacity it takes.
             if self.attempts == 0 && self.call.head.after.is_none() {
-                self.admit(&choice).map_err(DispatchError::Shed)?;
+                self.admit(&choice, sharing).map_err(DispatchError::Shed)?;
                 self.traffic
                     .retry_schedules
                     .admit(&self.call.service.name, self.traffic.shared.now());
@@ -191,25 +196,25 @@
         self.events.restart();
     }
 
-    /// Sheds a stream that no path has capacity for, or that would start late, with a probability
-    /// that grows with the wait. The error is the reason.
+    /// Sheds a stream that no path has capacity for, or that the load of the chosen path leaves no
+    /// room for.
     ///
     /// A stream that is refused at once can be retried and lets the others start in time. Streams
     /// beyond the capacity make engines evict others and prefill them again.
-    fn admit(&self, choice: &Choice) -> Result<(), String> {
-        if let Some(full) = &choice.full {
-            return Err(full.to_string());
-        }
-        let target = self.call.route.latency_target_ms as f64;
-        let wait = choice.view.stats.wait_ms(self.traffic.shared.now());
-        let share = (wait / target - SHED_START) / SHED_SPAN;
-        match share > 0.0 && rand::rng().random_bool(share.min(MAX_SHED_PROBABILITY)) {
-            true => Err(format!(
-                "the first event would come late, after about {wait:.0} ms, at a pressure of {:.2}",
-                choice.pressure.level()
-            )),
-            false => Ok(()),
+    fn admit(&mut self, choice: &Choice, sharing: Option<Sharing>) -> Result<(), Shed> {
+        let now = self.traffic.shared.now();
+        let decision = match &choice.full {
+            Some(full) => Err(Shed { reason: ShedReason::Full, detail: full.to_string() }),
+            None => {
+                let (pressure, wait_ms) = (choice.pressure, choice.view.stats.wait_ms(now));
+                admission::admit(&self.call, sharing, Load { pressure, wait_ms })
+            }
+        };
+        if let Some(sharing) = sharing.filter(|_| !self.counted) {
+            sharing.count(&self.traffic, &self.call, decision.is_ok());
+            self.counted = true;
         }
+        decision.inspect_err(|shed| shed.count(&self.traffic, &self.call))
     }
 
     fn attempt_log<'a>(&'a self, engine: &'a Name, attempt: u32) -> AttemptLog<'a> {
@@ -265,7 +270,10 @@
             }
             None => {
                 let view = pick::engine(&table, &self.call.service.name, &domain, avoid)?;
-                Some(Choice { view, path: None, full: None, pressure: Pressure::default() })
+                let target = self.call.route.latency_target_ms.max(1) as f64;
+                let start = view.stats.wait_ms(shared.now()) / target;
+                let pressure = Pressure { memory: 0.0, start };
+                Some(Choice { view, path: None, full: None, pressure })
             }
         }
     }
--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -3,10 +3,12 @@
 //! `admit` reads the head, finds route and account and checks that the known keys are recent
 //! enough. `single` and `stream` run the call; `flow` is a stream over all its attempts, `send` one
 //! attempt at one engine, `record` its log lines. `rights` are needed to send to a rate-limited
-//! engine. `retry_budgets` bounds retries, `retry_schedules` sets `Retry-After` times, `pick`
+//! engine. `admission` decides which new streams are admitted when capacity runs short, and
+//! `usual_deadlines` tells how old a call is. `retry_budgets` bounds retries, `retry_schedules` sets `Retry-After` times, `pick`
 //! chooses engines, `relay` forwards a stream's events. A filter ends a call with a
 //! [`Refusal`](refusal::Refusal).
 
+mod admission;
 mod admit;
 mod flow;
 mod open;
@@ -20,6 +22,7 @@
 mod send;
 mod single;
 mod stream;
+mod usual_deadlines;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
@@ -30,6 +33,7 @@
 
 pub(crate) use retry_budgets::RetryBudgets;
 pub(crate) use retry_schedules::RetrySchedules;
+pub(crate) use usual_deadlines::UsualDeadlines;
 
 use super::shared::{Clients, Shared};
 use open::OpenCall;
@@ -41,6 +45,7 @@
     pub(crate) pool: Pool,
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) retry_schedules: RetrySchedules,
+    pub(crate) usual_deadlines: UsualDeadlines,
 }
 
 /// Handles one call.
@@ -53,12 +58,12 @@
     };
     traffic.retry_budgets.record_call(&call.service.name);
     let answer = match call.route.kind.streams() {
-        true => stream::run(traffic.clone(), call, open).await,
+        true => stream::run(traffic.clone(), call.clone(), open).await,
         false => single::run(&traffic, &call).await,
     };
     let mut response = match answer {
         Ok(response) => response,
-        Err(refusal) => refusal.respond(&traffic.shared),
+        Err(refusal) => refusal.of_call(&call).respond(&traffic.shared),
     };
     traffic.shared.metrics.calls.with_label_values(&[response.status().as_str()]).inc();
     if traffic.shared.stopping.load(Relaxed) {
--- a/crates/heathpitchd/src/gateway/call/record.rs
+++ b/crates/heathpitchd/src/gateway/call/record.rs
@@ -9,7 +9,7 @@
 use super::Traffic;
 use super::admit::Call;
 use super::send::Failure;
-use crate::gateway::event::{GatewayEvent, parts};
+use crate::gateway::event::{CallRouted, GatewayEvent, parts};
 use crate::gateway::shared::ControlMessage;
 
 /// One attempt of a call.
@@ -27,7 +27,7 @@
     /// Records that the call is sent.
     pub(crate) fn routed(self, path: Option<&Path>, after: Option<u64>) {
         let now = self.traffic.shared.now();
-        GatewayEvent::CallRouted {
+        GatewayEvent::CallRouted(CallRouted {
             request: self.call.head.id.to_string(),
             account: self.call.holder.as_ref().map(|h| h.account.clone()),
             route: self.call.route.name.clone(),
@@ -38,7 +38,7 @@
             remaining_ms: self.call.remaining(now),
             config: self.call.catalog.version,
             list_ms: self.traffic.shared.list_freshness.load().age(now),
-        }
+        })
         .log();
     }
 
--- a/crates/heathpitchd/src/gateway/call/refusal.rs
+++ b/crates/heathpitchd/src/gateway/call/refusal.rs
@@ -1,12 +1,13 @@
 //! Calls that end without an answer from an engine.
 
-use heathpitch_core::{Evidence, Millis, Outcome};
+use heathpitch_core::{Evidence, Millis, Name, Outcome};
 use heathpitch_net::{Body, json};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde_json::json;
 
-use crate::gateway::event::GatewayEvent;
+use super::admit::Call;
+use crate::gateway::event::{CallRefused, GatewayEvent};
 use crate::gateway::shared::Shared;
 
 /// Why a call was refused or given up.
@@ -79,6 +80,23 @@
     }
 }
 
+/// Load that the decision about a call is based on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct CallLoad {
+    /// Pressure of the chosen path.
+    pub(crate) pressure: f64,
+    /// Part of the account's requests that is within its share, if shares apply.
+    pub(crate) share: Option<f64>,
+}
+
+/// A call as refusals name it in the log.
+#[derive(Clone, Debug)]
+struct RefusedCall {
+    account: Option<Name>,
+    rank: u8,
+    age_ms: Millis,
+}
+
 /// A call that ends without an engine's answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Refusal {
@@ -88,6 +106,8 @@
     detail: String,
     request: String,
     retry_after: Option<Millis>,
+    call: Option<Box<RefusedCall>>,
+    load: Option<CallLoad>,
 }
 
 impl Refusal {
@@ -108,6 +128,8 @@
             detail,
             request,
             retry_after: kind.retry_after(),
+            call: None,
+            load: None,
         }
     }
 
@@ -131,6 +153,8 @@
             detail,
             request,
             retry_after: kind.retry_after(),
+            call: None,
+            load: None,
         }
     }
 
@@ -139,6 +163,18 @@
         Self { retry_after: Some(retry_after), ..self }
     }
 
+    /// The same with the call that is refused, for the log.
+    pub(crate) fn of_call(self, call: &Call) -> Self {
+        let account = call.holder.as_ref().map(|h| h.account.clone());
+        let call = RefusedCall { account, rank: call.rank(), age_ms: call.age_ms };
+        Self { call: Some(Box::new(call)), ..self }
+    }
+
+    /// The same with the load that led to it, for the log.
+    pub(crate) fn with_load(self, load: Option<CallLoad>) -> Self {
+        Self { load, ..self }
+    }
+
     /// Logs and counts the refusal and returns the answer to the caller.
     pub(crate) fn respond(self, shared: &Shared) -> Response<Body> {
         let retry_after_ms = match self.status {
@@ -146,7 +182,8 @@
             _ => None,
         };
         shared.metrics.refusals.with_label_values(&[self.kind.as_str()]).inc();
-        GatewayEvent::CallRefused {
+        let (call, load) = (self.call.as_ref(), self.load.as_ref());
+        GatewayEvent::CallRefused(CallRefused {
             request: self.request,
             status: self.status.as_u16(),
             kind: self.kind.as_str(),
@@ -154,7 +191,12 @@
             retry_after_ms,
             config: shared.catalog.load().as_ref().map_or(0, |c| c.version),
             proof_ms: shared.config_freshness.load().age(shared.now()),
-        }
+            account: call.and_then(|c| c.account.clone()),
+            rank: call.map(|c| c.rank),
+            age_ms: call.map(|c| c.age_ms),
+            pressure: load.map(|l| l.pressure),
+            share: load.and_then(|l| l.share),
+        })
         .log();
         let error = json!({ "error": {
             "kind": self.kind.as_str(), "outcome": self.outcome, "message": self.detail,
--- a/crates/heathpitchd/src/gateway/call/stream.rs
+++ b/crates/heathpitchd/src/gateway/call/stream.rs
@@ -50,20 +50,19 @@
                 Err(e) => (RefusalKind::Broken, e.to_string()),
             }
         }
-        Some(Err(DispatchError::Shed(why))) => {
+        Some(Err(DispatchError::Shed(shed))) => {
             let (now, traffic) = (flow.traffic.shared.now(), &flow.traffic);
             let remaining = flow.call.remaining(now);
             let retry_after =
                 traffic.retry_schedules.refuse(&flow.call.service.name, remaining, now);
-            return Err(
-                Refusal::unsent(RefusalKind::Overloaded, &id, why).with_retry_after(retry_after)
-            );
+            let refusal = Refusal::unsent(RefusalKind::Overloaded, &id, shed.detail);
+            return Err(refusal.with_retry_after(retry_after).with_load(flow.load));
         }
         Some(Err(DispatchError::Refused(kind))) => {
             if let Some(refusal) =
                 backpressure_refusal(&flow.traffic, &flow.call, kind, &flow.evidence)
             {
-                return Err(refusal);
+                return Err(refusal.with_load(flow.load));
             }
             let detail = match kind {
                 RefusalKind::NoEngine => "the available engines do not hold every layer",
@@ -77,5 +76,5 @@
             (RefusalKind::Expired, "no answer before the call's deadline".to_owned())
         }
     };
-    Err(Refusal::given_up(kind, &flow.evidence, &id, detail))
+    Err(Refusal::given_up(kind, &flow.evidence, &id, detail).with_load(flow.load))
 }
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -151,12 +151,15 @@
     if state.node.as_ref() != Some(&source.node) {
         *state = FeedState { node: Some(source.node.clone()), ..FeedState::default() };
     }
-    let (request, sent_to) = control.feed_request(state.cursor, &state.notices, false);
+    let (mut request, sent_to) = control.feed_request(state.cursor, &state.notices, false);
+    let (demand, counted) = control.demand_for(&source.node);
+    request.demand = demand;
     if let Some(client) = &state.client {
         let sent = control.now();
         match client.poll(&request, POLL_TIMEOUT).await {
             Ok(response) => {
                 state.notices.advance(sent_to, &response);
+                control.demand_answered(&source.node, counted);
                 return Ok((sent, response));
             }
             Err(e) => log::info!("the connection to node {} was lost: {e}", source.node),
@@ -168,6 +171,7 @@
     let limit = if state.cursor.serial == 0 { FULL_POLL_TIMEOUT } else { POLL_TIMEOUT };
     let response = client.poll(&request, limit).await?;
     state.notices.advance(sent_to, &response);
+    control.demand_answered(&source.node, counted);
     state.client = Some(client);
     Ok((sent, response))
 }
@@ -182,6 +186,9 @@
 ) -> PollOutcome {
     record_nodes(control, source, &response);
     control.record_notices(&response.notices, sent, &source.node);
+    if let Some(shares) = &response.shares {
+        control.receive_shares(&source.node, shares, sent);
+    }
     let proven = sent.saturating_sub(response.entries_age_ms);
     let own = control.shared.list_freshness.load().at();
     // An empty delta means that the source has the same list.
--- a/crates/heathpitchd/src/gateway/control/feed_server.rs
+++ b/crates/heathpitchd/src/gateway/control/feed_server.rs
@@ -71,9 +71,12 @@
     if request.reports_only {
         return local_reports(control, known);
     }
+    let is_known = control.followers.borrow().contains(&request.node, control.now());
+    control.receive_demand(&request, is_known);
     let follower = Source { node: request.node.clone(), address: request.address };
     control.followers.borrow_mut().record_poll(follower, request.can_plan, control.now());
-    let mut response = nodes(control);
+    let shares = control.shares_for_followers();
+    let mut response = FeedResponse { shares, ..nodes(control) };
     if let Err(e) = fill(control, &request, known, &mut response) {
         log::error!("failed to pack the answer to a poll: {e}");
     }
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -10,6 +10,7 @@
 //! - `engine_exits`, `quarantine`: detection of engines that exited, and the requests suspected of causing it
 //! - `backpressure`, `rights`, `limit_records`: backpressure of engines, rights under their limits, and the
 //!   stored limits
+//! - `shares`: demand of client accounts, and their shares when capacity runs short
 //! - `recovery`, `reachability`: rerouting of running streams away from unreachable engines
 //! - `suspension`: detection of VM suspensions
 //!
@@ -34,6 +35,7 @@
 mod recovery;
 mod reports;
 mod rights;
+mod shares;
 mod sources;
 mod state;
 mod store;
@@ -108,6 +110,7 @@
             spawn_local(backpressure::run(control.clone()));
             spawn_local(rights::run(control.clone()));
             spawn_local(limit_records::run(control.clone()));
+            spawn_local(shares::run(control.clone()));
             spawn_local(suspension::watch(control.clone()));
             spawn_local(receive(control, inbox));
             let _ = stop.wait_for(|s| *s).await;
@@ -130,6 +133,7 @@
             ControlMessage::Draining(incarnation) => control.engine_draining(&incarnation),
             ControlMessage::HeldBack(fingerprint) => control.renew_request(fingerprint),
             ControlMessage::Limited(incarnation) => control.record_limit(&incarnation),
+            ControlMessage::Demand(key, admitted) => control.record_demand(key, admitted),
             ControlMessage::RightsWanted(wanted) => rights::spawn_request(&control, wanted),
         }
     }
--- /dev/null
+++ b/crates/heathpitchd/src/gateway/control/shares.rs
@@ -0,0 +1,208 @@
+//! Controller of the client accounts' shares.
+//!
+//! Every node counts the streams that callers ask of it. Nodes send their counts with their polls to
+//! the planner of their failure domain, which divides by account what the domain admits and returns
+//! the shares. A node without recent shares divides what it admits itself.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use heathpitch_core::{Millis, Name};
+use heathpitch_net::{FeedDemand, FeedRequest, FeedShare, FeedShares};
+use heathpitch_policy::{
+    AccountShare, AccountShares, Demand, DemandCount, DemandKey, DomainDemand, MAX_DEMAND_ENTRIES,
+    RecentDemand,
+};
+
+use super::state::Control;
+use crate::gateway::event::{GatewayEvent, SharesChanged};
+
+/// Interval at which shares are computed: a fraction of the time between two polls of a node, so
+/// that it adds little to the age of shares.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest time between two log lines about the same service.
+const LOG_INTERVAL_MS: Millis = 1_000;
+/// Most accounts in a message, and most that are limited at a time.
+const MAX_SHARES: usize = 64;
+/// Most accounts named in a log line.
+const MAX_LOGGED: usize = 16;
+
+/// Demand and shares of client accounts.
+#[derive(Default)]
+pub(super) struct Shares {
+    /// Streams that callers asked of this node.
+    own: RefCell<RecentDemand>,
+    /// Streams that callers asked of the nodes that poll this one.
+    followers: RefCell<DomainDemand>,
+    /// The last shares from another node.
+    received: RefCell<Option<AccountShares>>,
+    /// The node that answered the last poll with counts, and the counts that it knows.
+    answered: RefCell<Option<(Name, u64)>>,
+    /// Whether the published shares are based on the counts of several nodes.
+    shared: Cell<bool>,
+    logged: RefCell<HashMap<Name, Logged>>,
+}
+
+/// Last log line about a service.
+#[derive(Default)]
+struct Logged {
+    limited: BTreeSet<u64>,
+    at: Millis,
+}
+
+/// Computes and publishes shares periodically.
+pub(super) async fn run(control: Rc<Control>) {
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        control.publish_shares();
+    }
+}
+
+/// # Demand
+impl Control {
+    /// Counts a stream that a caller asked of this node.
+    pub(super) fn record_demand(&self, key: DemandKey, admitted: bool) {
+        self.shares.own.borrow_mut().record(key, DemandCount::one(admitted), self.now());
+    }
+
+    /// Counts since the last answered poll of a node, and the position after them.
+    ///
+    /// Only nodes of the same failure domain get counts: accounts share the capacity of a domain.
+    pub(super) fn demand_for(&self, node: &Name) -> (Vec<FeedDemand>, u64) {
+        if !self.sources.borrow().is_local(node) {
+            return (Vec::new(), 0);
+        }
+        let answered = self.shares.answered.borrow();
+        let known = answered.as_ref().filter(|(n, _)| n == node).map_or(0, |(_, serial)| *serial);
+        let mut own = self.shares.own.borrow_mut();
+        let counts = own.since(known, MAX_DEMAND_ENTRIES, self.now());
+        let entry = |(key, count): (DemandKey, DemandCount)| FeedDemand {
+            service: key.service,
+            rank: key.rank,
+            account: key.account,
+            asked: count.asked,
+            admitted: count.admitted,
+        };
+        (counts.into_iter().map(entry).collect(), own.close_interval())
+    }
+
+    /// Records that a node answered a poll with counts up to this position.
+    pub(super) fn demand_answered(&self, node: &Name, position: u64) {
+        self.shares.answered.replace(Some((node.clone(), position)));
+    }
+
+    /// Records the counts of a node that polls this one.
+    pub(super) fn receive_demand(&self, request: &FeedRequest, is_known: bool) {
+        let entries = request.demand.iter().filter_map(|d| {
+            // The name in the configuration, so that no other one is kept.
+            let service = self.service(&d.service)?.name.clone();
+            let count = DemandCount { asked: d.asked, admitted: d.admitted };
+            Some((DemandKey { service, rank: d.rank, account: d.account }, count))
+        });
+        let (entries, now) = (entries.collect(), self.now());
+        let mut followers = self.shares.followers.borrow_mut();
+        if let Err(e) = followers.receive(&request.node, is_known, entries, now) {
+            log::info!("demand of node {} is not counted: {e}", request.node);
+        }
+    }
+}
+
+/// # Shares
+impl Control {
+    /// Shares for a node that polls this one; none if only this node's own counts are known.
+    pub(super) fn shares_for_followers(&self) -> Option<FeedShares> {
+        let shares = self.shared.shares.load();
+        let share = |s: AccountShare| FeedShare {
+            service: s.service,
+            account: s.account,
+            fraction: s.fraction as f32,
+        };
+        self.shares.shared.get().then(|| FeedShares {
+            accounts: shares.limited().take(MAX_SHARES).map(share).collect(),
+            age_ms: shares.age(self.now()),
+        })
+    }
+
+    /// Records shares from the answer of a node to a poll sent at `sent`.
+    pub(super) fn receive_shares(&self, node: &Name, shares: &FeedShares, sent: Millis) {
+        let is_local = self.sources.borrow().is_local(node);
+        match shares.accounts.len() {
+            _ if !is_local => {}
+            count if count > MAX_SHARES => {
+                log::warn!("shares of node {node} are not used: {count} accounts");
+            }
+            _ => {
+                let share = |s: &FeedShare| AccountShare {
+                    service: s.service.clone(),
+                    account: s.account,
+                    fraction: f64::from(s.fraction),
+                };
+                let at = sent.saturating_sub(shares.age_ms);
+                let received = AccountShares::received(shares.accounts.iter().map(share), at);
+                self.shares.received.replace(Some(received));
+                self.publish_shares();
+            }
+        }
+    }
+
+    /// Publishes the shares that apply now: as planner, those of the counts of all nodes; else those
+    /// received; else those of the counts known to this node.
+    fn publish_shares(&self) {
+        let (now, own) = (self.now(), self.shares.own.borrow());
+        let followers = self.shares.followers.borrow();
+        let received = self.shares.received.borrow();
+        let received = received.as_ref().filter(|r| r.is_current(now) && !self.is_planner());
+        let has_followers = !followers.recent().is_empty(now);
+        let shares = match received {
+            Some(received) => received.clone(),
+            None => AccountShares::divide(&[&own, followers.recent()], MAX_SHARES, now),
+        };
+        self.shares.shared.set(received.is_some() || self.is_planner() || has_followers);
+        self.log_shares(&shares, now);
+        self.shared.shares.store(Arc::new(shares));
+    }
+
+    /// Logs which accounts begin or cease to be limited.
+    fn log_shares(&self, shares: &AccountShares, now: Millis) {
+        let mut limited: HashMap<Name, BTreeSet<u64>> = HashMap::new();
+        for share in shares.limited() {
+            limited.entry(share.service).or_default().insert(share.account);
+        }
+        let mut logged = self.shares.logged.borrow_mut();
+        for service in limited.keys().filter(|s| self.service(s).is_some()) {
+            logged.entry(service.clone()).or_default();
+        }
+        logged.retain(|service, _| self.service(service).is_some());
+        for (service, last) in logged.iter_mut() {
+            let limited = limited.remove(service).unwrap_or_default();
+            if limited == last.limited || now < last.at + LOG_INTERVAL_MS {
+                continue;
+            }
+            GatewayEvent::SharesChanged(SharesChanged {
+                service: service.clone(),
+                limited: self.account_shares(shares, service),
+                count: limited.len(),
+                began: limited.difference(&last.limited).count(),
+                ended: last.limited.difference(&limited).count(),
+            })
+            .log();
+            *last = Logged { limited, at: now };
+        }
+    }
+
+    /// Names and shares of the accounts of a service that are limited most.
+    fn account_shares(&self, shares: &AccountShares, service: &Name) -> Vec<(Name, f64)> {
+        let catalog = self.shared.catalog.load();
+        let accounts = catalog.as_ref().map_or(&[][..], |c| c.accounts());
+        let now = self.now();
+        let fraction = |a: &Name| shares.fraction(service, Demand::key(a), now);
+        let fractions = accounts.iter().map(|a| (a.clone(), fraction(a)));
+        let mut limited: Vec<(Name, f64)> = fractions.filter(|(_, f)| *f < 1.0).collect();
+        limited.sort_by(|a, b| a.1.total_cmp(&b.1));
+        limited.truncate(MAX_LOGGED);
+        limited
+    }
+}
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -23,6 +23,7 @@
 use super::recovery::TrackedStream;
 use super::reports::Report;
 use super::rights::RightsIssuer;
+use super::shares::Shares;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::shared::{Clients, Shared};
 
@@ -121,6 +122,8 @@
     pub(super) limits: RefCell<Limits>,
     /// Limits of this failure domain as the store holds them.
     pub(super) stored_limits: RefCell<StoredLimits>,
+    /// Demand and shares of client accounts.
+    pub(super) shares: Shares,
     /// Rights issued by this node.
     pub(super) rights: RefCell<Rights>,
     /// Nodes that issue rights to this one, by failure domain.
@@ -187,6 +190,7 @@
             drain_notices: RefCell::default(),
             limits: RefCell::default(),
             stored_limits: RefCell::default(),
+            shares: Shares::default(),
             rights: RefCell::default(),
             rights_issuers: RefCell::default(),
             engines_revision: Cell::new(Revision(0)),
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -1,9 +1,17 @@
 //! Structured events of a gateway's log; their names and fields do not change between versions.
 
+mod call_refused;
+mod call_routed;
+mod shares_changed;
+
 use heathpitch_core::{LayerRange, Millis, Name, Path, Rate, RequestFingerprint, Revision};
 use heathpitch_policy::LayoutReason;
 use serde::Serialize;
 
+pub use call_refused::CallRefused;
+pub use call_routed::CallRouted;
+pub use shares_changed::SharesChanged;
+
 /// A line of the log; no line contains bodies or keys.
 #[derive(Clone, Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -39,47 +47,11 @@
         cut: usize,
     },
     /// A call was refused or given up.
-    CallRefused {
-        /// Call.
-        request: String,
-        /// Status answered.
-        status: u16,
-        /// Kind of the refusal.
-        kind: &'static str,
-        /// Details of the cause.
-        detail: String,
-        /// Time after which the caller is asked to retry.
-        #[serde(rename = "back_ms")]
-        retry_after_ms: Option<Millis>,
-        /// Version of the configuration in force.
-        config: u64,
-        /// Time since it was last confirmed as the newest.
-        proof_ms: Option<Millis>,
-    },
+    CallRefused(CallRefused),
     /// A call was sent to an engine.
-    CallRouted {
-        /// Call.
-        request: String,
-        /// Client account.
-        account: Option<Name>,
-        /// Route.
-        route: Name,
-        /// Attempt, from 1.
-        attempt: u32,
-        /// Engine that it was sent to.
-        engine: Name,
-        /// Stages of the path.
-        parts: Vec<(Name, LayerRange)>,
-        /// Event after which a stream resumes.
-        after: Option<u64>,
-        /// Time until the call's deadline.
-        #[serde(rename = "left_ms")]
-        remaining_ms: Millis,
-        /// Version of the configuration in force.
-        config: u64,
-        /// Time since the known engines were last confirmed to match the store.
-        list_ms: Option<Millis>,
-    },
+    CallRouted(CallRouted),
+    /// Shares start or stop limiting accounts of a service.
+    SharesChanged(SharesChanged),
     /// An attempt failed.
     CallAttemptFailed {
         /// Call.
--- a/crates/heathpitchd/src/gateway/event_log.rs
+++ b/crates/heathpitchd/src/gateway/event_log.rs
@@ -4,13 +4,14 @@
 
 impl GatewayEvent {
     /// Names of all events; they do not change between versions.
-    pub const NAMES: [&'static str; 39] = [
+    pub const NAMES: [&'static str; 40] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
         "gateway_stopped",
         "call_refused",
         "call_routed",
+        "shares_changed",
         "call_attempt_failed",
         "call_rerouted",
         "call_ended",
@@ -49,7 +50,7 @@
     /// Writes the event to the log.
     pub(crate) fn log(&self) {
         let level = match self {
-            Self::CallRefused { .. }
+            Self::CallRefused(_)
             | Self::CallAttemptFailed { .. }
             | Self::EngineExited { .. }
             | Self::RequestHeldBack { .. }
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -30,9 +30,9 @@
 use tokio::sync::watch;
 
 use crate::StartError;
-use call::{RetryBudgets, RetrySchedules, Traffic};
+use call::{RetryBudgets, RetrySchedules, Traffic, UsualDeadlines};
 use control::Listeners;
-pub use event::GatewayEvent;
+pub use event::{CallRefused, CallRouted, GatewayEvent, SharesChanged};
 pub use metrics::GATEWAY_METRICS;
 use metrics::GatewayMetrics;
 pub use shared::Clients;
@@ -113,6 +113,7 @@
         let traffic = Arc::new(Traffic {
             retry_budgets: RetryBudgets::new(shared.clone()),
             retry_schedules: RetrySchedules::default(),
+            usual_deadlines: UsualDeadlines::default(),
             pool: shared.pool.clone(),
             shared: shared.clone(),
             clients,
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -8,7 +8,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use heathpitch_core::{Catalog, EngineEntry, GatewaySettings, Millis, Name, RequestFingerprint};
 use heathpitch_net::{Dialect, EngineControl, Pool, Store};
-use heathpitch_policy::{EngineIncarnation, Freshness};
+use heathpitch_policy::{AccountShares, DemandKey, EngineIncarnation, Freshness};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::engine_table::EngineTable;
@@ -43,6 +43,8 @@
     HeldBack(RequestFingerprint),
     /// An engine changed or removed its rate limit.
     Limited(EngineIncarnation),
+    /// A stream was asked for, and admitted or not, in a service whose accounts have shares.
+    Demand(DemandKey, bool),
     /// A call needs a right for an engine with a rate limit.
     RightsWanted(RightsWanted),
 }
@@ -118,6 +120,8 @@
     pub(crate) list_freshness: ArcSwap<Freshness>,
     /// Requests that were running on engines when these exited.
     pub(crate) quarantine: ArcSwap<QuarantineSnapshot>,
+    /// Shares of client accounts.
+    pub(crate) shares: ArcSwap<AccountShares>,
     pub(crate) stopping: AtomicBool,
     pub(crate) open_calls: AtomicUsize,
     /// How often the VM was resumed after a suspension.
@@ -145,6 +149,7 @@
             config_freshness: ArcSwap::default(),
             list_freshness: ArcSwap::default(),
             quarantine: ArcSwap::default(),
+            shares: ArcSwap::default(),
             stopping: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
             resumed: watch::Sender::new(0),
--- a/crates/heathpitchd/src/lib.rs
+++ b/crates/heathpitchd/src/lib.rs
@@ -23,7 +23,9 @@
 mod traffic;
 
 pub use event::Event;
-pub use gateway::{Clients, GATEWAY_METRICS, Gateway, GatewayEvent};
+pub use gateway::{
+    CallRefused, CallRouted, Clients, GATEWAY_METRICS, Gateway, GatewayEvent, SharesChanged,
+};
 pub use logs::{LogError, LogGuard, init as init_logs};
 pub use metrics::METRICS;
 pub use node::Node;
