--- a/crates/heathpitchd/src/gateway/control/feed_server.rs
+++ b/crates/heathpitchd/src/gateway/control/feed_server.rs
@@ -75,7 +75,7 @@
     control.receive_demand(&request, is_known);
     let follower = Source { node: request.node.clone(), address: request.address };
     control.followers.borrow_mut().record_poll(follower, request.can_plan, control.now());
-    let shares = control.shares_for_followers();
+    let shares = control.shares_for(&request.node);
     let mut response = FeedResponse { shares, ..nodes(control) };
     if let Err(e) = fill(control, &request, known, &mut response) {
         log::error!("failed to pack the answer to a poll: {e}");
--- a/crates/heathpitchd/src/gateway/control/shares.rs
+++ b/crates/heathpitchd/src/gateway/control/shares.rs
@@ -25,10 +25,16 @@
 const INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest time between two log lines about the same service.
 const LOG_INTERVAL_MS: Millis = 1_000;
-/// Most accounts in a message, and most that are limited at a time.
+/// Most accounts that are limited at a time: those with the most requests beyond their share. At 40
+/// bytes each, every second answer to a node then holds 640 bytes more, or 0.8 kB/s.
+const MAX_LIMITED: usize = 16;
+/// Most accounts in an answer that is used.
 const MAX_SHARES: usize = 64;
-/// Most accounts named in a log line.
-const MAX_LOGGED: usize = 16;
+/// Shortest time between two answers with shares to the same node, milliseconds: they are in every
+/// second answer, so that one may be lost before shares expire.
+const SEND_INTERVAL_MS: Millis = 700;
+/// Nodes for which the time of the last shares is kept.
+const MAX_NODES: usize = 2_048;
 
 /// Demand and shares of client accounts.
 #[derive(Default)]
@@ -43,6 +49,8 @@
     answered: RefCell<Option<(Name, u64)>>,
     /// Whether the published shares are based on the counts of several nodes.
     shared: Cell<bool>,
+    /// Time at which shares were last sent to each node that polls this one.
+    sent: RefCell<HashMap<Name, Millis>>,
     logged: RefCell<HashMap<Name, Logged>>,
 }
 
@@ -112,18 +120,26 @@
 
 /// # Shares
 impl Control {
-    /// Shares for a node that polls this one; none if only this node's own counts are known.
-    pub(super) fn shares_for_followers(&self) -> Option<FeedShares> {
+    /// Shares for a node that polls this one; none if it got them just before, or if only this
+    /// node's own counts are known.
+    pub(super) fn shares_for(&self, node: &Name) -> Option<FeedShares> {
+        let (now, mut sent) = (self.now(), self.shares.sent.borrow_mut());
+        let due = sent.get(node).is_none_or(|at| now >= at + SEND_INTERVAL_MS);
+        if !due || !self.shares.shared.get() {
+            return None;
+        }
+        if sent.len() >= MAX_NODES {
+            sent.retain(|_, at| now < *at + SEND_INTERVAL_MS);
+        }
+        sent.insert(node.clone(), now);
         let shares = self.shared.shares.load();
         let share = |s: AccountShare| FeedShare {
             service: s.service,
             account: s.account,
             fraction: s.fraction as f32,
         };
-        self.shares.shared.get().then(|| FeedShares {
-            accounts: shares.limited().take(MAX_SHARES).map(share).collect(),
-            age_ms: shares.age(self.now()),
-        })
+        let accounts = shares.limited().take(MAX_SHARES).map(share).collect();
+        Some(FeedShares { accounts, age_ms: shares.age(now) })
     }
 
     /// Records shares from the answer of a node to a poll sent at `sent`.
@@ -158,7 +174,7 @@
         let has_followers = !followers.recent().is_empty(now);
         let shares = match received {
             Some(received) => received.clone(),
-            None => AccountShares::divide(&[&own, followers.recent()], MAX_SHARES, now),
+            None => AccountShares::divide(&[&own, followers.recent()], MAX_LIMITED, now),
         };
         self.shares.shared.set(received.is_some() || self.is_planner() || has_followers);
         self.log_shares(&shares, now);
@@ -202,7 +218,7 @@
         let fractions = accounts.iter().map(|a| (a.clone(), fraction(a)));
         let mut limited: Vec<(Name, f64)> = fractions.filter(|(_, f)| *f < 1.0).collect();
         limited.sort_by(|a, b| a.1.total_cmp(&b.1));
-        limited.truncate(MAX_LOGGED);
+        limited.truncate(MAX_LIMITED);
         limited
     }
 }
