Tests: ranks, refusals and shares of real nodes at engines that are almost full

A node refuses the second rank where it admits the first, and returning callers; call_refused names the call and its load. With sharing off ranks make no difference. An account that asks one of two nodes for more than its share is limited at the other one, both ways between planner and follower, and no longer once it has stopped. Stand-ins: rank of a route, deadline of a caller.

--- /dev/null
+++ b/crates/heathpitchd/tests/gateway_sharing.rs
@@ -0,0 +1,136 @@
+//! Streams of several ranks and accounts when capacity runs short: who is admitted, what the log
+//! says of those who are not, and shares of accounts between nodes.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails its test")]
+
+mod gateway;
+
+use std::time::Duration;
+
+use gateway::{Cluster, KEY, wait_until};
+use heathpitch_standin::{Behavior, Caller, Engine, GatewayProcess, RouteSpec};
+use hyper::Method;
+use serde_json::{Value, json};
+
+/// API key of the client account `floor`.
+const FLOOR_KEY: &str = "key-of-floor";
+/// Tokens at which an engine's memory has a pressure of 0.97: above the limit of the second rank,
+/// below that of the first.
+const TOKENS: u64 = 115_000;
+/// Streams of the second rank of which a quarter is admitted there.
+const STREAMS: usize = 40;
+
+/// Streams of two ranks and two accounts, at engines that are almost full.
+fn cluster() -> (Cluster, [Engine; 2]) {
+    let mut cluster = Cluster::new();
+    cluster.config.routes.push(RouteSpec::stream("/later/", "llm").rank(2));
+    cluster.config.tenants.push(("floor".to_owned(), vec![FLOOR_KEY.to_owned()]));
+    cluster.configure();
+    let engines = ["a", "b"].map(|id| cluster.engine(id, "llm"));
+    engines[0].set_layers(0, 4);
+    engines[1].set_layers(4, 8);
+    for engine in &engines {
+        engine.set_behavior(Behavior::Stream(2, Duration::from_millis(1)));
+        engine.set_held_tokens(TOKENS);
+    }
+    (cluster, engines)
+}
+
+/// Sends streams one after the other and returns how many were admitted.
+async fn admitted(caller: &Caller, target: &str, streams: usize) -> usize {
+    let mut admitted = 0;
+    for _ in 0..streams {
+        let status = caller.call(Method::POST, target, "p").await.unwrap().status;
+        assert!(status == 200 || status == 503, "{status}");
+        admitted += usize::from(status == 200);
+    }
+    admitted
+}
+
+async fn wait_for_reports(node: &GatewayProcess) {
+    let caller = Caller::new(node.listen).key(KEY);
+    wait_until("the node knows that engines are almost full", async || {
+        admitted(&caller, "/later/x", 10).await < 10
+    })
+    .await;
+}
+
+/// Whether shares limit an account, according to a node's last log line on that.
+fn limits(node: &GatewayProcess, account: &str) -> bool {
+    let events = node.events("shares_changed");
+    let named = |limited: &Value| limited.as_array().unwrap().iter().any(|l| l[0] == account);
+    events.last().is_some_and(|e| named(&e["limited"]))
+}
+
+/// Guards against ranks that the decision ignores, and against refusals whose cause the log hides.
+#[tokio::test(flavor = "multi_thread")]
+async fn less_urgent_streams_are_refused_first_and_the_log_says_why() {
+    let (cluster, _engines) = cluster();
+    let node = cluster.node().await;
+    wait_for_reports(&node).await;
+    let caller = Caller::new(node.listen).key(KEY).call_id("known");
+    assert_eq!(admitted(&caller, "/tell/x", STREAMS).await, STREAMS);
+    let later = admitted(&caller, "/later/x", STREAMS).await;
+    assert!((1..STREAMS).contains(&later), "{later} of {STREAMS}");
+    let returning = caller.clone().deadline(3_000);
+    assert_eq!(admitted(&returning, "/later/x", STREAMS).await, STREAMS);
+    wait_until("the refusals are logged", async || {
+        node.events("call_refused").iter().any(|e| e["request"] == "known")
+    })
+    .await;
+    let refused = node.events("call_refused");
+    let refused = refused.iter().find(|e| e["request"] == "known").unwrap();
+    assert_eq!((&refused["account"], &refused["rank"]), (&json!("desk"), &json!(2)));
+    assert_eq!((&refused["age_ms"], &refused["share"]), (&json!(0), &json!(1.0)));
+    let pressure = refused["pressure"].as_f64().unwrap();
+    assert!((0.9..1.0).contains(&pressure), "{pressure}");
+    let metrics = node.metrics().await.unwrap();
+    assert!(metrics.contains(r#"heathpitch_shed_total{rank="2",reason="rank"}"#), "{metrics}");
+}
+
+/// Guards against a setting that does not turn the decision off.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_sharing_ranks_make_no_difference() {
+    let (cluster, engines) = cluster();
+    let binary = std::path::Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
+    let settings = json!({ "load": { "sharing": "off" } });
+    let store = cluster.store.address();
+    let node = GatewayProcess::spawn_with(binary, store, "n1", "mem", settings).unwrap();
+    node.wait_ready().await.unwrap();
+    let caller = Caller::new(node.listen).key(KEY);
+    engines.iter().for_each(|e| e.set_held_tokens(124_000));
+    wait_until("the node knows that engines are full", async || {
+        admitted(&caller, "/tell/x", 1).await == 0
+    })
+    .await;
+    engines.iter().for_each(|e| e.set_held_tokens(TOKENS));
+    wait_until("the node knows that engines have memory", async || {
+        admitted(&caller, "/tell/x", 1).await == 1
+    })
+    .await;
+    assert_eq!(admitted(&caller, "/later/x", STREAMS).await, STREAMS);
+}
+
+/// Guards against shares that a planner computes without the counts of its followers, or that do not
+/// reach them, and against shares that outlast the demand.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_greedy_account_is_limited_at_every_node_while_it_asks_for_more() {
+    let (cluster, _engines) = cluster();
+    let (planner, _link, follower) = cluster.planner_and_follower().await;
+    wait_for_reports(&planner).await;
+    wait_for_reports(&follower).await;
+    for (asked, other) in [(&follower, &planner), (&planner, &follower)] {
+        let caller = Caller::new(asked.listen);
+        let (desk, floor) = (caller.clone().key(KEY), caller.key(FLOOR_KEY));
+        wait_until("the account is limited at the other node", async || {
+            admitted(&floor, "/later/x", 1).await;
+            admitted(&desk, "/later/x", 20).await;
+            limits(other, "desk")
+        })
+        .await;
+        wait_until("it is no longer limited", async || {
+            !limits(&planner, "desk") && !limits(&follower, "desk")
+        })
+        .await;
+    }
+}
