--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -52,6 +52,10 @@
     routes: HashMap<Arc<str>, Vec<Arc<CallRoute>>>,
     keys: Option<HashMap<Arc<str>, KeyHolder>>,
     ranks: HashMap<Name, Vec<RankPair>>,
+    /// Ranks that streams of each service may have, most urgent first.
+    stream_ranks: HashMap<Name, Vec<RankPair>>,
+    /// Names of all accounts, ascending.
+    accounts: Vec<Name>,
 }
 
 /// Rank of an account and of a route.
@@ -81,7 +85,12 @@
         routes: Vec<CallRoute>,
         keys: Option<HashMap<Arc<str>, KeyHolder>>,
     ) -> Self {
-        let ranks = service_ranks(&routes, keys.as_ref());
+        let ranks = service_ranks(routes.iter(), keys.as_ref());
+        let streams = routes.iter().filter(|r| r.kind.streams());
+        let stream_ranks = service_ranks(streams, keys.as_ref());
+        let holders = keys.iter().flat_map(HashMap::values);
+        let accounts: BTreeSet<Name> = holders.map(|h| h.account.clone()).collect();
+        let accounts = accounts.into_iter().collect();
         let mut hosts: HashMap<Arc<str>, Vec<Arc<CallRoute>>> = HashMap::new();
         for route in routes {
             hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
@@ -90,7 +99,17 @@
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
-        Self { revision, version, limits, services, routes: hosts, keys, ranks }
+        Self {
+            revision,
+            version,
+            limits,
+            services,
+            routes: hosts,
+            keys,
+            ranks,
+            stream_ranks,
+            accounts,
+        }
     }
 }
 
@@ -141,6 +160,27 @@
         }
     }
 
+    /// Number of different ranks that streams of a service may have.
+    pub fn stream_ranks(&self, service: &Name) -> usize {
+        self.stream_ranks.get(service).map_or(0, Vec::len)
+    }
+
+    /// Number of ranks of a service's streams that come before that of a call.
+    pub fn rank_position(
+        &self,
+        service: &Name,
+        route: &CallRoute,
+        holder: Option<&KeyHolder>,
+    ) -> usize {
+        let pair = rank_pair(route, holder.and_then(|h| h.rank));
+        self.stream_ranks.get(service).map_or(0, |ranks| ranks.partition_point(|r| *r < pair))
+    }
+
+    /// Names of all client accounts, in ascending order.
+    pub fn accounts(&self) -> &[Name] {
+        &self.accounts
+    }
+
     /// All routes, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<CallRoute>> {
         self.routes.values().flatten()
@@ -152,8 +192,8 @@
 }
 
 /// Distinct ranks that calls to each service may have, most urgent first.
-fn service_ranks(
-    routes: &[CallRoute],
+fn service_ranks<'a>(
+    routes: impl Iterator<Item = &'a CallRoute>,
     keys: Option<&HashMap<Arc<str>, KeyHolder>>,
 ) -> HashMap<Name, Vec<RankPair>> {
     let accounts: BTreeSet<Option<u8>> =
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Name and help of every metric of a gateway.
-pub const GATEWAY_METRICS: [(&str, &str); 21] = [
+pub const GATEWAY_METRICS: [(&str, &str); 22] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -35,6 +35,7 @@
         "heathpitch_routed_total",
         "Sends of streams over paths in the home domain, balanced to another one, or overflowing",
     ),
+    ("heathpitch_shed_total", "Streams not admitted for lack of capacity, by rank and reason"),
 ];
 
 /// Bucket bounds for the time to the head of an answer, seconds.
@@ -67,6 +68,7 @@
     pub(crate) backpressure: IntCounterVec,
     pub(crate) rights: IntCounterVec,
     pub(crate) routed: IntCounterVec,
+    pub(crate) shed: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -104,6 +106,7 @@
             backpressure: IntCounterVec::new(opts(18), &["wish"])?,
             rights: IntCounterVec::new(opts(19), &["answer"])?,
             routed: IntCounterVec::new(opts(20), &["locality"])?,
+            shed: IntCounterVec::new(opts(21), &["rank", "reason"])?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -135,6 +138,7 @@
             Box::new(self.backpressure.clone()),
             Box::new(self.rights.clone()),
             Box::new(self.routed.clone()),
+            Box::new(self.shed.clone()),
         ]
     }
 
