Promised retries of a failure domain, as a decision

Cause: retry times come from one node's own admissions and its own earlier promises, although callers retry at another node. Each node promises at least two retries a second, so 29 nodes that admit 70 streams a second together may promise three times their capacity.

A planner sums those of all nodes and reserves places for each polling node until its next poll, since all nodes would promise the same free places otherwise; a node on its own stays within a quarter of its own admissions.

--- /dev/null
+++ b/crates/policy/src/retry_ledger.rs
@@ -0,0 +1,266 @@
+//! Promised retries of one service: this node's own, and those of the failure domain.
+
+use heathpitch_core::Millis;
+
+use crate::admission_rate::AdmissionRate;
+use crate::retry_schedule::RETRY_SHARE;
+use crate::retry_slots::{RetrySlots, SLOT_MS, SlotGrid};
+
+/// Part of its share that a node promises on its own: nodes that know nothing of each other round
+/// their parts up at different times, and together must not exceed the domain's capacity.
+const OWN_PART: f64 = 0.8;
+/// Least capacity of a slot at a node on its own: one retry in two seconds, since a node that
+/// admits nothing now will do so again.
+const MIN_OWN_PER_SLOT: f64 = 0.125;
+/// Least capacity of a slot in a failure domain.
+pub(crate) const MIN_PER_SLOT: u32 = 1;
+/// Slots that a fraction of a retry is carried over, before the count starts again.
+const CARRY_SLOTS: u64 = 1 << 20;
+
+/// Capacity of the failure domain's slots, as the planner stated it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct SlotsTold {
+    pub(crate) per_slot: u32,
+    /// Start of the last slot in which this node may promise places.
+    pub(crate) last: Millis,
+}
+
+/// State of one service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RetryLedger {
+    /// All promises of this node.
+    mine: RetrySlots,
+    /// Those that no other node knows of yet.
+    pending: RetrySlots,
+    /// Those in a poll that is not answered yet.
+    in_flight: RetrySlots,
+    /// Promises of the domain, with places reserved for others, by the planner's last answer.
+    domain: RetrySlots,
+    told: Option<SlotsTold>,
+    /// Promises of all nodes that poll this one; at a planner, its own too.
+    heard: RetrySlots,
+    /// Places reserved for polling nodes until their next poll.
+    reserved: RetrySlots,
+    own_rate: AdmissionRate,
+    heard_rate: AdmissionRate,
+    /// Streams admitted here since the last poll.
+    admitted: u32,
+}
+
+/// # Events
+impl RetryLedger {
+    pub(crate) fn admit(&mut self, now: Millis) {
+        self.own_rate.count(1, now);
+        self.admitted = self.admitted.saturating_add(1);
+    }
+
+    /// Counts streams admitted by a node that polls this one.
+    pub(crate) fn record_admitted(&mut self, count: u32, now: Millis) {
+        self.heard_rate.count(count, now);
+    }
+
+    /// Records a promise of this node.
+    pub(crate) fn promise(&mut self, start: Millis, is_planner: bool) {
+        self.mine.add(start, 1);
+        match is_planner {
+            true => self.heard.add(start, 1),
+            false => self.pending.add(start, 1),
+        }
+    }
+
+    /// Records promises of a node that polls this one.
+    pub(crate) fn hear(&mut self, start: Millis, count: u32) {
+        self.heard.add(start, count);
+    }
+
+    pub(crate) fn expire(&mut self, now: Millis) {
+        for slots in [
+            &mut self.mine,
+            &mut self.pending,
+            &mut self.in_flight,
+            &mut self.domain,
+            &mut self.heard,
+            &mut self.reserved,
+        ] {
+            slots.expire(now);
+        }
+    }
+
+    pub(crate) fn align(&mut self, grid: SlotGrid) {
+        for slots in [
+            &mut self.mine,
+            &mut self.pending,
+            &mut self.in_flight,
+            &mut self.domain,
+            &mut self.heard,
+            &mut self.reserved,
+        ] {
+            slots.align(grid);
+        }
+    }
+}
+
+/// # Polls of this node
+impl RetryLedger {
+    /// Promises to send with a poll: those that no other node knows of.
+    pub(crate) fn send_promises(&mut self, most: usize) -> Vec<(Millis, u32)> {
+        let sent: Vec<_> = self.pending.iter().filter(|(_, n)| *n > 0).take(most).collect();
+        for (start, count) in &sent {
+            self.pending.sub(*start, *count);
+            self.in_flight.add(*start, *count);
+        }
+        sent
+    }
+
+    /// Admitted streams to send with a poll. They are not sent again if it fails: counted twice,
+    /// or late and all at once, they would overstate the capacity.
+    pub(crate) fn send_admitted(&mut self) -> u32 {
+        std::mem::take(&mut self.admitted)
+    }
+
+    /// The last poll was not answered: its contents are sent again with the next.
+    pub(crate) fn poll_failed(&mut self) {
+        let sent = std::mem::take(&mut self.in_flight);
+        self.pending.merge(&sent);
+    }
+
+    /// The last poll was answered by a node that does not sum the domain's promises: it keeps them
+    /// for the next planner.
+    pub(crate) fn poll_recorded(&mut self) {
+        let sent = std::mem::take(&mut self.in_flight);
+        self.domain.merge(&sent);
+    }
+
+    /// The last poll was answered by the planner, with these sums.
+    pub(crate) fn poll_answered(&mut self, sums: RetrySlots, told: Option<SlotsTold>) {
+        self.in_flight = RetrySlots::default();
+        (self.domain, self.told) = (sums, told);
+    }
+}
+
+/// # Role
+impl RetryLedger {
+    /// This node becomes the planner: what it knows of the domain is the start of its sums.
+    pub(crate) fn begin_planning(&mut self, now: Millis) {
+        for known in [&mut self.domain, &mut self.pending, &mut self.in_flight] {
+            self.heard.merge(&std::mem::take(known));
+        }
+        if let Some(told) = self.told.take() {
+            let domain = f64::from(told.per_slot) / SLOT_MS as f64 / RETRY_SHARE;
+            let others = (domain - self.own_rate.per_ms(now)).max(0.0);
+            self.heard_rate = AdmissionRate::at_rate(others, now);
+        }
+        self.admitted = 0;
+        self.reserved = RetrySlots::default();
+    }
+
+    /// Another node is the planner from now on.
+    pub(crate) fn end_planning(&mut self) {
+        self.domain = std::mem::take(&mut self.heard);
+        self.reserved = RetrySlots::default();
+        self.heard_rate = AdmissionRate::default();
+    }
+}
+
+/// # Places reserved for polling nodes
+impl RetryLedger {
+    /// Whether any retries are promised after `from`.
+    pub(crate) fn has_promises(&self, from: Millis) -> bool {
+        self.heard.iter().any(|(start, count)| start > from && count > 0)
+    }
+
+    /// Reserves up to `most` free places in the slots from `from` to `until`, the earliest first.
+    pub(crate) fn reserve(
+        &mut self,
+        most: u32,
+        from: Millis,
+        until: Millis,
+        now: Millis,
+    ) -> Vec<(Millis, u32)> {
+        let (mut left, mut places) = (most, Vec::new());
+        for start in (from..=until).step_by(SLOT_MS as usize) {
+            let free = self.planner_free(start, now).min(left);
+            if free > 0 {
+                self.reserved.add(start, free);
+                places.push((start, free));
+                left -= free;
+            }
+            if left == 0 {
+                break;
+            }
+        }
+        places
+    }
+
+    /// Returns reserved places.
+    pub(crate) fn release(&mut self, start: Millis, count: u32) {
+        self.reserved.sub(start, count);
+    }
+
+    /// Whether more than half of the places from `from` to `until` are promised or reserved.
+    pub(crate) fn is_crowded(&self, from: Millis, until: Millis, now: Millis) -> bool {
+        let slots = (until.saturating_sub(from) / SLOT_MS + 1) as u32;
+        let taken = self.heard.total().saturating_add(self.reserved.total());
+        taken > slots.saturating_mul(self.domain_per_slot(now)) / 2
+    }
+
+    /// Promised and reserved places of a slot at a planner.
+    pub(crate) fn taken(&self, start: Millis) -> u32 {
+        self.heard.count(start).saturating_add(self.reserved.count(start))
+    }
+
+    /// Capacity of a slot in the failure domain, by what the planner has heard.
+    pub(crate) fn domain_per_slot(&self, now: Millis) -> u32 {
+        let rate = self.own_rate.per_ms(now) + self.heard_rate.per_ms(now);
+        ((rate * SLOT_MS as f64 * RETRY_SHARE) as u32).max(MIN_PER_SLOT)
+    }
+}
+
+/// # Free places
+impl RetryLedger {
+    /// Free places of a slot at a planner.
+    pub(crate) fn planner_free(&self, start: Millis, now: Millis) -> u32 {
+        self.domain_per_slot(now).saturating_sub(self.taken(start))
+    }
+
+    /// Free places of a slot among those that the planner reserved for this node; none if it stated
+    /// nothing of the service.
+    pub(crate) fn reserved_free(&self, start: Millis) -> Option<u32> {
+        let told = self.told?;
+        if start > told.last {
+            return Some(0);
+        }
+        let taken = self.domain.count(start).saturating_add(self.pending.count(start));
+        Some(told.per_slot.saturating_sub(taken))
+    }
+
+    /// Whether a node on its own may promise a place: within its own rate, and in no slot that was
+    /// full by the planner's last answer. `seed` (0 to 1) differs between nodes.
+    pub(crate) fn own_free(&self, start: Millis, seed: f64, now: Millis) -> bool {
+        let rate = self.own_rate.per_ms(now) * SLOT_MS as f64 * RETRY_SHARE * OWN_PART;
+        let rate = rate.max(MIN_OWN_PER_SLOT);
+        let number = (start / SLOT_MS % CARRY_SLOTS) as f64;
+        let places = (rate * (number + 1.0) + seed).floor() - (rate * number + seed).floor();
+        let full = self.told.is_some_and(|t| self.domain.count(start) >= t.per_slot);
+        !full && f64::from(self.mine.count(start)) < places
+    }
+
+    /// Promised retries of the failure domain in a slot, as far as known.
+    pub(crate) fn due(&self, start: Millis, is_planner: bool) -> u32 {
+        let known = [&self.domain, &self.pending, &self.in_flight];
+        match is_planner {
+            true => self.heard.count(start),
+            false => known.iter().map(|s| s.count(start)).fold(0, u32::saturating_add),
+        }
+    }
+
+    /// Streams that the failure domain admits in one slot, as far as known.
+    pub(crate) fn admitted_per_slot(&self, is_planner: bool, now: Millis) -> f64 {
+        let own = self.own_rate.per_ms(now) * SLOT_MS as f64;
+        match self.told {
+            _ if is_planner => own + self.heard_rate.per_ms(now) * SLOT_MS as f64,
+            Some(told) => f64::from(told.per_slot) / RETRY_SHARE,
+            None => own,
+        }
+    }
+}
--- a/crates/policy/src/retry_schedule.rs
+++ b/crates/policy/src/retry_schedule.rs
@@ -9,13 +9,13 @@
 
 /// Shortest retry time, milliseconds: loading the layers of a lost engine, and a burst of requests,
 /// take two to four seconds.
-const MIN_DELAY_MS: Millis = 2_000;
+pub(crate) const MIN_DELAY_MS: Millis = 2_000;
 /// Rate of retries as a fraction of the current admission rate: about the spare capacity of a fleet
 /// under its usual load.
-const RETRY_SHARE: f64 = 0.25;
+pub(crate) const RETRY_SHARE: f64 = 0.25;
 /// Largest fraction of a client's remaining time to wait before the retry; the rest is left for
 /// serving it.
-const MAX_WAIT_SHARE: f64 = 0.3;
+pub(crate) const MAX_WAIT_SHARE: f64 = 0.3;
 /// Time constant of the admission rate, milliseconds.
 const RATE_WINDOW_MS: f64 = 2_000.0;
 /// Least rate of retries per millisecond: a node that admits nothing now will do so again.
@@ -72,7 +72,7 @@
         let at = self.next.max(now + least);
         if at > now + most {
             // Too many clients wait for all to retry in time: spread this one at random.
-            return rng.random_range(most / 2..=most);
+            return spread(0, most, rng);
         }
         self.next = at + (1.0 / rate) as Millis;
         at - now
@@ -84,3 +84,10 @@
         self.at = now;
     }
 }
+
+/// Retry time of a client for whom there is no capacity in time: at random in the second half of
+/// the longest wait, but no earlier than `least` if that is within it.
+pub(crate) fn spread(least: Millis, most: Millis, rng: &mut impl Rng) -> Millis {
+    let least = if least <= most { least } else { 0 };
+    rng.random_range(least.max(most / 2)..=most)
+}
