Rejected callers of streams get promised retries

Cause: the schedule of one node knows nothing of what others promised, and streams that every engine refused were asked back after 400 ms, into the same overload.

Change, with load.returns: refusals of kinds overloaded and engines_refused (if nothing ran) get their time from the book of promised retries, which the control thread exchanges with the planner in polls of the feed (control/returns.rs). A poll adds the number of admitted streams to its demand for services whose demand it does not list, since the planner derives capacities from it. Metric heathpitch_returns_total counts returned callers; the age of a call is still a constant at its one call site in call/mod.rs.

With load.returns off, nothing changes.

--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -24,6 +24,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 
+use heathpitch_core::Millis;
 use heathpitch_net::{Body, Pool};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -53,7 +54,14 @@
     };
     traffic.retry_budgets.record_call(&call.service.name);
     let answer = match call.route.kind.streams() {
-        true => stream::run(traffic.clone(), call, open).await,
+        true => {
+            let answer = stream::run(traffic.clone(), call.clone(), open).await;
+            // `Call::age_ms` comes with `load.sharing`; without it no call counts as returned.
+            let age_ms: Millis = 0;
+            let refused = matches!(&answer, Err(refusal) if refusal.is_not_run());
+            traffic.retry_schedules.record_return(&call, age_ms, refused);
+            answer
+        }
         false => single::run(&traffic, &call).await,
     };
     let mut response = match answer {
--- a/crates/heathpitchd/src/gateway/call/refusal.rs
+++ b/crates/heathpitchd/src/gateway/call/refusal.rs
@@ -139,6 +139,11 @@
         Self { retry_after: Some(retry_after), ..self }
     }
 
+    /// Whether it is certain that nothing ran.
+    pub(crate) fn is_not_run(&self) -> bool {
+        self.outcome == Outcome::NotRun
+    }
+
     /// Logs and counts the refusal and returns the answer to the caller.
     pub(crate) fn respond(self, shared: &Shared) -> Response<Body> {
         let retry_after_ms = match self.status {
--- a/crates/heathpitchd/src/gateway/call/stream.rs
+++ b/crates/heathpitchd/src/gateway/call/stream.rs
@@ -17,7 +17,7 @@
 use super::record::final_answer;
 use super::refusal::{Refusal, RefusalKind};
 use super::relay::relay;
-use super::retry_schedules::backpressure_refusal;
+use super::retry_schedules::{backpressure_refusal, promised_refusal};
 
 /// Size of the largest answer that is not a stream.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
@@ -70,6 +70,11 @@
                 RefusalKind::EnginesRefused => "every engine that was tried refused the call",
                 _ => "the connection to an engine was lost",
             };
+            if let Some(refusal) =
+                promised_refusal(&flow.traffic, &flow.call, kind, &flow.evidence, detail)
+            {
+                return Err(refusal);
+            }
             (kind, detail.to_owned())
         }
         None => {
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -132,6 +132,7 @@
         Ok((sent, response)) => apply(control, state, source, sent, response),
         Err(e) => {
             *state = FeedState::default();
+            control.promises_unanswered();
             log::info!("poll of node {} failed: {e}", source.node);
             // A VM that refuses connections is starting or restarting, and will answer soon.
             match control.now().saturating_sub(start) {
@@ -151,7 +152,8 @@
     if state.node.as_ref() != Some(&source.node) {
         *state = FeedState { node: Some(source.node.clone()), ..FeedState::default() };
     }
-    let (request, sent_to) = control.feed_request(state.cursor, &state.notices, false);
+    let (mut request, sent_to) = control.feed_request(state.cursor, &state.notices, false);
+    control.send_promises(&mut request, &source.node);
     if let Some(client) = &state.client {
         let sent = control.now();
         match client.poll(&request, POLL_TIMEOUT).await {
@@ -182,6 +184,7 @@
 ) -> PollOutcome {
     record_nodes(control, source, &response);
     control.record_notices(&response.notices, sent, &source.node);
+    control.receive_promises(&source.node, &response, sent);
     let proven = sent.saturating_sub(response.entries_age_ms);
     let own = control.shared.list_freshness.load().at();
     // An empty delta means that the source has the same list.
--- a/crates/heathpitchd/src/gateway/control/feed_server.rs
+++ b/crates/heathpitchd/src/gateway/control/feed_server.rs
@@ -58,8 +58,9 @@
     // The time of arrival is an upper bound of the time of sending.
     control.record_notices(&request.notices, control.now(), &request.node);
     let (notices, notice_cursor) = control.notices_since(request.notice_cursor);
+    let (promises, promise_rates) = control.answer_promises(&request);
     let response = answer_feed(control, request);
-    FeedResponse { notices, notice_cursor, ..response }
+    FeedResponse { notices, notice_cursor, promises, promise_rates, ..response }
 }
 
 fn answer_feed(control: &Control, request: FeedRequest) -> FeedResponse {
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -11,10 +11,11 @@
 //! - `backpressure`, `rights`, `limit_records`: backpressure of engines, rights under their limits, and the
 //!   stored limits
 //! - `recovery`, `reachability`: rerouting of running streams away from unreachable engines
+//! - `returns`: promised retries of rejected callers, exchanged with the planner
 //! - `suspension`: detection of VM suspensions
 //!
 //! Controllers publish snapshots in [`Shared`], the engine table through `publish`. Traffic shares no other
-//! state with them.
+//! state with them but the book of promised retries.
 
 mod backpressure;
 mod config;
@@ -33,6 +34,7 @@
 mod reachability;
 mod recovery;
 mod reports;
+mod returns;
 mod rights;
 mod sources;
 mod state;
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -322,6 +322,7 @@
         self.planner_since.set(self.now());
         // Rights issued by the planner before or after this one are unknown here.
         self.rights.borrow_mut().clear();
+        self.shared.retry_book.lock().set_planner(lease.is_some(), self.now());
         self.role_changed.notify_waiters();
     }
 
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -112,7 +112,7 @@
             control::spawn(shared.clone(), clients.clone(), listeners, inbox, control_stopped)?;
         let traffic = Arc::new(Traffic {
             retry_budgets: RetryBudgets::new(shared.clone()),
-            retry_schedules: RetrySchedules::default(),
+            retry_schedules: RetrySchedules::new(shared.clone()),
             pool: shared.pool.clone(),
             shared: shared.clone(),
             clients,
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -8,7 +8,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use heathpitch_core::{Catalog, EngineEntry, GatewaySettings, Millis, Name, RequestFingerprint};
 use heathpitch_net::{Dialect, EngineControl, Pool, Store};
-use heathpitch_policy::{EngineIncarnation, Freshness};
+use heathpitch_policy::{EngineIncarnation, Freshness, RetryBook};
+use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::engine_table::EngineTable;
@@ -118,6 +119,9 @@
     pub(crate) list_freshness: ArcSwap<Freshness>,
     /// Requests that were running on engines when these exited.
     pub(crate) quarantine: ArcSwap<QuarantineSnapshot>,
+    /// Retries promised to rejected callers. The control thread holds the lock a few times a second,
+    /// for microseconds.
+    pub(crate) retry_book: Mutex<RetryBook>,
     pub(crate) stopping: AtomicBool,
     pub(crate) open_calls: AtomicUsize,
     /// How often the VM was resumed after a suspension.
@@ -145,6 +149,7 @@
             config_freshness: ArcSwap::default(),
             list_freshness: ArcSwap::default(),
             quarantine: ArcSwap::default(),
+            retry_book: Mutex::new(RetryBook::new(rand::random())),
             stopping: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
             resumed: watch::Sender::new(0),
