--- a/crates/policy/src/retry_book.rs
+++ b/crates/policy/src/retry_book.rs
@@ -233,7 +233,7 @@
                 last = last.max(start);
             }
             let capacity = sums.capacities.iter().find(|c| &c.service == service);
-            let per_slot = |c: &SlotCapacity| (c.per_slot as u32).max(MIN_PER_SLOT);
+            let per_slot = |c: &SlotCapacity| f64::from(c.per_slot).max(MIN_PER_SLOT);
             let told = capacity.map(|c| SlotsTold { per_slot: per_slot(c), last });
             ledger.poll_answered(slots, told);
         }
@@ -335,7 +335,8 @@
                 new => new.saturating_add(new / 4 + 1),
             };
             let places = ledger.reserve(wanted, from, until, now);
-            let per_slot = ledger.domain_per_slot(now);
+            let per_slot = ledger.per_slot(now) as f32;
+            let most = per_slot.ceil() as u32;
             let first = self.grid.start(now);
             let last = places.last().map_or(first, |(start, _)| *start);
             for start in (first..=last.max(from - SLOT_MS)).step_by(SLOT_MS as usize) {
@@ -343,14 +344,13 @@
                 let count = match own {
                     // Too near to be promised: only the promises count.
                     _ if start + SLOT_MS <= now + MIN_DELAY_MS => ledger.taken(start),
-                    0 => per_slot.max(ledger.taken(start)),
-                    own => per_slot.saturating_sub(own),
+                    0 => most.max(ledger.taken(start)),
+                    own => most.saturating_sub(own),
                 };
                 if count > 0 || start == last {
                     sums.promises.push(entry(service, start, count, now));
                 }
             }
-            let per_slot = per_slot as f32;
             sums.capacities.push(SlotCapacity { service: service.clone(), per_slot });
             reserved.extend(places.into_iter().map(|(start, n)| (service.clone(), start, n)));
         }
--- a/crates/policy/src/retry_ledger.rs
+++ b/crates/policy/src/retry_ledger.rs
@@ -13,18 +13,25 @@
 /// admits nothing now will do so again.
 const MIN_OWN_PER_SLOT: f64 = 0.125;
 /// Least capacity of a slot in a failure domain.
-pub(crate) const MIN_PER_SLOT: u32 = 1;
+pub(crate) const MIN_PER_SLOT: f64 = 1.0;
 /// Slots that a fraction of a retry is carried over, before the count starts again.
 const CARRY_SLOTS: u64 = 1 << 20;
 
 /// Capacity of the failure domain's slots, as the planner stated it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct SlotsTold {
-    pub(crate) per_slot: u32,
+    pub(crate) per_slot: f64,
     /// Start of the last slot in which this node may promise places.
     pub(crate) last: Millis,
 }
 
+impl SlotsTold {
+    /// Largest capacity of a slot.
+    pub(crate) fn most(self) -> u32 {
+        self.per_slot.ceil() as u32
+    }
+}
+
 /// State of one service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RetryLedger {
@@ -146,7 +153,7 @@
             self.heard.merge(&std::mem::take(known));
         }
         if let Some(told) = self.told.take() {
-            let domain = f64::from(told.per_slot) / SLOT_MS as f64 / RETRY_SHARE;
+            let domain = told.per_slot / SLOT_MS as f64 / RETRY_SHARE;
             let others = (domain - self.own_rate.per_ms(now)).max(0.0);
             self.heard_rate = AdmissionRate::at_rate(others, now);
         }
@@ -197,11 +204,10 @@
         self.reserved.sub(start, count);
     }
 
-    /// Whether more than half of the places from `from` to `until` are promised or reserved.
+    /// Whether a quarter of the places from `from` to `until` is reserved.
     pub(crate) fn is_crowded(&self, from: Millis, until: Millis, now: Millis) -> bool {
-        let slots = (until.saturating_sub(from) / SLOT_MS + 1) as u32;
-        let taken = self.heard.total().saturating_add(self.reserved.total());
-        taken > slots.saturating_mul(self.domain_per_slot(now)) / 2
+        let slots = (until.saturating_sub(from) / SLOT_MS + 1) as f64;
+        f64::from(self.reserved.total()) >= slots * self.per_slot(now) / 4.0
     }
 
     /// Promised and reserved places of a slot at a planner.
@@ -209,10 +215,15 @@
         self.heard.count(start).saturating_add(self.reserved.count(start))
     }
 
-    /// Capacity of a slot in the failure domain, by what the planner has heard.
-    pub(crate) fn domain_per_slot(&self, now: Millis) -> u32 {
+    /// Mean capacity of a slot in the failure domain, by what the planner has heard.
+    pub(crate) fn per_slot(&self, now: Millis) -> f64 {
         let rate = self.own_rate.per_ms(now) + self.heard_rate.per_ms(now);
-        ((rate * SLOT_MS as f64 * RETRY_SHARE) as u32).max(MIN_PER_SLOT)
+        (rate * SLOT_MS as f64 * RETRY_SHARE).max(MIN_PER_SLOT)
+    }
+
+    /// Capacity of one slot in the failure domain.
+    fn capacity(&self, start: Millis, now: Millis) -> u32 {
+        places(self.per_slot(now), 0.0, start)
     }
 }
 
@@ -220,7 +231,7 @@
 impl RetryLedger {
     /// Free places of a slot at a planner.
     pub(crate) fn planner_free(&self, start: Millis, now: Millis) -> u32 {
-        self.domain_per_slot(now).saturating_sub(self.taken(start))
+        self.capacity(start, now).saturating_sub(self.taken(start))
     }
 
     /// Free places of a slot among those that the planner reserved for this node; none if it stated
@@ -231,7 +242,7 @@
             return Some(0);
         }
         let taken = self.domain.count(start).saturating_add(self.pending.count(start));
-        Some(told.per_slot.saturating_sub(taken))
+        Some(told.most().saturating_sub(taken))
     }
 
     /// Whether a node on its own may promise a place: within its own rate, and in no slot that was
@@ -239,10 +250,8 @@
     pub(crate) fn own_free(&self, start: Millis, seed: f64, now: Millis) -> bool {
         let rate = self.own_rate.per_ms(now) * SLOT_MS as f64 * RETRY_SHARE * OWN_PART;
         let rate = rate.max(MIN_OWN_PER_SLOT);
-        let number = (start / SLOT_MS % CARRY_SLOTS) as f64;
-        let places = (rate * (number + 1.0) + seed).floor() - (rate * number + seed).floor();
-        let full = self.told.is_some_and(|t| self.domain.count(start) >= t.per_slot);
-        !full && f64::from(self.mine.count(start)) < places
+        let full = self.told.is_some_and(|t| self.domain.count(start) >= t.most());
+        !full && self.mine.count(start) < places(rate, seed, start)
     }
 
     /// Promised retries of the failure domain in a slot, as far as known.
@@ -259,8 +268,16 @@
         let own = self.own_rate.per_ms(now) * SLOT_MS as f64;
         match self.told {
             _ if is_planner => own + self.heard_rate.per_ms(now) * SLOT_MS as f64,
-            Some(told) => f64::from(told.per_slot) / RETRY_SHARE,
+            Some(told) => told.per_slot / RETRY_SHARE,
             None => own,
         }
     }
 }
+
+/// Places of the slot that starts at `start`, if slots have `per_slot` on average: whole numbers
+/// that add up to it, so that a fraction of a place is not lost. `seed` (0 to 1) shifts the
+/// rounding.
+fn places(per_slot: f64, seed: f64, start: Millis) -> u32 {
+    let number = (start / SLOT_MS % CARRY_SLOTS) as f64;
+    ((per_slot * (number + 1.0) + seed).floor() - (per_slot * number + seed).floor()) as u32
+}
