Promised retries between processes: tests

A follower's promises reach the planner's sums, messages with unknown services or too many entries are dropped with a log line, and with load.returns off retries are neither promised nor summed.

--- /dev/null
+++ b/crates/heathpitchd/tests/gateway_returns.rs
@@ -0,0 +1,138 @@
+//! Promised retries between processes: what callers are told, what a planner sums, and messages that
+//! it must not use.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails its test")]
+
+mod gateway;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use gateway::{Cluster, KEY, wait_until};
+use heathpitch_core::{Name, Revision};
+use heathpitch_net::{
+    FeedClient, FeedCursor, FeedNotices, FeedPromise, FeedRequest, FeedResponse, NoticeCursor,
+};
+use heathpitch_standin::{Behavior, Caller, GatewayProcess, RouteSpec};
+use hyper::Method;
+use serde_json::json;
+use tokio::task::LocalSet;
+
+/// Time that a caller waits, milliseconds.
+const DEADLINE_MS: u64 = 20_000;
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A cluster with a stream's route whose only engine refuses every call.
+fn refusing() -> Cluster {
+    let mut cluster = Cluster::new();
+    cluster.config.version = 4;
+    cluster.config.routes.push(RouteSpec::stream("/long/", "one").timeout(DEADLINE_MS));
+    cluster.configure();
+    cluster.engine("a", "one").set_behavior(Behavior::Refuse);
+    cluster
+}
+
+/// `Retry-After` of a stream that is refused, milliseconds.
+async fn refused(node: &GatewayProcess) -> u64 {
+    let caller = Caller::new(node.listen).key(KEY).deadline(DEADLINE_MS);
+    let reply = caller.call(Method::POST, "/long/x", "prompt").await.unwrap();
+    assert_eq!(reply.status, 503, "{reply:?}");
+    assert!(String::from_utf8_lossy(&reply.body).contains("engines_refused"), "{reply:?}");
+    let seconds: f64 = reply.header("retry-after").unwrap().parse().unwrap();
+    (seconds * 1e3) as u64
+}
+
+fn name(text: &str) -> Name {
+    text.parse().unwrap()
+}
+
+fn peer(node: &GatewayProcess) -> SocketAddr {
+    let started = node.events("gateway_started");
+    started[0]["peer"].as_str().unwrap().parse().unwrap()
+}
+
+/// Polls a node as another node of its failure domain does.
+async fn poll(address: SocketAddr, promises: Vec<FeedPromise>) -> FeedResponse {
+    let request = FeedRequest {
+        node: name("n9"),
+        address: ([127, 0, 0, 1], 9).into(),
+        can_plan: false,
+        revision: Revision(0),
+        version: 0,
+        digest: 0,
+        cursor: FeedCursor::default(),
+        reports_only: false,
+        notices: FeedNotices::default(),
+        notice_cursor: NoticeCursor::default(),
+        demand: Vec::new(),
+        promises,
+    };
+    let ask = async {
+        FeedClient::open(address, TIMEOUT).await.unwrap().poll(&request, TIMEOUT).await.unwrap()
+    };
+    LocalSet::new().run_until(ask).await
+}
+
+/// Nodes that kept their promises to themselves would all ask callers back at the same times.
+#[tokio::test]
+async fn a_planner_sums_what_its_followers_promise() {
+    let cluster = refusing();
+    let (planner, _link, follower) = cluster.planner_and_follower().await;
+    let mut returns = Vec::new();
+    for _ in 0..16 {
+        let delay = refused(&follower).await;
+        assert!((2_000..=6_000).contains(&delay), "{delay}");
+        returns.push(Instant::now() + Duration::from_millis(delay));
+    }
+    // The planner states exact sums only for slots that are too near to be promised.
+    tokio::time::sleep(Duration::from_millis(4_200)).await;
+    let sums = poll(peer(&planner), Vec::new()).await;
+    let now = Instant::now();
+    let due = returns.iter().filter(|at| {
+        let left = at.saturating_duration_since(now).as_millis();
+        (300..1_200).contains(&left)
+    });
+    let near: u32 = sums.promises.iter().filter(|p| p.in_ms < 1_750).map(|p| p.count).sum();
+    let due = due.count() as u32;
+    assert!(due > 0, "{returns:?}");
+    assert!((due..=16).contains(&near), "{near} retries summed, {due} due: {sums:?}");
+    assert_eq!(sums.promise_rates.len(), 1);
+}
+
+#[tokio::test]
+async fn messages_that_no_node_sends_are_dropped() {
+    let cluster = refusing();
+    let (planner, _link, _follower) = cluster.planner_and_follower().await;
+    let promise = |service: &str| FeedPromise { service: name(service), in_ms: 1_000, count: 3 };
+    let sums = poll(peer(&planner), vec![promise("nowhere")]).await;
+    assert!(sums.promises.is_empty() && sums.promise_rates.is_empty(), "{sums:?}");
+    let sums = poll(peer(&planner), vec![promise("one"); 65]).await;
+    assert!(sums.promises.is_empty(), "{sums:?}");
+    let sums = poll(peer(&planner), vec![promise("one")]).await;
+    assert!(sums.promises.iter().any(|p| p.count == 3), "{sums:?}");
+    let logged = |text: &str| {
+        let lines = planner.events("message");
+        lines.iter().any(|l| l["text"].as_str().is_some_and(|t| t.contains(text)))
+    };
+    wait_until("both are logged", async || {
+        logged("unknown service nowhere") && logged("expected at most 64 entries, got 65")
+    })
+    .await;
+}
+
+/// A node that is told not to must neither promise retries nor sum them.
+#[tokio::test]
+async fn switched_off_it_changes_nothing() {
+    let cluster = refusing();
+    let binary = Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
+    let settings = json!({ "load": { "returns": "off" } });
+    let store = cluster.store.address();
+    let node = GatewayProcess::spawn_with(binary, store, "n1", "mem", settings).unwrap();
+    node.wait_ready().await.unwrap();
+    wait_until("the node is planner", async || !node.events("domain_planner").is_empty()).await;
+    assert_eq!(refused(&node).await, 400);
+    let promise = FeedPromise { service: name("one"), in_ms: 1_000, count: 3 };
+    let sums = poll(peer(&node), vec![promise]).await;
+    assert!(sums.promises.is_empty() && sums.promise_rates.is_empty(), "{sums:?}");
+}
