--- a/crates/heathpitchd/src/gateway/call/admission.rs
+++ b/crates/heathpitchd/src/gateway/call/admission.rs
@@ -76,6 +76,8 @@
     account: Option<u64>,
     /// Part of the account's requests that is within its share.
     fraction: f64,
+    /// Pressure expected from callers that were told to return now.
+    due: f64,
 }
 
 impl Sharing {
@@ -92,7 +94,8 @@
         let account = holder.map(|h| Demand::key(&h.account));
         let shares = shared.shares.load();
         let fraction = account.map_or(1.0, |a| shares.fraction(service, a, shared.now()));
-        Some(Self { position, account, fraction })
+        let due = shared.retry_book.lock().due_pressure(service, shared.now());
+        Some(Self { position, account, fraction, due })
     }
 
     /// Load that the decision is based on, for the log.
@@ -107,7 +110,7 @@
             fraction: self.fraction,
             age_ms: call.age_ms,
             started: call.head.after.is_some(),
-            due: 0.0,
+            due: self.due,
         };
         query.admit(rand::rng().random_range(0.0..1.0)).map_err(|reason| {
             let (level, limit) = (pressure.level(), query.rank_limit());
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -132,6 +132,7 @@
         Ok((sent, response)) => apply(control, state, source, sent, response),
         Err(e) => {
             *state = FeedState::default();
+            control.promises_unanswered();
             log::info!("poll of node {} failed: {e}", source.node);
             // A VM that refuses connections is starting or restarting, and will answer soon.
             match control.now().saturating_sub(start) {
@@ -155,6 +156,7 @@
     let (demand, counted) = control.demand_for(&source.node);
     request.demand = demand;
     request.to = Some(source.node.clone());
+    control.send_promises(&mut request, &source.node);
     if let Some(client) = &state.client {
         let sent = control.now();
         match client.poll(&request, POLL_TIMEOUT).await {
@@ -190,6 +192,7 @@
     if let Some(shares) = &response.shares {
         control.receive_shares(&source.node, shares, sent);
     }
+    control.receive_promises(&source.node, &response, sent);
     let proven = sent.saturating_sub(response.entries_age_ms);
     let own = control.shared.list_freshness.load().at();
     // An empty delta means that the source has the same list.
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -12,10 +12,11 @@
 //!   stored limits
 //! - `shares`: demand of client accounts, and their shares when capacity runs short
 //! - `recovery`, `reachability`: rerouting of running streams away from unreachable engines
+//! - `returns`: promised retries of rejected callers, exchanged with the planner
 //! - `suspension`: detection of VM suspensions
 //!
 //! Controllers publish snapshots in [`Shared`], the engine table through `publish`. Traffic shares no other
-//! state with them.
+//! state with them but the book of promised retries.
 
 mod backpressure;
 mod config;
@@ -34,6 +35,7 @@
 mod reachability;
 mod recovery;
 mod reports;
+mod returns;
 mod rights;
 mod shares;
 mod sources;
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Name and help of every metric of a gateway.
-pub const GATEWAY_METRICS: [(&str, &str); 22] = [
+pub const GATEWAY_METRICS: [(&str, &str); 23] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -36,6 +36,7 @@
         "Sends of streams over paths in the home domain, balanced to another one, or overflowing",
     ),
     ("heathpitch_shed_total", "Streams not admitted for lack of capacity, by rank and reason"),
+    ("heathpitch_returns_total", "Streams whose callers came back after a rejection, by result"),
 ];
 
 /// Bucket bounds for the time to the head of an answer, seconds.
@@ -69,6 +70,7 @@
     pub(crate) rights: IntCounterVec,
     pub(crate) routed: IntCounterVec,
     pub(crate) shed: IntCounterVec,
+    pub(crate) returns: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -107,6 +109,7 @@
             rights: IntCounterVec::new(opts(19), &["answer"])?,
             routed: IntCounterVec::new(opts(20), &["locality"])?,
             shed: IntCounterVec::new(opts(21), &["rank", "reason"])?,
+            returns: IntCounterVec::new(opts(22), &["result"])?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -139,6 +142,7 @@
             Box::new(self.rights.clone()),
             Box::new(self.routed.clone()),
             Box::new(self.shed.clone()),
+            Box::new(self.returns.clone()),
         ]
     }
 
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -113,7 +113,7 @@
             control::spawn(shared.clone(), clients.clone(), listeners, inbox, control_stopped)?;
         let traffic = Arc::new(Traffic {
             retry_budgets: RetryBudgets::new(shared.clone()),
-            retry_schedules: RetrySchedules::default(),
+            retry_schedules: RetrySchedules::new(shared.clone()),
             usual_deadlines: UsualDeadlines::default(),
             pool: shared.pool.clone(),
             shared: shared.clone(),
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -8,7 +8,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use heathpitch_core::{Catalog, EngineEntry, GatewaySettings, Millis, Name, RequestFingerprint};
 use heathpitch_net::{Dialect, EngineControl, Pool, Store};
-use heathpitch_policy::{AccountShares, DemandKey, EngineIncarnation, Freshness};
+use heathpitch_policy::{AccountShares, DemandKey, EngineIncarnation, Freshness, RetryBook};
+use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::balance::Balances;
@@ -125,6 +126,9 @@
     pub(crate) balances: Balances,
     /// Shares of client accounts.
     pub(crate) shares: ArcSwap<AccountShares>,
+    /// Retries promised to rejected callers. The control thread holds the lock a few times a second,
+    /// for microseconds.
+    pub(crate) retry_book: Mutex<RetryBook>,
     pub(crate) stopping: AtomicBool,
     pub(crate) open_calls: AtomicUsize,
     /// How often the VM was resumed after a suspension.
@@ -154,6 +158,7 @@
             quarantine: ArcSwap::default(),
             balances: Balances::default(),
             shares: ArcSwap::default(),
+            retry_book: Mutex::new(RetryBook::new(rand::random())),
             stopping: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
             resumed: watch::Sender::new(0),
