--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -27,7 +27,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 
-use heathpitch_core::Millis;
 use heathpitch_net::{Body, Pool};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
