Recovery: decisions about moves off lost engines

Streams of a lost engine were moved as they were found, each to the cheapest engine, although the pause that callers accept also has to cover the prefill at the substitute.

--- /dev/null
+++ b/crates/policy/tests/move_order.rs
@@ -0,0 +1,332 @@
+//! Moves off a lost engine under load: 30 streams of three ranks run through it when it is lost, and
+//! one, two or three engines with slow cards hold its layers.
+//!
+//! Guards against moves in the order of discovery and to the cheapest engine alone: prefills then
+//! queue at one substitute, and urgent streams resume after others. Callers accept pauses of 250 ms.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails its test")]
+
+mod common;
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use common::name;
+use heathpitch_core::{
+    Card, EngineEntry, EntryState, LayerRange, LayeredModel, Millis, Name, Path, Stage,
+};
+use heathpitch_policy::{
+    ChainEngine, ChainQuery, MoveLoad, MoveResult, PrefillStage, StalledStream, find_chain,
+    plan_moves, prefill_ms, silence_threshold,
+};
+use proptest::prelude::*;
+
+/// Longest pause that callers accept, milliseconds.
+const MAX_PAUSE_MS: Millis = 250;
+/// Tokens that a stream holds.
+const TOKENS: f64 = 900.0;
+/// Tokens that fit into a substitute in addition to its layers.
+const CAPACITY_TOKENS: f64 = 100_000.0;
+/// Time of an order to a first engine and its response, milliseconds.
+const ORDER_MS: f64 = 4.0;
+/// Time of a refused connection, milliseconds.
+const PROBE_MS: Millis = 5;
+/// Time at which the engine is lost, milliseconds.
+const LOST_AT: Millis = 10_000;
+/// Interval between rounds of decisions, milliseconds.
+const ROUND_MS: Millis = 20;
+/// First engines that the streams are spread over.
+const HEADS: usize = 3;
+/// Engine that is lost.
+const LOST: &str = "lost";
+
+fn card(id: &str, step_factor: f64, prefill_factor: f64) -> Card {
+    Card { name: name(id), memory_mb: 72_000.0, step_factor, prefill_factor }
+}
+
+fn fast() -> Card {
+    card("a100", 2.4, 3.2)
+}
+
+fn slow() -> Card {
+    card("l4", 16.0, 8.2)
+}
+
+fn model() -> LayeredModel {
+    LayeredModel {
+        layers: 80,
+        layer_mb: 1_750.0,
+        token_bytes: 320_000.0,
+        slots: 192,
+        step_ms: 0.85,
+        request_ms: 0.0,
+        context_ms: 0.0,
+        prefill_rate: 321_000.0,
+        load_ms: 30_000,
+        parallel_loads: 4,
+        report_lag_ms: 200,
+        typical_prompt: 800.0,
+        typical_answer: 200.0,
+        cards: vec![fast(), slow()],
+        delays: vec![],
+    }
+}
+
+fn engine(id: &str, card: Card, first: u32, end: u32) -> ChainEngine {
+    let entry = EngineEntry {
+        id: name(id),
+        service: name("llm"),
+        address: "10.0.0.1:80".parse().unwrap(),
+        domain: name("east"),
+        state: EntryState::Ready,
+        slots: 192,
+        card: Some(card.name.clone()),
+        layers: LayerRange::new(first, end),
+        started_at: None,
+    };
+    ChainEngine {
+        entry: Arc::new(entry),
+        card,
+        penalty: 0.0,
+        start_cost: 0.0,
+        utilization: 0.2,
+        full: false,
+        deprioritized: false,
+    }
+}
+
+/// First engines with layers 0 to 40, substitutes with 40 to 50, and one engine with the rest.
+fn engines(substitutes: usize) -> Vec<ChainEngine> {
+    let heads = (0..HEADS).map(|i| engine(&format!("h{i}"), fast(), 0, 40));
+    let slow = (0..substitutes).map(|i| engine(&format!("s{i}"), slow(), 40, 50));
+    heads.chain(slow).chain([engine("tail", fast(), 50, 80)]).collect()
+}
+
+/// A stream through the lost engine.
+#[derive(Clone, Debug)]
+struct Stream {
+    rank: u8,
+    last_event: Millis,
+    path: Path,
+}
+
+/// A moved stream.
+#[derive(Clone, Debug)]
+struct Moved {
+    rank: u8,
+    result: MoveResult,
+    substitute: Name,
+    ordered: Millis,
+    /// Time from its last event to the next one.
+    pause: f64,
+}
+
+impl Moved {
+    fn in_time(&self) -> bool {
+        self.pause <= MAX_PAUSE_MS as f64
+    }
+}
+
+fn stream(i: usize, rank: u8, last_event: Millis) -> Stream {
+    let stage = |id: &str, first, end| Stage {
+        engine: name(id),
+        address: name("10.0.0.1:80"),
+        layers: LayerRange::new(first, end),
+        epoch: heathpitch_core::Epoch(0),
+    };
+    let stages =
+        vec![stage(&format!("h{}", i % HEADS), 0, 40), stage(LOST, 40, 50), stage("tail", 50, 80)];
+    let path = Path::new(&heathpitch_core::Model::new(name("llm"), name("llm"), 80), stages);
+    Stream { rank, last_event, path: path.unwrap() }
+}
+
+/// Ten streams of each rank, found in an order in which urgent ones are last, with events up to 20 ms
+/// before the loss.
+fn thirty() -> Vec<Stream> {
+    (0..30).map(|i| stream(i, 2 - (i / 10) as u8, LOST_AT - (i as u64 * 7) % 20)).collect()
+}
+
+/// Stages of a path that prefill a moved stream's tokens: the first engine and those that are new.
+fn prefill_stages(path: &Path, engines: &[ChainEngine]) -> Vec<(Name, PrefillStage)> {
+    let stage = |s: &Stage| {
+        let card = &engines.iter().find(|e| e.entry.id == s.engine).unwrap().card;
+        (s.engine.clone(), PrefillStage::new(card, 1.0, s.layers.count(), 20_000.0))
+    };
+    path.stages().iter().filter(|s| s.engine.as_str() != "tail").map(stage).collect()
+}
+
+/// Time at which the loss is known.
+fn noticed_at() -> Millis {
+    let path = stream(0, 0, 0).path;
+    let all = [engines(1), vec![engine(LOST, slow(), 40, 50)]].concat();
+    let stages: Vec<_> = prefill_stages(&path, &all).into_iter().map(|(_, s)| s).collect();
+    LOST_AT
+        + silence_threshold(Some(MAX_PAUSE_MS), prefill_ms(&model(), &stages, TOKENS))
+        + PROBE_MS
+}
+
+/// Moves all streams, and computes when they resume at engines that prefill in the order of arrival
+/// and are `slowdown` times slower than declared.
+fn simulate(streams: Vec<Stream>, substitutes: usize, slowdown: f64) -> Vec<Moved> {
+    let (model, engines, llm, east) = (model(), engines(substitutes), name("llm"), name("east"));
+    let load = RefCell::new(MoveLoad::default());
+    let mut free: HashMap<Name, f64> = HashMap::new();
+    let mut waiting: Vec<Option<Stream>> = streams.into_iter().map(Some).collect();
+    let mut moved = Vec::new();
+    let start = noticed_at();
+    for now in (start..).step_by(ROUND_MS as usize).take(100) {
+        let stalled = |(i, s): (usize, &Option<Stream>)| {
+            let s = s.as_ref()?;
+            Some(StalledStream {
+                stream: i,
+                rank: s.rank,
+                rank_distance: s.rank.into(),
+                due: s.last_event + MAX_PAUSE_MS,
+                since: start,
+            })
+        };
+        let stalled: Vec<_> = waiting.iter().enumerate().filter_map(stalled).collect();
+        let view = waiting.clone();
+        let plan = |i: &usize| {
+            let current = &view[*i].as_ref()?.path;
+            let mut charged = engines.clone();
+            let load = load.borrow();
+            charged.iter_mut().for_each(|e| load.charge(e, CAPACITY_TOKENS, now));
+            let query =
+                ChainQuery { model: &model, name: &llm, home: &east, current: Some(current) };
+            let (path, _) = find_chain(&query, &charged)?;
+            let stages = prefill_stages(&path, &engines);
+            let queue = stages.iter().map(|(e, _)| load.wait_ms(e, now)).fold(0.0, f64::max);
+            let stages: Vec<_> = stages.into_iter().map(|(_, s)| s).collect();
+            Some((path, ORDER_MS + queue + prefill_ms(&model, &stages, TOKENS)))
+        };
+        plan_moves(stalled, now, plan, |s, path, result| {
+            let stream = waiting[s.stream].take().unwrap();
+            let stages = prefill_stages(&path, &engines);
+            let own: Vec<_> = stages.iter().map(|(_, s)| *s).collect();
+            let begin = now as f64 + ORDER_MS;
+            let mut end = begin;
+            for (engine, stage) in &stages {
+                let busy = stage.busy_ms(&model, TOKENS);
+                load.borrow_mut().book(engine, busy, TOKENS, now);
+                let free = free.entry(engine.clone()).or_insert(0.0);
+                *free = free.max(begin) + busy * slowdown;
+                end = end.max(*free);
+            }
+            let alone = begin + prefill_ms(&model, &own, TOKENS) * slowdown;
+            moved.push(Moved {
+                rank: stream.rank,
+                result,
+                substitute: path.stages()[1].engine.clone(),
+                ordered: now,
+                pause: end.max(alone) - stream.last_event as f64,
+            });
+        });
+    }
+    moved
+}
+
+fn of_rank(moved: &[Moved], rank: u8) -> Vec<&Moved> {
+    moved.iter().filter(|m| m.rank == rank).collect()
+}
+
+fn longest(moved: &[&Moved]) -> f64 {
+    moved.iter().map(|m| m.pause).fold(0.0, f64::max)
+}
+
+#[test]
+fn urgent_streams_resume_first_and_all_resume() {
+    for substitutes in 1..=3 {
+        let moved = simulate(thirty(), substitutes, 1.0);
+        assert_eq!(moved.len(), 30, "{substitutes} substitutes: every stream is moved");
+        let ranks: Vec<u8> =
+            moved.iter().filter(|m| m.result == MoveResult::InTime).map(|m| m.rank).collect();
+        assert!(ranks.is_sorted(), "{substitutes} substitutes: {ranks:?}");
+        let mean = |rank| of_rank(&moved, rank).iter().map(|m| m.pause).sum::<f64>() / 10.0;
+        assert!(mean(0) < mean(1) && mean(1) < mean(2), "{substitutes} substitutes");
+    }
+}
+
+#[test]
+fn streams_that_can_resume_in_time_do() {
+    for (substitutes, urgent, all) in [(1, 6, 6), (2, 10, 13), (3, 10, 20)] {
+        let moved = simulate(thirty(), substitutes, 1.0);
+        let expected = moved.iter().filter(|m| m.result == MoveResult::InTime);
+        assert!(expected.clone().all(Moved::in_time), "the forecast holds: {moved:?}");
+        let in_time = moved.iter().filter(|m| m.in_time()).count();
+        let urgent_in_time = of_rank(&moved, 0).iter().filter(|m| m.in_time()).count();
+        assert!(
+            urgent_in_time >= urgent && in_time >= all,
+            "{substitutes} substitutes: {urgent_in_time} urgent streams and {in_time} in all"
+        );
+    }
+}
+
+#[test]
+fn streams_that_are_late_anyway_do_not_delay_the_others() {
+    for substitutes in 1..=3 {
+        let late = (30..60).map(|i| stream(i, (i % 3) as u8, LOST_AT - 200));
+        let with_late = simulate(late.chain(thirty()).collect(), substitutes, 1.0);
+        let alone = simulate(thirty(), substitutes, 1.0);
+        let in_time = |moved: &[Moved]| -> Vec<(u8, i64)> {
+            let kept = moved.iter().filter(|m| m.result == MoveResult::InTime);
+            kept.map(|m| (m.rank, m.pause.round() as i64)).collect()
+        };
+        assert_eq!(in_time(&with_late), in_time(&alone), "{substitutes} substitutes");
+        assert_eq!(with_late.len(), 60, "every stream is moved");
+    }
+}
+
+#[test]
+fn streams_are_spread_over_all_substitutes() {
+    for substitutes in 2..=3 {
+        let moved = simulate(thirty(), substitutes, 1.0);
+        let mut counts: HashMap<&Name, usize> = HashMap::new();
+        moved.iter().for_each(|m| *counts.entry(&m.substitute).or_default() += 1);
+        assert_eq!(counts.len(), substitutes);
+        let fair = 30 / substitutes;
+        assert!(counts.values().all(|c| c.abs_diff(fair) <= fair / 3), "{counts:?}");
+    }
+}
+
+#[test]
+fn urgent_streams_resume_first_at_engines_slower_than_declared() {
+    for substitutes in 1..=3 {
+        let moved = simulate(thirty(), substitutes, 1.5);
+        let [first, last] = [0, 2].map(|rank| longest(&of_rank(&moved, rank)));
+        assert!(first < last, "{substitutes} substitutes: {first:.0} and {last:.0} ms");
+    }
+}
+
+#[test]
+fn slow_cards_shorten_the_silence_threshold_within_its_bounds() {
+    let threshold = |card: &Card, tokens| {
+        let half = PrefillStage::new(card, 1.0, 40, 20_000.0);
+        silence_threshold(Some(MAX_PAUSE_MS), prefill_ms(&model(), &[half, half], tokens))
+    };
+    let (fast, slow) = (threshold(&fast(), TOKENS), threshold(&slow(), TOKENS));
+    assert!(slow < fast && fast < 160, "{slow} and {fast} ms");
+    assert_eq!(threshold(&card("t4", 40.0, 20.0), TOKENS), 110, "false alarms cost connections");
+    assert_eq!(silence_threshold(Some(10_000), 0.0), 160);
+}
+
+proptest! {
+    /// Guards against starvation: whatever the ranks and ages of the streams, each is moved, and a late
+    /// one waits for a bounded time.
+    #[test]
+    fn no_stream_is_starved(
+        streams in prop::collection::vec((0_u8..10, 0_u64..400), 1..60),
+        substitutes in 1_usize..4,
+    ) {
+        let streams: Vec<_> = streams
+            .iter()
+            .enumerate()
+            .map(|(i, (rank, age))| stream(i, *rank, LOST_AT - age))
+            .collect();
+        let moved = simulate(streams.clone(), substitutes, 1.0);
+        prop_assert_eq!(moved.len(), streams.len());
+        let last = moved.iter().map(|m| m.ordered).max().unwrap_or(0);
+        prop_assert!(last <= noticed_at() + 600 + ROUND_MS, "the last move came at {last}");
+    }
+}
