Recovery: streams with a maximum pause are moved within it

Streams paused for 250 to 800 ms after the loss of an engine where callers accept 250 ms. Causes: the silence threshold left no time for the prefill at the substitute, each stream waited for its own silence although the loss was known, checks came every 40 ms, a probe without an answer held up the results of the others, the question which engine the first one waits for came after 280 ms, and a stream without a path or with a refused order waited for 250 ms.

For streams of routes with a maximum pause, and unless gateway.load.recovery is off: the threshold follows the forecast prefill, a check is made when a stream reaches it, probe results count at once and for all streams through the engine, the first engine is asked 40 ms after the threshold, the first conflict of an order is retried at once. Moves follow heathpitch_policy::plan_moves and consider the load of moves just ordered, by all nodes as far as the lost engine's report shows. call_rerouted gains rank and read_ms; heathpitch_moves_total counts moves by whether the stream resumed in time. Other streams behave as before.

--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -19,7 +19,7 @@
 use super::send::{Answer, Failure, Target, send};
 use crate::gateway::engine_table::EngineView;
 use crate::gateway::event::GatewayEvent;
-use crate::gateway::live::LiveStream;
+use crate::gateway::live::{LiveStream, StreamTerms};
 use crate::gateway::shared::{ControlMessage, LostAttempt};
 
 /// Attempts in which nothing could be sent to the first engine of the path.
@@ -281,8 +281,13 @@
         self.head = Some(view.entry.id.clone());
         self.live = path.map(|p| {
             let request = self.call.head.id.clone();
-            let (need, pause) = (pick::expected_tokens(&self.call), self.call.route.max_pause_ms);
-            LiveStream::new(request, self.call.service.name.clone(), p.clone(), need, pause, now)
+            let need = pick::expected_tokens(&self.call);
+            let terms = StreamTerms {
+                rank: self.call.rank(),
+                max_pause_ms: self.call.route.max_pause_ms,
+                start_by: self.call.received + self.call.route.latency_target_ms,
+            };
+            LiveStream::new(request, self.call.service.name.clone(), p.clone(), need, terms, now)
         });
         self.evidence.sent();
         let _waiting = WaitingRequest::new(view.stats.clone());
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -10,7 +10,7 @@
 //! - `engine_exits`, `quarantine`: detection of engines that exited, and the requests suspected of causing it
 //! - `backpressure`, `rights`, `limit_records`: backpressure of engines, rights under their limits, and the
 //!   stored limits
-//! - `recovery`, `reachability`: rerouting of running streams away from unreachable engines
+//! - `recovery`, `moves`, `detour`, `reachability`: rerouting of running streams away from unreachable engines
 //! - `suspension`: detection of VM suspensions
 //!
 //! Controllers publish snapshots in [`Shared`], the engine table through `publish`. Traffic shares no other
@@ -18,12 +18,14 @@
 
 mod backpressure;
 mod config;
+mod detour;
 mod engine_exits;
 mod engine_list;
 mod engines;
 mod feed;
 mod feed_server;
 mod limit_records;
+mod moves;
 mod neighbours;
 mod nodes;
 mod orders;
--- /dev/null
+++ b/crates/heathpitchd/src/gateway/control/moves.rs
@@ -0,0 +1,177 @@
+//! Moves of stalled streams whose route states a maximum pause: which come first, and where they go.
+//!
+//! `heathpitch_policy` decides; this controller collects the stalled streams, forecasts their new
+//! paths and carries the moves out. All state is that of one process and is lost with it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use heathpitch_core::{Millis, Name, Path};
+use heathpitch_policy::{MoveLoad, StalledStream, plan_moves, prefill_ms};
+use tokio::sync::Notify;
+
+use super::detour::{find_detour, prefill_stages, substitute_prefill_ms};
+use super::recovery::{MOVE_INTERVAL_MS, TrackedStream, reroute};
+use super::state::Control;
+use crate::gateway::live::LiveStream;
+use crate::gateway::move_progress::MoveProgress;
+
+/// Time of an order to a first engine and its response, or of a request to another first engine,
+/// over a new connection: many times the delay between failure domains.
+const ORDER_MS: f64 = 10.0;
+/// Time after which a stream without a path is tried again: a search costs up to a millisecond of
+/// processor time, and nodes have as little as an eighth of a core.
+const SEARCH_INTERVAL_MS: Millis = 80;
+
+/// State of moves.
+#[derive(Debug, Default)]
+pub(super) struct RecoveryState {
+    /// What moves just ordered add to engines.
+    pub(super) load: RefCell<MoveLoad>,
+    /// Notified when streams may have to be moved before the next check.
+    pub(super) wake: Notify,
+    /// Whether probes changed which engines are reachable since the last publication.
+    pub(super) changed: Cell<bool>,
+}
+
+/// A stalled stream and the engine that it lost.
+pub(super) struct Stalled<'a> {
+    pub(super) live: Arc<LiveStream>,
+    pub(super) path: Arc<Path>,
+    pub(super) lost: Name,
+    pub(super) tracked: &'a TrackedStream,
+}
+
+/// How a stalled stream continues.
+enum Continuation {
+    /// On another path from the same first engine.
+    Reroute(Path),
+    /// At another first engine, which the traffic thread chooses.
+    Replace,
+}
+
+/// Moves stalled streams in the order that `heathpitch_policy` decides.
+pub(super) fn move_stalled(control: &Rc<Control>, stalled: Vec<Stalled<'_>>, now: Millis) {
+    control.recovery.load.borrow_mut().expire(now);
+    let streams = stalled.into_iter().map(|s| candidate(control, s, now)).collect();
+    plan_moves(
+        streams,
+        now,
+        |s| plan(control, s, now),
+        |s, planned, _| carry_out(control, &s.stream, planned, now),
+    );
+}
+
+/// Ranks a stalled stream, and sets when it is tried again if it is not moved now.
+fn candidate<'a>(
+    control: &Control,
+    stalled: Stalled<'a>,
+    now: Millis,
+) -> StalledStream<Stalled<'a>> {
+    let rank = stalled.live.terms.rank;
+    let candidate = StalledStream {
+        rank,
+        rank_distance: rank_distance(control, &stalled.live.service, rank),
+        due: stalled.live.due(),
+        since: stalled.tracked.lost_since(now),
+        stream: stalled,
+    };
+    let (retry_at, wait_until) = (now + SEARCH_INTERVAL_MS, candidate.late_move_at());
+    let next = if wait_until > now { wait_until.min(retry_at) } else { retry_at };
+    candidate.stream.tracked.set_next_move(next);
+    candidate
+}
+
+/// Where a stream would continue, and the forecast time until its next event, milliseconds.
+fn plan(control: &Control, stalled: &Stalled<'_>, now: Millis) -> Option<(Continuation, f64)> {
+    let Stalled { live, path, lost, .. } = stalled;
+    if *lost == path.head().engine {
+        return Some((Continuation::Replace, ORDER_MS + live.prefill_ms() as f64));
+    }
+    let new = find_detour(control, live, path, true).filter(|new| *new != **path)?;
+    let spec = control.service(&live.service)?;
+    let stages = prefill_stages(control, path, &new);
+    let load = control.recovery.load.borrow();
+    let queue = stages.iter().map(|(engine, _)| load.wait_ms(engine, now)).fold(0.0, f64::max);
+    let stages: Vec<_> = stages.into_iter().map(|(_, stage)| stage).collect();
+    let own = prefill_ms(spec.model.as_ref()?, &stages, live.tokens);
+    Some((Continuation::Reroute(new), ORDER_MS + queue + own))
+}
+
+fn carry_out(control: &Rc<Control>, stalled: &Stalled<'_>, planned: Continuation, now: Millis) {
+    let Stalled { live, path, lost, tracked } = stalled;
+    tracked.set_next_move(now + MOVE_INTERVAL_MS);
+    match planned {
+        Continuation::Replace => live.abandon(),
+        Continuation::Reroute(new) => {
+            book(control, stalled, &new, now);
+            reroute(control, live, path, new, Some(lost.clone()), tracked);
+        }
+    }
+}
+
+/// Counts what a move adds to engines.
+///
+/// Other nodes move their streams of the same engine at the same time. Each token of this node stands
+/// for as many as the lost engine held for each token of this node's requests.
+fn book(control: &Control, stalled: &Stalled<'_>, new: &Path, now: Millis) {
+    let Stalled { live, path, lost, .. } = stalled;
+    let Some(spec) = control.service(&live.service) else { return };
+    let Some(model) = spec.model.as_ref() else { return };
+    let table = control.shared.table.load();
+    let nodes = f64::from(table.domain_size.max(1));
+    let share = table.by_id(lost.as_str()).map_or(1.0, |view| {
+        let occupancy = view.stats.occupancy();
+        let own = (occupancy.own() as f64).max(live.tokens).max(1.0);
+        (occupancy.held(table.domain_size, now) / own).clamp(1.0, nodes)
+    });
+    let tokens = live.tokens * share;
+    let mut load = control.recovery.load.borrow_mut();
+    for (engine, stage) in prefill_stages(control, path, new) {
+        let added = if engine == new.head().engine { 0.0 } else { tokens };
+        load.book(&engine, stage.busy_ms(model, tokens), added, now);
+    }
+}
+
+/// Number of ranks more urgent than `rank` that a service is used with.
+fn rank_distance(control: &Control, service: &Name, rank: u8) -> u32 {
+    let Some(catalog) = control.shared.catalog.load_full() else { return 0 };
+    let uses = |target: &heathpitch_core::Target| &target.service == service;
+    let routes = catalog.routes().filter(|r| r.kind.streams() && r.targets.iter().any(uses));
+    let urgent: HashSet<u8> = routes.map(|r| r.rank).filter(|r| *r < rank).collect();
+    urgent.len() as u32
+}
+
+/// Sets a stream's silence threshold by the engines that could substitute those of its path.
+pub(super) fn set_threshold(control: &Control, live: &LiveStream) {
+    if let Some(ms) = control.recovers(live).then(|| substitute_prefill_ms(control, live)).flatten()
+    {
+        live.set_prefill(ms);
+    }
+}
+
+/// Counts the moves of a stream that have ended; `ended` if the stream has ended.
+pub(super) fn count_moves(
+    control: &Control,
+    progress: &MoveProgress,
+    max_pause: Millis,
+    ended: bool,
+) {
+    let pause = progress.take_pause();
+    let unfinished = ended && progress.is_pending();
+    let in_time = pause.map(|pause| pause <= max_pause);
+    for in_time in in_time.into_iter().chain(unfinished.then_some(false)) {
+        let label = if in_time { "in_time" } else { "late" };
+        control.shared.metrics.moves.with_label_values(&[label]).inc();
+    }
+}
+
+/// # Recovery within the maximum pause
+impl Control {
+    /// Whether a stream is moved within its maximum pause.
+    pub(super) fn recovers(&self, live: &LiveStream) -> bool {
+        live.terms.max_pause_ms.is_some() && self.shared.settings.load().load.recovery.is_on()
+    }
+}
--- a/crates/heathpitchd/src/gateway/control/reachability.rs
+++ b/crates/heathpitchd/src/gateway/control/reachability.rs
@@ -6,6 +6,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use futures::future::Either;
@@ -17,9 +18,10 @@
 use super::engines;
 use super::recovery::is_silent;
 use super::state::Control;
+use crate::gateway::live::LiveStream;
 
 /// Silence below which a stream shows that its engines work.
-const FLOWING_SILENCE_MS: Millis = 80;
+pub(super) const FLOWING_SILENCE_MS: Millis = 80;
 /// Timeout of a probe, many times the delay between failure domains.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
 /// Time after which a first probe is repeated, many times the delay inside a failure domain.
@@ -69,13 +71,37 @@
 }
 
 /// Probes the engines that are due.
-pub(super) async fn probe_round(control: &Control, probed: &mut Vec<(Name, Millis)>, now: Millis) {
+///
+/// While streams with a maximum pause run, each result counts as soon as it is known: an engine that
+/// refuses connections does not wait for one that does not answer.
+pub(super) async fn probe_round(
+    control: &Rc<Control>,
+    probed: &mut Vec<(Name, Millis)>,
+    now: Millis,
+) {
     let suspects = suspects(control, probed, now);
-    if !suspects.is_empty() {
-        probe_all(control, suspects).await;
+    let running: Vec<_> =
+        control.streams.borrow().iter().filter_map(|t| t.live.upgrade()).collect();
+    match running.iter().any(|live| control.recovers(live)) {
+        _ if suspects.is_empty() => {}
+        true => suspects.into_iter().for_each(|s| probe_one(control, s)),
+        false => probe_all(control, suspects).await,
     }
 }
 
+/// Probes an engine in the background.
+fn probe_one(control: &Rc<Control>, suspect: Suspect) {
+    let control = control.clone();
+    spawn_local(async move {
+        let first = !control.is_unreachable(&suspect.engine);
+        let reached = is_reachable(suspect.address, first).await;
+        if record_probe(&control, &suspect.engine, reached) {
+            control.recovery.changed.set(true);
+            control.recovery.wake.notify_one();
+        }
+    });
+}
+
 /// Engines to probe: those with silent streams only, and unreachable ones due for another probe.
 fn suspects(control: &Control, probed: &mut Vec<(Name, Millis)>, now: Millis) -> Vec<Suspect> {
     probed.retain(|(_, at)| now < at + PROBE_INTERVAL_MS);
@@ -130,29 +156,32 @@
     let probes =
         suspects.iter().map(|s| is_reachable(s.address, !control.is_unreachable(&s.engine)));
     let found = futures::future::join_all(probes).await;
-    let now = control.now();
     let mut changed = false;
     for (suspect, reached) in suspects.into_iter().zip(found) {
-        let was = control.is_unreachable(&suspect.engine);
-        match (reached, was) {
-            (true, true) => {
-                control.unreachable.borrow_mut().remove(&suspect.engine);
-                control.clear_suspicion(&suspect.engine);
-                changed = true;
-            }
-            (true, false) => {}
-            (false, _) => {
-                record_unreachable(control, &suspect.engine, now);
-                changed |= !was;
-                control.suspect(&suspect.engine, "it is unreachable", SUSPECT_MS);
-            }
-        }
+        changed |= record_probe(control, &suspect.engine, reached);
     }
     if changed {
         control.publish();
     }
 }
 
+/// Records the result of a probe, and returns whether it changes what is known of the engine.
+fn record_probe(control: &Control, engine: &Name, reached: bool) -> bool {
+    match (reached, control.is_unreachable(engine)) {
+        (true, true) => {
+            control.unreachable.borrow_mut().remove(engine);
+            control.clear_suspicion(engine);
+            true
+        }
+        (true, false) => false,
+        (false, was) => {
+            record_unreachable(control, engine, control.now());
+            control.suspect(engine, "it is unreachable", SUSPECT_MS);
+            !was
+        }
+    }
+}
+
 /// Marks an engine as unreachable without a probe; `why` is logged.
 pub(super) fn mark_unreachable(control: &Control, engine: &Name, why: &'static str) {
     if record_unreachable(control, engine, control.now()) {
@@ -192,13 +221,25 @@
 }
 
 /// Queries the first engine of a silent stream for the engines that its streams wait for.
-pub(super) fn query_stalled(control: &Rc<Control>, path: &Path) {
+///
+/// If `live` is given, the response counts only if that stream is silent still.
+pub(super) fn query_stalled(control: &Rc<Control>, path: &Path, live: Option<&Arc<LiveStream>>) {
     let Some(entry) = control.entries.borrow().get(&path.head().engine).cloned() else { return };
     let control = control.clone();
+    let live = live.map(Arc::downgrade);
     spawn_local(async move {
-        match engines::query_status(&control, &entry).await {
-            Ok(status) => status.stalled.iter().for_each(|(_, at)| mark_stalling(&control, *at)),
-            Err(e) => log::info!("status query to first engine {} failed: {e}", entry.id),
+        let status = match engines::query_status(&control, &entry).await {
+            Ok(status) => status,
+            Err(e) => return log::info!("status query to first engine {} failed: {e}", entry.id),
+        };
+        let now = control.now();
+        let flows = |l: &Weak<LiveStream>| l.upgrade().is_none_or(|l| !is_silent(&l, now));
+        if live.as_ref().is_some_and(flows) {
+            return;
+        }
+        status.stalled.iter().for_each(|(_, address)| mark_stalling(&control, *address));
+        if live.is_some() {
+            control.recovery.wake.notify_one();
         }
     });
 }
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -4,6 +4,9 @@
 //! probe (`reachability`) finds an engine unreachable, every stalled stream through it is moved to
 //! engines that hold the same layers, or resumed on another path if the engine was the first. A
 //! stream that makes progress shows that all its engines work.
+//!
+//! Streams of a route with a maximum pause are moved in the order that `moves` decides, and every
+//! delay before a move is bounded by what is left of their pause.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -11,16 +14,17 @@
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
-use heathpitch_core::{LayeredModel, Millis, Name, Path, Stage};
+use heathpitch_core::{Millis, Name, Path, Stage};
 use heathpitch_net::{OrderOutcome, RpcError};
-use heathpitch_policy::{ChainQuery, find_local_chain};
 use tokio::task::spawn_local;
 
+use super::detour::find_detour;
+use super::moves::{self, Stalled};
 use super::reachability;
 use super::state::Control;
-use crate::gateway::engine_table::{EngineView, PathQuery};
 use crate::gateway::event::{GatewayEvent, parts};
 use crate::gateway::live::LiveStream;
+use crate::gateway::move_progress::MoveProgress;
 
 /// Interval between checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(40);
@@ -44,13 +48,18 @@
 /// Time for which engines that left are remembered.
 const DEPARTED_TTL_MS: Millis = 60_000;
 /// Time between two moves of the same stream.
-const MOVE_INTERVAL_MS: Millis = 250;
+pub(super) const MOVE_INTERVAL_MS: Millis = 250;
 /// Time before a stream that an engine had no capacity for is moved again; doubled each time.
 const MOVE_RETRY_MS: Millis = 80;
 /// Most doublings of that time.
 const MAX_MOVE_DOUBLINGS: u32 = 4;
 /// Silence after which the first engine is asked which engine it waits for.
 const STATUS_SILENCE_MS: Millis = 280;
+/// Time after the silence threshold at which it is asked that by streams with a maximum pause: their
+/// probes have been answered, and one stream in thirty is silent for so long on healthy engines.
+const STATUS_DELAY_MS: Millis = 40;
+/// Shortest interval between checks: bounds their cost on nodes with an eighth of a core.
+const MIN_CHECK_INTERVAL_MS: Millis = 5;
 
 /// Running stream and the state of its moves.
 #[derive(Debug)]
@@ -58,6 +67,25 @@
     pub(super) live: Weak<LiveStream>,
     next_move: Rc<Cell<Millis>>,
     refusals: Rc<Cell<u32>>,
+    /// Time at which the loss of an engine of its path was noticed.
+    lost_since: Cell<Option<Millis>>,
+    progress: Arc<MoveProgress>,
+    max_pause: Option<Millis>,
+}
+
+/// # Moves
+impl TrackedStream {
+    /// Time at which the loss of an engine was noticed, `now` if it is noticed first.
+    pub(super) fn lost_since(&self, now: Millis) -> Millis {
+        let since = self.lost_since.get().unwrap_or(now);
+        self.lost_since.set(Some(since));
+        since
+    }
+
+    /// Sets the time before which it is not moved.
+    pub(super) fn set_next_move(&self, at: Millis) {
+        self.next_move.set(at);
+    }
 }
 
 /// Starts to track a stream.
@@ -66,8 +94,16 @@
         live: Arc::downgrade(live),
         next_move: Rc::default(),
         refusals: Rc::default(),
+        lost_since: Cell::default(),
+        progress: live.progress.clone(),
+        max_pause: live.terms.max_pause_ms,
     };
+    moves::set_threshold(control, live);
+    let first = control.streams.borrow().is_empty();
     control.streams.borrow_mut().push(tracked);
+    if first && control.recovers(live) {
+        control.recovery.wake.notify_one();
+    }
 }
 
 /// Checks all streams periodically.
@@ -77,15 +113,17 @@
     let mut last_expiry = 0;
     let mut probed: Vec<(Name, Millis)> = Vec::new();
     loop {
-        let idle = control.streams.borrow().is_empty() && control.unreachable.borrow().is_empty();
-        let interval = if idle { IDLE_CHECK_INTERVAL } else { CHECK_INTERVAL };
-        tokio::time::sleep(interval).await;
+        let interval = next_check(&control);
+        tokio::select! {
+            () = tokio::time::sleep(interval) => {}
+            () = control.recovery.wake.notified() => {}
+        }
         let now = control.now();
         if now.saturating_sub(last_check) > interval.as_millis() as Millis + MAX_CHECK_DELAY_MS {
             skip_until = now + STALL_GRACE_MS;
         }
         last_check = now;
-        control.streams.borrow_mut().retain(|t| t.live.strong_count() > 0);
+        drop_ended(&control);
         if now >= last_expiry + EXPIRY_INTERVAL_MS {
             last_expiry = now;
             control.departing.borrow_mut().retain(|_, since| now < *since + DEPARTED_TTL_MS);
@@ -96,52 +134,135 @@
         }
         reachability::probe_round(&control, &mut probed, now).await;
         move_streams(&control);
+        // Moves do not need the engine table with the change, and building it takes longer.
+        if control.recovery.changed.take() {
+            control.publish();
+        }
+    }
+}
+
+/// Time until the next check: earlier than the interval if a stream with a maximum pause reaches its
+/// silence threshold, or the end of a wait, before that.
+fn next_check(control: &Control) -> Duration {
+    let streams = control.streams.borrow();
+    if streams.is_empty() && control.unreachable.borrow().is_empty() {
+        return IDLE_CHECK_INTERVAL;
     }
+    let now = control.now();
+    let latest = now + CHECK_INTERVAL.as_millis() as Millis;
+    let due = streams.iter().filter_map(|tracked| {
+        let live = tracked.live.upgrade().filter(|live| control.recovers(live))?;
+        let silent_at = now.saturating_sub(live.silence(now)) + silence_limit(&live);
+        let moved_at = tracked.lost_since.get().map(|_| tracked.next_move.get());
+        let times = [Some(silent_at), Some(silent_at + STATUS_DELAY_MS), moved_at];
+        times.into_iter().flatten().filter(|at| *at > now).min()
+    });
+    let next = due.min().unwrap_or(latest).min(latest);
+    Duration::from_millis((next - now).max(MIN_CHECK_INTERVAL_MS))
+}
+
+/// Stops tracking the streams that have ended, and counts the moves that have.
+fn drop_ended(control: &Control) {
+    control.streams.borrow_mut().retain(|t| {
+        let ended = t.live.strong_count() == 0;
+        if let Some(max_pause) = t.max_pause {
+            moves::count_moves(control, &t.progress, max_pause, ended);
+        }
+        !ended
+    });
 }
 
 /// Whether a stream has been silent for longer than its engines should need.
 pub(super) fn is_silent(live: &LiveStream, now: Millis) -> bool {
-    let has_events = live.events.load(std::sync::atomic::Ordering::Relaxed) > 0;
-    let limit = if has_events { live.max_silence } else { FIRST_EVENT_SILENCE_MS };
-    live.silence(now) >= limit
+    live.silence(now) >= silence_limit(live)
+}
+
+fn silence_limit(live: &LiveStream) -> Millis {
+    if live.has_started() { live.threshold() } else { FIRST_EVENT_SILENCE_MS }
+}
+
+/// Why a stream has to be looked after.
+enum Fault {
+    /// An engine of its path is lost.
+    Lost(Name),
+    /// An engine behind the first one drains.
+    Draining,
+    /// It is silent for no known reason.
+    Unexplained,
 }
 
 /// Moves every stream that runs through an engine that is unreachable or draining.
 fn move_streams(control: &Rc<Control>) {
     let now = control.now();
-    for tracked in control.streams.borrow().iter() {
+    let streams = control.streams.borrow();
+    let mut stalled = Vec::new();
+    for tracked in streams.iter() {
         let Some(live) = tracked.live.upgrade() else { continue };
         if now < tracked.next_move.get() {
             continue;
         }
         let path = live.path.load_full();
-        let has_failed = |s: &Stage| {
-            control.is_unreachable(&s.engine) || has_restarted(control, &live, &s.engine)
-        };
-        let broken = path.stages().iter().find(|s| has_failed(s) || !holds(control, s));
-        match broken {
-            Some(_) if !is_silent(&live, now) => {}
-            Some(s) if s.engine == path.head().engine && !has_failed(s) => {}
-            Some(s) if s.engine == path.head().engine => {
+        let recovers = control.recovers(&live);
+        match find_fault(control, &live, &path, now) {
+            Some(Fault::Lost(lost)) if recovers => {
+                stalled.push(Stalled { live, path, lost, tracked });
+            }
+            Some(Fault::Lost(lost)) if lost == path.head().engine => {
                 tracked.next_move.set(now + MOVE_INTERVAL_MS);
                 live.abandon();
             }
-            Some(s) => {
+            Some(Fault::Lost(lost)) => {
                 tracked.next_move.set(now + MOVE_INTERVAL_MS);
-                reroute(control, &live, &path, Some(s.engine.clone()), tracked);
+                move_off(control, &live, &path, Some(lost), tracked);
             }
-            None if has_draining(control, &path) => {
+            Some(Fault::Draining) => {
                 tracked.next_move.set(now + MOVE_INTERVAL_MS);
-                reroute(control, &live, &path, None, tracked);
+                move_off(control, &live, &path, None, tracked);
             }
-            None if live.silence(now) >= STATUS_SILENCE_MS
-                && control.may_query_status(&path.head().engine) =>
-            {
-                reachability::query_stalled(control, &path);
+            Some(Fault::Unexplained) if control.may_query_status(&path.head().engine) => {
+                reachability::query_stalled(control, &path, recovers.then_some(&live));
             }
-            None => {}
+            Some(Fault::Unexplained) => {}
+            None => tracked.lost_since.set(None),
         }
     }
+    if !stalled.is_empty() {
+        moves::move_stalled(control, stalled, now);
+    }
+}
+
+/// What is wrong with a stream.
+fn find_fault(control: &Control, live: &LiveStream, path: &Path, now: Millis) -> Option<Fault> {
+    let has_failed =
+        |s: &Stage| control.is_unreachable(&s.engine) || has_restarted(control, live, &s.engine);
+    let broken = path.stages().iter().find(|s| has_failed(s) || !holds(control, s));
+    match broken {
+        Some(s) if !is_stalled(control, live, has_failed(s), now) => None,
+        Some(s) if s.engine == path.head().engine && !has_failed(s) => None,
+        Some(s) => Some(Fault::Lost(s.engine.clone())),
+        None if has_draining(control, path) => Some(Fault::Draining),
+        None if live.silence(now) >= status_silence(control, live) => Some(Fault::Unexplained),
+        None => None,
+    }
+}
+
+/// Whether a stream is silent for so long that an engine of its path that seems lost is taken to be.
+///
+/// Once one stream's probes find an engine unreachable, the others through it need no silence of their
+/// own but that which shows that nothing flows.
+fn is_stalled(control: &Control, live: &LiveStream, has_failed: bool, now: Millis) -> bool {
+    match has_failed && control.recovers(live) {
+        true => live.silence(now) >= reachability::FLOWING_SILENCE_MS,
+        false => is_silent(live, now),
+    }
+}
+
+/// Silence after which the first engine is asked which engine it waits for.
+fn status_silence(control: &Control, live: &LiveStream) -> Millis {
+    match live.has_started() && control.recovers(live) {
+        true => live.threshold() + STATUS_DELAY_MS,
+        false => STATUS_SILENCE_MS,
+    }
 }
 
 /// Whether an engine's entry shows the layers of a stage; an engine that is loading other layers
@@ -154,7 +275,7 @@
 }
 
 /// Whether an engine has restarted since a stream was routed, and so lost the stream's tokens.
-fn has_restarted(control: &Control, live: &LiveStream, engine: &Name) -> bool {
+pub(super) fn has_restarted(control: &Control, live: &LiveStream, engine: &Name) -> bool {
     let routed = live.routed.load(std::sync::atomic::Ordering::Relaxed);
     control.incarnations.borrow().restarted_since(engine, routed)
 }
@@ -168,24 +289,38 @@
     path.stages().iter().skip(1).any(|s| control.is_refusing(&s.engine) || is_due(&s.engine))
 }
 
-/// Orders the first engine of a stream to route it through other engines.
-fn reroute(
+/// Moves a stream to the best path without lost and draining engines, if there is one.
+fn move_off(
     control: &Rc<Control>,
     live: &Arc<LiveStream>,
     path: &Path,
     moved_off: Option<Name>,
     tracked: &TrackedStream,
 ) {
-    let Some(new) = find_detour(control, live, path) else { return };
-    if new == *path {
-        return;
+    if let Some(new) = find_detour(control, live, path, false).filter(|new| new != path) {
+        reroute(control, live, path, new, moved_off, tracked);
     }
+}
+
+/// Orders the first engine of a stream to route it through other engines.
+pub(super) fn reroute(
+    control: &Rc<Control>,
+    live: &Arc<LiveStream>,
+    path: &Path,
+    new: Path,
+    moved_off: Option<Name>,
+    tracked: &TrackedStream,
+) {
     let Ok(head) = path.head().address.as_str().parse::<SocketAddr>() else { return };
     let (control, live, engine) = (control.clone(), live.clone(), path.head().engine.clone());
     let (next_move, refusals) = (tracked.next_move.clone(), tracked.refusals.clone());
+    let counts = moved_off.is_some() && control.recovers(&live);
     spawn_local(async move {
         let sent = control.now();
         let silent_ms = live.silence(sent);
+        if counts {
+            live.progress.begin(sent - silent_ms);
+        }
         let answer = control.clients.engines.reroute(head, &engine, &live.request, &new).await;
         let entry = control.entries.borrow().get(&engine).cloned();
         let result = answer.map(|answer| match entry {
@@ -199,16 +334,32 @@
             moved_off,
             parts: parts(Some(&new)),
             silent_ms,
+            rank: live.terms.rank,
+            prefill_ms: Some(live.prefill_ms()).filter(|ms| *ms > 0),
             result: result_text(&result),
         }
         .log();
+        let retry_ms = MOVE_RETRY_MS << refusals.get().min(MAX_MOVE_DOUBLINGS);
         match result {
-            Ok(OrderOutcome::Taken) => live.route(new, control.now()),
+            Ok(OrderOutcome::Taken) => {
+                live.route(new, control.now());
+                moves::set_threshold(&control, &live);
+            }
             Ok(OrderOutcome::Conflict(Some(address))) => {
                 deprioritize(&control, address);
-                let doublings = refusals.get().min(MAX_MOVE_DOUBLINGS);
-                refusals.set(doublings + 1);
-                next_move.set(control.now() + (MOVE_RETRY_MS << doublings));
+                // Another engine is tried at once if the stream has a maximum pause.
+                let first = counts && refusals.get() == 0;
+                refusals.set(refusals.get() + 1);
+                next_move.set(control.now() + if first { 0 } else { retry_ms });
+                if first {
+                    control.recovery.wake.notify_one();
+                }
+            }
+            // The stream has ended, or is not one of that engine's.
+            Ok(OrderOutcome::Unknown) => live.progress.cancel(),
+            Ok(_) | Err(_) if counts => {
+                refusals.set(refusals.get() + 1);
+                next_move.set(control.now() + retry_ms);
             }
             Ok(_) | Err(_) => {}
         }
@@ -230,33 +381,6 @@
     }
 }
 
-/// Best path from a stream's first engine, without engines that are unreachable or draining.
-fn find_detour(control: &Control, live: &LiveStream, path: &Path) -> Option<Path> {
-    let spec = control.service(&live.service)?;
-    let model: &LayeredModel = spec.model.as_ref()?;
-    let table = control.shared.table.load();
-    let now = control.now();
-    let head = &path.head().engine;
-    let usable = |s: &EngineView| {
-        let (id, backpressure) = (&s.entry.id, s.stats.backpressure());
-        // An engine that runs the stream already needs no new right. None is requested for a move,
-        // so engines with a limit are not moved to.
-        let is_open = match path.stages().iter().any(|stage| &stage.engine == id) {
-            true => s.is_in_service(now) && backpressure.pause_left(now).is_none(),
-            false => s.is_available(now) && backpressure.limit().rate().is_none(),
-        };
-        // A restarted engine lost the stream's tokens, and an unchanged path would not be ordered.
-        id == head || (is_open && !control.is_unreachable(id) && !has_restarted(control, live, id))
-    };
-    let (service, tokens) = (&live.service, live.tokens);
-    let engines = table
-        .chain_engines(&PathQuery { service, model, tokens, now, current: Some(path) }, usable);
-    // The first engine does not change, so the others are best placed in its failure domain.
-    let home = table.by_id(head.as_str())?.entry.domain.clone();
-    let query = ChainQuery { model, name: &live.service, home: &home, current: Some(path) };
-    find_local_chain(&query, &engines).map(|(path, _)| path)
-}
-
 /// # Incarnations
 impl Control {
     /// Forgets the incarnations of engines that left long ago.
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -17,6 +17,7 @@
 use super::engine_exits::EngineExits;
 use super::feed_server::FullTransfers;
 use super::limit_records::StoredLimits;
+use super::moves::RecoveryState;
 use super::orders::PendingOrder;
 use super::quarantine::StoredEntries;
 use super::reachability::Unreachable;
@@ -104,6 +105,8 @@
     renewed: Cell<Millis>,
     pub(super) pending: RefCell<HashMap<Name, PendingOrder>>,
     pub(super) streams: RefCell<Vec<TrackedStream>>,
+    /// Moves of streams off lost engines.
+    pub(super) recovery: RecoveryState,
     /// Recently lost connections of calls, and the engines found to have exited.
     pub(super) engine_exits: RefCell<EngineExits>,
     /// Requests suspected of crashing engines, from this node's evidence and that received from others.
@@ -178,6 +181,7 @@
             renewed: Cell::new(0),
             pending: RefCell::default(),
             streams: RefCell::default(),
+            recovery: RecoveryState::default(),
             engine_exits: RefCell::default(),
             quarantine: RefCell::default(),
             stored_quarantine: RefCell::default(),
--- a/crates/heathpitchd/src/gateway/engine_table.rs
+++ b/crates/heathpitchd/src/gateway/engine_table.rs
@@ -13,7 +13,7 @@
 pub(crate) const MAX_UTILIZATION: f64 = 0.95;
 /// Cost of an engine without capacity, milliseconds per token: more than a path through another
 /// failure domain.
-const FULL_PENALTY_MS: f64 = 16.0;
+pub(crate) const FULL_PENALTY_MS: f64 = 16.0;
 /// Cost of an engine at full utilization, milliseconds per token: about two hops.
 const UTILIZATION_PENALTY_MS: f64 = 0.4;
 /// Time to the first event that is no reason to start at another engine, milliseconds: that of a
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -110,6 +110,11 @@
         parts: Vec<(Name, LayerRange)>,
         /// Time since anything was received.
         silent_ms: Millis,
+        /// Priority rank of the stream.
+        rank: u8,
+        /// Forecast time to prefill its tokens at a substitute engine, if known.
+        #[serde(rename = "read_ms")]
+        prefill_ms: Option<Millis>,
         /// Response of the first engine.
         result: String,
     },
--- a/crates/heathpitchd/src/gateway/live.rs
+++ b/crates/heathpitchd/src/gateway/live.rs
@@ -5,27 +5,20 @@
 
 use arc_swap::ArcSwap;
 use heathpitch_core::{Millis, Name, Path};
+use heathpitch_policy::silence_threshold;
 use tokio::sync::Notify;
 
-/// Time to probe the engines of a stream and to move it to another path.
-const REROUTE_MS: Millis = 90;
-/// Lower bound of the silence after which the engines of a started stream are probed: several
-/// decode steps of a loaded path.
-const MIN_SILENCE_MS: Millis = 110;
-/// Upper bound of that silence: one stream in thirty pauses for longer on healthy engines.
-const MAX_SILENCE_MS: Millis = 160;
-
-/// Silence after which a stream's engines are probed, if callers tolerate pauses of up to
-/// `max_pause_ms`: as long as possible while it leaves time to move the stream.
-///
-/// Streams pause during prefills: under normal load one in six for 110 ms and one in thirty for
-/// 150 ms, and each probe contacts all engines of a path. With 110 ms for all streams, a fleet of
-/// 59 nodes opened 31 000 connections a day only to probe healthy engines. With 150 ms for all,
-/// streams whose callers tolerate 200 ms were moved too late: a day's traffic yielded 0.66 of its
-/// value instead of 0.72.
-fn max_silence(max_pause_ms: Option<Millis>) -> Millis {
-    let silence = max_pause_ms.map_or(MIN_SILENCE_MS, |p| p.saturating_sub(REROUTE_MS));
-    silence.clamp(MIN_SILENCE_MS, MAX_SILENCE_MS)
+use super::move_progress::MoveProgress;
+
+/// What the callers of a stream expect.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StreamTerms {
+    /// Priority rank; 0 comes first.
+    pub(crate) rank: u8,
+    /// Longest acceptable pause between events.
+    pub(crate) max_pause_ms: Option<Millis>,
+    /// Time by which the first event is expected.
+    pub(crate) start_by: Millis,
 }
 
 /// One attempt of a stream, until the traffic thread drops it.
@@ -36,14 +29,20 @@
     pub(crate) path: ArcSwap<Path>,
     /// Tokens that it is expected to hold.
     pub(crate) tokens: f64,
+    /// What its callers expect.
+    pub(crate) terms: StreamTerms,
     /// Silence after which its engines are probed, once it has started.
-    pub(crate) max_silence: Millis,
+    threshold: AtomicU64,
+    /// Forecast time to prefill its tokens at a substitute engine; 0 while it is not known.
+    prefill_ms: AtomicU64,
     /// When it got its current path.
     pub(crate) routed: AtomicU64,
     /// When its last event or its head was received.
     pub(crate) last_received: AtomicU64,
     /// Events relayed by this attempt.
     pub(crate) events: AtomicU64,
+    /// Its last move.
+    pub(crate) progress: Arc<MoveProgress>,
     abandoned: AtomicBool,
     notify: Notify,
 }
@@ -55,7 +54,7 @@
         service: Name,
         path: Path,
         tokens: f64,
-        max_pause_ms: Option<Millis>,
+        terms: StreamTerms,
         now: Millis,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -63,10 +62,13 @@
             service,
             path: ArcSwap::from_pointee(path),
             tokens,
-            max_silence: max_silence(max_pause_ms),
+            terms,
+            threshold: AtomicU64::new(silence_threshold(terms.max_pause_ms, 0.0)),
+            prefill_ms: AtomicU64::new(0),
             routed: AtomicU64::new(now),
             last_received: AtomicU64::new(now),
             events: AtomicU64::new(0),
+            progress: Arc::default(),
             abandoned: AtomicBool::new(false),
             notify: Notify::new(),
         })
@@ -78,9 +80,42 @@
         self.routed.store(now, Relaxed);
     }
 
+    /// Sets the forecast time to prefill its tokens at a substitute engine, which the silence threshold
+    /// depends on.
+    pub(crate) fn set_prefill(&self, ms: f64) {
+        self.prefill_ms.store(ms.ceil() as Millis, Relaxed);
+        self.threshold.store(silence_threshold(self.terms.max_pause_ms, ms), Relaxed);
+    }
+
+    /// Silence after which its engines are probed, once it has started.
+    pub(crate) fn threshold(&self) -> Millis {
+        self.threshold.load(Relaxed)
+    }
+
+    /// Forecast time to prefill its tokens at a substitute engine; 0 while it is not known.
+    pub(crate) fn prefill_ms(&self) -> Millis {
+        self.prefill_ms.load(Relaxed)
+    }
+
+    /// Whether this attempt has relayed an event.
+    pub(crate) fn has_started(&self) -> bool {
+        self.events.load(Relaxed) > 0
+    }
+
+    /// Time by which the next event has to arrive.
+    pub(crate) fn due(&self) -> Millis {
+        match self.terms.max_pause_ms {
+            Some(pause) if self.has_started() => self.last_received.load(Relaxed) + pause,
+            Some(_) | None => self.terms.start_by,
+        }
+    }
+
     /// Records events received, or only that the engine responds if there are none.
     pub(crate) fn record_events(&self, events: u64, now: Millis) {
         self.events.fetch_add(events, Relaxed);
+        if events > 0 {
+            self.progress.resume(now);
+        }
         self.last_received.store(now, Relaxed);
     }
 
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod event_log;
 mod live;
 mod metrics;
+mod move_progress;
 mod quarantine_snapshot;
 mod shared;
 
--- /dev/null
+++ b/crates/heathpitchd/tests/gateway_recovery.rs
@@ -0,0 +1,176 @@
+//! Moves of streams off a lost engine within the maximum pause that their route states.
+//!
+//! Guards against streams that are moved only after their callers count them as late, and against
+//! streams that each wait for their own silence although the loss of their engine is known.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails its test")]
+
+mod gateway;
+
+use std::path::Path;
+use std::time::Duration;
+
+use gateway::{Cluster, KEY, wait_until};
+use heathpitch_standin::{Behavior, Caller, Engine, GatewayProcess, RouteSpec};
+use http_body_util::BodyExt;
+use hyper::Method;
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+
+/// Longest pause that callers accept, milliseconds.
+const MAX_PAUSE_MS: u64 = 250;
+/// Time between events that is longer than any silence threshold and shorter than the maximum pause.
+const SLOW_EVENTS: Duration = Duration::from_millis(225);
+/// Time between events that is longer than the maximum pause.
+const LATE_EVENTS: Duration = Duration::from_millis(900);
+
+/// Time between the last events of two streams; together with a check, well below a silence threshold.
+const OFFSET: Duration = Duration::from_millis(60);
+
+/// A service that streams of ranks 0 and 1 use: engine `a` is the first one, `b` and `c` hold the other
+/// layers.
+struct Scene {
+    cluster: Cluster,
+    head: Engine,
+    others: [Engine; 2],
+}
+
+impl Scene {
+    fn new(events: Duration) -> Self {
+        let mut cluster = Cluster::new();
+        let stream = |prefix, rank| RouteSpec::stream(prefix, "llm").rank(rank);
+        cluster.config.routes = vec![
+            stream("/urgent/", 0).max_pause(MAX_PAUSE_MS),
+            stream("/other/", 1).max_pause(MAX_PAUSE_MS),
+        ];
+        cluster.configure();
+        let [head, b, c] = ["a", "b", "c"].map(|id| cluster.engine(id, "llm"));
+        head.set_layers(0, 4);
+        b.set_layers(4, 8);
+        c.set_layers(4, 8);
+        head.set_behavior(Behavior::Stream(12, events));
+        Self { cluster, head, others: [b, c] }
+    }
+
+    async fn node(&self, mode: &str) -> GatewayProcess {
+        let binary = Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
+        let settings = json!({ "load": { "recovery": mode } });
+        let store = self.cluster.store.address();
+        let node = GatewayProcess::spawn_with(binary, store, "n1", "mem", settings).unwrap();
+        node.wait_ready().await.unwrap();
+        wait_until("the node knows the fleet", async || {
+            node.metrics().await.is_ok_and(|text| text.contains("heathpitch_nodes 1"))
+        })
+        .await;
+        node
+    }
+
+    /// Opens a stream and waits for its first event.
+    async fn open(&self, node: &GatewayProcess, target: &str) -> Incoming {
+        let caller = Caller::new(node.listen).key(KEY);
+        let (reply, mut body) = caller.open(Method::POST, target, "prompt").await.unwrap();
+        assert_eq!(reply.status, 200);
+        body.frame().await.unwrap().unwrap();
+        body
+    }
+
+    /// The engine behind the first one of the last stream.
+    fn used(&self) -> &Engine {
+        let path = self.head.requests().pop().unwrap().path().unwrap().to_owned();
+        let on = |e: &&Engine| path.contains(&format!("{}=", e.address));
+        self.others.iter().find(on).unwrap()
+    }
+
+    /// Opens one stream, and after [`OFFSET`] another one through the same engine behind the first one;
+    /// returns that engine.
+    async fn open_two(
+        &self,
+        node: &GatewayProcess,
+        targets: [&str; 2],
+        bodies: &mut Vec<Incoming>,
+    ) -> &Engine {
+        bodies.push(self.open(node, targets[0]).await);
+        let engine = self.used();
+        tokio::time::sleep(OFFSET).await;
+        loop {
+            bodies.push(self.open(node, targets[1]).await);
+            if self.used().id == engine.id {
+                return engine;
+            }
+        }
+    }
+}
+
+fn moves(node: &GatewayProcess) -> Vec<Value> {
+    let lines = node.events("call_rerouted").into_iter();
+    lines
+        .map(|l| json!({ "rank": l["rank"], "silent_ms": l["silent_ms"], "read_ms": l["read_ms"] }))
+        .collect()
+}
+
+async fn metric(node: &GatewayProcess, line: &str) -> bool {
+    node.metrics().await.is_ok_and(|text| text.lines().any(|l| l == line))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_engine_exits_is_moved_and_resumes_within_its_pause() {
+    let scene = Scene::new(SLOW_EVENTS);
+    let node = scene.node("auto").await;
+    let mut bodies = vec![scene.open(&node, "/urgent/x").await];
+    scene.used().crash();
+    wait_until("the stream is moved", async || !moves(&node).is_empty()).await;
+    let moved = moves(&node).remove(0);
+    assert_eq!(moved["rank"], 0);
+    assert!(moved["read_ms"].as_u64().is_some_and(|ms| ms < 20), "{moved}");
+    assert!(moved["silent_ms"].as_u64().is_some_and(|ms| ms < MAX_PAUSE_MS), "{moved}");
+    wait_until("the move counts as in time", async || {
+        metric(&node, "heathpitch_moves_total{result=\"in_time\"} 1").await
+    })
+    .await;
+    let body = bodies.remove(0).collect().await.unwrap().to_bytes();
+    assert!(body.ends_with(b"data: 12 of a\n\n"), "{body:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_move_after_which_the_next_event_is_late_counts_as_late() {
+    let scene = Scene::new(LATE_EVENTS);
+    let node = scene.node("auto").await;
+    let _body = scene.open(&node, "/other/x").await;
+    scene.used().crash();
+    wait_until("the move counts as late", async || {
+        metric(&node, "heathpitch_moves_total{result=\"late\"} 1").await
+    })
+    .await;
+    assert_eq!(moves(&node)[0]["rank"], 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_loss_that_one_stream_finds_moves_the_others_too() {
+    let scene = Scene::new(LATE_EVENTS);
+    let node = scene.node("auto").await;
+    let mut bodies = Vec::new();
+    let lost = scene.open_two(&node, ["/urgent/x", "/other/x"], &mut bodies).await;
+    lost.crash();
+    wait_until("both streams are moved", async || {
+        let ranks: Vec<_> = moves(&node).iter().map(|m| m["rank"].as_u64()).collect();
+        [0, 1].iter().all(|rank| ranks.contains(&Some(*rank)))
+    })
+    .await;
+    let silent = |rank| {
+        let moves = moves(&node);
+        moves.iter().find(|m| m["rank"] == rank).unwrap()["silent_ms"].as_u64().unwrap()
+    };
+    assert!(silent(1) + OFFSET.as_millis() as u64 / 2 <= silent(0), "{:?}", moves(&node));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_recovery_streams_are_moved_as_before() {
+    let scene = Scene::new(LATE_EVENTS);
+    let node = scene.node("off").await;
+    let _body = scene.open(&node, "/urgent/x").await;
+    scene.used().crash();
+    wait_until("the stream is moved", async || !moves(&node).is_empty()).await;
+    let moved = moves(&node).remove(0);
+    assert!(moved["read_ms"].is_null(), "no forecast is made: {moved}");
+    assert!(moved["silent_ms"].as_u64().is_some_and(|ms| ms >= 160), "{moved}");
+}
