Recovery: moves of other nodes, repeated probes, tests of lateness

Other nodes move their streams of a lost engine to any of its substitutes, not to the one that this node chose, so their share of the load is spread over all holders of the layers. A probe made before a stream's last event does not count for its silence: the engine may have been lost since.

New tests: a late stream of a less urgent rank waits and is moved (gateway), nodes that do not know of each other, and late streams of one node before urgent ones of another.

--- a/crates/heathpitchd/src/gateway/control/moves.rs
+++ b/crates/heathpitchd/src/gateway/control/moves.rs
@@ -15,6 +15,7 @@
 use super::detour::{find_detour, prefill_stages, substitute_prefill_ms};
 use super::recovery::{MOVE_INTERVAL_MS, TrackedStream, reroute};
 use super::state::Control;
+use crate::gateway::engine_table::{EngineTable, EngineView};
 use crate::gateway::live::LiveStream;
 use crate::gateway::move_progress::MoveProgress;
 
@@ -114,27 +115,52 @@
 
 /// Counts what a move adds to engines.
 ///
-/// Other nodes move their streams of the same engine at the same time. Each token of this node stands
-/// for as many as the lost engine held for each token of this node's requests.
+/// Other nodes move their streams of the same engine at the same time, to any of the engines that hold
+/// the layers. Each token of this node stands for as many as the lost engine held for each token of
+/// this node's requests.
 fn book(control: &Control, stalled: &Stalled<'_>, new: &Path, now: Millis) {
     let Stalled { live, path, lost, .. } = stalled;
     let Some(spec) = control.service(&live.service) else { return };
     let Some(model) = spec.model.as_ref() else { return };
     let table = control.shared.table.load();
-    let nodes = f64::from(table.domain_size.max(1));
-    let share = table.by_id(lost.as_str()).map_or(1.0, |view| {
-        let occupancy = view.stats.occupancy();
-        let own = (occupancy.own() as f64).max(live.tokens).max(1.0);
-        (occupancy.held(table.domain_size, now) / own).clamp(1.0, nodes)
-    });
-    let tokens = live.tokens * share;
+    let others = live.tokens * (requests_share(&table, lost, live.tokens, now) - 1.0);
     let mut load = control.recovery.load.borrow_mut();
     for (engine, stage) in prefill_stages(control, path, new) {
-        let added = if engine == new.head().engine { 0.0 } else { tokens };
-        load.book(&engine, stage.busy_ms(model, tokens), added, now);
+        let is_head = engine == new.head().engine;
+        let mut add = |engine: &Name, tokens: f64| {
+            // The first engine holds the tokens already.
+            let held = if is_head { 0.0 } else { tokens };
+            load.book(engine, stage.busy_ms(model, tokens), held, now);
+        };
+        add(&engine, live.tokens);
+        let holders = holders(control, &table, &live.service, &engine);
+        for holder in &holders {
+            add(holder, others / holders.len() as f64);
+        }
     }
 }
 
+/// Requests of all nodes per request of this node at an engine, from its last report.
+fn requests_share(table: &EngineTable, engine: &Name, tokens: f64, now: Millis) -> f64 {
+    let Some(view) = table.by_id(engine.as_str()) else { return 1.0 };
+    let occupancy = view.stats.occupancy();
+    let own = (occupancy.own() as f64).max(tokens).max(1.0);
+    let nodes = f64::from(table.domain_size.max(1));
+    (occupancy.held(table.domain_size, now) / own).clamp(1.0, nodes)
+}
+
+/// Reachable engines of the same failure domain that hold the layers of an engine, itself included.
+fn holders(control: &Control, table: &EngineTable, service: &Name, engine: &Name) -> Vec<Name> {
+    let Some(view) = table.by_id(engine.as_str()) else { return vec![engine.clone()] };
+    let (domain, layers) = (&view.entry.domain, view.entry.layers);
+    let holds = |v: &&EngineView| {
+        let held = v.entry.layers;
+        &v.entry.domain == domain && held.first <= layers.first && layers.end <= held.end
+    };
+    let held = table.engines_of(service).iter().filter(holds).map(|v| &v.entry.id);
+    held.filter(|id| *id == engine || !control.is_unreachable(id)).cloned().collect()
+}
+
 /// Number of ranks more urgent than `rank` that a service is used with.
 fn rank_distance(control: &Control, service: &Name, rank: u8) -> u32 {
     let Some(catalog) = control.shared.catalog.load_full() else { return 0 };
--- a/crates/heathpitchd/src/gateway/control/reachability.rs
+++ b/crates/heathpitchd/src/gateway/control/reachability.rs
@@ -3,7 +3,7 @@
 //! Only engines whose streams are all silent are probed. Data on any stream through an engine shows that it
 //! works, whatever an earlier probe found.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Weak};
@@ -94,7 +94,9 @@
     let control = control.clone();
     spawn_local(async move {
         let first = !control.is_unreachable(&suspect.engine);
-        let reached = is_reachable(suspect.address, first).await;
+        // The repeated probe ends with the first one, as the stream's pause leaves no time for more.
+        let reached = tokio::time::timeout(PROBE_TIMEOUT, is_reachable(suspect.address, first));
+        let reached = reached.await.unwrap_or(false);
         if record_probe(&control, &suspect.engine, reached) {
             control.recovery.changed.set(true);
             control.recovery.wake.notify_one();
@@ -107,10 +109,19 @@
     probed.retain(|(_, at)| now < at + PROBE_INTERVAL_MS);
     let mut flowing: HashSet<Name> = HashSet::new();
     let mut silent: HashSet<Name> = HashSet::new();
+    // Last events of silent streams with a maximum pause, by engine.
+    let mut last_events: HashMap<Name, Millis> = HashMap::new();
     for tracked in control.streams.borrow().iter() {
         let Some(live) = tracked.live.upgrade() else { continue };
         let path = live.path.load();
         let engines = path.stages().iter().map(|s| s.engine.clone());
+        if is_silent(&live, now) && control.recovers(&live) {
+            let last = now.saturating_sub(live.silence(now));
+            for engine in engines.clone() {
+                let known = last_events.entry(engine).or_default();
+                *known = last.max(*known);
+            }
+        }
         match is_silent(&live, now) {
             true => silent.extend(engines),
             false if live.silence(now) < FLOWING_SILENCE_MS => flowing.extend(engines),
@@ -124,7 +135,12 @@
     let entries = control.entries.borrow();
     let candidates = silent.difference(&flowing).filter(|n| !control.is_unreachable(n));
     let candidates: Vec<Name> = candidates.cloned().chain(unreachable).collect();
-    let not_probed = candidates.into_iter().filter(|n| !probed.iter().any(|(l, _)| l == n));
+    // A probe before the last event of a stream says nothing about its silence.
+    let is_probed = |n: &Name| {
+        let last_event = last_events.get(n).copied().unwrap_or(0);
+        probed.iter().any(|(l, at)| l == n && last_event <= *at)
+    };
+    let not_probed = candidates.into_iter().filter(|n| !is_probed(n));
     let found: Vec<Suspect> = not_probed
         .take(MAX_PROBES)
         .filter_map(|engine| {
--- a/crates/heathpitchd/tests/gateway_recovery.rs
+++ b/crates/heathpitchd/tests/gateway_recovery.rs
@@ -163,6 +163,22 @@
     assert!(silent(1) + OFFSET.as_millis() as u64 / 2 <= silent(0), "{:?}", moves(&node));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_stream_of_a_less_urgent_rank_waits_a_bounded_time() {
+    let mut scene = Scene::new(LATE_EVENTS);
+    // Its pause is over before the silence threshold.
+    scene.cluster.config.routes[1] = RouteSpec::stream("/other/", "llm").rank(1).max_pause(100);
+    scene.cluster.config.version += 1;
+    scene.cluster.configure();
+    let node = scene.node("auto").await;
+    let _body = scene.open(&node, "/other/x").await;
+    scene.used().crash();
+    wait_until("the stream is moved", async || !moves(&node).is_empty()).await;
+    let moved = moves(&node).remove(0);
+    let silent = moved["silent_ms"].as_u64().unwrap();
+    assert!((260..LATE_EVENTS.as_millis() as u64).contains(&silent), "110 and 150 ms: {moved}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn without_recovery_streams_are_moved_as_before() {
     let scene = Scene::new(LATE_EVENTS);
--- a/crates/policy/src/move_load.rs
+++ b/crates/policy/src/move_load.rs
@@ -52,7 +52,10 @@
     pub fn book(&mut self, engine: &Name, busy_ms: f64, tokens: f64, now: Millis) {
         let booking = self.bookings.entry(engine.clone()).or_default();
         booking.busy_until = booking.busy_until.max(now as f64) + busy_ms.max(0.0);
-        booking.moves.push((now, tokens));
+        match booking.moves.last_mut() {
+            Some((at, added)) if *at == now => *added += tokens,
+            _ => booking.moves.push((now, tokens)),
+        }
     }
 
     /// Drops what reports show by `now`.
--- a/crates/policy/tests/move_order.rs
+++ b/crates/policy/tests/move_order.rs
@@ -36,6 +36,8 @@
 const LOST_AT: Millis = 10_000;
 /// Interval between rounds of decisions, milliseconds.
 const ROUND_MS: Millis = 20;
+/// Time by which each further node notices the loss later, milliseconds.
+const NODE_OFFSET_MS: Millis = 5;
 /// First engines that the streams are spread over.
 const HEADS: usize = 3;
 /// Engine that is lost.
@@ -166,65 +168,118 @@
         + PROBE_MS
 }
 
-/// Moves all streams, and computes when they resume at engines that prefill in the order of arrival
-/// and are `slowdown` times slower than declared.
-fn simulate(streams: Vec<Stream>, substitutes: usize, slowdown: f64) -> Vec<Moved> {
-    let (model, engines, llm, east) = (model(), engines(substitutes), name("llm"), name("east"));
-    let load = RefCell::new(MoveLoad::default());
-    let mut free: HashMap<Name, f64> = HashMap::new();
-    let mut waiting: Vec<Option<Stream>> = streams.into_iter().map(Some).collect();
-    let mut moved = Vec::new();
-    let start = noticed_at();
-    for now in (start..).step_by(ROUND_MS as usize).take(100) {
-        let stalled = |(i, s): (usize, &Option<Stream>)| {
-            let s = s.as_ref()?;
-            Some(StalledStream {
-                stream: i,
-                rank: s.rank,
-                rank_distance: s.rank.into(),
-                due: s.last_event + MAX_PAUSE_MS,
-                since: start,
-            })
-        };
-        let stalled: Vec<_> = waiting.iter().enumerate().filter_map(stalled).collect();
-        let view = waiting.clone();
+/// What a test plays.
+#[derive(Clone, Copy, Debug)]
+struct Scene {
+    substitutes: usize,
+    /// Nodes that the streams are dealt to; none knows of the others' moves.
+    nodes: usize,
+    /// Factor by which engines are slower than declared.
+    slowdown: f64,
+}
+
+impl Scene {
+    fn new(substitutes: usize) -> Self {
+        Self { substitutes, nodes: 1, slowdown: 1.0 }
+    }
+
+    /// Moves all streams, and computes when they resume at engines that prefill in the order of
+    /// arrival.
+    fn play(self, streams: Vec<Stream>) -> Vec<Moved> {
+        let mut queues = Queues::default();
+        let mut loads = vec![MoveLoad::default(); self.nodes];
+        let mut waiting: Vec<Option<Stream>> = streams.into_iter().map(Some).collect();
+        let mut moved = Vec::new();
+        for round in 0..100 {
+            for (node, load) in loads.iter_mut().enumerate() {
+                let now = noticed_at() + round * ROUND_MS + node as u64 * NODE_OFFSET_MS;
+                moved.extend(self.play_round(&mut waiting, node, load, &mut queues, now));
+            }
+        }
+        moved
+    }
+
+    fn play_round(
+        self,
+        waiting: &mut [Option<Stream>],
+        node: usize,
+        load: &mut MoveLoad,
+        queues: &mut Queues,
+        now: Millis,
+    ) -> Vec<Moved> {
+        let (model, engines) = (model(), engines(self.substitutes));
+        let load = RefCell::new(load);
+        let since = noticed_at() + node as u64 * NODE_OFFSET_MS;
+        let own = waiting.iter().enumerate().filter(|(i, _)| i / HEADS % self.nodes == node);
+        let stalled = own.filter_map(|(i, s)| {
+            let (rank, due) = s.as_ref().map(|s| (s.rank, s.last_event + MAX_PAUSE_MS))?;
+            Some(StalledStream { stream: i, rank, rank_distance: rank.into(), due, since })
+        });
+        let stalled: Vec<_> = stalled.collect();
+        let before = waiting.to_vec();
         let plan = |i: &usize| {
-            let current = &view[*i].as_ref()?.path;
-            let mut charged = engines.clone();
-            let load = load.borrow();
-            charged.iter_mut().for_each(|e| load.charge(e, CAPACITY_TOKENS, now));
-            let query =
-                ChainQuery { model: &model, name: &llm, home: &east, current: Some(current) };
-            let (path, _) = find_chain(&query, &charged)?;
-            let stages = prefill_stages(&path, &engines);
-            let queue = stages.iter().map(|(e, _)| load.wait_ms(e, now)).fold(0.0, f64::max);
-            let stages: Vec<_> = stages.into_iter().map(|(_, s)| s).collect();
+            let path = detour(&before[*i].as_ref()?.path, &engines, &load.borrow(), now)?;
+            let (names, stages): (Vec<_>, Vec<_>) =
+                prefill_stages(&path, &engines).into_iter().unzip();
+            let queue = names.iter().map(|e| load.borrow().wait_ms(e, now)).fold(0.0, f64::max);
             Some((path, ORDER_MS + queue + prefill_ms(&model, &stages, TOKENS)))
         };
+        let mut moved = Vec::new();
         plan_moves(stalled, now, plan, |s, path, result| {
             let stream = waiting[s.stream].take().unwrap();
-            let stages = prefill_stages(&path, &engines);
-            let own: Vec<_> = stages.iter().map(|(_, s)| *s).collect();
-            let begin = now as f64 + ORDER_MS;
-            let mut end = begin;
-            for (engine, stage) in &stages {
-                let busy = stage.busy_ms(&model, TOKENS);
-                load.borrow_mut().book(engine, busy, TOKENS, now);
-                let free = free.entry(engine.clone()).or_insert(0.0);
-                *free = free.max(begin) + busy * slowdown;
-                end = end.max(*free);
-            }
-            let alone = begin + prefill_ms(&model, &own, TOKENS) * slowdown;
+            self.book(&path, &engines, &mut load.borrow_mut(), now);
+            let end = queues.prefill(&path, &engines, self.slowdown, now as f64 + ORDER_MS);
             moved.push(Moved {
                 rank: stream.rank,
                 result,
                 substitute: path.stages()[1].engine.clone(),
                 ordered: now,
-                pause: end.max(alone) - stream.last_event as f64,
+                pause: end - stream.last_event as f64,
             });
         });
+        moved
+    }
+
+    /// Counts a move, and as many of the other nodes at any of the engines.
+    fn book(self, path: &Path, engines: &[ChainEngine], load: &mut MoveLoad, now: Millis) {
+        for (engine, stage) in prefill_stages(path, engines) {
+            let busy = stage.busy_ms(&model(), TOKENS);
+            load.book(&engine, busy, TOKENS, now);
+            let layers = engines.iter().find(|e| e.entry.id == engine).unwrap().entry.layers;
+            let holders: Vec<_> = engines.iter().filter(|e| e.entry.layers == layers).collect();
+            let others = (self.nodes - 1) as f64 / holders.len() as f64;
+            for holder in holders {
+                load.book(&holder.entry.id, busy * others, TOKENS * others, now);
+            }
+        }
+    }
+}
+
+/// Best path around the lost engine.
+fn detour(path: &Path, engines: &[ChainEngine], load: &MoveLoad, now: Millis) -> Option<Path> {
+    let mut charged = engines.to_vec();
+    charged.iter_mut().for_each(|e| load.charge(e, CAPACITY_TOKENS, now));
+    let (model, llm, east) = (model(), name("llm"), name("east"));
+    let query = ChainQuery { model: &model, name: &llm, home: &east, current: Some(path) };
+    find_chain(&query, &charged).map(|(path, _)| path)
+}
+
+/// Times at which engines have finished the prefills ordered so far.
+#[derive(Debug, Default)]
+struct Queues(HashMap<Name, f64>);
+
+impl Queues {
+    /// Prefills a stream's tokens through a path from `begin` on, and returns the end.
+    fn prefill(&mut self, path: &Path, engines: &[ChainEngine], slowdown: f64, begin: f64) -> f64 {
+        let (names, stages): (Vec<_>, Vec<_>) = prefill_stages(path, engines).into_iter().unzip();
+        let mut end = begin + prefill_ms(&model(), &stages, TOKENS) * slowdown;
+        for (engine, stage) in names.into_iter().zip(&stages) {
+            let free = self.0.entry(engine).or_insert(0.0);
+            *free = free.max(begin) + stage.busy_ms(&model(), TOKENS) * slowdown;
+            end = end.max(*free);
+        }
+        end
     }
-    moved
 }
 
 fn of_rank(moved: &[Moved], rank: u8) -> Vec<&Moved> {
@@ -238,7 +293,7 @@
 #[test]
 fn urgent_streams_resume_first_and_all_resume() {
     for substitutes in 1..=3 {
-        let moved = simulate(thirty(), substitutes, 1.0);
+        let moved = Scene::new(substitutes).play(thirty());
         assert_eq!(moved.len(), 30, "{substitutes} substitutes: every stream is moved");
         let ranks: Vec<u8> =
             moved.iter().filter(|m| m.result == MoveResult::InTime).map(|m| m.rank).collect();
@@ -250,8 +305,8 @@
 
 #[test]
 fn streams_that_can_resume_in_time_do() {
-    for (substitutes, urgent, all) in [(1, 6, 6), (2, 10, 13), (3, 10, 20)] {
-        let moved = simulate(thirty(), substitutes, 1.0);
+    for (substitutes, urgent, all) in [(1, 10, 10), (2, 10, 19), (3, 10, 28)] {
+        let moved = Scene::new(substitutes).play(thirty());
         let expected = moved.iter().filter(|m| m.result == MoveResult::InTime);
         assert!(expected.clone().all(Moved::in_time), "the forecast holds: {moved:?}");
         let in_time = moved.iter().filter(|m| m.in_time()).count();
@@ -267,8 +322,8 @@
 fn streams_that_are_late_anyway_do_not_delay_the_others() {
     for substitutes in 1..=3 {
         let late = (30..60).map(|i| stream(i, (i % 3) as u8, LOST_AT - 200));
-        let with_late = simulate(late.chain(thirty()).collect(), substitutes, 1.0);
-        let alone = simulate(thirty(), substitutes, 1.0);
+        let with_late = Scene::new(substitutes).play(late.chain(thirty()).collect());
+        let alone = Scene::new(substitutes).play(thirty());
         let in_time = |moved: &[Moved]| -> Vec<(u8, i64)> {
             let kept = moved.iter().filter(|m| m.result == MoveResult::InTime);
             kept.map(|m| (m.rank, m.pause.round() as i64)).collect()
@@ -281,7 +336,7 @@
 #[test]
 fn streams_are_spread_over_all_substitutes() {
     for substitutes in 2..=3 {
-        let moved = simulate(thirty(), substitutes, 1.0);
+        let moved = Scene::new(substitutes).play(thirty());
         let mut counts: HashMap<&Name, usize> = HashMap::new();
         moved.iter().for_each(|m| *counts.entry(&m.substitute).or_default() += 1);
         assert_eq!(counts.len(), substitutes);
@@ -293,12 +348,37 @@
 #[test]
 fn urgent_streams_resume_first_at_engines_slower_than_declared() {
     for substitutes in 1..=3 {
-        let moved = simulate(thirty(), substitutes, 1.5);
+        let moved = Scene { slowdown: 1.5, ..Scene::new(substitutes) }.play(thirty());
         let [first, last] = [0, 2].map(|rank| longest(&of_rank(&moved, rank)));
         assert!(first < last, "{substitutes} substitutes: {first:.0} and {last:.0} ms");
     }
 }
 
+#[test]
+fn urgent_streams_resume_first_although_nodes_do_not_know_of_each_other() {
+    for substitutes in 1..=3 {
+        let moved = Scene { nodes: 3, ..Scene::new(substitutes) }.play(thirty());
+        assert_eq!(moved.len(), 30, "{substitutes} substitutes: every stream is moved");
+        let mean = |rank| of_rank(&moved, rank).iter().map(|m| m.pause).sum::<f64>() / 10.0;
+        assert!(mean(0) < mean(1) && mean(1) < mean(2), "{substitutes} substitutes");
+    }
+}
+
+/// Guards against late moves of one node that occupy the substitute just before another node, which
+/// notices the loss later, moves urgent streams there.
+#[test]
+fn late_streams_of_one_node_do_not_delay_urgent_ones_of_another() {
+    let on_second_node = |i: usize| i / HEADS % 2 == 1;
+    let streams = (0..36).map(|i| match on_second_node(i) {
+        true => stream(i, u8::from(i > 20), LOST_AT - 5),
+        false => stream(i, 2, LOST_AT - 200),
+    });
+    let moved = Scene { nodes: 2, ..Scene::new(1) }.play(streams.collect());
+    let urgent = of_rank(&moved, 0);
+    assert!(urgent.iter().all(|m| m.in_time()), "{urgent:?}");
+    assert_eq!(moved.len(), 36, "every stream is moved");
+}
+
 #[test]
 fn slow_cards_shorten_the_silence_threshold_within_its_bounds() {
     let threshold = |card: &Card, tokens| {
@@ -312,6 +392,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
     /// Guards against starvation: whatever the ranks and ages of the streams, each is moved, and a late
     /// one waits for a bounded time.
     #[test]
@@ -324,7 +406,7 @@
             .enumerate()
             .map(|(i, (rank, age))| stream(i, *rank, LOST_AT - age))
             .collect();
-        let moved = simulate(streams.clone(), substitutes, 1.0);
+        let moved = Scene::new(substitutes).play(streams.clone());
         prop_assert_eq!(moved.len(), streams.len());
         let last = moved.iter().map(|m| m.ordered).max().unwrap_or(0);
         prop_assert!(last <= noticed_at() + 600 + ROUND_MS, "the last move came at {last}");
