--- a/crates/heathpitchd/src/gateway/control/reachability.rs
+++ b/crates/heathpitchd/src/gateway/control/reachability.rs
@@ -46,6 +46,8 @@
     /// Time of the next probe.
     retry_at: Millis,
     backoff: Millis,
+    /// Whether a probe failed, rather than that another engine or an order waits for this one.
+    is_probed: bool,
 }
 
 /// Checks whether an engine that refused its part of a request accepts new work at all.
@@ -124,6 +126,8 @@
         }
         match is_silent(&live, now) {
             true => silent.extend(engines),
+            // A stream without an event shows only that it was sent a short time ago.
+            false if control.recovers(&live) && !live.has_started() => {}
             false if live.silence(now) < FLOWING_SILENCE_MS => flowing.extend(engines),
             false => {}
         }
@@ -191,7 +195,7 @@
         }
         (true, false) => false,
         (false, was) => {
-            record_unreachable(control, engine, control.now());
+            record_unreachable(control, engine, control.now(), true);
             control.suspect(engine, "it is unreachable", SUSPECT_MS);
             !was
         }
@@ -200,19 +204,20 @@
 
 /// Marks an engine as unreachable without a probe; `why` is logged.
 pub(super) fn mark_unreachable(control: &Control, engine: &Name, why: &'static str) {
-    if record_unreachable(control, engine, control.now()) {
+    if record_unreachable(control, engine, control.now(), false) {
         control.suspect(engine, why, SUSPECT_MS);
         control.publish();
     }
 }
 
 /// Records that an engine is unreachable, and returns whether it was reachable before.
-fn record_unreachable(control: &Control, engine: &Name, now: Millis) -> bool {
+fn record_unreachable(control: &Control, engine: &Name, now: Millis, is_probed: bool) -> bool {
     let mut unreachable = control.unreachable.borrow_mut();
-    let backoff = unreachable
-        .get(engine)
-        .map_or(PROBE_BACKOFF_MS, |u| (u.backoff * 2).min(MAX_PROBE_BACKOFF_MS));
-    unreachable.insert(engine.clone(), Unreachable { retry_at: now + backoff, backoff }).is_none()
+    let known = unreachable.get(engine).copied();
+    let backoff = known.map_or(PROBE_BACKOFF_MS, |u| (u.backoff * 2).min(MAX_PROBE_BACKOFF_MS));
+    let is_probed = is_probed || known.is_some_and(|u| u.is_probed);
+    let entry = Unreachable { retry_at: now + backoff, backoff, is_probed };
+    unreachable.insert(engine.clone(), entry).is_none()
 }
 
 /// Whether a connection can be made. The first probe of an engine is repeated soon after, because single
@@ -260,12 +265,20 @@
     });
 }
 
+/// # Reachability
+impl Control {
+    /// Whether a probe found an engine unreachable.
+    pub(super) fn is_probed_unreachable(&self, engine: &Name) -> bool {
+        self.unreachable.borrow().get(engine).is_some_and(|u| u.is_probed)
+    }
+}
+
 /// Marks an engine that stalls streams as unreachable.
 fn mark_stalling(control: &Control, address: SocketAddr) {
     let table = control.shared.table.load();
     let Some(view) = table.by_address(address) else { return };
     let now = control.now();
-    if !record_unreachable(control, &view.entry.id, now) {
+    if !record_unreachable(control, &view.entry.id, now, false) {
         return;
     }
     control.suspect(&view.entry.id, "the first engine of a path waits for it", SUSPECT_MS);
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -55,9 +55,10 @@
 const MAX_MOVE_DOUBLINGS: u32 = 4;
 /// Silence after which the first engine is asked which engine it waits for.
 const STATUS_SILENCE_MS: Millis = 280;
-/// Time after the silence threshold at which it is asked that by streams with a maximum pause: their
-/// probes have been answered, and one stream in thirty is silent for so long on healthy engines.
-const STATUS_DELAY_MS: Millis = 40;
+/// The same for streams with a maximum pause of 250 ms, which leaves time to move them. Much rarer on
+/// healthy engines than the 150 ms that one stream in thirty is silent for; the first engine may name
+/// one that is only slow, which then gets no new work for a while.
+const RECOVERY_STATUS_SILENCE_MS: Millis = 200;
 /// Shortest interval between checks: bounds their cost on nodes with an eighth of a core.
 const MIN_CHECK_INTERVAL_MS: Millis = 5;
 
@@ -154,7 +155,7 @@
         let live = tracked.live.upgrade().filter(|live| control.recovers(live))?;
         let silent_at = now.saturating_sub(live.silence(now)) + silence_limit(&live);
         let moved_at = tracked.lost_since.get().map(|_| tracked.next_move.get());
-        let times = [Some(silent_at), Some(silent_at + STATUS_DELAY_MS), moved_at];
+        let times = [Some(silent_at), moved_at];
         times.into_iter().flatten().filter(|at| *at > now).min()
     });
     let next = due.min().unwrap_or(latest).min(latest);
@@ -237,7 +238,7 @@
         |s: &Stage| control.is_unreachable(&s.engine) || has_restarted(control, live, &s.engine);
     let broken = path.stages().iter().find(|s| has_failed(s) || !holds(control, s));
     match broken {
-        Some(s) if !is_stalled(control, live, has_failed(s), now) => None,
+        Some(s) if !is_stalled(control, live, &s.engine, now) => None,
         Some(s) if s.engine == path.head().engine && !has_failed(s) => None,
         Some(s) => Some(Fault::Lost(s.engine.clone())),
         None if has_draining(control, path) => Some(Fault::Draining),
@@ -248,19 +249,23 @@
 
 /// Whether a stream is silent for so long that an engine of its path that seems lost is taken to be.
 ///
-/// Once one stream's probes find an engine unreachable, the others through it need no silence of their
-/// own but that which shows that nothing flows.
-fn is_stalled(control: &Control, live: &LiveStream, has_failed: bool, now: Millis) -> bool {
-    match has_failed && control.recovers(live) {
+/// Once a probe has found an engine unreachable, or it is known to have restarted, the streams through
+/// it need no silence of their own but that which shows that nothing flows.
+fn is_stalled(control: &Control, live: &LiveStream, engine: &Name, now: Millis) -> bool {
+    let is_lost = control.is_probed_unreachable(engine) || has_restarted(control, live, engine);
+    match is_lost && control.recovers(live) {
         true => live.silence(now) >= reachability::FLOWING_SILENCE_MS,
         false => is_silent(live, now),
     }
 }
 
 /// Silence after which the first engine is asked which engine it waits for.
+///
+/// After the loss of another engine, prefills of moved streams keep others silent for longer.
 fn status_silence(control: &Control, live: &LiveStream) -> Millis {
-    match live.has_started() && control.recovers(live) {
-        true => live.threshold() + STATUS_DELAY_MS,
+    let other_lost = !control.unreachable.borrow().is_empty();
+    match live.has_started() && control.recovers(live) && !other_lost {
+        true => RECOVERY_STATUS_SILENCE_MS.max(live.threshold()),
         false => STATUS_SILENCE_MS,
     }
 }
--- a/crates/heathpitchd/tests/gateway_recovery.rs
+++ b/crates/heathpitchd/tests/gateway_recovery.rs
@@ -27,6 +27,9 @@
 /// Time between the last events of two streams; together with a check, well below a silence threshold.
 const OFFSET: Duration = Duration::from_millis(60);
 
+/// Time between new streams: below the 80 ms in which data shows that an engine works.
+const NEW_STREAM_INTERVAL: Duration = Duration::from_millis(25);
+
 /// A service that streams of ranks 0 and 1 use: engine `a` is the first one, `b` and `c` hold the other
 /// layers.
 struct Scene {
@@ -163,6 +166,30 @@
     assert!(silent(1) + OFFSET.as_millis() as u64 / 2 <= silent(0), "{:?}", moves(&node));
 }
 
+/// Guards against streams just sent through a lost engine that count as a sign that it works.
+#[tokio::test(flavor = "multi_thread")]
+async fn new_streams_do_not_delay_the_discovery_of_a_lost_engine() {
+    let scene = Scene::new(LATE_EVENTS);
+    let node = scene.node("auto").await;
+    let _body = scene.open(&node, "/urgent/x").await;
+    let lost = scene.used();
+    scene.head.set_behavior(Behavior::Hang);
+    lost.crash();
+    let listen = node.listen;
+    let calls = tokio::spawn(async move {
+        loop {
+            let caller = Caller::new(listen).key(KEY);
+            tokio::spawn(async move { caller.open(Method::POST, "/other/x", "prompt").await });
+            tokio::time::sleep(NEW_STREAM_INTERVAL).await;
+        }
+    });
+    let is_first = |m: &Value| m["rank"] == 0;
+    wait_until("the stream is moved", async || moves(&node).iter().any(is_first)).await;
+    calls.abort();
+    let moved = moves(&node).into_iter().find(is_first).unwrap();
+    assert!(moved["silent_ms"].as_u64().is_some_and(|ms| ms < MAX_PAUSE_MS), "{moved}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_late_stream_of_a_less_urgent_rank_waits_a_bounded_time() {
     let mut scene = Scene::new(LATE_EVENTS);
