--- a/crates/heathpitchd/src/gateway/control/moves.rs
+++ b/crates/heathpitchd/src/gateway/control/moves.rs
@@ -22,8 +22,8 @@
 /// Time of an order to a first engine and its response, or of a request to another first engine,
 /// over a new connection: many times the delay between failure domains.
 const ORDER_MS: f64 = 10.0;
-/// Time after which a stream without a path is tried again: a search costs up to a millisecond of
-/// processor time, and nodes have as little as an eighth of a core.
+/// Time after which a stream without a path is tried again: nodes have as little as an eighth of a
+/// core, and each search considers all engines of the service.
 const SEARCH_INTERVAL_MS: Millis = 80;
 
 /// State of moves.
