Soak: streams of two ranks with a maximum pause

The soak's streams had no rank and no maximum pause, so recovery within the pause was not exercised by its faults. Its streaming route states both now, and a second one of a more urgent rank gets about a third of the streams.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -37,6 +37,8 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 /// Longest wait for an engine to exit before its slot is read again.
 const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest pause between events that the routes of streams state, milliseconds.
+const MAX_PAUSE_MS: u64 = 250;
 /// Ends of the layer ranges of the model's first and second half.
 const LAYER_RANGE_ENDS: (u32, u32) = (4, 8);
 /// Longest time for a node to become ready or to exit.
@@ -394,7 +396,7 @@
     /// Adds the toggled route, or removes it if it is present.
     pub(crate) fn toggle_route(&self) {
         self.update_config(|config| match config.routes.len() {
-            4.. => drop(config.routes.pop()),
+            5.. => drop(config.routes.pop()),
             _ => config.routes.push(RouteSpec::idempotent(TOGGLED_PREFIX, "api")),
         });
     }
@@ -415,7 +417,8 @@
         routes: vec![
             RouteSpec::idempotent("/get/", "api").timeout(plain),
             RouteSpec::at_most_once("/book/", "api").timeout(plain),
-            RouteSpec::stream("/tell/", "llm"),
+            RouteSpec::stream("/tell/", "llm").rank(1).max_pause(MAX_PAUSE_MS),
+            RouteSpec::stream("/urgent/", "llm").rank(0).max_pause(MAX_PAUSE_MS),
         ],
         services: vec!["api".to_owned()],
         models: vec!["llm".to_owned()],
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -156,6 +156,8 @@
     let (method, target) = match kind {
         CallKind::Idempotent => (Method::GET, "/get/x"),
         CallKind::AtMostOnce => (Method::POST, "/book/x"),
+        // By the body, so that calls with the same body are the same request.
+        CallKind::Stream if body.ends_with(['0', '2', '4']) => (Method::POST, "/urgent/x"),
         CallKind::Stream => (Method::POST, "/tell/x"),
     };
     let sent_at = Instant::now();
