Recovery: background probes stay within the bound of one round

Rounds no longer wait for their probes, so a partitioned failure domain could be probed by 24 connections every 40 ms instead of every 100 ms. At most 24 engines are probed at the same time.

--- a/crates/heathpitchd/src/gateway/control/moves.rs
+++ b/crates/heathpitchd/src/gateway/control/moves.rs
@@ -33,6 +33,8 @@
     pub(super) load: RefCell<MoveLoad>,
     /// Notified when streams may have to be moved before the next check.
     pub(super) wake: Notify,
+    /// Number of probes in the background.
+    pub(super) probing: Cell<usize>,
     /// Whether probes changed which engines are reachable since the last publication.
     pub(super) changed: Cell<bool>,
 }
--- a/crates/heathpitchd/src/gateway/control/reachability.rs
+++ b/crates/heathpitchd/src/gateway/control/reachability.rs
@@ -32,7 +32,7 @@
 const PROBE_BACKOFF_MS: Millis = 1_000;
 /// Upper bound of that time.
 const MAX_PROBE_BACKOFF_MS: Millis = 4_000;
-/// Engines probed in one round, so that a partitioned failure domain is not probed all at once.
+/// Engines probed at the same time, so that a partitioned failure domain is not probed all at once.
 const MAX_PROBES: usize = 24;
 /// Time for which an unreachable engine gets no new work; renewed by each failed probe.
 const SUSPECT_MS: Millis = 4_500;
@@ -94,11 +94,13 @@
 /// Probes an engine in the background.
 fn probe_one(control: &Rc<Control>, suspect: Suspect) {
     let control = control.clone();
+    control.recovery.probing.set(control.recovery.probing.get() + 1);
     spawn_local(async move {
         let first = !control.is_unreachable(&suspect.engine);
         // The repeated probe ends with the first one, as the stream's pause leaves no time for more.
         let reached = tokio::time::timeout(PROBE_TIMEOUT, is_reachable(suspect.address, first));
         let reached = reached.await.unwrap_or(false);
+        control.recovery.probing.set(control.recovery.probing.get() - 1);
         if record_probe(&control, &suspect.engine, reached) {
             control.recovery.changed.set(true);
             control.recovery.wake.notify_one();
@@ -146,7 +148,7 @@
     };
     let not_probed = candidates.into_iter().filter(|n| !is_probed(n));
     let found: Vec<Suspect> = not_probed
-        .take(MAX_PROBES)
+        .take(MAX_PROBES.saturating_sub(control.recovery.probing.get()))
         .filter_map(|engine| {
             let address = entries.get(&engine)?.address;
             Some(Suspect { engine, address })
