--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -166,14 +166,15 @@
     }
 
     /// Number of ranks of a service's streams that come before that of a call.
-    pub fn rank_position(
+    pub fn rank_distance(
         &self,
         service: &Name,
         route: &CallRoute,
         holder: Option<&KeyHolder>,
-    ) -> usize {
+    ) -> u32 {
         let pair = rank_pair(route, holder.and_then(|h| h.rank));
-        self.stream_ranks.get(service).map_or(0, |ranks| ranks.partition_point(|r| *r < pair))
+        let ranks = self.stream_ranks.get(service).map_or(&[][..], Vec::as_slice);
+        ranks.partition_point(|r| *r < pair) as u32
     }
 
     /// Names of all client accounts, in ascending order.
--- a/crates/heathpitchd/src/gateway/call/admission.rs
+++ b/crates/heathpitchd/src/gateway/call/admission.rs
@@ -89,7 +89,7 @@
         if catalog.stream_ranks(service) < 2 || !shared.settings.load().load.sharing.is_on() {
             return None;
         }
-        let position = catalog.rank_position(service, &call.route, call.holder.as_ref());
+        let position = call.rank_distance() as usize;
         let holder = call.holder.as_ref().filter(|_| catalog.accounts().len() >= 2);
         let account = holder.map(|h| Demand::key(&h.account));
         let shares = shared.shares.load();
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -11,8 +11,8 @@
 //! - `backpressure`, `rights`, `limit_records`: backpressure of engines, rights under their limits, and the
 //!   stored limits
 //! - `shares`: demand of client accounts, and their shares when capacity runs short
-//! - `recovery`, `reachability`: rerouting of running streams away from unreachable engines
 //! - `returns`: promised retries of rejected callers, exchanged with the planner
+//! - `recovery`, `moves`, `detour`, `reachability`: rerouting of running streams away from unreachable engines
 //! - `suspension`: detection of VM suspensions
 //!
 //! Controllers publish snapshots in [`Shared`], the engine table through `publish`. Traffic shares no other
@@ -20,12 +20,14 @@
 
 mod backpressure;
 mod config;
+mod detour;
 mod engine_exits;
 mod engine_list;
 mod engines;
 mod feed;
 mod feed_server;
 mod limit_records;
+mod moves;
 mod neighbours;
 mod nodes;
 mod orders;
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Name and help of every metric of a gateway.
-pub const GATEWAY_METRICS: [(&str, &str); 23] = [
+pub const GATEWAY_METRICS: [(&str, &str); 24] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -37,6 +37,7 @@
     ),
     ("heathpitch_shed_total", "Streams not admitted for lack of capacity, by rank and reason"),
     ("heathpitch_returns_total", "Streams whose callers came back after a rejection, by result"),
+    ("heathpitch_moves_total", "Streams moved to other engines, by whether they resumed in time"),
 ];
 
 /// Bucket bounds for the time to the head of an answer, seconds.
@@ -71,6 +72,7 @@
     pub(crate) routed: IntCounterVec,
     pub(crate) shed: IntCounterVec,
     pub(crate) returns: IntCounterVec,
+    pub(crate) moves: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -110,6 +112,7 @@
             routed: IntCounterVec::new(opts(20), &["locality"])?,
             shed: IntCounterVec::new(opts(21), &["rank", "reason"])?,
             returns: IntCounterVec::new(opts(22), &["result"])?,
+            moves: IntCounterVec::new(opts(23), &["result"])?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -143,6 +146,7 @@
             Box::new(self.routed.clone()),
             Box::new(self.shed.clone()),
             Box::new(self.returns.clone()),
+            Box::new(self.moves.clone()),
         ]
     }
 
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod event_log;
 mod live;
 mod metrics;
+mod move_progress;
 mod quarantine_snapshot;
 mod shared;
 
