Policy: trend of engine reports, pooled memory use of layers, wait for a first event

Nodes know an engine only by a report that is 0.3 to 1.5 s old. In a burst they send it more than fits, and engines refuse streams that nodes had found capacity for; waits are known only after they were measured.

- Trend: double exponential smoothing over uneven intervals, damped and bounded, ended by gaps and impossible values
- EngineStats: held tokens and queue with their trends; own requests are not scaled up by the number of nodes if there is a trend
- LayerLoad: memory use of a layer over all engines of a domain that hold it, as the emptiest one attracts every node's requests
- start_ms: wait for the first event from queued prompt tokens and the cost of each stage

--- a/crates/policy/src/engine_stats.rs
+++ b/crates/policy/src/engine_stats.rs
@@ -5,7 +5,7 @@
 
 use heathpitch_core::Millis;
 
-use crate::{Backpressure, Gauge, Occupancy};
+use crate::{Backpressure, Gauge, Occupancy, Trend};
 
 /// Time for which a load reported by an engine is valid, milliseconds.
 const LOAD_TTL_MS: Millis = 1_000;
@@ -30,6 +30,14 @@
 pub struct EngineStats {
     gauge: Gauge,
     occupancy: Occupancy,
+    held_trend: Trend,
+    queue_trend: Trend,
+    /// Requests that the engine reports to wait for their start, and the time that this describes.
+    queued: AtomicU32,
+    queued_at: AtomicU64,
+    /// The same by the head of a response, which is younger under load.
+    seen_queued: AtomicU32,
+    seen_at: AtomicU64,
     reported_load: AtomicU32,
     load_at: AtomicU64,
     mean: AtomicU64,
@@ -69,6 +77,27 @@
         self.load_at.store(now, Relaxed);
     }
 
+    /// Records the `tokens` that the engine reports to have held at `at`, of at most `capacity`, with
+    /// their trend.
+    pub fn record_held(&self, tokens: f64, capacity: f64, at: Millis) {
+        self.held_trend.observe(tokens, capacity, at);
+        self.occupancy.report(tokens as u64, at);
+    }
+
+    /// Records the requests that the engine reports to have waited at `at` for their start, of at
+    /// most `slots`, with their trend.
+    pub fn record_queued(&self, queued: u32, slots: u32, at: Millis) {
+        self.queue_trend.observe(f64::from(queued), f64::from(slots), at);
+        self.queued.store(queued.min(slots), Relaxed);
+        self.queued_at.store(at.max(1), Relaxed);
+    }
+
+    /// Records the requests that wait at the engine by the head of a response received at `now`.
+    pub fn record_seen_queued(&self, queued: u32, now: Millis) {
+        self.seen_queued.store(queued, Relaxed);
+        self.seen_at.store(now.max(1), Relaxed);
+    }
+
     /// Records the slowdown that the engine reported at `at`: its step time relative to that
     /// expected of its accelerator.
     pub fn record_slowdown(&self, slowdown: f64, at: Millis) {
@@ -119,6 +148,33 @@
         &self.occupancy
     }
 
+    /// Tokens that requests are known to hold at the engine at `now`, if `nodes` nodes use it.
+    pub fn held_known(&self, nodes: u32, now: Millis) -> f64 {
+        self.occupancy.known(&self.held_trend, nodes, now)
+    }
+
+    /// Tokens that requests are expected to hold at the engine one report interval after `now`, if
+    /// `nodes` nodes use it.
+    pub fn held_forecast(&self, nodes: u32, now: Millis) -> f64 {
+        self.occupancy.forecast(&self.held_trend, nodes, now)
+    }
+
+    /// Requests expected to wait at the engine at `now` for their start, of at most `slots`: those of
+    /// the youngest report or response with their trend since, and at least this node's own.
+    pub fn queue_forecast(&self, slots: u32, now: Millis) -> f64 {
+        let own = f64::from(self.waiting.load(Relaxed));
+        let reported = (self.queued_at.load(Relaxed), self.queued.load(Relaxed));
+        let seen = (self.seen_at.load(Relaxed), self.seen_queued.load(Relaxed));
+        let known = match (reported, seen) {
+            ((at, queued), seen) if at >= seen.0 && is_valid(at, now) => {
+                f64::from(queued) + self.queue_trend.change(0, now).unwrap_or(0.0)
+            }
+            (_, (at, queued)) if is_valid(at, now) => f64::from(queued),
+            _ => 0.0,
+        };
+        known.max(own).clamp(0.0, f64::from(slots))
+    }
+
     /// Requests known at `now` to run or wait at the engine.
     pub fn load(&self, now: Millis) -> u32 {
         let own = self.gauge.count();
@@ -131,7 +187,7 @@
     /// Factor by which the engine is slower than expected of its accelerator, as known at `now`.
     pub fn slowdown(&self, now: Millis) -> f64 {
         let at = self.reported_at.load(Relaxed);
-        if at == 0 || now.saturating_sub(at) > REPORT_TTL_MS {
+        if !is_valid(at, now) {
             return 1.0;
         }
         let slowdown = self.slowdown.load(Relaxed) as f64 / SLOWDOWN_SCALE;
@@ -153,3 +209,8 @@
         mean * decay + f64::from(self.waiting.load(Relaxed)) * WAIT_PER_REQUEST_MS
     }
 }
+
+/// Whether a report of the time `at`, 0 without one, is still valid at `now`.
+fn is_valid(at: Millis, now: Millis) -> bool {
+    at > 0 && now.saturating_sub(at) <= REPORT_TTL_MS
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 mod health;
 mod idempotency;
 mod incarnations;
+mod layer_load;
 mod layout;
 mod layout_copies;
 mod layout_deal;
@@ -53,8 +54,10 @@
 mod sources;
 mod split;
 mod stall_detector;
+mod start_forecast;
 mod switch;
 mod ticket;
+mod trend;
 
 pub use account_limiter::{AccountLimiter, LimitExceeded};
 pub use admission::{AdmissionControl, Shed};
@@ -79,6 +82,7 @@
 pub use health::{Health, HealthEvent, HealthStatus};
 pub use idempotency::{IdempotencyTable, KeyState, StoredAnswer};
 pub use incarnations::{Incarnations, Recency};
+pub use layer_load::LayerLoad;
 pub use layout::{
     Assignment, LayoutReason, Worker, copy_counts, layer_gaps, plan_layout, primaries,
 };
@@ -105,7 +109,9 @@
 pub use sources::{DomainPlanner, FleetStart, PollOutcome, STANDBYS, Source, Sources};
 pub use split::{EngineCapacity, Split, split};
 pub use stall_detector::StallDetector;
+pub use start_forecast::{PrefillStage, start_ms};
 pub use switch::Mechanism;
 #[cfg(feature = "switches")]
 pub use switch::without;
 pub use ticket::{Ticket, TicketError};
+pub use trend::Trend;
--- a/crates/policy/src/occupancy.rs
+++ b/crates/policy/src/occupancy.rs
@@ -10,6 +10,7 @@
 
 use heathpitch_core::Millis;
 
+use crate::Trend;
 use crate::engine_stats::REPORT_TTL_MS;
 
 /// Interval of a history entry, milliseconds: a fraction of the delay of a report.
@@ -105,6 +106,37 @@
         (reported + (own - then) * share).max(own)
     }
 
+    /// Tokens that all nodes' requests held by the last reports, with the change of this node's own
+    /// since; as [`held`](Self::held) if the reports have no `trend`.
+    ///
+    /// Own requests are not scaled up by the number of nodes: one of a few would stand for dozens.
+    pub fn known(&self, trend: &Trend, nodes: u32, now: Millis) -> f64 {
+        match (self.age(now), trend.level(now)) {
+            (Some(_), Some(level)) => {
+                let (own, then) = (self.own() as f64, self.reported_own.load(Relaxed) as f64);
+                (level + own - then).max(own)
+            }
+            _ => self.held(nodes, now),
+        }
+    }
+
+    /// Tokens that all nodes' requests are expected to hold one report interval after `now`: the
+    /// known ones, with the expected change of the others' part until then.
+    pub fn forecast(&self, trend: &Trend, nodes: u32, now: Millis) -> f64 {
+        let known = self.known(trend, nodes, now);
+        let (Some(_), Some(lead), Some(level)) =
+            (self.age(now), trend.interval(now), trend.level(now))
+        else {
+            return known;
+        };
+        let own_share = self.reported_own.load(Relaxed) as f64 / level.max(1.0);
+        let until_now = trend.change(0, now).unwrap_or(0.0);
+        let until_next = trend.change(lead, now).unwrap_or(0.0);
+        // The change of the own part is known until now.
+        let change = until_next - until_now * own_share.clamp(0.0, 1.0);
+        (known + change).max(self.own() as f64)
+    }
+
     /// Age of the engine's report at `now`, if it is still valid.
     pub fn age(&self, now: Millis) -> Option<Millis> {
         let at = self.reported_at.load(Relaxed);
