Gateway: pressure of a path by the forecast, and no second attempt without capacity

The pressure of a path was its fullest engine's last report, with own requests scaled up by the number of nodes, and the wait that this node measured last.

- pick::path takes the pressure from the forecast (gateway/forecast.rs); the choice of the path is unchanged
- reports record the trend of held tokens and queued requests; engines with queued requests are polled every 250 ms, at most four
- the queue in the head of a response counts if it is younger than the report
- after an engine refused a stream for lack of capacity, a second attempt is made only if the path's memory use is forecast to be at most 0.85; rejections are counted by heathpitch_capacity_rejections_total
- gateway.load.forecast: off keeps the estimates of before; a reload takes effect at once

--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -33,6 +33,9 @@
 const SHED_SPAN: f64 = 0.8;
 /// Largest shedding probability: the streams still admitted show whether the wait is over.
 const MAX_SHED_PROBABILITY: f64 = 0.9;
+/// Largest expected memory use of a path that a stream is sent to after an engine refused it for
+/// lack of capacity: a second refusal would cost the caller more time than a rejection.
+const MAX_RETRY_MEMORY: f64 = 0.85;
 /// Interval of searches for a path.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -54,6 +57,8 @@
     lost_events: Option<u32>,
     /// Whether to wait for a path if there is none.
     waits_for_path: bool,
+    /// Whether an engine refused the stream for lack of capacity.
+    found_full: bool,
     unsent: u32,
     avoid: Vec<Name>,
 }
@@ -95,6 +100,7 @@
             started: None,
             lost_events: None,
             waits_for_path: false,
+            found_full: false,
             unsent: 0,
             avoid: Vec::new(),
         }
@@ -117,6 +123,10 @@
                     .retry_schedules
                     .admit(&self.call.service.name, self.traffic.shared.now());
             }
+            if self.would_be_refused_again(&choice) {
+                self.traffic.shared.metrics.capacity_rejections.inc();
+                return Err(DispatchError::Refused(RefusalKind::EnginesRefused));
+            }
             let Choice { view, path, .. } = choice;
             if self.attempts > 0 && !self.allows_retry() {
                 return Err(DispatchError::Refused(kind));
@@ -229,6 +239,16 @@
             .is_none_or(|events| quarantine.allows_retry(events, || self.call.fingerprint()))
     }
 
+    /// Whether a stream that an engine had no capacity for would likely find none on this path either.
+    ///
+    /// A started stream is worth another attempt in any case.
+    fn would_be_refused_again(&self, choice: &Choice) -> bool {
+        self.found_full
+            && self.events.last().is_none()
+            && self.traffic.shared.table.load().forecast
+            && choice.pressure.memory > MAX_RETRY_MEMORY
+    }
+
     /// Notifies the control thread that the attempt's connection was lost: its engine may have exited.
     fn notify_lost(&mut self) {
         let Some((engine, before)) = self.started.take() else { return };
@@ -346,6 +366,8 @@
             Failure::Refused { status, faulty_address } => {
                 self.attempts += 1;
                 self.evidence.refused();
+                // A misdirected stage means that the engine holds other layers.
+                self.found_full |= *status != StatusCode::MISDIRECTED_REQUEST;
                 let at = faulty_address.unwrap_or(view.entry.address);
                 let rejecting = self.deprioritize_at(at, *status, now);
                 self.avoid.push(rejecting.unwrap_or_else(|| view.entry.id.clone()));
--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -28,6 +28,8 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
+pub(crate) use admit::Call;
+pub(crate) use pick::expected_tokens;
 pub(crate) use retry_budgets::RetryBudgets;
 pub(crate) use retry_schedules::RetrySchedules;
 
--- a/crates/heathpitchd/src/gateway/call/pick.rs
+++ b/crates/heathpitchd/src/gateway/call/pick.rs
@@ -101,11 +101,16 @@
     let on_path = |l: &&ChainEngine| path.stages().iter().any(|s| s.engine == l.entry.id);
     let fullest =
         engines.iter().filter(on_path).max_by(|a, b| a.utilization.total_cmp(&b.utilization));
-    let wait_ms =
-        table.by_id(path.head().engine.as_str()).map_or(0.0, |head| head.stats.wait_ms(now));
-    let pressure = Pressure {
-        memory: fullest.map_or(0.0, |l| l.utilization) / MAX_UTILIZATION,
-        start: wait_ms / call.route.latency_target_ms.max(1) as f64,
+    let pressure = match table.forecast {
+        true => table.pressure(call, &path, now, |s| avoid.allows(s)),
+        false => {
+            let head = table.by_id(path.head().engine.as_str());
+            let wait_ms = head.map_or(0.0, |head| head.stats.wait_ms(now));
+            Pressure {
+                memory: fullest.map_or(0.0, |l| l.utilization) / MAX_UTILIZATION,
+                start: wait_ms / call.route.latency_target_ms.max(1) as f64,
+            }
+        }
     };
     let full_on_path = engines.iter().filter(|l| l.full && on_path(l));
     let full = full_on_path.max_by(|a, b| a.utilization.total_cmp(&b.utilization)).map(|l| {
--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -170,6 +170,7 @@
     }
     if let Some(load) = head.load {
         view.stats.record_load(load.running + load.waiting, traffic.shared.now());
+        view.stats.record_seen_queued(load.waiting, traffic.shared.now());
     }
     Ok(Answer { connection, parts, head, body })
 }
--- a/crates/heathpitchd/src/gateway/control/publish.rs
+++ b/crates/heathpitchd/src/gateway/control/publish.rs
@@ -76,7 +76,8 @@
         let fleet_size = self.fleet.get().map(|f| f.fleet_size);
         self.shared.metrics.nodes.set(i64::from(fleet_size.unwrap_or(0)));
         let domain_size = self.fleet.get().map_or(1, |f| f.domain_size.max(1));
-        let table = EngineTable { services, domain_size, fleet_size };
+        let forecast = self.shared.settings.load().load.forecast.is_on();
+        let table = EngineTable { services, domain_size, fleet_size, forecast };
         self.shared.table.store(Arc::new(table));
     }
 }
--- a/crates/heathpitchd/src/gateway/control/reports.rs
+++ b/crates/heathpitchd/src/gateway/control/reports.rs
@@ -25,6 +25,9 @@
 const FILLING_SHARE: f64 = 0.5;
 /// Engines polled in other rounds, fullest first: all engines of a path hold the same tokens.
 const MAX_FILLING: usize = 2;
+/// Engines with queued requests polled in other rounds, longest queue first: a path starts at one of
+/// them, and a domain has room for the first stages of about as many paths.
+const MAX_QUEUED: usize = 4;
 /// Age beyond which a report is no longer used or forwarded.
 const MAX_AGE_MS: Millis = 3_000;
 
@@ -64,7 +67,7 @@
             continue;
         }
         let all = round % FULL_ROUND_EVERY == 0;
-        let polled = if all { active_engines(&control) } else { filling_engines(&control) };
+        let polled = if all { active_engines(&control) } else { loaded_engines(&control) };
         let answers = polled.iter().map(|e| engines::query_status(&control, e));
         let answers = futures::future::join_all(answers).await;
         for (engine, answer) in polled.iter().zip(answers) {
@@ -120,6 +123,31 @@
     }
 }
 
+/// Active engines of this failure domain that are filling up, and those that have requests queued if
+/// queues are forecast.
+fn loaded_engines(control: &Control) -> Vec<Arc<EngineEntry>> {
+    let mut loaded = filling_engines(control);
+    if control.shared.table.load().forecast {
+        let mut queued = queued_engines(control);
+        queued.retain(|e| !loaded.iter().any(|l| l.id == e.id));
+        loaded.extend(queued);
+    }
+    loaded
+}
+
+/// Active engines whose last report has queued requests.
+fn queued_engines(control: &Control) -> Vec<Arc<EngineEntry>> {
+    let (reports, now) = (control.reports.borrow(), control.now());
+    let queued = |e: &Name| match reports.get(e) {
+        Some(r) if now < r.at + MAX_AGE_MS => r.queued,
+        _ => 0,
+    };
+    let counts = active_engines(control).into_iter().map(|e| (queued(&e.id), e));
+    let mut waiting: Vec<_> = counts.filter(|(count, _)| *count > 0).collect();
+    waiting.sort_by_key(|(count, _)| std::cmp::Reverse(*count));
+    waiting.into_iter().take(MAX_QUEUED).map(|(_, e)| e).collect()
+}
+
 /// Active engines of this failure domain that are filling up.
 fn filling_engines(control: &Control) -> Vec<Arc<EngineEntry>> {
     let (table, now) = (control.shared.table.load(), control.now());
@@ -185,11 +213,22 @@
     control.reports.borrow_mut().insert(engine.clone(), report);
     if let Some(stats) = control.engine_stats.borrow().get(engine) {
         stats.record_slowdown(report.slowdown, report.at);
-        stats.occupancy().report(report.held_tokens as u64, report.at);
+        let (capacity, slots) = limits(control, engine).unwrap_or_default();
+        stats.record_held(report.held_tokens, capacity, report.at);
+        stats.record_queued(report.queued, slots, report.at);
     }
     changed
 }
 
+/// Token capacity of an engine and its slots for first stages; none if it runs no layered model.
+fn limits(control: &Control, engine: &Name) -> Option<(f64, u32)> {
+    let entry = control.entries.borrow().get(engine).cloned()?;
+    let service = control.service(&entry.service)?;
+    let model = service.model.as_ref()?;
+    let card = model.card(entry.card.as_ref()?.as_str())?;
+    Some((model.token_capacity(card, entry.layers.count()), model.slots))
+}
+
 /// # Reports
 impl Control {
     /// Tokens that requests hold at an engine by its report: this node's own requests are only a
--- a/crates/heathpitchd/src/gateway/engine_table.rs
+++ b/crates/heathpitchd/src/gateway/engine_table.rs
@@ -79,6 +79,8 @@
     pub(crate) domain_size: u32,
     /// Nodes of the fleet, if known.
     pub(crate) fleet_size: Option<u32>,
+    /// Whether memory and queues of engines are forecast.
+    pub(crate) forecast: bool,
 }
 
 impl EngineTable {
@@ -99,6 +101,8 @@
             let on_current = query.is_on_current(&s.entry.id);
             let need = if on_current { 0.0 } else { query.tokens };
             let capacity = model.token_capacity(&card, s.entry.layers.count()).max(1.0);
+            // Nodes that all saw the forecast would choose the same engine until its next report. The
+            // estimate by this node's own requests differs by node and spreads them.
             let held = s.stats.occupancy().held(self.domain_size, now);
             let utilization = (held + need) / capacity;
             let card = Card { step_factor: card.step_factor * s.stats.slowdown(now), ..card };
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Name and help of every metric of a gateway.
-pub const GATEWAY_METRICS: [(&str, &str); 20] = [
+pub const GATEWAY_METRICS: [(&str, &str); 21] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -31,6 +31,10 @@
         "Answers in which engines ask for rest, leave or name a limit, by wish",
     ),
     ("heathpitch_rights_total", "Questions for rights to ask engines that name a limit, by answer"),
+    (
+        "heathpitch_capacity_rejections_total",
+        "Streams rejected after an engine refused them, as no path is expected to have capacity",
+    ),
 ];
 
 /// Bucket bounds for the time to the head of an answer, seconds.
@@ -62,6 +66,7 @@
     pub(crate) era: IntGauge,
     pub(crate) backpressure: IntCounterVec,
     pub(crate) rights: IntCounterVec,
+    pub(crate) capacity_rejections: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -98,6 +103,7 @@
             era: IntGauge::with_opts(opts(17))?,
             backpressure: IntCounterVec::new(opts(18), &["wish"])?,
             rights: IntCounterVec::new(opts(19), &["answer"])?,
+            capacity_rejections: IntCounter::with_opts(opts(20))?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -128,6 +134,7 @@
             Box::new(self.era.clone()),
             Box::new(self.backpressure.clone()),
             Box::new(self.rights.clone()),
+            Box::new(self.capacity_rejections.clone()),
         ]
     }
 
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod engine_table;
 mod event;
 mod event_log;
+mod forecast;
 mod live;
 mod metrics;
 mod quarantine_snapshot;
@@ -212,7 +213,7 @@
         let parsed = text.and_then(|t| GatewaySettings::parse(&t).map_err(|e| e.to_string()));
         let error = match parsed {
             Ok(settings) => {
-                shared.settings.store(Arc::new(settings));
+                shared.apply_settings(settings);
                 None
             }
             Err(e) => Some(e),
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -153,6 +153,15 @@
         (Arc::new(shared), inbox)
     }
 
+    /// Puts reloaded settings into force, also in the published engine table.
+    pub(crate) fn apply_settings(&self, settings: GatewaySettings) {
+        let forecast = settings.load.forecast.is_on();
+        self.settings.store(Arc::new(settings));
+        if self.table.load().forecast != forecast {
+            self.table.rcu(|table| EngineTable { forecast, ..(**table).clone() });
+        }
+    }
+
     /// Current time of the node's clock.
     pub(crate) fn now(&self) -> Millis {
         self.clock.now()
