--- a/crates/policy/src/layer_load.rs
+++ b/crates/policy/src/layer_load.rs
@@ -27,40 +27,43 @@
 /// ```
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct LayerLoad {
-    /// Tokens held and capacity, by layer.
-    layers: Vec<(f64, f64)>,
+    /// By layer, how much more is held, and fits, than of the layer before it: an engine changes two
+    /// entries, however many layers it holds.
+    steps: Vec<(f64, f64)>,
 }
 
 impl LayerLoad {
     /// Creates the load of a model with so many layers, held by no engine.
     pub fn new(layers: u32) -> Self {
-        Self { layers: vec![(0.0, 0.0); layers as usize] }
+        Self { steps: vec![(0.0, 0.0); layers as usize + 1] }
     }
 
     /// Adds an engine that holds these layers, with its held tokens and its token capacity.
     ///
-    /// An engine of unknown capacity is left out.
+    /// An engine of unknown capacity, or with layers that the model doesn't have, is left out.
     pub fn add(&mut self, layers: LayerRange, held: f64, capacity: f64) {
-        if !(capacity > 0.0 && capacity.is_finite()) {
+        let (first, end) = (layers.first as usize, layers.end as usize);
+        let is_known = capacity > 0.0 && capacity.is_finite();
+        if !is_known || first >= end || end >= self.steps.len() {
             return;
         }
         // `max` and `min` also replace a value that is not a number.
         let held = held.max(0.0).min(capacity * MAX_SHARE);
-        for layer in self.range_mut(layers) {
-            layer.0 += held;
-            layer.1 += capacity;
+        for (layer, sign) in [(first, 1.0), (end, -1.0)] {
+            let step = &mut self.steps[layer];
+            *step = (step.0 + sign * held, step.1 + sign * capacity);
         }
     }
 
     /// Largest share of the capacity that is held of one of these layers; 0 for layers without
     /// capacity.
     pub fn share(&self, layers: LayerRange) -> f64 {
-        let share = |(held, capacity): &(f64, f64)| held / capacity.max(1.0);
-        let range = self.layers.iter().take(layers.end as usize).skip(layers.first as usize);
-        range.map(share).fold(0.0, f64::max)
-    }
-
-    fn range_mut(&mut self, layers: LayerRange) -> impl Iterator<Item = &mut (f64, f64)> {
-        self.layers.iter_mut().take(layers.end as usize).skip(layers.first as usize)
+        let totals = self.steps.iter().scan((0.0, 0.0), |total, step| {
+            *total = (total.0 + step.0, total.1 + step.1);
+            Some(*total)
+        });
+        let range = totals.take(layers.end as usize).skip(layers.first as usize);
+        // Sums and differences of an uncovered layer leave a rounding error.
+        range.map(|(held, capacity)| held / capacity.max(1.0)).fold(0.0, f64::max)
     }
 }
--- a/crates/policy/src/occupancy.rs
+++ b/crates/policy/src/occupancy.rs
@@ -129,11 +129,13 @@
         else {
             return known;
         };
-        let own_share = self.reported_own.load(Relaxed) as f64 / level.max(1.0);
-        let until_now = trend.change(0, now).unwrap_or(0.0);
-        let until_next = trend.change(lead, now).unwrap_or(0.0);
+        let mut change = trend.change(lead, now).unwrap_or(0.0);
         // The change of the own part is known until now.
-        let change = until_next - until_now * own_share.clamp(0.0, 1.0);
+        let reported_own = self.reported_own.load(Relaxed) as f64;
+        if reported_own > 0.0 {
+            let own_share = (reported_own / level.max(1.0)).min(1.0);
+            change -= trend.change(0, now).unwrap_or(0.0) * own_share;
+        }
         (known + change).max(self.own() as f64)
     }
 
