--- a/crates/heathpitchd/tests/gateway_forecast.rs
+++ b/crates/heathpitchd/tests/gateway_forecast.rs
@@ -86,3 +86,17 @@
         assert_eq!(attempts(&node, &engines).await, 2);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_forecast_is_switched_off_by_a_reload() {
+    let cluster = Cluster::new();
+    let engines = engines(&cluster);
+    let node = node(&cluster, "auto").await;
+    wait_until("the engines' reports are known", async || attempts(&node, &engines).await == 1)
+        .await;
+    let text = std::fs::read_to_string(node.settings()).unwrap();
+    let mut settings: serde_json::Value = serde_json::from_str(&text).unwrap();
+    settings["load"]["forecast"] = "off".into();
+    std::fs::write(node.settings(), settings.to_string()).unwrap();
+    wait_until("second attempts are made", async || attempts(&node, &engines).await == 2).await;
+}
