--- a/crates/policy/tests/trend.rs
+++ b/crates/policy/tests/trend.rs
@@ -41,16 +41,15 @@
 
 #[test]
 fn late_and_repeated_reports_change_nothing() {
-    let (stats, trend) = (filling(), Trend::default());
-    let before = stats.held_forecast(87, 3_300).expected;
+    let trend = Trend::default();
     trend.observe(10_000.0, CAPACITY, 1_000);
     trend.observe(20_000.0, CAPACITY, 2_000);
     let change = trend.change(500, 2_100);
+    assert!(change.is_some_and(|c| c > 1_000.0), "{change:?}");
     for at in [900, 1_500, 2_000] {
         trend.observe(90_000.0, CAPACITY, at);
     }
     assert_eq!(trend.change(500, 2_100), change);
-    assert!(before > 0.0);
 }
 
 #[test]
@@ -95,7 +94,39 @@
     assert_eq!(stats.queue_forecast(SLOTS, 9_000), 12.0);
 }
 
+#[test]
+fn own_requests_show_a_change_before_the_next_report() {
+    let layers = LayerRange::new(0, 4);
+    let share = |own| {
+        let mut load = LayerLoad::new(4, 87, 900.0);
+        let held = HeldForecast { expected: 7e4, reported: 7e4, reported_own: 1e4, own };
+        (0..4).for_each(|_| load.add(layers, held, CAPACITY));
+        load.share(layers)
+    };
+    // 44 own requests at the last reports count nearly three quarters: twice as many now would be
+    // 1.4 of the capacity, which is bounded to a quarter more.
+    assert!((share(10_000.0) - 0.7).abs() < 1e-9);
+    assert!((share(11_000.0) - 0.75).abs() < 0.01);
+    assert!((share(20_000.0) - 0.95).abs() < 1e-9);
+    assert!((share(0.0) - 0.45).abs() < 1e-9);
+}
+
 proptest! {
+    #[test]
+    fn the_use_of_layers_is_bounded_whatever_engines_report(
+        engines in prop::collection::vec((any::<[f64; 4]>(), any::<f64>(), 0_u32..10, 0_u32..10), 0..40),
+        nodes in prop::sample::select(vec![1_u32, 26, 87, 410]),
+    ) {
+        let mut load = LayerLoad::new(8, nodes, 900.0);
+        for ([expected, reported, reported_own, own], capacity, first, end) in engines {
+            let held = HeldForecast { expected, reported, reported_own, own };
+            load.add(LayerRange { first, end }, held, capacity % 1e6);
+        }
+        // One and a half of the capacity, and a quarter by own requests.
+        let share = load.share(LayerRange::new(0, 8));
+        prop_assert!((0.0..=1.76).contains(&share), "{share}");
+    }
+
     #[test]
     fn a_forecast_stays_near_what_was_reported(
         reports in prop::collection::vec((any::<f64>(), 0_u64..4_000), 0..40),
