--- a/crates/heathpitchd/src/gateway/control/detour.rs
+++ b/crates/heathpitchd/src/gateway/control/detour.rs
@@ -1,13 +1,11 @@
 //! Paths around lost or draining engines, and the time to prefill a stream's tokens there.
 
-use heathpitch_core::{LayerRange, LayeredModel, Name, Path, Stage};
+use heathpitch_core::{LayeredModel, Name, Path, Stage};
 use heathpitch_policy::{ChainQuery, PrefillStage, find_local_chain, prefill_ms};
 
 use super::recovery::has_restarted;
 use super::state::Control;
-use crate::gateway::engine_table::{
-    EngineTable, EngineView, FULL_PENALTY_MS, MAX_UTILIZATION, PathQuery,
-};
+use crate::gateway::engine_table::{EngineView, FULL_PENALTY_MS, MAX_UTILIZATION, PathQuery};
 use crate::gateway::live::LiveStream;
 
 /// Best path from a stream's first engine, without engines that are unreachable or draining.
@@ -60,10 +58,11 @@
 /// whose passes feed the others, and those that do not hold the tokens.
 pub(super) fn prefill_stages(
     control: &Control,
+    model: &LayeredModel,
     old: &Path,
     new: &Path,
 ) -> Vec<(Name, PrefillStage)> {
-    let table = control.shared.table.load();
+    let (table, now) = (control.shared.table.load(), control.now());
     let holds_tokens = |s: &Stage| {
         let kept = |o: &Stage| o.engine == s.engine && o.layers == s.layers;
         s.engine != new.head().engine && old.stages().iter().any(kept)
@@ -71,7 +70,7 @@
     let prefilling = new.stages().iter().filter(|s| !holds_tokens(s));
     let stage = |s: &Stage| {
         let view = table.by_id(s.engine.as_str())?;
-        Some((s.engine.clone(), prefill_stage(control, &table, view, s.layers)?))
+        Some((s.engine.clone(), table.prefill_stage(view, model, s.layers.count(), now)?))
     };
     prefilling.filter_map(stage).collect()
 }
@@ -82,10 +81,11 @@
 pub(super) fn substitute_prefill_ms(control: &Control, live: &LiveStream) -> Option<f64> {
     let spec = control.service(&live.service)?;
     let model = spec.model.as_ref()?;
-    let table = control.shared.table.load();
+    let (table, now) = (control.shared.table.load(), control.now());
     let path = live.path.load();
     let head = table.by_id(path.head().engine.as_str())?;
-    let first = prefill_stage(control, &table, head, path.head().layers)?;
+    let first = table.prefill_stage(head, model, path.head().layers.count(), now)?;
+    let cost = |view, stage: &Stage| table.prefill_stage(view, model, stage.layers.count(), now);
     let substitute = |stage: &Stage| {
         let holds = |v: &&EngineView| {
             v.entry.domain == head.entry.domain
@@ -94,26 +94,15 @@
                 && stage.layers.end <= v.entry.layers.end
         };
         let held = table.engines_of(&live.service).iter().filter(holds);
-        let others = held.filter_map(|v| prefill_stage(control, &table, v, stage.layers));
-        let fastest = others
-            .min_by(|a, b| a.busy_ms(model, live.tokens).total_cmp(&b.busy_ms(model, live.tokens)));
+        let others = held.filter_map(|v| cost(v, stage));
+        let fastest =
+            others.min_by(|a, b| a.busy_ms(live.tokens).total_cmp(&b.busy_ms(live.tokens)));
         fastest.or_else(|| {
             let own = table.by_id(stage.engine.as_str())?;
-            prefill_stage(control, &table, own, stage.layers)
+            cost(own, stage)
         })
     };
     let later = path.stages().iter().skip(1).filter_map(substitute);
-    let alone = prefill_ms(model, &[first], live.tokens);
-    Some(later.map(|s| prefill_ms(model, &[first, s], live.tokens)).fold(alone, f64::max))
-}
-
-fn prefill_stage(
-    control: &Control,
-    table: &EngineTable,
-    view: &EngineView,
-    layers: LayerRange,
-) -> Option<PrefillStage> {
-    let now = control.now();
-    let held = view.stats.occupancy().held(table.domain_size, now);
-    Some(PrefillStage::new(view.card.as_ref()?, view.stats.slowdown(now), layers.count(), held))
+    let alone = prefill_ms(&[first], live.tokens);
+    Some(later.map(|s| prefill_ms(&[first, s], live.tokens)).fold(alone, f64::max))
 }
--- a/crates/heathpitchd/src/gateway/control/moves.rs
+++ b/crates/heathpitchd/src/gateway/control/moves.rs
@@ -90,11 +90,11 @@
     }
     let new = find_detour(control, live, path, true).filter(|new| *new != **path)?;
     let spec = control.service(&live.service)?;
-    let stages = prefill_stages(control, path, &new);
+    let stages = prefill_stages(control, spec.model.as_ref()?, path, &new);
     let load = control.recovery.load.borrow();
     let queue = stages.iter().map(|(engine, _)| load.wait_ms(engine, now)).fold(0.0, f64::max);
     let stages: Vec<_> = stages.into_iter().map(|(_, stage)| stage).collect();
-    let own = prefill_ms(spec.model.as_ref()?, &stages, live.tokens);
+    let own = prefill_ms(&stages, live.tokens);
     Some((Continuation::Reroute(new), ORDER_MS + queue + own))
 }
 
@@ -122,12 +122,12 @@
     let table = control.shared.table.load();
     let others = live.tokens * (requests_share(&table, lost, live.tokens, now) - 1.0);
     let mut load = control.recovery.load.borrow_mut();
-    for (engine, stage) in prefill_stages(control, path, new) {
+    for (engine, stage) in prefill_stages(control, model, path, new) {
         let is_head = engine == new.head().engine;
         let mut add = |engine: &Name, tokens: f64| {
             // The first engine holds the tokens already.
             let held = if is_head { 0.0 } else { tokens };
-            load.book(engine, stage.busy_ms(model, tokens), held, now);
+            load.book(engine, stage.busy_ms(tokens), held, now);
         };
         add(&engine, live.tokens);
         let holders = holders(control, &table, &live.service, &engine);
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Name and help of every metric of a gateway.
-pub const GATEWAY_METRICS: [(&str, &str); 24] = [
+pub const GATEWAY_METRICS: [(&str, &str); 25] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -38,6 +38,10 @@
     ("heathpitch_shed_total", "Streams not admitted for lack of capacity, by rank and reason"),
     ("heathpitch_returns_total", "Streams whose callers came back after a rejection, by result"),
     ("heathpitch_moves_total", "Streams moved to other engines, by whether they resumed in time"),
+    (
+        "heathpitch_capacity_rejections_total",
+        "Streams rejected after an engine refused them, as no path is expected to have capacity",
+    ),
 ];
 
 /// Bucket bounds for the time to the head of an answer, seconds.
@@ -73,6 +77,7 @@
     pub(crate) shed: IntCounterVec,
     pub(crate) returns: IntCounterVec,
     pub(crate) moves: IntCounterVec,
+    pub(crate) capacity_rejections: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -113,6 +118,7 @@
             shed: IntCounterVec::new(opts(21), &["rank", "reason"])?,
             returns: IntCounterVec::new(opts(22), &["result"])?,
             moves: IntCounterVec::new(opts(23), &["result"])?,
+            capacity_rejections: IntCounter::with_opts(opts(24))?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -147,6 +153,7 @@
             Box::new(self.shed.clone()),
             Box::new(self.returns.clone()),
             Box::new(self.moves.clone()),
+            Box::new(self.capacity_rejections.clone()),
         ]
     }
 
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod engine_table;
 mod event;
 mod event_log;
+mod forecast;
 mod live;
 mod metrics;
 mod move_progress;
@@ -215,7 +216,7 @@
         let parsed = text.and_then(|t| GatewaySettings::parse(&t).map_err(|e| e.to_string()));
         let error = match parsed {
             Ok(settings) => {
-                shared.settings.store(Arc::new(settings));
+                shared.apply_settings(settings);
                 None
             }
             Err(e) => Some(e),
--- a/crates/heathpitchd/tests/gateway_returns.rs
+++ b/crates/heathpitchd/tests/gateway_returns.rs
@@ -55,6 +55,7 @@
 /// Polls a node as another node of its failure domain does.
 async fn poll(address: SocketAddr, promises: Vec<FeedPromise>) -> FeedResponse {
     let request = FeedRequest {
+        to: None,
         node: name("n9"),
         address: ([127, 0, 0, 1], 9).into(),
         can_plan: false,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,8 +31,10 @@
 mod freshness;
 mod gauge;
 mod health;
+mod held_forecast;
 mod idempotency;
 mod incarnations;
+mod layer_load;
 mod layout;
 mod layout_copies;
 mod layout_deal;
@@ -47,6 +49,7 @@
 mod occupancy;
 mod placement;
 mod predict;
+mod prefill_stage;
 mod prefill_time;
 mod prefix;
 mod pressure;
@@ -71,8 +74,10 @@
 mod sources;
 mod split;
 mod stall_detector;
+mod start_forecast;
 mod switch;
 mod ticket;
+mod trend;
 mod usual_deadline;
 mod water_level;
 
@@ -102,8 +107,10 @@
 pub use freshness::Freshness;
 pub use gauge::Gauge;
 pub use health::{Health, HealthEvent, HealthStatus};
+pub use held_forecast::HeldForecast;
 pub use idempotency::{IdempotencyTable, KeyState, StoredAnswer};
 pub use incarnations::{Incarnations, Recency};
+pub use layer_load::LayerLoad;
 pub use layout::{
     Assignment, LayoutReason, Worker, copy_counts, layer_gaps, plan_layout, primaries,
 };
@@ -118,7 +125,8 @@
     LoadedLayers, ModelDemand, Move, MoveReason, PlacementEngine, model_gaps, plan_placement,
 };
 pub use predict::{Need, predict};
-pub use prefill_time::{PrefillStage, prefill_ms};
+pub use prefill_stage::PrefillStage;
+pub use prefill_time::prefill_ms;
 pub use prefix::{BlockEvent, PrefixIndex};
 pub use pressure::Pressure;
 pub use probes::{ProbeResult, suspects};
@@ -140,8 +148,10 @@
 pub use sources::{DomainPlanner, FleetStart, PollOutcome, STANDBYS, Source, Sources};
 pub use split::{EngineCapacity, Split, split};
 pub use stall_detector::StallDetector;
+pub use start_forecast::start_ms;
 pub use switch::Mechanism;
 #[cfg(feature = "switches")]
 pub use switch::without;
 pub use ticket::{Ticket, TicketError};
+pub use trend::Trend;
 pub use usual_deadline::UsualDeadline;
--- a/crates/policy/tests/move_order.rs
+++ b/crates/policy/tests/move_order.rs
@@ -153,7 +153,7 @@
 fn prefill_stages(path: &Path, engines: &[ChainEngine]) -> Vec<(Name, PrefillStage)> {
     let stage = |s: &Stage| {
         let card = &engines.iter().find(|e| e.entry.id == s.engine).unwrap().card;
-        (s.engine.clone(), PrefillStage::new(card, 1.0, s.layers.count(), 20_000.0))
+        (s.engine.clone(), PrefillStage::new(&model(), card, s.layers.count(), 20_000.0, 1.0))
     };
     path.stages().iter().filter(|s| s.engine.as_str() != "tail").map(stage).collect()
 }
@@ -163,9 +163,7 @@
     let path = stream(0, 0, 0).path;
     let all = [engines(1), vec![engine(LOST, slow(), 40, 50)]].concat();
     let stages: Vec<_> = prefill_stages(&path, &all).into_iter().map(|(_, s)| s).collect();
-    LOST_AT
-        + silence_threshold(Some(MAX_PAUSE_MS), prefill_ms(&model(), &stages, TOKENS))
-        + PROBE_MS
+    LOST_AT + silence_threshold(Some(MAX_PAUSE_MS), prefill_ms(&stages, TOKENS)) + PROBE_MS
 }
 
 /// What a test plays.
@@ -207,7 +205,7 @@
         queues: &mut Queues,
         now: Millis,
     ) -> Vec<Moved> {
-        let (model, engines) = (model(), engines(self.substitutes));
+        let engines = engines(self.substitutes);
         let load = RefCell::new(load);
         let since = noticed_at() + node as u64 * NODE_OFFSET_MS;
         let own = waiting.iter().enumerate().filter(|(i, _)| i / HEADS % self.nodes == node);
@@ -222,7 +220,7 @@
             let (names, stages): (Vec<_>, Vec<_>) =
                 prefill_stages(&path, &engines).into_iter().unzip();
             let queue = names.iter().map(|e| load.borrow().wait_ms(e, now)).fold(0.0, f64::max);
-            Some((path, ORDER_MS + queue + prefill_ms(&model, &stages, TOKENS)))
+            Some((path, ORDER_MS + queue + prefill_ms(&stages, TOKENS)))
         };
         let mut moved = Vec::new();
         plan_moves(stalled, now, plan, |s, path, result| {
@@ -243,7 +241,7 @@
     /// Counts a move, and as many of the other nodes at any of the engines.
     fn book(self, path: &Path, engines: &[ChainEngine], load: &mut MoveLoad, now: Millis) {
         for (engine, stage) in prefill_stages(path, engines) {
-            let busy = stage.busy_ms(&model(), TOKENS);
+            let busy = stage.busy_ms(TOKENS);
             load.book(&engine, busy, TOKENS, now);
             let layers = engines.iter().find(|e| e.entry.id == engine).unwrap().entry.layers;
             let holders: Vec<_> = engines.iter().filter(|e| e.entry.layers == layers).collect();
@@ -272,10 +270,10 @@
     /// Prefills a stream's tokens through a path from `begin` on, and returns the end.
     fn prefill(&mut self, path: &Path, engines: &[ChainEngine], slowdown: f64, begin: f64) -> f64 {
         let (names, stages): (Vec<_>, Vec<_>) = prefill_stages(path, engines).into_iter().unzip();
-        let mut end = begin + prefill_ms(&model(), &stages, TOKENS) * slowdown;
+        let mut end = begin + prefill_ms(&stages, TOKENS) * slowdown;
         for (engine, stage) in names.into_iter().zip(&stages) {
             let free = self.0.entry(engine).or_insert(0.0);
-            *free = free.max(begin) + stage.busy_ms(&model(), TOKENS) * slowdown;
+            *free = free.max(begin) + stage.busy_ms(TOKENS) * slowdown;
             end = end.max(*free);
         }
         end
@@ -382,8 +380,8 @@
 #[test]
 fn slow_cards_shorten_the_silence_threshold_within_its_bounds() {
     let threshold = |card: &Card, tokens| {
-        let half = PrefillStage::new(card, 1.0, 40, 20_000.0);
-        silence_threshold(Some(MAX_PAUSE_MS), prefill_ms(&model(), &[half, half], tokens))
+        let half = PrefillStage::new(&model(), card, 40, 20_000.0, 1.0);
+        silence_threshold(Some(MAX_PAUSE_MS), prefill_ms(&[half, half], tokens))
     };
     let (fast, slow) = (threshold(&fast(), TOKENS), threshold(&slow(), TOKENS));
     assert!(slow < fast && fast < 160, "{slow} and {fast} ms");
