Gateway: old shares are dropped; refusals before admission name account and rank

Shares that are older than those known, expired, of another failure domain or of too many accounts are dropped with a log line; names of services are taken from the configuration, so that a message cannot add others. Refusals for stale keys, missing services and unreadable bodies name account, rank and age too, which are known by then. Fractions in events have three decimals. Test: an account stays limited at the last node after the planner is lost.

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -54,10 +54,15 @@
 
     /// Its priority rank; 0 is the highest.
     pub(crate) fn rank(&self) -> u8 {
-        self.holder.as_ref().and_then(|h| h.rank).unwrap_or(self.route.rank)
+        rank(self.holder.as_ref(), &self.route)
     }
 }
 
+/// Priority rank of a call: that of its account, or else of its route.
+pub(crate) fn rank(holder: Option<&KeyHolder>, route: &CallRoute) -> u8 {
+    holder.and_then(|h| h.rank).unwrap_or(route.rank)
+}
+
 /// Reads a call and checks it against the configuration in force.
 pub(crate) async fn admit(
     traffic: &Traffic,
@@ -88,19 +93,20 @@
         .authenticate(&route, head.key.as_deref())
         .map_err(|e| deny(RefusalKind::BadKey, e.to_string()))?
         .cloned();
-    let revoke_ms = shared.settings.load().bounds.revoke_ms.saturating_sub(REVOKE_MARGIN_MS);
-    if holder.is_some() && !shared.config_freshness.load().covers(received, revoke_ms) {
-        let detail = "the known keys are too old to tell whether this one is still valid";
-        return Err(Refusal::unsent(RefusalKind::StaleKeys, &id, detail));
-    }
-    let service = pick_service(&catalog, &route, &id)?;
     let limit = head.deadline.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let deadline = received + limit;
     let age_ms = match head.deadline {
         Some(_) => traffic.usual_deadlines.age(&route.name, limit, received),
         None => 0,
     };
-    let content = read_body(body, &catalog, &id).await?;
+    let of_caller = |refusal: Refusal| refusal.of_caller(holder.as_ref(), &route, age_ms);
+    let revoke_ms = shared.settings.load().bounds.revoke_ms.saturating_sub(REVOKE_MARGIN_MS);
+    if holder.is_some() && !shared.config_freshness.load().covers(received, revoke_ms) {
+        let detail = "the known keys are too old to tell whether this one is still valid";
+        return Err(of_caller(Refusal::unsent(RefusalKind::StaleKeys, &id, detail)));
+    }
+    let service = pick_service(&catalog, &route, &id).map_err(of_caller)?;
+    let content = read_body(body, &catalog, &id).await.map_err(of_caller)?;
     let target = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
     let body = CallBody { method: parts.method, target, headers: parts.headers, content };
     let fingerprint = OnceLock::new();
--- a/crates/heathpitchd/src/gateway/call/refusal.rs
+++ b/crates/heathpitchd/src/gateway/call/refusal.rs
@@ -1,13 +1,13 @@
 //! Calls that end without an answer from an engine.
 
-use heathpitch_core::{Evidence, Millis, Name, Outcome};
+use heathpitch_core::{CallRoute, Evidence, KeyHolder, Millis, Name, Outcome};
 use heathpitch_net::{Body, json};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde_json::json;
 
-use super::admit::Call;
-use crate::gateway::event::{CallRefused, GatewayEvent};
+use super::admit::{Call, rank};
+use crate::gateway::event::{CallRefused, GatewayEvent, thousandths};
 use crate::gateway::shared::Shared;
 
 /// Why a call was refused or given up.
@@ -165,9 +165,19 @@
 
     /// The same with the call that is refused, for the log.
     pub(crate) fn of_call(self, call: &Call) -> Self {
-        let account = call.holder.as_ref().map(|h| h.account.clone());
-        let call = RefusedCall { account, rank: call.rank(), age_ms: call.age_ms };
-        Self { call: Some(Box::new(call)), ..self }
+        self.of_caller(call.holder.as_ref(), &call.route, call.age_ms)
+    }
+
+    /// The same for a call of this account on this route.
+    pub(crate) fn of_caller(
+        self,
+        holder: Option<&KeyHolder>,
+        route: &CallRoute,
+        age_ms: Millis,
+    ) -> Self {
+        let account = holder.map(|h| h.account.clone());
+        let rank = rank(holder, route);
+        Self { call: Some(Box::new(RefusedCall { account, rank, age_ms })), ..self }
     }
 
     /// The same with the load that led to it, for the log.
@@ -194,8 +204,8 @@
             account: call.and_then(|c| c.account.clone()),
             rank: call.map(|c| c.rank),
             age_ms: call.map(|c| c.age_ms),
-            pressure: load.map(|l| l.pressure),
-            share: load.and_then(|l| l.share),
+            pressure: load.map(|l| thousandths(l.pressure)),
+            share: load.and_then(|l| l.share).map(thousandths),
         })
         .log();
         let error = json!({ "error": {
--- a/crates/heathpitchd/src/gateway/control/shares.rs
+++ b/crates/heathpitchd/src/gateway/control/shares.rs
@@ -18,7 +18,7 @@
 };
 
 use super::state::Control;
-use crate::gateway::event::{GatewayEvent, SharesChanged};
+use crate::gateway::event::{GatewayEvent, SharesChanged, thousandths};
 
 /// Interval at which shares are computed: a fraction of the time between two polls of a node, so
 /// that it adds little to the age of shares.
@@ -144,24 +144,26 @@
 
     /// Records shares from the answer of a node to a poll sent at `sent`.
     pub(super) fn receive_shares(&self, node: &Name, shares: &FeedShares, sent: Millis) {
-        let is_local = self.sources.borrow().is_local(node);
-        match shares.accounts.len() {
-            _ if !is_local => {}
-            count if count > MAX_SHARES => {
-                log::warn!("shares of node {node} are not used: {count} accounts");
-            }
-            _ => {
-                let share = |s: &FeedShare| AccountShare {
-                    service: s.service.clone(),
-                    account: s.account,
-                    fraction: f64::from(s.fraction),
-                };
-                let at = sent.saturating_sub(shares.age_ms);
-                let received = AccountShares::received(shares.accounts.iter().map(share), at);
-                self.shares.received.replace(Some(received));
-                self.publish_shares();
-            }
+        let count = shares.accounts.len();
+        if !self.sources.borrow().is_local(node) || count > MAX_SHARES {
+            log::info!("shares of node {node} for {count} accounts are not used");
+            return;
+        }
+        // The name in the configuration, so that no other one is kept.
+        let share = |s: &FeedShare| {
+            let service = self.service(&s.service)?.name.clone();
+            Some(AccountShare { service, account: s.account, fraction: f64::from(s.fraction) })
+        };
+        let (at, now) = (sent.saturating_sub(shares.age_ms), self.now());
+        let received = AccountShares::received(shares.accounts.iter().filter_map(share), at);
+        let known = self.shares.received.borrow().as_ref().map(|known| known.age(now));
+        let age = received.age(now);
+        if !received.is_current(now) || known.is_some_and(|known| known < age) {
+            log::info!("shares of node {node} are not used: they are {age} ms old");
+            return;
         }
+        self.shares.received.replace(Some(received));
+        self.publish_shares();
     }
 
     /// Publishes the shares that apply now: as planner, those of the counts of all nodes; else those
@@ -215,8 +217,9 @@
         let accounts = catalog.as_ref().map_or(&[][..], |c| c.accounts());
         let now = self.now();
         let fraction = |a: &Name| shares.fraction(service, Demand::key(a), now);
-        let fractions = accounts.iter().map(|a| (a.clone(), fraction(a)));
-        let mut limited: Vec<(Name, f64)> = fractions.filter(|(_, f)| *f < 1.0).collect();
+        let fractions = accounts.iter().map(|a| (a, fraction(a)));
+        let limited = fractions.filter(|(_, f)| *f < 1.0).map(|(a, f)| (a.clone(), thousandths(f)));
+        let mut limited: Vec<(Name, f64)> = limited.collect();
         limited.sort_by(|a, b| a.1.total_cmp(&b.1));
         limited.truncate(MAX_LIMITED);
         limited
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -2,14 +2,16 @@
 
 mod call_refused;
 mod call_routed;
+mod fields;
 mod shares_changed;
 
-use heathpitch_core::{LayerRange, Millis, Name, Path, Rate, RequestFingerprint, Revision};
+use heathpitch_core::{LayerRange, Millis, Name, Rate, RequestFingerprint, Revision};
 use heathpitch_policy::LayoutReason;
 use serde::Serialize;
 
 pub use call_refused::CallRefused;
 pub use call_routed::CallRouted;
+pub(crate) use fields::{parts, thousandths};
 pub use shares_changed::SharesChanged;
 
 /// A line of the log; no line contains bodies or keys.
@@ -391,9 +393,3 @@
         error: Option<String>,
     },
 }
-
-/// Stages of a path, as events show them.
-pub(crate) fn parts(path: Option<&Path>) -> Vec<(Name, LayerRange)> {
-    let stages = path.map_or(&[][..], Path::stages);
-    stages.iter().map(|s| (s.engine.clone(), s.layers)).collect()
-}
--- a/crates/heathpitchd/tests/gateway_sharing.rs
+++ b/crates/heathpitchd/tests/gateway_sharing.rs
@@ -112,7 +112,7 @@
 }
 
 /// Guards against shares that a planner computes without the counts of its followers, or that do not
-/// reach them, and against shares that outlast the demand.
+/// reach them, against shares that outlast the demand, and against a lost planner.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_greedy_account_is_limited_at_every_node_while_it_asks_for_more() {
     let (cluster, _engines) = cluster();
@@ -120,17 +120,24 @@
     wait_for_reports(&planner).await;
     wait_for_reports(&follower).await;
     for (asked, other) in [(&follower, &planner), (&planner, &follower)] {
-        let caller = Caller::new(asked.listen);
-        let (desk, floor) = (caller.clone().key(KEY), caller.key(FLOOR_KEY));
-        wait_until("the account is limited at the other node", async || {
-            admitted(&floor, "/later/x", 1).await;
-            admitted(&desk, "/later/x", 20).await;
-            limits(other, "desk")
-        })
-        .await;
+        wait_until_limited(asked, other).await;
         wait_until("it is no longer limited", async || {
             !limits(&planner, "desk") && !limits(&follower, "desk")
         })
         .await;
     }
+    drop(planner);
+    wait_until_limited(&follower, &follower).await;
+}
+
+/// Asks one node for more than an account's share until the account is limited at another.
+async fn wait_until_limited(asked: &GatewayProcess, at: &GatewayProcess) {
+    let caller = Caller::new(asked.listen);
+    let (desk, floor) = (caller.clone().key(KEY), caller.key(FLOOR_KEY));
+    wait_until("the account is limited", async || {
+        admitted(&floor, "/later/x", 1).await;
+        admitted(&desk, "/later/x", 20).await;
+        limits(at, "desk")
+    })
+    .await;
 }
