--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -93,19 +93,23 @@
         .authenticate(&route, head.key.as_deref())
         .map_err(|e| deny(RefusalKind::BadKey, e.to_string()))?
         .cloned();
-    let revoke_ms = shared.settings.load().bounds.revoke_ms.saturating_sub(REVOKE_MARGIN_MS);
-    if holder.is_some() && !shared.config_freshness.load().covers(received, revoke_ms) {
-        let detail = "the known keys are too old to tell whether this one is still valid";
-        return Err(Refusal::unsent(RefusalKind::StaleKeys, &id, detail));
-    }
-    let service = pick_service(&catalog, &route, &id)?;
     let limit = head.deadline.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let deadline = received + limit;
     let age_ms = match head.deadline {
         Some(_) => traffic.usual_deadlines.age(&route.name, limit, received),
         None => 0,
     };
-    let content = read_body(body, &catalog, &id).await?;
+    let of_caller = |refusal: Refusal| {
+        let rank = catalog.rank(&route.targets[0].service, &route, holder.as_ref());
+        refusal.of_caller(holder.as_ref(), rank, age_ms)
+    };
+    let revoke_ms = shared.settings.load().bounds.revoke_ms.saturating_sub(REVOKE_MARGIN_MS);
+    if holder.is_some() && !shared.config_freshness.load().covers(received, revoke_ms) {
+        let detail = "the known keys are too old to tell whether this one is still valid";
+        return Err(of_caller(Refusal::unsent(RefusalKind::StaleKeys, &id, detail)));
+    }
+    let service = pick_service(&catalog, &route, &id).map_err(of_caller)?;
+    let content = read_body(body, &catalog, &id).await.map_err(of_caller)?;
     let target = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
     let body = CallBody { method: parts.method, target, headers: parts.headers, content };
     let fingerprint = OnceLock::new();
