Gateway: the memory part of a path's pressure assumes a request of typical size

It took the call's own size, so that large requests would have been admitted less often than small ones near the limits. Whether a call fits at all is still decided by its own size, when the path is chosen.

--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -29,7 +29,6 @@
 use hyper::{Request, Response};
 
 pub(crate) use admit::Call;
-pub(crate) use pick::expected_tokens;
 pub(crate) use retry_budgets::RetryBudgets;
 pub(crate) use retry_schedules::RetrySchedules;
 
--- a/crates/heathpitchd/src/gateway/forecast.rs
+++ b/crates/heathpitchd/src/gateway/forecast.rs
@@ -6,7 +6,7 @@
 use heathpitch_core::{LayeredModel, Millis, Path, Stage};
 use heathpitch_policy::{LayerLoad, PrefillStage, Pressure, start_ms};
 
-use super::call::{Call, expected_tokens};
+use super::call::Call;
 use super::engine_table::{EngineTable, EngineView, MAX_UTILIZATION};
 
 /// # Forecasts
@@ -34,8 +34,9 @@
             let here = stages.iter().filter(|(_, view)| in_domain(view));
             memory = here.map(|(stage, _)| layers.share(stage.layers)).fold(memory, f64::max);
         }
+        // A typical size, so that a large request is not admitted less often than a small one.
         let fullest = stages.iter().map(|(_, view)| {
-            let held = view.stats.held_known(self.domain_size, now) + expected_tokens(call);
+            let held = view.stats.held_known(self.domain_size, now) + model.mean_tokens();
             capacity(view, model).map_or(0.0, |capacity| held / capacity)
         });
         let prompt = call.head.sizes.map_or(model.typical_prompt, |s| f64::from(s.prompt));
