Sharing and recovery weigh ranks by recent demand

Cause: accounts have ranks of their own, so a service has six ranks and not three. Most streams had the fourth to sixth, which were admitted up to a pressure of 0.6 only, and whose late streams waited 450 ms and more before they were moved.

Change: headroom and wait are in proportion to the part of the demand of the last 10 s that is more urgent (RankMix), at most 0.3 and 300 ms. Ranks that nobody uses take nothing from the others.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -165,18 +165,6 @@
         self.stream_ranks.get(service).map_or(0, Vec::len)
     }
 
-    /// Number of ranks of a service's streams that come before that of a call.
-    pub fn rank_distance(
-        &self,
-        service: &Name,
-        route: &CallRoute,
-        holder: Option<&KeyHolder>,
-    ) -> u32 {
-        let pair = rank_pair(route, holder.and_then(|h| h.rank));
-        let ranks = self.stream_ranks.get(service).map_or(&[][..], Vec::as_slice);
-        ranks.partition_point(|r| *r < pair) as u32
-    }
-
     /// Names of all client accounts, in ascending order.
     pub fn accounts(&self) -> &[Name] {
         &self.accounts
--- a/crates/heathpitchd/src/gateway/call/admission.rs
+++ b/crates/heathpitchd/src/gateway/call/admission.rs
@@ -70,8 +70,8 @@
 /// What decides about a stream of a service that streams of several ranks use.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Sharing {
-    /// Position of the stream's rank among those of the service.
-    position: usize,
+    /// Part of the service's recent demand that is more urgent, 0 to 1.
+    urgent_share: f64,
     /// Digest of its client account, if account shares apply.
     account: Option<u64>,
     /// Part of the account's requests that is within its share.
@@ -83,19 +83,18 @@
 impl Sharing {
     /// What applies to a call; `None` if its service has streams of a single rank, or if sharing is
     /// turned off.
-    pub(crate) fn of_call(traffic: &Traffic, call: &Call) -> Option<Self> {
+    pub(crate) fn of_call(traffic: &Traffic, call: &Call, urgent_share: f64) -> Option<Self> {
         let shared = &traffic.shared;
         let (catalog, service) = (&call.catalog, &call.service.name);
         if catalog.stream_ranks(service) < 2 || !shared.settings.load().load.sharing.is_on() {
             return None;
         }
-        let position = call.rank_distance() as usize;
         let holder = call.holder.as_ref().filter(|_| catalog.accounts().len() >= 2);
         let account = holder.map(|h| Demand::key(&h.account));
         let shares = shared.shares.load();
         let fraction = account.map_or(1.0, |a| shares.fraction(service, a, shared.now()));
         let due = shared.retry_book.lock().due_pressure(service, shared.now());
-        Some(Self { position, account, fraction, due })
+        Some(Self { urgent_share, account, fraction, due })
     }
 
     /// Load that the decision is based on, for the log.
@@ -106,7 +105,7 @@
     fn admit(&self, call: &Call, pressure: Pressure) -> Result<(), Shed> {
         let query = SharingQuery {
             pressure,
-            position: self.position,
+            urgent_share: self.urgent_share,
             fraction: self.fraction,
             age_ms: call.age_ms,
             started: call.head.after.is_some(),
--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -56,11 +56,6 @@
     pub(crate) fn rank(&self) -> u8 {
         self.catalog.rank(&self.service.name, &self.route, self.holder.as_ref())
     }
-
-    /// Number of more urgent ranks that streams of its service may have.
-    pub(crate) fn rank_distance(&self) -> u32 {
-        self.catalog.rank_distance(&self.service.name, &self.route, self.holder.as_ref())
-    }
 }
 
 /// Reads a call and checks it against the configuration in force.
--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -58,6 +58,8 @@
     waits_for_path: bool,
     /// Whether an engine refused the stream for lack of capacity.
     found_full: bool,
+    /// Part of the service's recent demand that is more urgent, 0 to 1.
+    urgent_share: f64,
     unsent: u32,
     avoid: Vec<Name>,
 }
@@ -88,6 +90,8 @@
 impl Flow {
     /// A stream without any attempt yet.
     pub(crate) fn new(traffic: Arc<Traffic>, call: Arc<Call>, open: OpenCall) -> Self {
+        let urgent_share =
+            traffic.rank_mixes.record(&call.service.name, call.rank(), traffic.shared.now());
         Self {
             events: Events::after(call.head.after),
             traffic,
@@ -104,6 +108,7 @@
             lost_events: None,
             waits_for_path: false,
             found_full: false,
+            urgent_share,
             unsent: 0,
             avoid: Vec::new(),
         }
@@ -119,7 +124,7 @@
             let Some(choice) = self.choose().await else {
                 return Err(DispatchError::Refused(kind));
             };
-            let sharing = Sharing::of_call(&self.traffic, &self.call);
+            let sharing = Sharing::of_call(&self.traffic, &self.call, self.urgent_share);
             self.load = Some(match &sharing {
                 Some(sharing) => sharing.load(choice.pressure),
                 None => CallLoad { pressure: choice.pressure.level(), share: None },
@@ -322,7 +327,7 @@
             let need = pick::expected_tokens(&self.call);
             let terms = StreamTerms {
                 rank: self.call.rank(),
-                rank_distance: self.call.rank_distance(),
+                urgent_share: self.urgent_share,
                 max_pause_ms: self.call.route.max_pause_ms,
                 start_by: self.call.received + self.call.route.latency_target_ms,
             };
--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -4,7 +4,7 @@
 //! enough. `single` and `stream` run the call; `flow` is a stream over all its attempts, `send` one
 //! attempt at one engine, `record` its log lines. `rights` are needed to send to a rate-limited
 //! engine. `admission` decides which new streams are admitted when capacity runs short, and
-//! `usual_deadlines` tells how old a call is. `retry_budgets` bounds retries, `retry_schedules` sets `Retry-After` times, `pick`
+//! `usual_deadlines` tells how old a call is, `rank_mixes` how much of the demand is more urgent. `retry_budgets` bounds retries, `retry_schedules` sets `Retry-After` times, `pick`
 //! chooses engines, `relay` forwards a stream's events. A filter ends a call with a
 //! [`Refusal`](refusal::Refusal).
 
@@ -13,6 +13,7 @@
 mod flow;
 mod open;
 mod pick;
+mod rank_mixes;
 mod record;
 mod refusal;
 mod relay;
@@ -32,6 +33,7 @@
 use hyper::{Request, Response};
 
 pub(crate) use admit::Call;
+pub(crate) use rank_mixes::RankMixes;
 pub(crate) use retry_budgets::RetryBudgets;
 pub(crate) use retry_schedules::RetrySchedules;
 pub(crate) use usual_deadlines::UsualDeadlines;
@@ -47,6 +49,7 @@
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) retry_schedules: RetrySchedules,
     pub(crate) usual_deadlines: UsualDeadlines,
+    pub(crate) rank_mixes: RankMixes,
 }
 
 /// Handles one call.
--- a/crates/heathpitchd/src/gateway/control/moves.rs
+++ b/crates/heathpitchd/src/gateway/control/moves.rs
@@ -71,7 +71,7 @@
     let rank = stalled.live.terms.rank;
     let candidate = StalledStream {
         rank,
-        rank_distance: stalled.live.terms.rank_distance,
+        urgent_share: stalled.live.terms.urgent_share,
         due: stalled.live.due(),
         since: stalled.tracked.lost_since(now),
         stream: stalled,
--- a/crates/heathpitchd/src/gateway/live.rs
+++ b/crates/heathpitchd/src/gateway/live.rs
@@ -15,8 +15,8 @@
 pub(crate) struct StreamTerms {
     /// Priority rank; 0 comes first.
     pub(crate) rank: u8,
-    /// Number of more urgent ranks that streams of its service may have.
-    pub(crate) rank_distance: u32,
+    /// Part of the service's recent demand that is more urgent, 0 to 1.
+    pub(crate) urgent_share: f64,
     /// Longest acceptable pause between events.
     pub(crate) max_pause_ms: Option<Millis>,
     /// Time by which the first event is expected.
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -33,7 +33,7 @@
 use tokio::sync::watch;
 
 use crate::StartError;
-use call::{RetryBudgets, RetrySchedules, Traffic, UsualDeadlines};
+use call::{RankMixes, RetryBudgets, RetrySchedules, Traffic, UsualDeadlines};
 use control::Listeners;
 pub use event::{CallRefused, CallRouted, GatewayEvent, SharesChanged};
 pub use metrics::GATEWAY_METRICS;
@@ -117,6 +117,7 @@
             retry_budgets: RetryBudgets::new(shared.clone()),
             retry_schedules: RetrySchedules::new(shared.clone()),
             usual_deadlines: UsualDeadlines::default(),
+            rank_mixes: RankMixes::default(),
             pool: shared.pool.clone(),
             shared: shared.clone(),
             clients,
--- a/crates/policy/src/move_order.rs
+++ b/crates/policy/src/move_order.rs
@@ -3,20 +3,18 @@
 //! Prefills of moved streams queue at the substitutes and at the first engines. Streams that can
 //! still produce their next event in time therefore go first, by rank and then by the time left, and
 //! those that cannot go last. A stream that is late loses nothing more by being later, so it also
-//! gives other nodes time to move their urgent streams, which this node does not know of: it waits for
-//! [`LATE_WAIT_MS`] for each more urgent rank of its service. That wait is bounded, so late streams
-//! are never starved.
+//! gives other nodes time to move their urgent streams, which this node does not know of: it waits
+//! up to [`LATE_WAIT_MS`], in proportion to the demand that is more urgent. That wait is bounded, so late
+//! streams are never starved.
 
 use std::cmp::Reverse;
 
 use heathpitch_core::Millis;
 
-/// Wait of a late stream for each more urgent rank, milliseconds: about the time in which the nodes
-/// of a domain notice the loss of an engine, and less than the 2 s of silence after which callers
-/// disconnect, however many ranks there are.
-const LATE_WAIT_MS: Millis = 150;
-/// Upper bound of that wait, milliseconds.
-const MAX_LATE_WAIT_MS: Millis = 600;
+/// Wait of a late stream if all other demand is more urgent, milliseconds, and in between in
+/// proportion: twice the time in which the nodes of a domain notice the loss of an engine, and far less
+/// than the 2 s of silence after which callers disconnect.
+const LATE_WAIT_MS: f64 = 300.0;
 
 /// Whether a move is expected to end a stream's pause in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,14 +26,14 @@
 }
 
 /// Stream whose path lost an engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct StalledStream<T> {
     /// What it is called by the caller of [`plan_moves`].
     pub stream: T,
     /// Priority rank; 0 comes first.
     pub rank: u8,
-    /// Number of more urgent ranks that the service is used with.
-    pub rank_distance: u32,
+    /// Part of the service's recent demand that is more urgent, 0 to 1.
+    pub urgent_share: f64,
     /// Time by which its next event has to arrive.
     pub due: Millis,
     /// Time at which the loss was noticed.
@@ -54,7 +52,7 @@
 
     /// Earliest time of a move that comes too late anyway.
     pub fn late_move_at(&self) -> Millis {
-        self.since + (LATE_WAIT_MS * Millis::from(self.rank_distance)).min(MAX_LATE_WAIT_MS)
+        self.since + (LATE_WAIT_MS * self.urgent_share.clamp(0.0, 1.0)) as Millis
     }
 }
 
@@ -70,7 +68,7 @@
 /// use heathpitch_policy::{MoveResult, StalledStream, plan_moves};
 ///
 /// let stalled = |stream, rank: u8, due| {
-///     StalledStream { stream, rank, rank_distance: rank.into(), due, since: 1_000 }
+///     StalledStream { stream, rank, urgent_share: f64::from(rank) / 2.0, due, since: 1_000 }
 /// };
 /// let streams =
 ///     vec![stalled("late", 0, 1_010), stalled("waits", 1, 1_010), stalled("on time", 1, 1_100)];
--- a/crates/policy/src/sharing.rs
+++ b/crates/policy/src/sharing.rs
@@ -1,7 +1,8 @@
 //! Admission of streams when capacity runs short, by rank, client account and age.
 //!
-//! Each rank has a limit on the pressure of the chosen path. The headroom that less urgent ranks
-//! leave serves the more urgent ones, since pressure is known with a delay. The part of an account's
+//! Each rank has a limit on the pressure of the chosen path, which is the lower the more of the recent
+//! demand is more urgent. The headroom that less urgent ranks leave serves the more urgent ones, since
+//! pressure is known with a delay. The part of an account's
 //! streams that exceeds its share has a lower limit than the rest. Below the limits every stream is
 //! admitted, so idle capacity is lent.
 //!
@@ -16,10 +17,9 @@
 /// Pressure up to which the most urgent rank is admitted: there the first event is expected at the
 /// latency target.
 const URGENT_LIMIT: f64 = 1.0;
-/// Pressure by which the limit of each further rank is lower.
-const RANK_STEP: f64 = 0.15;
-/// Least limit of a rank, a pressure at which capacity is still free.
-const MIN_LIMIT: f64 = 0.6;
+/// Pressure by which the limit of a rank is lower if all other demand is more urgent; in between it is
+/// lower in proportion, as headroom is kept for the demand that it protects.
+const RANK_SPAN: f64 = 0.3;
 /// Pressure by which the limit is lower for what exceeds an account's share.
 const EXCESS_STEP: f64 = 0.25;
 /// Pressure beyond a limit over which the admission probability falls to the floor.
@@ -47,7 +47,7 @@
 /// let pressure = Pressure { memory: 0.5, start: 0.97 };
 /// let urgent = SharingQuery { pressure, ..SharingQuery::default() };
 /// assert_eq!(urgent.admit(0.9), Ok(()));
-/// let other = SharingQuery { position: 1, ..urgent };
+/// let other = SharingQuery { urgent_share: 0.5, ..urgent };
 /// assert_eq!(other.admit(0.9), Err(ShedReason::Rank));
 /// assert_eq!(other.admit(0.2), Ok(()), "a quarter is admitted at any pressure");
 /// let returning = SharingQuery { age_ms: 2_000, ..other };
@@ -57,8 +57,8 @@
 pub struct SharingQuery {
     /// Load of the chosen path.
     pub pressure: Pressure,
-    /// Position of its rank among those of the service's streams; 0 is the most urgent.
-    pub position: usize,
+    /// Part of the service's recent demand that is more urgent, 0 to 1.
+    pub urgent_share: f64,
     /// Part of its account's requests that is within the account's share, 0 to 1.
     pub fraction: f64,
     /// Time since its caller first asked, milliseconds.
@@ -74,7 +74,7 @@
     fn default() -> Self {
         Self {
             pressure: Pressure::default(),
-            position: 0,
+            urgent_share: 0.0,
             fraction: 1.0,
             age_ms: 0,
             started: false,
@@ -118,10 +118,9 @@
 
     /// Pressure up to which its rank is admitted.
     pub fn rank_limit(&self) -> f64 {
-        match self.position {
-            0 => URGENT_LIMIT,
-            _ if self.is_returning() => URGENT_LIMIT,
-            position => (URGENT_LIMIT - RANK_STEP * position as f64).max(MIN_LIMIT),
+        match self.is_returning() {
+            true => URGENT_LIMIT,
+            false => URGENT_LIMIT - RANK_SPAN * self.urgent_share.clamp(0.0, 1.0),
         }
     }
 
@@ -134,12 +133,12 @@
     /// returning callers.
     fn level(&self) -> f64 {
         let level = self.pressure.level();
-        match self.position {
-            0 => level,
-            _ if self.is_returning() => level,
-            _ => level + self.due.clamp(0.0, MAX_DUE),
+        match self.urgent_share > 0.0 && !self.is_returning() {
+            true => level + self.due.clamp(0.0, MAX_DUE),
+            false => level,
         }
     }
+
     /// Admission probability with this limit.
     fn admission(&self, limit: f64) -> f64 {
         let urgent = urgent_admission(self.pressure.level());
--- a/crates/policy/tests/move_order.rs
+++ b/crates/policy/tests/move_order.rs
@@ -211,7 +211,7 @@
         let own = waiting.iter().enumerate().filter(|(i, _)| i / HEADS % self.nodes == node);
         let stalled = own.filter_map(|(i, s)| {
             let (rank, due) = s.as_ref().map(|s| (s.rank, s.last_event + MAX_PAUSE_MS))?;
-            Some(StalledStream { stream: i, rank, rank_distance: rank.into(), due, since })
+            Some(StalledStream { stream: i, rank, urgent_share: f64::from(rank) / 2.0, due, since })
         });
         let stalled: Vec<_> = stalled.collect();
         let before = waiting.to_vec();
--- a/crates/policy/tests/sharing/mod.rs
+++ b/crates/policy/tests/sharing/mod.rs
@@ -301,7 +301,8 @@
         let pressure = self.pressure(node);
         let query = SharingQuery {
             pressure,
-            position: caller.rank,
+            urgent_share: self.load.ranks[..caller.rank].iter().sum::<f64>()
+                / self.load.ranks.iter().sum::<f64>(),
             fraction,
             age_ms: self.now - caller.first,
             ..SharingQuery::default()
--- a/crates/policy/tests/sharing_counts.rs
+++ b/crates/policy/tests/sharing_counts.rs
@@ -117,7 +117,8 @@
         let fraction = shares.fraction(&service, u64::from(n) % 5_500 + 1, 100);
         let level = f64::from(n % 128) / 100.0;
         let pressure = Pressure { memory: level, start: 0.2 };
-        let query = SharingQuery { pressure, position: 1, fraction, ..SharingQuery::default() };
+        let query =
+            SharingQuery { pressure, urgent_share: 0.5, fraction, ..SharingQuery::default() };
         admitted += u32::from(query.admit(f64::from(n % 1_000) / 1e3).is_ok());
     }
     println!("decision: {:?} ({admitted} of {ROUNDS} admitted)", start.elapsed() / ROUNDS);
@@ -127,13 +128,13 @@
     fn query()(
         memory in 0.0..2.0_f64,
         start in 0.0..2.0_f64,
-        position in 0..10_usize,
+        urgent_share in 0.0..=1.0_f64,
         fraction in 0.0..=1.0_f64,
         age_ms in 0..4_000_u64,
         due in 0.0..0.5_f64,
     ) -> SharingQuery {
         let pressure = Pressure { memory, start };
-        SharingQuery { pressure, position, fraction, age_ms, started: false, due }
+        SharingQuery { pressure, urgent_share, fraction, age_ms, started: false, due }
     }
 }
 
@@ -141,7 +142,7 @@
     #[test]
     fn nobody_is_starved_and_nothing_is_admitted_beyond_its_limit(q in query(), draw in 0.0..1.0_f64) {
         let level = q.pressure.level();
-        let urgent = SharingQuery { position: 0, fraction: 1.0, ..q }.probability();
+        let urgent = SharingQuery { urgent_share: 0.0, fraction: 1.0, ..q }.probability();
         let p = q.probability();
         prop_assert!(p >= urgent / 4.0 - 1e-9 && p <= urgent + 1e-9, "{p} of {urgent}");
         prop_assert_eq!(q.admit(draw).is_ok(), draw < p);
