Sharing: counts go to each polled node once

A node kept one position in its counts, that of the node which answered last. While a planner has no fresh data, as in a loss of the store, its followers poll it and the standbys in turn. Each poll then carried all counts of the last two seconds, and the polled node added them each time: to the demand of the accounts, and to the admissions from which the capacity for retries follows.

AnsweredPolls keeps a position for each polled node, for the time for which counts are kept.

--- a/crates/heathpitchd/src/gateway/control/shares.rs
+++ b/crates/heathpitchd/src/gateway/control/shares.rs
@@ -13,8 +13,8 @@
 use heathpitch_core::{Millis, Name};
 use heathpitch_net::{FeedDemand, FeedRequest, FeedShare, FeedShares};
 use heathpitch_policy::{
-    AccountShare, AccountShares, Demand, DemandCount, DemandKey, DomainDemand, MAX_DEMAND_ENTRIES,
-    RecentDemand,
+    AccountShare, AccountShares, AnsweredPolls, Demand, DemandCount, DemandKey, DomainDemand,
+    MAX_DEMAND_ENTRIES, RecentDemand,
 };
 
 use super::state::Control;
@@ -45,8 +45,8 @@
     followers: RefCell<DomainDemand>,
     /// The last shares from another node.
     received: RefCell<Option<AccountShares>>,
-    /// The node that answered the last poll with counts, and the counts that it knows.
-    answered: RefCell<Option<(Name, u64)>>,
+    /// The counts that the nodes polled by this one have received.
+    answered: RefCell<AnsweredPolls>,
     /// Whether the published shares are based on the counts of several nodes.
     shared: Cell<bool>,
     /// Time at which shares were last sent to each node that polls this one.
@@ -83,8 +83,7 @@
         if !self.sources.borrow().is_local(node) {
             return (Vec::new(), 0);
         }
-        let answered = self.shares.answered.borrow();
-        let known = answered.as_ref().filter(|(n, _)| n == node).map_or(0, |(_, serial)| *serial);
+        let known = self.shares.answered.borrow().position(node);
         let mut own = self.shares.own.borrow_mut();
         let counts = own.since(known, MAX_DEMAND_ENTRIES, self.now());
         let entry = |(key, count): (DemandKey, DemandCount)| FeedDemand {
@@ -99,7 +98,7 @@
 
     /// Records that a node answered a poll with counts up to this position.
     pub(super) fn demand_answered(&self, node: &Name, position: u64) {
-        self.shares.answered.replace(Some((node.clone(), position)));
+        self.shares.answered.borrow_mut().record(node, position, self.now());
     }
 
     /// Records the counts of a node that polls this one.
--- a/crates/policy/src/recent_demand.rs
+++ b/crates/policy/src/recent_demand.rs
@@ -9,7 +9,7 @@
 use heathpitch_core::{Millis, Name};
 
 /// Time for which counts are kept, milliseconds: lent capacity is reclaimed within it.
-const WINDOW_MS: Millis = 2_000;
+pub(crate) const WINDOW_MS: Millis = 2_000;
 /// Length of an interval, milliseconds.
 const INTERVAL_MS: Millis = 250;
 /// Entries kept, about 80 bytes each; 2 s of demand in a domain with a thousand streams per second
--- a/crates/policy/tests/sharing_counts.rs
+++ b/crates/policy/tests/sharing_counts.rs
@@ -7,7 +7,7 @@
 
 use heathpitch_core::Name;
 use heathpitch_policy::{
-    AccountShare, AccountShares, DemandCount, DemandError, DemandKey, DomainDemand,
+    AccountShare, AccountShares, AnsweredPolls, DemandCount, DemandError, DemandKey, DomainDemand,
     MAX_DEMAND_ENTRIES, Pressure, RecentDemand, SharingQuery,
 };
 use proptest::prelude::*;
@@ -90,6 +90,26 @@
     assert_eq!(sent + rest, 400);
 }
 
+/// Guards against counts that are sent again and again to nodes that are polled in turn, as a planner
+/// and a standby are while neither has fresh data. Each of them would count every stream several
+/// times.
+#[test]
+fn two_nodes_that_are_polled_in_turn_get_every_count_once() {
+    let (mut own, mut answered) = (RecentDemand::default(), AnsweredPolls::default());
+    let nodes = [name("n1"), name("n2")];
+    let mut sent = [0, 0];
+    for now in (0..4_000).step_by(10) {
+        own.record(key(1), count(1, 1), now);
+        if now % 100 == 0 {
+            let turn = (now / 100 % 2) as usize;
+            let counts = own.since(answered.position(&nodes[turn]), MAX_DEMAND_ENTRIES, now);
+            sent[turn] += counts.iter().map(|(_, c)| c.asked).sum::<u32>();
+            answered.record(&nodes[turn], own.close_interval(), now);
+        }
+    }
+    assert_eq!(sent, [381, 391], "streams up to each node's last poll");
+}
+
 /// Guards against state that grows with the number of accounts: 5 500 ask at 100 000 a second.
 #[test]
 fn entries_are_bounded() {
