Returns: admissions in demand that is dropped are not counted

Sharing drops demand that is repeated, inconsistent, too large or from a node that has not polled before; the sums of promised retries counted the admissions in it all the same. A poll that is sent again then counts its streams twice, and more callers are promised a retry than there is capacity for.

The answer to a poll now checks its demand first and counts both or neither.

--- a/crates/heathpitchd/src/gateway/control/feed_server.rs
+++ b/crates/heathpitchd/src/gateway/control/feed_server.rs
@@ -53,12 +53,14 @@
     }
 }
 
-/// Answers a poll, and records the notices in it.
+/// Answers a poll, and records the notices, the demand and the promised retries in it.
 pub(super) fn answer(control: &Control, request: FeedRequest) -> FeedResponse {
     // The time of arrival is an upper bound of the time of sending.
     control.record_notices(&request.notices, control.now(), &request.node);
     let (notices, notice_cursor) = control.notices_since(request.notice_cursor);
-    let (promises, promise_rates) = control.answer_promises(&request);
+    let is_known = control.followers.borrow().contains(&request.node, control.now());
+    let counts = !request.reports_only && control.receive_demand(&request, is_known);
+    let (promises, promise_rates) = control.answer_promises(&request, counts);
     let response = answer_feed(control, request);
     FeedResponse { notices, notice_cursor, promises, promise_rates, ..response }
 }
@@ -72,8 +74,6 @@
     if request.reports_only {
         return local_reports(control, known);
     }
-    let is_known = control.followers.borrow().contains(&request.node, control.now());
-    control.receive_demand(&request, is_known);
     let follower = Source { node: request.node.clone(), address: request.address };
     control.followers.borrow_mut().record_poll(follower, request.can_plan, control.now());
     let shares = control.shares_for(&request.node);
--- a/crates/heathpitchd/src/gateway/control/returns.rs
+++ b/crates/heathpitchd/src/gateway/control/returns.rs
@@ -80,10 +80,12 @@
 /// # Polls by other nodes
 impl Control {
     /// Records the promised retries in a poll; returns those of the domain and the capacities of
-    /// slots, if this node is the planner.
+    /// slots, if this node is the planner. The admitted streams in its demand count only if its
+    /// demand does: repeated ones would overstate the capacity.
     pub(super) fn answer_promises(
         &self,
         request: &FeedRequest,
+        demand_counts: bool,
     ) -> (Vec<FeedPromise>, Vec<FeedPromiseRate>) {
         if !self.promises_retries() || request.reports_only {
             return Default::default();
@@ -94,7 +96,8 @@
         let promises = request.promises.iter().filter(|p| known(&p.service));
         let promises: Vec<RetryPromise> = promises.map(from_feed).collect();
         let mut book = self.shared.retry_book.lock();
-        for demand in request.demand.iter().take(MAX_DEMAND).filter(|d| known(&d.service)) {
+        let demand = request.demand.iter().filter(|d| demand_counts && known(&d.service));
+        for demand in demand {
             book.record_admitted(&demand.service, demand.admitted, now);
         }
         let sums = book.answer_poll(node, &promises, now).unwrap_or_else(|e| {
--- a/crates/heathpitchd/src/gateway/control/shares.rs
+++ b/crates/heathpitchd/src/gateway/control/shares.rs
@@ -101,8 +101,8 @@
         self.shares.answered.borrow_mut().record(node, position, self.now());
     }
 
-    /// Records the counts of a node that polls this one.
-    pub(super) fn receive_demand(&self, request: &FeedRequest, is_known: bool) {
+    /// Records the counts of a node that polls this one; returns whether they are counted.
+    pub(super) fn receive_demand(&self, request: &FeedRequest, is_known: bool) -> bool {
         let entries = request.demand.iter().filter_map(|d| {
             // The name in the configuration, so that no other one is kept.
             let service = self.service(&d.service)?.name.clone();
@@ -111,9 +111,11 @@
         });
         let (entries, now) = (entries.collect(), self.now());
         let mut followers = self.shares.followers.borrow_mut();
-        if let Err(e) = followers.receive(&request.node, is_known, entries, now) {
+        let received = followers.receive(&request.node, is_known, entries, now);
+        if let Err(e) = received {
             log::info!("demand of node {} is not counted: {e}", request.node);
         }
+        received.is_ok()
     }
 }
 
--- a/crates/heathpitchd/tests/gateway_returns.rs
+++ b/crates/heathpitchd/tests/gateway_returns.rs
@@ -12,7 +12,8 @@
 use gateway::{Cluster, KEY, wait_until};
 use heathpitch_core::{Name, Revision};
 use heathpitch_net::{
-    FeedClient, FeedCursor, FeedNotices, FeedPromise, FeedRequest, FeedResponse, NoticeCursor,
+    FeedClient, FeedCursor, FeedDemand, FeedNotices, FeedPromise, FeedRequest, FeedResponse,
+    NoticeCursor,
 };
 use heathpitch_standin::{Behavior, Caller, GatewayProcess, RouteSpec};
 use hyper::Method;
@@ -54,6 +55,14 @@
 
 /// Polls a node as another node of its failure domain does.
 async fn poll(address: SocketAddr, promises: Vec<FeedPromise>) -> FeedResponse {
+    poll_with(address, promises, Vec::new()).await
+}
+
+async fn poll_with(
+    address: SocketAddr,
+    promises: Vec<FeedPromise>,
+    demand: Vec<FeedDemand>,
+) -> FeedResponse {
     let request = FeedRequest {
         to: None,
         node: name("n9"),
@@ -66,7 +75,7 @@
         reports_only: false,
         notices: FeedNotices::default(),
         notice_cursor: NoticeCursor::default(),
-        demand: Vec::new(),
+        demand,
         promises,
     };
     let ask = async {
@@ -122,6 +131,26 @@
     .await;
 }
 
+/// Admissions that a planner counts although it drops the demand they belong to, since it received
+/// them before or since they are inconsistent, would bring back more callers than there is capacity
+/// for.
+#[tokio::test]
+async fn admissions_in_dropped_demand_add_no_capacity() {
+    let cluster = refusing();
+    let (planner, _link, _follower) = cluster.planner_and_follower().await;
+    let promise = || vec![FeedPromise { service: name("one"), in_ms: 1_000, count: 1 }];
+    let demand = |asked, admitted| {
+        vec![FeedDemand { service: name("one"), rank: 0, account: 0, asked, admitted }]
+    };
+    poll(peer(&planner), Vec::new()).await;
+    let once = poll_with(peer(&planner), promise(), demand(800, 800)).await;
+    poll_with(peer(&planner), Vec::new(), demand(800, 800)).await;
+    let after = poll_with(peer(&planner), promise(), demand(1, 800)).await;
+    let per_slot = |answer: &FeedResponse| answer.promise_rates[0].per_slot;
+    let (once, after) = (per_slot(&once), per_slot(&after));
+    assert!(once > 20.0 && after <= once, "{once} places, then {after}");
+}
+
 /// A node that is told not to must neither promise retries nor sum them.
 #[tokio::test]
 async fn switched_off_it_changes_nothing() {
