Shares: equal counts limit the same accounts

At most 16 accounts are limited, those with the most requests beyond their share. Among accounts with the same excess, the order of hash maps decided anew at each division, every 250 ms: other accounts were limited each time, and each change was logged.

Accounts with equal excess are now ordered by service and digest.

--- a/crates/policy/src/account_shares.rs
+++ b/crates/policy/src/account_shares.rs
@@ -69,7 +69,11 @@
             accounts.remove(&0);
             excess.extend(divide_service(service, accounts));
         }
-        excess.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
+        // Without a second key, the order of hash maps would choose among accounts of equal excess.
+        excess.sort_unstable_by(|(a, x), (b, y)| {
+            let by_name = || (&x.service, x.account).cmp(&(&y.service, y.account));
+            b.total_cmp(a).then_with(by_name)
+        });
         excess.truncate(most);
         Self::received(excess.into_iter().map(|(_, share)| share), now)
     }
--- a/crates/policy/tests/sharing_counts.rs
+++ b/crates/policy/tests/sharing_counts.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed set-up fails its test")]
 
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use heathpitch_core::Name;
@@ -44,6 +45,22 @@
     assert_eq!(shares.fraction(&name("chat"), 1, 3_500), 1.0);
 }
 
+/// Guards against accounts that are limited in turn, without a change of demand, since more accounts
+/// exceed their share by the same number than are limited at a time.
+#[test]
+fn the_same_counts_limit_the_same_accounts() {
+    let mut recent = RecentDemand::default();
+    recent.record(key(100), count(1, 1), 0);
+    (1..=40).for_each(|account| recent.record(key(account), count(50, 10), 0));
+    let limited = || {
+        let shares = AccountShares::divide(&[&recent], 16, 100);
+        shares.limited().map(|s| s.account).collect::<BTreeSet<_>>()
+    };
+    let first = limited();
+    assert_eq!(first.len(), 16);
+    assert!((0..8).all(|_| limited() == first));
+}
+
 /// Guards against shares that are no numbers, or that would raise a limit.
 #[test]
 fn invalid_shares_limit_nobody() {
