Returns: a planner's admissions are not sent after its term

A planner sends no polls, so the number of its admissions since the last poll grew for as long as it was planner. Its first poll of the next planner carried all of them, and the new planner promised as many retries as if they had been admitted within two seconds. The number is now reset when the term ends.

--- a/crates/policy/src/retry_ledger.rs
+++ b/crates/policy/src/retry_ledger.rs
@@ -170,6 +170,7 @@
         self.domain = std::mem::take(&mut self.heard);
         self.reserved = RetrySlots::default();
         self.heard_rate = AdmissionRate::default();
+        self.admitted = 0;
     }
 }
 
--- a/crates/policy/tests/retry_book.rs
+++ b/crates/policy/tests/retry_book.rs
@@ -70,6 +70,18 @@
     assert!(node.poll_answered(&sums, 20_000, 20_001).is_err());
 }
 
+/// A planner sends no polls. If it kept its admissions until another node is planner, that one would
+/// take those of hours for those of a moment, and promise many more places than there are.
+#[test]
+fn admissions_of_a_term_as_planner_are_not_sent_to_the_next_one() {
+    let mut book = planner(20_000);
+    (0..5_000).for_each(|i| book.admit(&chat(), 20_000 + i * 100));
+    book.set_planner(false, 520_000);
+    assert_eq!(book.send_admitted(), []);
+    book.admit(&chat(), 520_100);
+    assert_eq!(book.send_admitted(), [(chat(), 1)]);
+}
+
 /// A poll that is sent again after a lost answer counts twice, which leaves fewer places than there
 /// are; the surplus must lapse.
 #[test]
