Returns: a planner's statement lapses with the promises it covers

A node without planner kept the capacity that the last one had stated, without limit in time. It divided its own due retries by the admissions of the whole domain, so it left hardly any room for them. docs/design/hard-load.md requires that it uses only its own promises and its own admission rate. A node that became planner long after also began with that capacity.

--- a/crates/policy/src/retry_book.rs
+++ b/crates/policy/src/retry_book.rs
@@ -235,7 +235,8 @@
             let capacity = capacity.filter(|c| c.per_slot.is_finite());
             let per_slot =
                 |c: &SlotCapacity| f64::from(c.per_slot).clamp(MIN_PER_SLOT, MAX_PER_SLOT);
-            let told = capacity.map(|c| SlotsTold { per_slot: per_slot(c), last });
+            let until = sent + HORIZON_MS;
+            let told = capacity.map(|c| SlotsTold { per_slot: per_slot(c), last, until });
             let (mut slots, full) = (RetrySlots::default(), told.map_or(0, SlotsTold::most));
             for start in (self.grid.start(sent)..=last).step_by(SLOT_MS as usize) {
                 let other = if is_past_promise(start, sent) { 0 } else { full };
--- a/crates/policy/src/retry_ledger.rs
+++ b/crates/policy/src/retry_ledger.rs
@@ -27,6 +27,8 @@
     pub(crate) per_slot: f64,
     /// Start of the last slot in which this node may promise places.
     pub(crate) last: Millis,
+    /// Time until which it is used: the promises stated with it have passed then.
+    pub(crate) until: Millis,
 }
 
 impl SlotsTold {
@@ -95,6 +97,7 @@
         ] {
             slots.expire(now);
         }
+        self.told = self.told.filter(|told| now < told.until);
     }
 
     pub(crate) fn align(&mut self, grid: SlotGrid) {
@@ -153,6 +156,7 @@
 impl RetryLedger {
     /// This node becomes the planner: what it knows of the domain is the start of its sums.
     pub(crate) fn begin_planning(&mut self, now: Millis) {
+        self.expire(now);
         for known in [&mut self.domain, &mut self.pending, &mut self.in_flight] {
             self.heard.merge(&std::mem::take(known));
         }
@@ -276,7 +280,7 @@
     /// Streams that the failure domain admits in one slot, as far as known.
     pub(crate) fn admitted_per_slot(&self, is_planner: bool, now: Millis) -> f64 {
         let own = self.own_rate.per_ms(now) * SLOT_MS as f64;
-        match self.told {
+        match self.told.filter(|told| now < told.until) {
             _ if is_planner => own + self.heard_rate.per_ms(now) * SLOT_MS as f64,
             Some(told) => told.per_slot / RETRY_SHARE,
             None => own,
--- a/crates/policy/tests/retry_book.rs
+++ b/crates/policy/tests/retry_book.rs
@@ -82,6 +82,25 @@
     assert_eq!(book.send_admitted(), [(chat(), 1)]);
 }
 
+/// A node that is cut off knows only its own promises. Compared with what the whole domain admitted
+/// before the cut, they would leave no room for the retries that are due.
+#[test]
+fn a_node_without_planner_compares_its_retries_with_its_own_admissions() {
+    let mut node = RetryBook::new(0.0);
+    let sums = PromiseSums { promises: vec![promise(3_000, 1)], capacities: vec![capacity(50.0)] };
+    node.poll_answered(&sums, 20_000, 20_000).unwrap();
+    let mut due = Vec::new();
+    for at in (20_000..40_000).step_by(250) {
+        node.admit(&chat(), at);
+        node.promise(&chat(), LEFT_MS, at, &mut SmallRng::seed_from_u64(1));
+        node.send_promises(at);
+        node.poll_failed();
+        due.push(node.due_pressure(&chat(), at));
+    }
+    let last = due.split_off(due.len() - 20);
+    assert!(last.iter().any(|p| *p == 0.2), "{last:?}");
+}
+
 /// A poll that is sent again after a lost answer counts twice, which leaves fewer places than there
 /// are; the surplus must lapse.
 #[test]
