Returns: promised refusals are logged with their load

A stream that every engine refused gets a promised retry, and its call_refused event contained neither the pressure nor the share, unlike all other refusals of streams.

--- a/crates/heathpitchd/src/gateway/call/stream.rs
+++ b/crates/heathpitchd/src/gateway/call/stream.rs
@@ -72,7 +72,7 @@
             if let Some(refusal) =
                 promised_refusal(&flow.traffic, &flow.call, kind, &flow.evidence, detail)
             {
-                return Err(refusal);
+                return Err(refusal.with_load(flow.load));
             }
             (kind, detail.to_owned())
         }
--- a/crates/heathpitchd/tests/gateway_returns.rs
+++ b/crates/heathpitchd/tests/gateway_returns.rs
@@ -84,6 +84,17 @@
     LocalSet::new().run_until(ask).await
 }
 
+/// A refusal whose cause the log hides: the load of the engine is missing.
+#[tokio::test]
+async fn a_promised_refusal_is_logged_with_the_load_that_led_to_it() {
+    let cluster = refusing();
+    let node = cluster.node().await;
+    refused(&node).await;
+    wait_until("the refusal is logged", async || !node.events("call_refused").is_empty()).await;
+    let logged = &node.events("call_refused")[0];
+    assert!(logged["pressure"].is_number() && logged["back_ms"].is_number(), "{logged}");
+}
+
 /// Nodes that kept their promises to themselves would all ask callers back at the same times.
 #[tokio::test]
 async fn a_planner_sums_what_its_followers_promise() {
