Returns: a stream is counted as admitted once

A stream is decided about again after an attempt in which nothing was sent, for instance since the engine asked for a pause. Its admission was counted each time, up to four times and more often where rate limits are exhausted, so in a shortage more retries were promised than there is capacity for. Sharing already counted it once; both now do so at the same place. A stream that is shed after such an attempt stays counted as admitted in both. Not covered by a test: the effect on the capacity of a slot is below its least value of one at the rates of the process tests.

--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -48,7 +48,8 @@
     /// Load that the last choice of an engine is based on.
     pub(crate) load: Option<CallLoad>,
     held: Option<HeldTokens>,
-    /// Whether it is counted as demand.
+    /// Whether it is counted, as demand and as admitted. It is decided about again after an attempt
+    /// in which nothing was sent.
     counted: bool,
     /// The engine of the running attempt, and the events relayed before it.
     started: Option<(Arc<EngineEntry>, u64)>,
@@ -127,9 +128,6 @@
             // A started stream is never shed: it is worth more than the capacity it takes.
             if self.attempts == 0 && self.call.head.after.is_none() {
                 self.admit(&choice, sharing).map_err(DispatchError::Shed)?;
-                self.traffic
-                    .retry_schedules
-                    .admit(&self.call.service.name, self.traffic.shared.now());
             }
             if self.would_be_refused_again(&choice) {
                 self.traffic.shared.metrics.capacity_rejections.inc();
@@ -226,9 +224,13 @@
                 admission::admit(&self.call, sharing, Load { pressure, wait_ms })
             }
         };
-        if let Some(sharing) = sharing.filter(|_| !self.counted) {
-            sharing.count(&self.traffic, &self.call, decision.is_ok());
-            self.counted = true;
+        if !std::mem::replace(&mut self.counted, true) {
+            if let Some(sharing) = sharing {
+                sharing.count(&self.traffic, &self.call, decision.is_ok());
+            }
+            if decision.is_ok() {
+                self.traffic.retry_schedules.admit(&self.call.service.name, now);
+            }
         }
         decision.inspect_err(|shed| shed.count(&self.traffic, &self.call))
     }
