Returns: with load.returns off, promises of other nodes have no effect

The planner's answers state the promises of the domain also to a node with load.returns off, and that node's new streams of less urgent ranks left room for them. After a reload with the setting off, the promises that the node knew had the same effect for up to 7 s. Not covered by a test: the pressure of due retries is not visible outside of the node.

--- a/crates/heathpitchd/src/gateway/call/admission.rs
+++ b/crates/heathpitchd/src/gateway/call/admission.rs
@@ -94,7 +94,7 @@
         let account = holder.map(|h| Demand::key(&h.account));
         let shares = shared.shares.load();
         let fraction = account.map_or(1.0, |a| shares.fraction(service, a, shared.now()));
-        let due = shared.retry_book.lock().due_pressure(service, shared.now());
+        let due = traffic.retry_schedules.due_pressure(service, shared.now());
         Some(Self { position, account, fraction, due })
     }
 
--- a/crates/heathpitchd/src/gateway/call/retry_schedules.rs
+++ b/crates/heathpitchd/src/gateway/call/retry_schedules.rs
@@ -108,6 +108,14 @@
         }
     }
 
+    /// Part of the admissions that the retries due at `now` need; none if retries are not promised.
+    pub(crate) fn due_pressure(&self, service: &Name, now: Millis) -> f64 {
+        if !self.promises() {
+            return 0.0;
+        }
+        self.shared.retry_book.lock().due_pressure(service, now)
+    }
+
     /// Whether retries are promised by slot.
     fn promises(&self) -> bool {
         self.shared.settings.load().load.returns.is_on()
