Returns: streams without an account count as admitted by the domain

If a poll lists demand of a service, its entries stand for all admissions of the service. Sharing left out streams without an account, as on public routes, so the planner took the capacity for retries from the others alone. They are now in the demand with account 0, as docs/design/hard-load.md states; shares leave that account out already. Before, the new test timed out after 20 s.

--- a/crates/heathpitchd/src/gateway/call/admission.rs
+++ b/crates/heathpitchd/src/gateway/call/admission.rs
@@ -72,8 +72,10 @@
 pub(crate) struct Sharing {
     /// Position of the stream's rank among those of the service.
     position: usize,
-    /// Digest of its client account, if account shares apply.
+    /// Digest of its client account, if it has one and account shares apply.
     account: Option<u64>,
+    /// Whether account shares apply.
+    by_account: bool,
     /// Part of the account's requests that is within its share.
     fraction: f64,
     /// Pressure expected from callers that were told to return now.
@@ -90,12 +92,13 @@
             return None;
         }
         let position = call.rank_distance() as usize;
-        let holder = call.holder.as_ref().filter(|_| catalog.accounts().len() >= 2);
+        let by_account = catalog.accounts().len() >= 2;
+        let holder = call.holder.as_ref().filter(|_| by_account);
         let account = holder.map(|h| Demand::key(&h.account));
         let shares = shared.shares.load();
         let fraction = account.map_or(1.0, |a| shares.fraction(service, a, shared.now()));
         let due = traffic.retry_schedules.due_pressure(service, shared.now());
-        Some(Self { position, account, fraction, due })
+        Some(Self { position, account, by_account, fraction, due })
     }
 
     /// Load that the decision is based on, for the log.
@@ -127,11 +130,12 @@
         })
     }
 
-    /// Counts the stream as demand of its account, if account shares apply.
+    /// Counts the stream as demand, if account shares apply. One without an account takes no part in
+    /// the shares, but the capacity for retries follows from all streams that are admitted.
     pub(crate) fn count(&self, traffic: &Traffic, call: &Call, admitted: bool) {
-        if let Some(account) = self.account {
+        if self.by_account {
             let (service, rank) = (call.service.name.clone(), call.rank());
-            let key = DemandKey { service, rank, account };
+            let key = DemandKey { service, rank, account: self.account.unwrap_or(0) };
             traffic.shared.notify_control(ControlMessage::Demand(key, admitted));
         }
     }
--- a/crates/heathpitchd/tests/gateway_returns.rs
+++ b/crates/heathpitchd/tests/gateway_returns.rs
@@ -162,6 +162,37 @@
     assert!(once > 20.0 && after <= once, "{once} places, then {after}");
 }
 
+/// Where accounts share a service, the demand of a poll replaces the sum of its admissions. If it
+/// left out streams without an account, the planner would promise places for the others only.
+#[tokio::test]
+async fn streams_without_an_account_add_capacity_too() {
+    let mut cluster = Cluster::new();
+    cluster.config.routes.push(RouteSpec::stream("/later/", "llm").rank(2).public());
+    cluster.config.tenants.push(("floor".to_owned(), vec!["key-of-floor".to_owned()]));
+    cluster.configure();
+    let engines = ["a", "b"].map(|id| cluster.engine(id, "llm"));
+    engines[0].set_layers(0, 4);
+    engines[1].set_layers(4, 8);
+    engines.iter().for_each(|e| e.set_behavior(Behavior::Stream(1, Duration::from_millis(1))));
+    let (planner, _link, follower) = cluster.planner_and_follower().await;
+    let (public, desk) = (Caller::new(follower.listen), Caller::new(follower.listen).key(KEY));
+    let one = async |caller: &Caller| {
+        caller.call(Method::POST, "/later/x", "p").await.is_ok_and(|reply| reply.status == 200)
+    };
+    wait_until("streams are admitted", async || one(&desk).await).await;
+    poll(peer(&planner), Vec::new()).await;
+    wait_until("the capacity is that of all streams", async || {
+        for _ in 0..10 {
+            one(&public).await;
+        }
+        one(&desk).await;
+        let promise = FeedPromise { service: name("llm"), in_ms: 1_000, count: 1 };
+        let sums = poll(peer(&planner), vec![promise]).await;
+        sums.promise_rates.iter().any(|r| r.per_slot > 1.2)
+    })
+    .await;
+}
+
 /// A node that is told not to must neither promise retries nor sum them.
 #[tokio::test]
 async fn switched_off_it_changes_nothing() {
