--- a/crates/heathpitchd/src/gateway/control/returns.rs
+++ b/crates/heathpitchd/src/gateway/control/returns.rs
@@ -50,9 +50,8 @@
         if !self.sources.borrow().is_local(source) {
             return;
         }
-        let mut book = self.shared.retry_book.lock();
         if !self.is_domain_planner(source) {
-            return book.poll_recorded();
+            return self.shared.retry_book.lock().poll_recorded();
         }
         let known = |service: &Name| self.service(service).is_some();
         self.log_unknown(response.promises.iter().map(|p| &p.service), source);
@@ -64,7 +63,8 @@
                 .map(|r| SlotCapacity { service: r.service.clone(), per_slot: r.per_slot })
                 .collect(),
         };
-        if let Err(e) = book.poll_answered(&sums, sent, self.now()) {
+        let recorded = self.shared.retry_book.lock().poll_answered(&sums, sent, self.now());
+        if let Err(e) = recorded {
             log::warn!("promised retries from node {source} dropped: {e}");
         }
     }
@@ -100,7 +100,10 @@
         for demand in demand {
             book.record_admitted(&demand.service, demand.admitted, now);
         }
-        let sums = book.answer_poll(node, &promises, now).unwrap_or_else(|e| {
+        let answer = book.answer_poll(node, &promises, now);
+        // Calls wait for the book, so it is released before anything is logged.
+        drop(book);
+        let sums = answer.unwrap_or_else(|e| {
             log::warn!("promised retries from node {node} dropped: {e}");
             PromiseSums::default()
         });
