--- a/crates/policy/tests/retry_book.rs
+++ b/crates/policy/tests/retry_book.rs
@@ -98,7 +98,7 @@
         due.push(node.due_pressure(&chat(), at));
     }
     let last = due.split_off(due.len() - 20);
-    assert!(last.iter().any(|p| *p == 0.2), "{last:?}");
+    assert!(last.contains(&0.2), "{last:?}");
 }
 
 /// A poll that is sent again after a lost answer counts twice, which leaves fewer places than there
