Policy: one age of returning callers, one bound of the due pressure

The age from which a caller counts as returning, and the largest pressure of due retries, were each defined in sharing and in the promised retries. If only one were changed, callers would be admitted as returning but not counted as such, or the reverse.

--- a/crates/policy/src/retry_book.rs
+++ b/crates/policy/src/retry_book.rs
@@ -24,6 +24,7 @@
 use crate::retry_promise::{PromiseError, PromiseSums, RetryPromise, SlotCapacity};
 use crate::retry_schedule::{MAX_WAIT_SHARE, MIN_DELAY_MS, spread};
 use crate::retry_slots::{HORIZON_MS, RetrySlots, SLOT_MS, SlotGrid};
+use crate::sharing::MAX_DUE;
 
 /// Time for which reserved places are kept, milliseconds: two polls, and the timeout of an answer.
 const RESERVE_MS: Millis = 1_000;
@@ -156,8 +157,6 @@
     /// Part of the admissions that retries due at `now` need, at most 0.2: new calls of the less
     /// urgent ranks leave so much room.
     pub fn due_pressure(&self, service: &Name, now: Millis) -> f64 {
-        /// Part of the admissions that is left to new calls in any case: four fifths.
-        const MAX_DUE: f64 = 0.2;
         let Some(ledger) = self.services.get(service) else { return 0.0 };
         let due = f64::from(ledger.due(self.grid.start(now), self.is_planner));
         (due / ledger.admitted_per_slot(self.is_planner, now).max(1.0)).min(MAX_DUE)
--- a/crates/policy/src/retry_result.rs
+++ b/crates/policy/src/retry_result.rs
@@ -1,13 +1,10 @@
-//! When rejected callers come back.
+//! When rejected callers return.
 
 use heathpitch_core::Millis;
 
 use crate::retry_schedule::{MAX_WAIT_SHARE, MIN_DELAY_MS};
 use crate::retry_slots::SLOT_MS;
-
-/// Age from which a call counts as a retry, milliseconds: a client's first try reaches a node
-/// sooner, and no promised retry is earlier.
-const RETURNED_AGE_MS: Millis = 1_000;
+use crate::sharing::RETURNING_AGE_MS;
 
 /// How a returned caller kept to its retry time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +38,7 @@
         let most = (usual_ms as f64 * MAX_WAIT_SHARE) as Millis;
         let (earliest, latest) = (MIN_DELAY_MS.min(most / 2), most + SLOT_MS);
         match age_ms {
-            age if age < RETURNED_AGE_MS => None,
+            age if age < RETURNING_AGE_MS => None,
             _ if refused => Some(Self::Again),
             age if age > latest => Some(Self::Late),
             age if age < earliest => Some(Self::Early),
--- a/crates/policy/src/sharing.rs
+++ b/crates/policy/src/sharing.rs
@@ -30,12 +30,12 @@
 /// Least admission probability of other ranks and of excess requests, relative to the most urgent
 /// rank: callers must not be served less than a quarter as often as the average.
 const FLOOR_SHARE: f64 = 0.25;
-/// Age from which a caller is returning after a rejection: the shortest promised time is 2 s, and a
-/// third of a caller's remaining time may be less.
-const RETURNING_AGE_MS: Millis = 1_000;
+/// Age from which a caller is returning after a rejection: a first try reaches a node sooner. The
+/// shortest promised time is 2 s, and a third of a caller's remaining time may be less.
+pub(crate) const RETURNING_AGE_MS: Millis = 1_000;
 /// Bounds the pressure that returns add: more would reject new streams for returns that may not
 /// come.
-const MAX_DUE: f64 = 0.2;
+pub(crate) const MAX_DUE: f64 = 0.2;
 
 /// A stream to be admitted or refused.
 ///
