--- a/crates/policy/src/retry_book.rs
+++ b/crates/policy/src/retry_book.rs
@@ -20,7 +20,7 @@
 use heathpitch_core::{Millis, Name};
 use rand::Rng;
 
-use crate::retry_ledger::{MAX_PER_SLOT, MIN_PER_SLOT, RetryLedger, SlotsTold};
+use crate::retry_ledger::{MAX_PER_SLOT, MIN_PER_SLOT, RetryLedger, StatedSlots};
 use crate::retry_promise::{PromiseError, PromiseSums, RetryPromise, SlotCapacity};
 use crate::retry_schedule::{MAX_WAIT_SHARE, MIN_DELAY_MS, spread};
 use crate::retry_slots::{HORIZON_MS, RetrySlots, SLOT_MS, SlotGrid};
@@ -235,13 +235,13 @@
             let per_slot =
                 |c: &SlotCapacity| f64::from(c.per_slot).clamp(MIN_PER_SLOT, MAX_PER_SLOT);
             let until = sent + HORIZON_MS;
-            let told = capacity.map(|c| SlotsTold { per_slot: per_slot(c), last, until });
-            let (mut slots, full) = (RetrySlots::default(), told.map_or(0, SlotsTold::most));
+            let stated = capacity.map(|c| StatedSlots { per_slot: per_slot(c), last, until });
+            let (mut slots, full) = (RetrySlots::default(), stated.map_or(0, StatedSlots::most));
             for start in (self.grid.start(sent)..=last).step_by(SLOT_MS as usize) {
                 let other = if is_past_promise(start, sent) { 0 } else { full };
                 slots.add(start, listed.get(&start).copied().unwrap_or(other));
             }
-            ledger.poll_answered(slots, told);
+            ledger.poll_answered(slots, stated);
         }
         Ok(())
     }
@@ -295,7 +295,7 @@
         for p in promises.iter().filter(|p| is_near(p)) {
             let start = self.grid.at(now, p.in_ms);
             if let Some(ledger) = self.ledger(&p.service) {
-                ledger.hear(start, p.count);
+                ledger.record_promises(start, p.count);
             }
         }
         self.services.values_mut().for_each(|l| l.expire(now));
--- a/crates/policy/src/retry_ledger.rs
+++ b/crates/policy/src/retry_ledger.rs
@@ -23,7 +23,7 @@
 
 /// Capacity of the failure domain's slots, as the planner stated it.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct SlotsTold {
+pub(crate) struct StatedSlots {
     pub(crate) per_slot: f64,
     /// Start of the last slot in which this node may promise places.
     pub(crate) last: Millis,
@@ -31,7 +31,7 @@
     pub(crate) until: Millis,
 }
 
-impl SlotsTold {
+impl StatedSlots {
     /// Largest capacity of a slot.
     pub(crate) fn most(self) -> u32 {
         self.per_slot.ceil() as u32
@@ -42,20 +42,20 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RetryLedger {
     /// All promises of this node.
-    mine: RetrySlots,
+    own: RetrySlots,
     /// Those that no other node knows of yet.
     pending: RetrySlots,
     /// Those in a poll that is not answered yet.
     in_flight: RetrySlots,
     /// Promises of the domain, with places reserved for others, by the planner's last answer.
     domain: RetrySlots,
-    told: Option<SlotsTold>,
+    stated: Option<StatedSlots>,
     /// Promises of all nodes that poll this one; at a planner, its own too.
-    heard: RetrySlots,
+    reported: RetrySlots,
     /// Places reserved for polling nodes until their next poll.
     reserved: RetrySlots,
     own_rate: AdmissionRate,
-    heard_rate: AdmissionRate,
+    reported_rate: AdmissionRate,
     /// Streams admitted here since the last poll.
     admitted: u32,
 }
@@ -69,44 +69,44 @@
 
     /// Counts streams admitted by a node that polls this one.
     pub(crate) fn record_admitted(&mut self, count: u32, now: Millis) {
-        self.heard_rate.count(count.min(MAX_ADMITTED), now);
+        self.reported_rate.count(count.min(MAX_ADMITTED), now);
     }
 
     /// Records a promise of this node.
     pub(crate) fn promise(&mut self, start: Millis, is_planner: bool) {
-        self.mine.add(start, 1);
+        self.own.add(start, 1);
         match is_planner {
-            true => self.heard.add(start, 1),
+            true => self.reported.add(start, 1),
             false => self.pending.add(start, 1),
         }
     }
 
     /// Records promises of a node that polls this one.
-    pub(crate) fn hear(&mut self, start: Millis, count: u32) {
-        self.heard.add(start, count);
+    pub(crate) fn record_promises(&mut self, start: Millis, count: u32) {
+        self.reported.add(start, count);
     }
 
     pub(crate) fn expire(&mut self, now: Millis) {
         for slots in [
-            &mut self.mine,
+            &mut self.own,
             &mut self.pending,
             &mut self.in_flight,
             &mut self.domain,
-            &mut self.heard,
+            &mut self.reported,
             &mut self.reserved,
         ] {
             slots.expire(now);
         }
-        self.told = self.told.filter(|told| now < told.until);
+        self.stated = self.stated.filter(|stated| now < stated.until);
     }
 
     pub(crate) fn align(&mut self, grid: SlotGrid) {
         for slots in [
-            &mut self.mine,
+            &mut self.own,
             &mut self.pending,
             &mut self.in_flight,
             &mut self.domain,
-            &mut self.heard,
+            &mut self.reported,
             &mut self.reserved,
         ] {
             slots.align(grid);
@@ -146,9 +146,9 @@
     }
 
     /// The last poll was answered by the planner, with these sums.
-    pub(crate) fn poll_answered(&mut self, sums: RetrySlots, told: Option<SlotsTold>) {
+    pub(crate) fn poll_answered(&mut self, sums: RetrySlots, stated: Option<StatedSlots>) {
         self.in_flight = RetrySlots::default();
-        (self.domain, self.told) = (sums, told);
+        (self.domain, self.stated) = (sums, stated);
     }
 }
 
@@ -158,12 +158,12 @@
     pub(crate) fn begin_planning(&mut self, now: Millis) {
         self.expire(now);
         for known in [&mut self.domain, &mut self.pending, &mut self.in_flight] {
-            self.heard.merge(&std::mem::take(known));
+            self.reported.merge(&std::mem::take(known));
         }
-        if let Some(told) = self.told.take() {
-            let domain = told.per_slot / SLOT_MS as f64 / RETRY_SHARE;
+        if let Some(stated) = self.stated.take() {
+            let domain = stated.per_slot / SLOT_MS as f64 / RETRY_SHARE;
             let others = (domain - self.own_rate.per_ms(now)).max(0.0);
-            self.heard_rate = AdmissionRate::at_rate(others, now);
+            self.reported_rate = AdmissionRate::at_rate(others, now);
         }
         self.admitted = 0;
         self.reserved = RetrySlots::default();
@@ -171,9 +171,9 @@
 
     /// Another node is the planner from now on.
     pub(crate) fn end_planning(&mut self) {
-        self.domain = std::mem::take(&mut self.heard);
+        self.domain = std::mem::take(&mut self.reported);
         self.reserved = RetrySlots::default();
-        self.heard_rate = AdmissionRate::default();
+        self.reported_rate = AdmissionRate::default();
         self.admitted = 0;
     }
 }
@@ -182,12 +182,12 @@
 impl RetryLedger {
     /// Whether any retries are promised after `from`.
     pub(crate) fn has_promises(&self, from: Millis) -> bool {
-        self.heard.iter().any(|(start, count)| start > from && count > 0)
+        self.reported.iter().any(|(start, count)| start > from && count > 0)
     }
 
     /// Promises in slots that end by `until`.
     pub(crate) fn due_before(&self, until: Millis) -> impl Iterator<Item = (Millis, u32)> {
-        self.heard.iter().filter(move |(start, n)| *n > 0 && start + SLOT_MS <= until)
+        self.reported.iter().filter(move |(start, n)| *n > 0 && start + SLOT_MS <= until)
     }
 
     /// Reserves up to `most` free places in the slots from `from` to `until`, the earliest first.
@@ -226,12 +226,12 @@
 
     /// Promised and reserved places of a slot at a planner.
     pub(crate) fn taken(&self, start: Millis) -> u32 {
-        self.heard.count(start).saturating_add(self.reserved.count(start))
+        self.reported.count(start).saturating_add(self.reserved.count(start))
     }
 
-    /// Mean capacity of a slot in the failure domain, by what the planner has heard.
+    /// Mean capacity of a slot in the failure domain, by what is reported to the planner.
     pub(crate) fn per_slot(&self, now: Millis) -> f64 {
-        let rate = self.own_rate.per_ms(now) + self.heard_rate.per_ms(now);
+        let rate = self.own_rate.per_ms(now) + self.reported_rate.per_ms(now);
         (rate * SLOT_MS as f64 * RETRY_SHARE).clamp(MIN_PER_SLOT, MAX_PER_SLOT)
     }
 
@@ -251,12 +251,12 @@
     /// Free places of a slot among those that the planner reserved for this node; none if it stated
     /// nothing of the service.
     pub(crate) fn reserved_free(&self, start: Millis) -> Option<u32> {
-        let told = self.told?;
-        if start > told.last {
+        let stated = self.stated?;
+        if start > stated.last {
             return Some(0);
         }
         let taken = self.domain.count(start).saturating_add(self.pending.count(start));
-        Some(told.most().saturating_sub(taken))
+        Some(stated.most().saturating_sub(taken))
     }
 
     /// Whether a node on its own may promise a place: within its own rate, and in no slot that was
@@ -264,15 +264,15 @@
     pub(crate) fn own_free(&self, start: Millis, seed: f64, now: Millis) -> bool {
         let rate = self.own_rate.per_ms(now) * SLOT_MS as f64 * RETRY_SHARE * OWN_PART;
         let rate = rate.max(MIN_OWN_PER_SLOT);
-        let full = self.told.is_some_and(|t| self.domain.count(start) >= t.most());
-        !full && self.mine.count(start) < places(rate, seed, start)
+        let full = self.stated.is_some_and(|t| self.domain.count(start) >= t.most());
+        !full && self.own.count(start) < places(rate, seed, start)
     }
 
     /// Promised retries of the failure domain in a slot, as far as known.
     pub(crate) fn due(&self, start: Millis, is_planner: bool) -> u32 {
         let known = [&self.domain, &self.pending, &self.in_flight];
         match is_planner {
-            true => self.heard.count(start),
+            true => self.reported.count(start),
             false => known.iter().map(|s| s.count(start)).fold(0, u32::saturating_add),
         }
     }
@@ -280,9 +280,9 @@
     /// Streams that the failure domain admits in one slot, as far as known.
     pub(crate) fn admitted_per_slot(&self, is_planner: bool, now: Millis) -> f64 {
         let own = self.own_rate.per_ms(now) * SLOT_MS as f64;
-        match self.told.filter(|told| now < told.until) {
-            _ if is_planner => own + self.heard_rate.per_ms(now) * SLOT_MS as f64,
-            Some(told) => told.per_slot / RETRY_SHARE,
+        match self.stated.filter(|stated| now < stated.until) {
+            _ if is_planner => own + self.reported_rate.per_ms(now) * SLOT_MS as f64,
+            Some(stated) => stated.per_slot / RETRY_SHARE,
             None => own,
         }
     }
