--- a/crates/heathpitchd/src/gateway/control/returns.rs
+++ b/crates/heathpitchd/src/gateway/control/returns.rs
@@ -7,13 +7,10 @@
 
 use heathpitch_core::{Millis, Name};
 use heathpitch_net::{FeedDemand, FeedPromise, FeedPromiseRate, FeedRequest, FeedResponse};
-use heathpitch_policy::{PromiseSums, RetryPromise, SlotCapacity};
+use heathpitch_policy::{MAX_DEMAND_ENTRIES, PromiseSums, RetryPromise, SlotCapacity};
 
 use super::state::Control;
 
-/// Most entries for demand in a poll.
-const MAX_DEMAND: usize = 64;
-
 /// # Polls of this node
 impl Control {
     /// Adds to a poll of `source` what it has to know of promised retries.
@@ -28,7 +25,7 @@
         request.promises = promises.map(to_feed).collect();
         for (service, admitted) in book.send_admitted() {
             let listed = request.demand.iter().any(|d| d.service == service);
-            if !listed && request.demand.len() < MAX_DEMAND {
+            if !listed && request.demand.len() < MAX_DEMAND_ENTRIES {
                 request.demand.push(FeedDemand {
                     service,
                     rank: 0,
--- a/crates/policy/src/retry_ledger.rs
+++ b/crates/policy/src/retry_ledger.rs
@@ -87,30 +87,23 @@
     }
 
     pub(crate) fn expire(&mut self, now: Millis) {
-        for slots in [
-            &mut self.own,
-            &mut self.pending,
-            &mut self.in_flight,
-            &mut self.domain,
-            &mut self.reported,
-            &mut self.reserved,
-        ] {
-            slots.expire(now);
-        }
+        self.all_slots().into_iter().for_each(|slots| slots.expire(now));
         self.stated = self.stated.filter(|stated| now < stated.until);
     }
 
     pub(crate) fn align(&mut self, grid: SlotGrid) {
-        for slots in [
+        self.all_slots().into_iter().for_each(|slots| slots.align(grid));
+    }
+
+    fn all_slots(&mut self) -> [&mut RetrySlots; 6] {
+        [
             &mut self.own,
             &mut self.pending,
             &mut self.in_flight,
             &mut self.domain,
             &mut self.reported,
             &mut self.reserved,
-        ] {
-            slots.align(grid);
-        }
+        ]
     }
 }
 
