Sharing: streams are shed by their expected start as elsewhere, less urgent ranks earlier

Cause: the most urgent rank was admitted up to a wait of its whole latency target, and shed steeply from there. The wait is known with a delay.

Change: the start part of the pressure sheds from 0.7 of the target over 0.8 of it, as for services with a single rank; the memory part from 1.0 over 0.1. Both come earlier by the headroom of the rank and of what exceeds an account's share.

--- a/crates/heathpitchd/src/gateway/call/admission.rs
+++ b/crates/heathpitchd/src/gateway/call/admission.rs
@@ -72,8 +72,10 @@
 pub(crate) struct Sharing {
     /// Part of the service's recent demand that is more urgent, 0 to 1.
     urgent_share: f64,
-    /// Digest of its client account, if account shares apply.
+    /// Digest of its client account, if it has one and account shares apply.
     account: Option<u64>,
+    /// Whether account shares apply.
+    by_account: bool,
     /// Part of the account's requests that is within its share.
     fraction: f64,
     /// Pressure expected from callers that were told to return now.
@@ -89,12 +91,13 @@
         if catalog.stream_ranks(service) < 2 || !shared.settings.load().load.sharing.is_on() {
             return None;
         }
-        let holder = call.holder.as_ref().filter(|_| catalog.accounts().len() >= 2);
+        let by_account = catalog.accounts().len() >= 2;
+        let holder = call.holder.as_ref().filter(|_| by_account);
         let account = holder.map(|h| Demand::key(&h.account));
         let shares = shared.shares.load();
         let fraction = account.map_or(1.0, |a| shares.fraction(service, a, shared.now()));
-        let due = shared.retry_book.lock().due_pressure(service, shared.now());
-        Some(Self { urgent_share, account, fraction, due })
+        let due = traffic.retry_schedules.due_pressure(service, shared.now());
+        Some(Self { urgent_share, account, by_account, fraction, due })
     }
 
     /// Load that the decision is based on, for the log.
@@ -112,9 +115,12 @@
             due: self.due,
         };
         query.admit(rand::rng().random_range(0.0..1.0)).map_err(|reason| {
-            let (level, limit) = (pressure.level(), query.rank_limit());
+            let (level, headroom) = (pressure.level(), query.headroom());
             let rule = match reason {
-                ShedReason::Rank => format!("rank {} is admitted up to {limit:.2}", call.rank()),
+                ShedReason::Rank => {
+                    let rank = call.rank();
+                    format!("rank {rank} leaves headroom of {headroom:.2} to more urgent ones")
+                }
                 ShedReason::Account => format!(
                     "the account asks for more than its share, which is {:.2} of its requests",
                     self.fraction
@@ -126,11 +132,12 @@
         })
     }
 
-    /// Counts the stream as demand of its account, if account shares apply.
+    /// Counts the stream as demand, if account shares apply. One without an account takes no part in
+    /// the shares, but the capacity for retries follows from all streams that are admitted.
     pub(crate) fn count(&self, traffic: &Traffic, call: &Call, admitted: bool) {
-        if let Some(account) = self.account {
+        if self.by_account {
             let (service, rank) = (call.service.name.clone(), call.rank());
-            let key = DemandKey { service, rank, account };
+            let key = DemandKey { service, rank, account: self.account.unwrap_or(0) };
             traffic.shared.notify_control(ControlMessage::Demand(key, admitted));
         }
     }
--- a/crates/heathpitchd/src/gateway/control/returns.rs
+++ b/crates/heathpitchd/src/gateway/control/returns.rs
@@ -7,13 +7,10 @@
 
 use heathpitch_core::{Millis, Name};
 use heathpitch_net::{FeedDemand, FeedPromise, FeedPromiseRate, FeedRequest, FeedResponse};
-use heathpitch_policy::{PromiseSums, RetryPromise, SlotCapacity};
+use heathpitch_policy::{MAX_DEMAND_ENTRIES, PromiseSums, RetryPromise, SlotCapacity};
 
 use super::state::Control;
 
-/// Most entries for demand in a poll.
-const MAX_DEMAND: usize = 64;
-
 /// # Polls of this node
 impl Control {
     /// Adds to a poll of `source` what it has to know of promised retries.
@@ -28,7 +25,7 @@
         request.promises = promises.map(to_feed).collect();
         for (service, admitted) in book.send_admitted() {
             let listed = request.demand.iter().any(|d| d.service == service);
-            if !listed && request.demand.len() < MAX_DEMAND {
+            if !listed && request.demand.len() < MAX_DEMAND_ENTRIES {
                 request.demand.push(FeedDemand {
                     service,
                     rank: 0,
@@ -50,9 +47,8 @@
         if !self.sources.borrow().is_local(source) {
             return;
         }
-        let mut book = self.shared.retry_book.lock();
         if !self.is_domain_planner(source) {
-            return book.poll_recorded();
+            return self.shared.retry_book.lock().poll_recorded();
         }
         let known = |service: &Name| self.service(service).is_some();
         self.log_unknown(response.promises.iter().map(|p| &p.service), source);
@@ -64,7 +60,8 @@
                 .map(|r| SlotCapacity { service: r.service.clone(), per_slot: r.per_slot })
                 .collect(),
         };
-        if let Err(e) = book.poll_answered(&sums, sent, self.now()) {
+        let recorded = self.shared.retry_book.lock().poll_answered(&sums, sent, self.now());
+        if let Err(e) = recorded {
             log::warn!("promised retries from node {source} dropped: {e}");
         }
     }
@@ -80,10 +77,12 @@
 /// # Polls by other nodes
 impl Control {
     /// Records the promised retries in a poll; returns those of the domain and the capacities of
-    /// slots, if this node is the planner.
+    /// slots, if this node is the planner. The admitted streams in its demand count only if its
+    /// demand does: repeated ones would overstate the capacity.
     pub(super) fn answer_promises(
         &self,
         request: &FeedRequest,
+        demand_counts: bool,
     ) -> (Vec<FeedPromise>, Vec<FeedPromiseRate>) {
         if !self.promises_retries() || request.reports_only {
             return Default::default();
@@ -94,10 +93,14 @@
         let promises = request.promises.iter().filter(|p| known(&p.service));
         let promises: Vec<RetryPromise> = promises.map(from_feed).collect();
         let mut book = self.shared.retry_book.lock();
-        for demand in request.demand.iter().take(MAX_DEMAND).filter(|d| known(&d.service)) {
+        let demand = request.demand.iter().filter(|d| demand_counts && known(&d.service));
+        for demand in demand {
             book.record_admitted(&demand.service, demand.admitted, now);
         }
-        let sums = book.answer_poll(node, &promises, now).unwrap_or_else(|e| {
+        let answer = book.answer_poll(node, &promises, now);
+        // Calls wait for the book, so it is released before anything is logged.
+        drop(book);
+        let sums = answer.unwrap_or_else(|e| {
             log::warn!("promised retries from node {node} dropped: {e}");
             PromiseSums::default()
         });
--- a/crates/policy/src/sharing.rs
+++ b/crates/policy/src/sharing.rs
@@ -1,6 +1,6 @@
 //! Admission of streams when capacity runs short, by rank, client account and age.
 //!
-//! Each rank has a limit on the pressure of the chosen path, which is the lower the more of the recent
+//! Each rank leaves headroom below the limits on the pressure of the chosen path, the more of the recent
 //! demand is more urgent. The headroom that less urgent ranks leave serves the more urgent ones, since
 //! pressure is known with a delay. The part of an account's
 //! streams that exceeds its share has a lower limit than the rest. Below the limits every stream is
@@ -14,28 +14,33 @@
 
 use crate::{Pressure, ShedReason};
 
-/// Pressure up to which the most urgent rank is admitted: there the first event is expected at the
-/// latency target.
-const URGENT_LIMIT: f64 = 1.0;
-/// Pressure by which the limit of a rank is lower if all other demand is more urgent; in between it is
-/// lower in proportion, as headroom is kept for the demand that it protects.
-const RANK_SPAN: f64 = 0.3;
-/// Pressure by which the limit is lower for what exceeds an account's share.
-const EXCESS_STEP: f64 = 0.25;
-/// Pressure beyond a limit over which the admission probability falls to the floor.
-const SPAN: f64 = 0.1;
+/// Memory pressure up to which the most urgent rank is admitted: there the capacity is used up.
+const MEMORY_LIMIT: f64 = 1.0;
+/// Memory pressure beyond the limit over which the admission probability falls to the floor.
+const MEMORY_SPAN: f64 = 0.1;
+/// Start pressure from which streams of the most urgent rank are shed: the wait is known with a delay,
+/// and grows meanwhile.
+const START_LIMIT: f64 = 0.7;
+/// Start pressure beyond the limit over which the admission probability falls to the floor: each
+/// stream that is shed shortens the wait of the others.
+const START_SPAN: f64 = 0.8;
+/// Headroom of a rank if all other demand is more urgent; in between it is in proportion to the
+/// demand that it protects.
+const RANK_HEADROOM: f64 = 0.3;
+/// Further headroom for what exceeds an account's share.
+const EXCESS_HEADROOM: f64 = 0.25;
 /// Least admission probability of the most urgent rank: the streams still admitted show whether the
 /// pressure has fallen.
 const URGENT_FLOOR: f64 = 0.1;
 /// Least admission probability of other ranks and of excess requests, relative to the most urgent
 /// rank: callers must not be served less than a quarter as often as the average.
 const FLOOR_SHARE: f64 = 0.25;
-/// Age from which a caller is returning after a rejection: the shortest promised time is 2 s, and a
-/// third of a caller's remaining time may be less.
-const RETURNING_AGE_MS: Millis = 1_000;
+/// Age from which a caller is returning after a rejection: a first try reaches a node sooner. The
+/// shortest promised time is 2 s, and a third of a caller's remaining time may be less.
+pub(crate) const RETURNING_AGE_MS: Millis = 1_000;
 /// Bounds the pressure that returns add: more would reject new streams for returns that may not
 /// come.
-const MAX_DUE: f64 = 0.2;
+pub(crate) const MAX_DUE: f64 = 0.2;
 
 /// A stream to be admitted or refused.
 ///
@@ -44,7 +49,7 @@
 /// ```
 /// use heathpitch_policy::{Pressure, SharingQuery, ShedReason};
 ///
-/// let pressure = Pressure { memory: 0.5, start: 0.97 };
+/// let pressure = Pressure { memory: 0.97, start: 0.3 };
 /// let urgent = SharingQuery { pressure, ..SharingQuery::default() };
 /// assert_eq!(urgent.admit(0.9), Ok(()));
 /// let other = SharingQuery { urgent_share: 0.5, ..urgent };
@@ -95,8 +100,8 @@
         match draw {
             _ if self.started => Ok(()),
             draw if draw < self.probability() => Ok(()),
-            draw if draw < self.admission(self.rank_limit()) => Err(ShedReason::Account),
-            draw if draw < urgent_admission(self.pressure.level()) => Err(ShedReason::Rank),
+            draw if draw < self.admission(self.headroom()) => Err(ShedReason::Account),
+            draw if draw < urgent_admission(self.pressure) => Err(ShedReason::Rank),
             _ if memory > start => Err(ShedReason::Full),
             _ => Err(ShedReason::Late),
         }
@@ -104,23 +109,23 @@
 
     /// Admission probability, 0 to 1.
     pub fn probability(&self) -> f64 {
-        let limit = self.rank_limit();
+        let headroom = self.headroom();
         match () {
             () if self.started => 1.0,
-            () if self.is_returning() => self.admission(limit),
+            () if self.is_returning() => self.admission(headroom),
             () => {
                 let within = self.fraction.clamp(0.0, 1.0);
-                let excess = self.admission(limit - EXCESS_STEP);
-                within * self.admission(limit) + (1.0 - within) * excess
+                let excess = self.admission(headroom + EXCESS_HEADROOM);
+                within * self.admission(headroom) + (1.0 - within) * excess
             }
         }
     }
 
-    /// Pressure up to which its rank is admitted.
-    pub fn rank_limit(&self) -> f64 {
+    /// Pressure that its rank leaves to more urgent ones.
+    pub fn headroom(&self) -> f64 {
         match self.is_returning() {
-            true => URGENT_LIMIT,
-            false => URGENT_LIMIT - RANK_SPAN * self.urgent_share.clamp(0.0, 1.0),
+            true => 0.0,
+            false => RANK_HEADROOM * self.urgent_share.clamp(0.0, 1.0),
         }
     }
 
@@ -129,32 +134,35 @@
         self.age_ms >= RETURNING_AGE_MS
     }
 
-    /// Pressure that counts for this stream: new streams of less urgent ranks leave room for
-    /// returning callers.
-    fn level(&self) -> f64 {
-        let level = self.pressure.level();
-        match self.urgent_share > 0.0 && !self.is_returning() {
-            true => level + self.due.clamp(0.0, MAX_DUE),
-            false => level,
+    /// Admission probability with this headroom.
+    fn admission(&self, headroom: f64) -> f64 {
+        let urgent = urgent_admission(self.pressure);
+        if headroom <= 0.0 {
+            return urgent;
         }
+        let Pressure { memory, start } = self.pressure;
+        let raise = headroom + self.due_pressure();
+        let raised = Pressure { memory: memory + raise, start: start + raise };
+        urgent_admission(raised).min(urgent).max(urgent * FLOOR_SHARE)
     }
 
-    /// Admission probability with this limit.
-    fn admission(&self, limit: f64) -> f64 {
-        let urgent = urgent_admission(self.pressure.level());
-        match limit < URGENT_LIMIT {
-            true => falling(self.level() - limit, urgent * FLOOR_SHARE),
-            false => urgent,
+    /// Pressure of returning callers that counts for this stream: new streams of less urgent ranks
+    /// leave room for them.
+    fn due_pressure(&self) -> f64 {
+        match self.urgent_share > 0.0 && !self.is_returning() {
+            true => self.due.clamp(0.0, MAX_DUE),
+            false => 0.0,
         }
     }
 }
 
 /// Admission probability of the most urgent rank.
-fn urgent_admission(level: f64) -> f64 {
-    falling(level - URGENT_LIMIT, URGENT_FLOOR)
+fn urgent_admission(pressure: Pressure) -> f64 {
+    let memory = falling(pressure.memory, MEMORY_LIMIT, MEMORY_SPAN);
+    memory.min(falling(pressure.start, START_LIMIT, START_SPAN)).max(URGENT_FLOOR)
 }
 
-/// Falls from 1 to `floor` as the pressure `beyond` a limit grows.
-fn falling(beyond: f64, floor: f64) -> f64 {
-    1.0 - (beyond / SPAN).clamp(0.0, 1.0) * (1.0 - floor)
+/// Falls from 1 at `limit` to 0 over `span`.
+fn falling(level: f64, limit: f64, span: f64) -> f64 {
+    1.0 - ((level - limit) / span).clamp(0.0, 1.0)
 }
