Metric: probes of engines, by result

The connections that nodes open to probe engines were counted nowhere, so probes of engines that are only slow could not be told from other connections. heathpitch_engine_probes_total counts them by result.

--- a/crates/heathpitchd/src/gateway/control/reachability.rs
+++ b/crates/heathpitchd/src/gateway/control/reachability.rs
@@ -189,6 +189,8 @@
 
 /// Records the result of a probe, and returns whether it changes what is known of the engine.
 fn record_probe(control: &Control, engine: &Name, reached: bool) -> bool {
+    let label = if reached { "answered" } else { "failed" };
+    control.shared.metrics.probes.with_label_values(&[label]).inc();
     match (reached, control.is_unreachable(engine)) {
         (true, true) => {
             control.unreachable.borrow_mut().remove(engine);
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Name and help of every metric of a gateway.
-pub const GATEWAY_METRICS: [(&str, &str); 25] = [
+pub const GATEWAY_METRICS: [(&str, &str); 26] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -42,6 +42,7 @@
         "heathpitch_capacity_rejections_total",
         "Streams rejected after an engine refused them, as no path is expected to have capacity",
     ),
+    ("heathpitch_engine_probes_total", "Probes of engines whose streams are silent, by result"),
 ];
 
 /// Bucket bounds for the time to the head of an answer, seconds.
@@ -78,6 +79,7 @@
     pub(crate) returns: IntCounterVec,
     pub(crate) moves: IntCounterVec,
     pub(crate) capacity_rejections: IntCounter,
+    pub(crate) probes: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -119,6 +121,7 @@
             returns: IntCounterVec::new(opts(22), &["result"])?,
             moves: IntCounterVec::new(opts(23), &["result"])?,
             capacity_rejections: IntCounter::with_opts(opts(24))?,
+            probes: IntCounterVec::new(opts(25), &["result"])?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -154,6 +157,7 @@
             Box::new(self.returns.clone()),
             Box::new(self.moves.clone()),
             Box::new(self.capacity_rejections.clone()),
+            Box::new(self.probes.clone()),
         ]
     }
 
