Recovery: engines of late streams are not probed again after each event

An engine that answered a probe is probed again before 300 ms are over once a silent stream has had an event, so that a loss just after the event is found in time. Streams through slow engines are silent after most events, and each silence probed all engines of their paths.

The probe is repeated early only where a move could still come in time: not for streams that have exceeded their maximum pause, and not for engines beside a slow one, since the event after the move would pass the slow engine again. First probes and their interval are unchanged, as are streams in time on healthy paths.

--- a/crates/heathpitchd/src/gateway/control/reachability.rs
+++ b/crates/heathpitchd/src/gateway/control/reachability.rs
@@ -12,6 +12,7 @@
 use futures::future::Either;
 
 use heathpitch_core::{Millis, Name, Path};
+use heathpitch_policy::may_repeat_probe;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
@@ -113,7 +114,7 @@
     probed.retain(|(_, at)| now < at + PROBE_INTERVAL_MS);
     let mut flowing: HashSet<Name> = HashSet::new();
     let mut silent: HashSet<Name> = HashSet::new();
-    // Last events of silent streams with a maximum pause, by engine.
+    // Last events of silent streams whose engines may be probed again early, by engine.
     let mut last_events: HashMap<Name, Millis> = HashMap::new();
     for tracked in control.streams.borrow().iter() {
         let Some(live) = tracked.live.upgrade() else { continue };
@@ -121,7 +122,7 @@
         let engines = path.stages().iter().map(|s| s.engine.clone());
         if is_silent(&live, now) && control.recovers(&live) {
             let last = now.saturating_sub(live.silence(now));
-            for engine in engines.clone() {
+            for engine in repeated(control, &live, &path, now) {
                 let known = last_events.entry(engine).or_default();
                 *known = last.max(*known);
             }
@@ -158,6 +159,16 @@
     found
 }
 
+/// Engines of a silent stream that may be probed again although they answered a moment ago.
+fn repeated(control: &Control, live: &LiveStream, path: &Path, now: Millis) -> Vec<Name> {
+    let is_late = live.is_late(now);
+    let may_repeat = |engine: &&Name| {
+        let others = path.stages().iter().filter(|s| s.engine != **engine);
+        may_repeat_probe(is_late, others.map(|s| control.slowdown(&s.engine)))
+    };
+    path.stages().iter().map(|s| &s.engine).filter(may_repeat).cloned().collect()
+}
+
 /// Marks engines as reachable that streams flow through, whatever a probe found.
 fn clear_flowing(control: &Control, flowing: &HashSet<Name>) {
     let mut unreachable = control.unreachable.borrow_mut();
--- a/crates/heathpitchd/src/gateway/live.rs
+++ b/crates/heathpitchd/src/gateway/live.rs
@@ -43,6 +43,8 @@
     pub(crate) last_received: AtomicU64,
     /// Events relayed by this attempt.
     pub(crate) events: AtomicU64,
+    /// Whether a pause between two events was longer than the maximum.
+    overran: AtomicBool,
     /// Its last move.
     pub(crate) progress: Arc<MoveProgress>,
     abandoned: AtomicBool,
@@ -70,6 +72,7 @@
             routed: AtomicU64::new(now),
             last_received: AtomicU64::new(now),
             events: AtomicU64::new(0),
+            overran: AtomicBool::new(false),
             progress: Arc::default(),
             abandoned: AtomicBool::new(false),
             notify: Notify::new(),
@@ -112,8 +115,20 @@
         }
     }
 
+    /// Whether a pause between events of this attempt is or was longer than the maximum.
+    pub(crate) fn is_late(&self, now: Millis) -> bool {
+        self.overran.load(Relaxed) || self.overruns(now)
+    }
+
+    fn overruns(&self, now: Millis) -> bool {
+        self.terms.max_pause_ms.is_some() && self.has_started() && now > self.due()
+    }
+
     /// Records events received, or only that the engine responds if there are none.
     pub(crate) fn record_events(&self, events: u64, now: Millis) {
+        if events > 0 && self.overruns(now) {
+            self.overran.store(true, Relaxed);
+        }
         self.events.fetch_add(events, Relaxed);
         if events > 0 {
             self.progress.resume(now);
--- a/crates/heathpitchd/tests/gateway_recovery.rs
+++ b/crates/heathpitchd/tests/gateway_recovery.rs
@@ -8,7 +8,7 @@
 mod gateway;
 
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gateway::{Cluster, KEY, wait_until};
 use heathpitch_standin::{Behavior, Caller, Engine, GatewayProcess, RouteSpec};
@@ -27,6 +27,14 @@
 /// Time between the last events of two streams; together with a check, well below a silence threshold.
 const OFFSET: Duration = Duration::from_millis(60);
 
+/// Time between events that is longer than the shortest silence threshold, and shorter than the
+/// 300 ms between two probes of an engine that no event has passed since.
+const PAUSED_EVENTS: Duration = Duration::from_millis(150);
+/// Events of a stream with such pauses.
+const PAUSES: u64 = 20;
+/// Time between two probes of an engine, milliseconds.
+const PROBE_INTERVAL_MS: u128 = 300;
+
 /// Time between new streams: below the 80 ms in which data shows that an engine works.
 const NEW_STREAM_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -217,3 +225,62 @@
     assert!(moved["read_ms"].is_null(), "no forecast is made: {moved}");
     assert!(moved["silent_ms"].as_u64().is_some_and(|ms| ms >= 160), "{moved}");
 }
+
+/// Plays a stream whose route states `max_pause` and whose events all come after [`PAUSED_EVENTS`], and
+/// returns the number of probes and the duration, milliseconds.
+async fn probes_of_paused_stream(max_pause: u64, slowdowns: [f64; 2]) -> (u64, u128) {
+    let mut scene = Scene::new(PAUSED_EVENTS);
+    scene.cluster.config.routes[0] =
+        RouteSpec::stream("/urgent/", "llm").rank(0).max_pause(max_pause);
+    scene.cluster.config.version += 1;
+    scene.cluster.configure();
+    scene.head.set_behavior(Behavior::Stream(PAUSES, PAUSED_EVENTS));
+    scene.others[1].deregister();
+    let node = scene.node("auto").await;
+    for (engine, slowdown) in [&scene.head, &scene.others[0]].into_iter().zip(slowdowns) {
+        engine.set_slowdown(slowdown);
+    }
+    let reported = slowdowns.iter().filter(|slowdown| **slowdown > 1.0).count();
+    wait_until("the slowdowns are reported", async || {
+        node.events("engine_paced").len() >= reported
+    })
+    .await;
+    let start = Instant::now();
+    let mut body = scene.open(&node, "/urgent/x").await;
+    while body.frame().await.is_some_and(|frame| frame.is_ok()) {}
+    let text = node.metrics().await.unwrap();
+    assert!(!text.contains("heathpitch_engine_probes_total{result=\"failed\"}"), "{text}");
+    let probes = text.lines().find_map(|line| {
+        line.strip_prefix("heathpitch_engine_probes_total{result=\"answered\"} ")?.parse().ok()
+    });
+    (probes.unwrap_or(0), start.elapsed().as_millis())
+}
+
+/// Probes of `engines` engines in a time, at the interval that holds for all streams.
+fn probes_at_interval(engines: u64, elapsed: u128) -> u64 {
+    engines * (elapsed / PROBE_INTERVAL_MS + 1) as u64
+}
+
+/// Guards against probes of healthy engines after each event of a stream that is late already.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_of_a_late_stream_are_not_probed_after_each_event() {
+    // Each pause exceeds the maximum, so that nothing is gained by a move.
+    let (probes, elapsed) = probes_of_paused_stream(100, [1.0; 2]).await;
+    assert!(probes <= probes_at_interval(2, elapsed), "{probes} probes in {elapsed} ms");
+}
+
+/// Guards against probes of healthy engines after each event of a stream that a slow engine delays.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_beside_a_slow_one_are_not_probed_after_each_event() {
+    let (probes, elapsed) = probes_of_paused_stream(200, [1.0, 5.0]).await;
+    // The slow engine may be probed after each event.
+    let all = probes_at_interval(1, elapsed) + PAUSES;
+    assert!(probes <= all, "{probes} probes in {elapsed} ms");
+}
+
+/// Guards against late moves: the engines of a stream that is in time are probed after each silence.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_of_a_stream_in_time_are_probed_after_each_event() {
+    let (probes, elapsed) = probes_of_paused_stream(200, [1.0; 2]).await;
+    assert!(probes > probes_at_interval(2, elapsed), "{probes} probes in {elapsed} ms");
+}
