Recovery: moves whose order was refused no longer count as load

A move counts as load of the substitutes when it is ordered. If the first engine refused the order, that load stayed, and each retry added it again, scaled to all nodes. The retry was then expected to be late behind prefills that nobody had ordered, and a less urgent stream waited for the more urgent ranks. A refused order is now uncounted; one without a response still counts, as it may have been carried out.

The test covers the sums; no stand-in refuses such orders, so the retry of a real node is not covered.

--- a/crates/heathpitchd/src/gateway/control/moves.rs
+++ b/crates/heathpitchd/src/gateway/control/moves.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use heathpitch_core::{Millis, Name, Path};
-use heathpitch_policy::{MoveLoad, StalledStream, plan_moves, prefill_ms};
+use heathpitch_policy::{MoveBooking, MoveLoad, StalledStream, plan_moves, prefill_ms};
 use tokio::sync::Notify;
 
 use super::detour::{find_detour, prefill_stages, substitute_prefill_ms};
@@ -104,8 +104,8 @@
     match planned {
         Continuation::Replace => live.abandon(),
         Continuation::Reroute(new) => {
-            book(control, stalled, &new, now);
-            reroute(control, live, path, new, Some(lost.clone()), tracked);
+            let booked = book(control, stalled, &new, now);
+            reroute(control, live, path, new, Some(lost.clone()), tracked, booked);
         }
     }
 }
@@ -115,19 +115,20 @@
 /// Other nodes move their streams of the same engine at the same time, to any of the engines that hold
 /// the layers. Each token of this node stands for as many as the lost engine held for each token of
 /// this node's requests.
-fn book(control: &Control, stalled: &Stalled<'_>, new: &Path, now: Millis) {
+fn book(control: &Control, stalled: &Stalled<'_>, new: &Path, now: Millis) -> Vec<MoveBooking> {
     let Stalled { live, path, lost, .. } = stalled;
-    let Some(spec) = control.service(&live.service) else { return };
-    let Some(model) = spec.model.as_ref() else { return };
+    let spec = control.service(&live.service);
+    let Some(model) = spec.as_ref().and_then(|s| s.model.as_ref()) else { return Vec::new() };
     let table = control.shared.table.load();
     let others = live.tokens * (requests_share(&table, lost, live.tokens, now) - 1.0);
     let mut load = control.recovery.load.borrow_mut();
+    let mut booked = Vec::new();
     for (engine, stage) in prefill_stages(control, model, path, new) {
         let is_head = engine == new.head().engine;
         let mut add = |engine: &Name, tokens: f64| {
             // The first engine holds the tokens already.
             let held = if is_head { 0.0 } else { tokens };
-            load.book(engine, stage.busy_ms(tokens), held, now);
+            booked.push(load.book(engine, stage.busy_ms(tokens), held, now));
         };
         add(&engine, live.tokens);
         let holders = holders(control, &table, &live.service, &engine);
@@ -135,6 +136,7 @@
             add(holder, others / holders.len() as f64);
         }
     }
+    booked
 }
 
 /// Requests of all nodes per request of this node at an engine, from its last report.
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -16,6 +16,7 @@
 
 use heathpitch_core::{Millis, Name, Path, Stage};
 use heathpitch_net::{OrderOutcome, RpcError};
+use heathpitch_policy::MoveBooking;
 use tokio::task::spawn_local;
 
 use super::detour::find_detour;
@@ -303,11 +304,12 @@
     tracked: &TrackedStream,
 ) {
     if let Some(new) = find_detour(control, live, path, false).filter(|new| new != path) {
-        reroute(control, live, path, new, moved_off, tracked);
+        reroute(control, live, path, new, moved_off, tracked, Vec::new());
     }
 }
 
-/// Orders the first engine of a stream to route it through other engines.
+/// Orders the first engine of a stream to route it through other engines; `booked` is what the move
+/// was counted as.
 pub(super) fn reroute(
     control: &Rc<Control>,
     live: &Arc<LiveStream>,
@@ -315,6 +317,7 @@
     new: Path,
     moved_off: Option<Name>,
     tracked: &TrackedStream,
+    booked: Vec<MoveBooking>,
 ) {
     let Ok(head) = path.head().address.as_str().parse::<SocketAddr>() else { return };
     let (control, live, engine) = (control.clone(), live.clone(), path.head().engine.clone());
@@ -344,6 +347,11 @@
             result: result_text(&result),
         }
         .log();
+        // Each retry is counted anew. An order without a response may have been carried out.
+        if result.as_ref().is_ok_and(|outcome| *outcome != OrderOutcome::Taken) {
+            let mut load = control.recovery.load.borrow_mut();
+            booked.iter().for_each(|booking| load.cancel(booking));
+        }
         let retry_ms = MOVE_RETRY_MS << refusals.get().min(MAX_MOVE_DOUBLINGS);
         match result {
             Ok(OrderOutcome::Taken) => {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -119,7 +119,7 @@
 pub use limits::{LimitUpdate, Limits};
 pub use members::{Member, MemberState, Members};
 pub use mirror::{Delta, Mirror};
-pub use move_load::MoveLoad;
+pub use move_load::{MoveBooking, MoveLoad};
 pub use move_order::{MoveResult, StalledStream, plan_moves};
 pub use occupancy::Occupancy;
 pub use placement::{
--- a/crates/policy/src/move_load.rs
+++ b/crates/policy/src/move_load.rs
@@ -26,6 +26,15 @@
     moves: Vec<(Millis, f64)>,
 }
 
+/// What one ordered move adds to an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MoveBooking {
+    engine: Name,
+    busy_ms: f64,
+    tokens: f64,
+    at: Millis,
+}
+
 /// Prefills and tokens that ordered moves add to each engine.
 ///
 /// # Examples
@@ -49,13 +58,24 @@
 /// # Updates
 impl MoveLoad {
     /// Counts a move ordered at `now` that keeps an engine busy for `busy_ms` and adds `tokens`.
-    pub fn book(&mut self, engine: &Name, busy_ms: f64, tokens: f64, now: Millis) {
+    pub fn book(&mut self, engine: &Name, busy_ms: f64, tokens: f64, now: Millis) -> MoveBooking {
+        let busy_ms = busy_ms.max(0.0);
         let booking = self.bookings.entry(engine.clone()).or_default();
-        booking.busy_until = booking.busy_until.max(now as f64) + busy_ms.max(0.0);
+        booking.busy_until = booking.busy_until.max(now as f64) + busy_ms;
         match booking.moves.last_mut() {
             Some((at, added)) if *at == now => *added += tokens,
             _ => booking.moves.push((now, tokens)),
         }
+        MoveBooking { engine: engine.clone(), busy_ms, tokens, at: now }
+    }
+
+    /// Removes what a move would have added whose order was refused.
+    pub fn cancel(&mut self, cancelled: &MoveBooking) {
+        let Some(booking) = self.bookings.get_mut(&cancelled.engine) else { return };
+        booking.busy_until -= cancelled.busy_ms;
+        if let Some((_, tokens)) = booking.moves.iter_mut().find(|(at, _)| *at == cancelled.at) {
+            *tokens -= cancelled.tokens;
+        }
     }
 
     /// Drops what reports show by `now`.
--- a/crates/policy/tests/move_order.rs
+++ b/crates/policy/tests/move_order.rs
@@ -377,6 +377,28 @@
     assert_eq!(moved.len(), 36, "every stream is moved");
 }
 
+/// Guards against moves that still count after their order was refused: each retry would queue behind
+/// those before it, be expected late, and wait for the more urgent ranks.
+#[test]
+fn refused_moves_do_not_count() {
+    let engines = engines(1);
+    let path = stream(0, 1, LOST_AT).path;
+    let (now, mut load) = (noticed_at(), MoveLoad::default());
+    let kept = load.book(&name("s0"), 5.0, TOKENS, now);
+    for _ in 0..3 {
+        let stages = prefill_stages(&detour(&path, &engines, &load, now).unwrap(), &engines);
+        let refused: Vec<_> = stages
+            .iter()
+            .map(|(engine, stage)| load.book(engine, stage.busy_ms(TOKENS), TOKENS, now))
+            .collect();
+        refused.iter().for_each(|booking| load.cancel(booking));
+    }
+    let s0 = name("s0");
+    assert!((load.wait_ms(&s0, now) - 5.0).abs() < 1e-6 && load.tokens(&s0, now) == TOKENS);
+    load.cancel(&kept);
+    assert!(load.wait_ms(&s0, now) < 1e-6 && load.tokens(&s0, now) == 0.0);
+}
+
 #[test]
 fn slow_cards_shorten_the_silence_threshold_within_its_bounds() {
     let threshold = |card: &Card, tokens| {
