Recovery: prefill forecast without unreachable substitutes; one search for holders

The forecast that shortens a stream's silence threshold took the fastest holder of the layers, even while that one was unreachable, so the threshold was too long for those that remain. It and the count of moves searched for holders each on its own; both now use one function that leaves unreachable engines out.

--- a/crates/heathpitchd/src/gateway/control/detour.rs
+++ b/crates/heathpitchd/src/gateway/control/detour.rs
@@ -1,11 +1,13 @@
 //! Paths around lost or draining engines, and the time to prefill a stream's tokens there.
 
-use heathpitch_core::{LayeredModel, Name, Path, Stage};
+use heathpitch_core::{LayerRange, LayeredModel, Name, Path, Stage};
 use heathpitch_policy::{ChainQuery, PrefillStage, find_local_chain, prefill_ms};
 
 use super::recovery::has_restarted;
 use super::state::Control;
-use crate::gateway::engine_table::{EngineView, FULL_PENALTY_MS, MAX_UTILIZATION, PathQuery};
+use crate::gateway::engine_table::{
+    EngineTable, EngineView, FULL_PENALTY_MS, MAX_UTILIZATION, PathQuery,
+};
 use crate::gateway::live::LiveStream;
 
 /// Best path from a stream's first engine, without engines that are unreachable or draining.
@@ -75,9 +77,26 @@
     prefilling.filter_map(stage).collect()
 }
 
+/// Reachable engines of a failure domain that hold a range of layers.
+pub(super) fn reachable_holders<'a>(
+    control: &'a Control,
+    table: &'a EngineTable,
+    service: &Name,
+    domain: &'a Name,
+    layers: LayerRange,
+) -> impl Iterator<Item = &'a EngineView> {
+    table.engines_of(service).iter().filter(move |v| {
+        let held = v.entry.layers;
+        v.entry.domain == *domain
+            && held.first <= layers.first
+            && layers.end <= held.end
+            && !control.is_unreachable(&v.entry.id)
+    })
+}
+
 /// Forecast time to prefill a stream's tokens after the loss of an engine, milliseconds: that of the
-/// stage for which it takes longest, at the fastest engine in the first engine's failure domain that
-/// holds the same layers.
+/// stage for which it takes longest, at the fastest reachable engine in the first engine's failure domain
+/// that holds the same layers.
 pub(super) fn substitute_prefill_ms(control: &Control, live: &LiveStream) -> Option<f64> {
     let spec = control.service(&live.service)?;
     let model = spec.model.as_ref()?;
@@ -87,13 +106,9 @@
     let first = table.prefill_stage(head, model, path.head().layers.count(), now)?;
     let cost = |view, stage: &Stage| table.prefill_stage(view, model, stage.layers.count(), now);
     let substitute = |stage: &Stage| {
-        let holds = |v: &&EngineView| {
-            v.entry.domain == head.entry.domain
-                && v.entry.id != stage.engine
-                && v.entry.layers.first <= stage.layers.first
-                && stage.layers.end <= v.entry.layers.end
-        };
-        let held = table.engines_of(&live.service).iter().filter(holds);
+        let held =
+            reachable_holders(control, &table, &live.service, &head.entry.domain, stage.layers)
+                .filter(|v| v.entry.id != stage.engine);
         let others = held.filter_map(|v| cost(v, stage));
         let fastest =
             others.min_by(|a, b| a.busy_ms(live.tokens).total_cmp(&b.busy_ms(live.tokens)));
--- a/crates/heathpitchd/src/gateway/control/moves.rs
+++ b/crates/heathpitchd/src/gateway/control/moves.rs
@@ -11,10 +11,10 @@
 use heathpitch_policy::{MoveBooking, MoveLoad, StalledStream, plan_moves, prefill_ms};
 use tokio::sync::Notify;
 
-use super::detour::{find_detour, prefill_stages, substitute_prefill_ms};
+use super::detour::{find_detour, prefill_stages, reachable_holders, substitute_prefill_ms};
 use super::recovery::{MOVE_INTERVAL_MS, TrackedStream, reroute};
 use super::state::Control;
-use crate::gateway::engine_table::{EngineTable, EngineView};
+use crate::gateway::engine_table::EngineTable;
 use crate::gateway::live::LiveStream;
 use crate::gateway::move_progress::MoveProgress;
 
@@ -150,14 +150,10 @@
 
 /// Reachable engines of the same failure domain that hold the layers of an engine, itself included.
 fn holders(control: &Control, table: &EngineTable, service: &Name, engine: &Name) -> Vec<Name> {
-    let Some(view) = table.by_id(engine.as_str()) else { return vec![engine.clone()] };
+    let Some(view) = table.by_id(engine.as_str()) else { return Vec::new() };
     let (domain, layers) = (&view.entry.domain, view.entry.layers);
-    let holds = |v: &&EngineView| {
-        let held = v.entry.layers;
-        &v.entry.domain == domain && held.first <= layers.first && layers.end <= held.end
-    };
-    let held = table.engines_of(service).iter().filter(holds).map(|v| &v.entry.id);
-    held.filter(|id| *id == engine || !control.is_unreachable(id)).cloned().collect()
+    let held = reachable_holders(control, table, service, domain, layers);
+    held.map(|v| v.entry.id.clone()).collect()
 }
 
 /// Sets a stream's silence threshold by the engines that could substitute those of its path.
