Balance: domains are compared by the pressure that admits calls

Cause: the balance computed a pressure of its own from the last reports and from what the node measured itself. Queues reported by engines and the forecast of memory did not count, so a domain whose calls the forecast already refused kept them, and other domains were not asked.

Change: EngineTable::pressure takes a query that does not need a call. It forecasts where the forecast is on and else uses the last reports; both choices, of a path and of the fractions, use it. The second copy of the rule by reports in pick.rs goes.

Test: a queue reported in the home domain sends streams to another one.

--- a/crates/heathpitchd/src/gateway/balance.rs
+++ b/crates/heathpitchd/src/gateway/balance.rs
@@ -7,14 +7,13 @@
 use std::collections::HashMap;
 
 use heathpitch_core::{LayeredModel, Millis, Name, Path};
-use heathpitch_policy::{
-    Balance, ChainEngine, ChainQuery, DomainLoad, Pressure, find_chain, has_capacity,
-};
+use heathpitch_policy::{Balance, ChainEngine, ChainQuery, DomainLoad, find_chain, has_capacity};
 use parking_lot::Mutex;
 use rand::Rng;
 
 use super::engine_table::{EngineTable, MAX_UTILIZATION, PathQuery};
 use super::event::GatewayEvent;
+use super::forecast::PressureQuery;
 use super::shared::Shared;
 
 /// Interval of updates, milliseconds: that of the planners' exchange of reports.
@@ -173,29 +172,21 @@
     let views = table.engines_of(service).iter().filter(|v| &v.entry.domain == domain);
     // An engine without a report is idle as long as others of the domain are reported.
     let age = views.filter_map(|v| v.stats.occupancy().age(now)).min()?;
-    let pressure = path_pressure(table, &path, engines, targets.latency, now);
+    let request = PressureQuery {
+        service,
+        model,
+        tokens: query.tokens,
+        prompt: model.typical_prompt,
+        latency: targets.latency,
+        now,
+    };
+    let pressure = table.pressure(&request, &path, |s| s.is_available(now));
     let capacity = layer_capacity(model, engines) * MAX_UTILIZATION;
     let is_slow = targets.pause.is_some_and(|pause| step_ms * EVENT_TOKENS > pause as f64);
     let is_late = is_slow || pressure.start >= 1.0;
     Some(DomainLoad { domain: domain.clone(), pressure, capacity, age, is_late })
 }
 
-/// Pressure of a path through some of these engines.
-fn path_pressure(
-    table: &EngineTable,
-    path: &Path,
-    engines: &[ChainEngine],
-    latency: Option<Millis>,
-    now: Millis,
-) -> Pressure {
-    let on_path = |l: &&ChainEngine| path.stages().iter().any(|s| s.engine == l.entry.id);
-    let utilization = engines.iter().filter(on_path).map(|l| l.utilization).fold(0.0, f64::max);
-    let head = table.by_id(path.head().engine.as_str());
-    let wait_ms = head.map_or(0.0, |head| head.stats.wait_ms(now));
-    let start = latency.map_or(0.0, |target| wait_ms / target.max(1) as f64);
-    Pressure { memory: utilization / MAX_UTILIZATION, start }
-}
-
 /// Tokens that all copies of the scarcest layer hold.
 fn layer_capacity(model: &LayeredModel, engines: &[ChainEngine]) -> f64 {
     let mut ends: Vec<u32> =
--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -31,8 +31,6 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
-pub(crate) use admit::Call;
-pub(crate) use pick::expected_tokens;
 pub(crate) use retry_budgets::RetryBudgets;
 pub(crate) use retry_schedules::RetrySchedules;
 pub(crate) use usual_deadlines::UsualDeadlines;
--- a/crates/heathpitchd/src/gateway/call/pick.rs
+++ b/crates/heathpitchd/src/gateway/call/pick.rs
@@ -8,7 +8,8 @@
 
 use super::admit::Call;
 use crate::gateway::balance::{Locality, chain_within};
-use crate::gateway::engine_table::{EngineTable, EngineView, MAX_UTILIZATION, PathQuery};
+use crate::gateway::engine_table::{EngineTable, EngineView, PathQuery};
+use crate::gateway::forecast::PressureQuery;
 
 /// Cost of an engine in another failure domain, in requests waiting at an engine.
 const REMOTE_PENALTY_REQUESTS: f64 = 1.5;
@@ -103,19 +104,7 @@
     let now = avoid.now;
     let (path, engines) = chain(table, call, home, drawn, now, |s| avoid.allows(s))?;
     let on_path = |l: &&ChainEngine| path.stages().iter().any(|s| s.engine == l.entry.id);
-    let fullest =
-        engines.iter().filter(on_path).max_by(|a, b| a.utilization.total_cmp(&b.utilization));
-    let pressure = match table.forecast {
-        true => table.pressure(call, &path, now, |s| avoid.allows(s)),
-        false => {
-            let head = table.by_id(path.head().engine.as_str());
-            let wait_ms = head.map_or(0.0, |head| head.stats.wait_ms(now));
-            Pressure {
-                memory: fullest.map_or(0.0, |l| l.utilization) / MAX_UTILIZATION,
-                start: wait_ms / call.route.latency_target_ms.max(1) as f64,
-            }
-        }
-    };
+    let pressure = pressure(table, call, &path, avoid);
     let full_on_path = engines.iter().filter(|l| l.full && on_path(l));
     let full = full_on_path.max_by(|a, b| a.utilization.total_cmp(&b.utilization)).map(|l| {
         let report_age =
@@ -126,6 +115,20 @@
     Some(Chosen { path, full, pressure, locality })
 }
 
+/// Load of a path once it runs the call.
+fn pressure(table: &EngineTable, call: &Call, path: &Path, avoid: Avoid<'_>) -> Pressure {
+    let Some(model) = &call.service.model else { return Pressure::default() };
+    let query = PressureQuery {
+        service: &call.service.name,
+        model,
+        tokens: expected_tokens(call),
+        prompt: call.head.sizes.map_or(model.typical_prompt, |s| f64::from(s.prompt)),
+        latency: Some(call.route.latency_target_ms),
+        now: avoid.now,
+    };
+    table.pressure(&query, path, |s| avoid.allows(s))
+}
+
 /// The cheapest path through usable engines, and all the engines considered.
 fn chain(
     table: &EngineTable,
@@ -172,7 +175,7 @@
 }
 
 /// Tokens that a call is expected to hold.
-pub(crate) fn expected_tokens(call: &Call) -> f64 {
+pub(super) fn expected_tokens(call: &Call) -> f64 {
     let sizes = call.head.sizes.unwrap_or_default();
     f64::from(sizes.prompt) + f64::from(sizes.answer) * EXPECTED_ANSWER_SHARE
 }
--- a/crates/heathpitchd/src/gateway/forecast.rs
+++ b/crates/heathpitchd/src/gateway/forecast.rs
@@ -1,49 +1,73 @@
-//! Forecast of a path's load, from the engine table.
+//! Load of a path, forecast or by the last reports, from the engine table.
 //!
 //! The decisions are [`heathpitch_policy::LayerLoad`], [`heathpitch_policy::start_ms`] and the trends
 //! in [`heathpitch_policy::EngineStats`]; this module looks up what they need.
 
-use heathpitch_core::{LayeredModel, Millis, Path, Stage};
+use heathpitch_core::{LayeredModel, Millis, Name, Path, Stage};
 use heathpitch_policy::{LayerLoad, PrefillStage, Pressure, start_ms};
 
-use super::call::{Call, expected_tokens};
 use super::engine_table::{EngineTable, EngineView, MAX_UTILIZATION};
 
-/// # Forecasts
+/// A request whose effect on the load of a path is asked for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PressureQuery<'a> {
+    pub(crate) service: &'a Name,
+    pub(crate) model: &'a LayeredModel,
+    /// Tokens that it is expected to hold.
+    pub(crate) tokens: f64,
+    /// Tokens of its prompt.
+    pub(crate) prompt: f64,
+    /// Latency target of its first event; none if the wait doesn't matter.
+    pub(crate) latency: Option<Millis>,
+    pub(crate) now: Millis,
+}
+
+/// # Pressure
 impl EngineTable {
-    /// Load of a path at the time at which it would run the call, whose alternatives are `usable`
-    /// engines.
+    /// Load of a path once it runs a request whose alternatives are `usable` engines: at the time at
+    /// which the request would run where the load is forecast, else by the last reports.
     pub(crate) fn pressure(
         &self,
-        call: &Call,
+        query: &PressureQuery<'_>,
         path: &Path,
-        now: Millis,
         usable: impl Fn(&EngineView) -> bool,
     ) -> Pressure {
-        let (service, route) = (&call.service, &call.route);
-        let Some(model) = &service.model else { return Pressure::default() };
+        let &PressureQuery { model, prompt, now, .. } = query;
         let stages: Vec<_> = path.stages().iter().filter_map(|s| self.stage(s)).collect();
+        let (memory, wait_ms) = if self.forecast {
+            let known = |view: &EngineView| view.stats.held_known(self.domain_size, now);
+            let layers = self.layer_share(query, &stages, usable);
+            let memory = layers.max(fullest(query, &stages, known));
+            (memory, self.start_ms(model, &stages, prompt, now))
+        } else {
+            let held = |view: &EngineView| view.stats.occupancy().held(self.domain_size, now);
+            let wait_ms = stages.first().map_or(0.0, |(_, head)| head.stats.wait_ms(now));
+            (fullest(query, &stages, held), wait_ms)
+        };
+        let start = query.latency.map_or(0.0, |target| wait_ms / target.max(1) as f64);
+        Pressure { memory: memory / MAX_UTILIZATION, start }
+    }
+
+    /// Largest expected memory use of the layers of these stages, each over the engines of the failure
+    /// domain in which it runs.
+    fn layer_share(
+        &self,
+        query: &PressureQuery<'_>,
+        stages: &[(&Stage, &EngineView)],
+        usable: impl Fn(&EngineView) -> bool,
+    ) -> f64 {
         let mut domains: Vec<_> = stages.iter().map(|(_, view)| &view.entry.domain).collect();
         domains.sort();
         domains.dedup();
-        let mut memory: f64 = 0.0;
+        let mut largest: f64 = 0.0;
         for domain in domains {
             let in_domain = |s: &&EngineView| &s.entry.domain == domain;
-            let engines = self.engines_of(&service.name).iter().filter(in_domain);
-            let layers = self.layer_load(model, engines.filter(|s| usable(s)), now);
+            let engines = self.engines_of(query.service).iter().filter(in_domain);
+            let layers = self.layer_load(query.model, engines.filter(|s| usable(s)), query.now);
             let here = stages.iter().filter(|(_, view)| in_domain(view));
-            memory = here.map(|(stage, _)| layers.share(stage.layers)).fold(memory, f64::max);
-        }
-        let fullest = stages.iter().map(|(_, view)| {
-            let held = view.stats.held_known(self.domain_size, now) + expected_tokens(call);
-            capacity(view, model).map_or(0.0, |capacity| held / capacity)
-        });
-        let prompt = call.head.sizes.map_or(model.typical_prompt, |s| f64::from(s.prompt));
-        let start_ms = self.start_ms(model, &stages, prompt, now);
-        Pressure {
-            memory: fullest.fold(memory, f64::max) / MAX_UTILIZATION,
-            start: start_ms / route.latency_target_ms.max(1) as f64,
+            largest = here.map(|(stage, _)| layers.share(stage.layers)).fold(largest, f64::max);
         }
+        largest
     }
 
     /// Expected memory use of the layers that these engines hold.
@@ -96,6 +120,19 @@
     }
 }
 
+/// Largest memory use of an engine of these stages that holds `held` tokens, with the request.
+fn fullest(
+    query: &PressureQuery<'_>,
+    stages: &[(&Stage, &EngineView)],
+    held: impl Fn(&EngineView) -> f64,
+) -> f64 {
+    let used = |view: &EngineView| {
+        let capacity = capacity(view, query.model)?;
+        Some((held(view) + query.tokens) / capacity)
+    };
+    stages.iter().filter_map(|(_, view)| used(view)).fold(0.0, f64::max)
+}
+
 /// Tokens of requests that fit into an engine; none if its card is unknown or holds no layers.
 fn capacity(engine: &EngineView, model: &LayeredModel) -> Option<f64> {
     let count = engine.entry.layers.count();
--- a/crates/heathpitchd/tests/gateway_balance.rs
+++ b/crates/heathpitchd/tests/gateway_balance.rs
@@ -18,6 +18,10 @@
 /// Held tokens of a loaded and of an almost idle engine; four layers leave room for 125 000.
 const LOADED: u64 = 100_000;
 const ALMOST_IDLE: u64 = 5_000;
+/// Requests queued at a first engine, as many as it has slots, and the factor by which it is slow:
+/// their prompts then take 0.75 of the latency target, while one request takes 0.2.
+const QUEUED: u32 = 8;
+const SLOWDOWN: f64 = 40.0;
 /// Longer than reports are used.
 const EXPIRY: Duration = Duration::from_millis(3_500);
 
@@ -84,6 +88,27 @@
     assert_eq!(now, (balanced, home + 20));
 }
 
+/// Guards against domains that are compared by memory and by what this node measured alone: a queue that
+/// other nodes' streams wait in would send nobody away until this node's own first events are late.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_domain_with_a_reported_queue_sends_streams_to_another_one() {
+    let cluster = Cluster::new();
+    let engines = engines(&cluster);
+    engines.iter().for_each(|e| e.set_held_tokens(ALMOST_IDLE));
+    engines[0].set_queued(QUEUED);
+    engines[0].set_slowdown(SLOWDOWN);
+    let node = cluster.node().await;
+    let far = cluster.start_in("far", "n2");
+    far.wait_ready().await.unwrap();
+    let caller = Caller::new(node.listen).key(KEY);
+    wait_until("streams run in the other domain", async || {
+        stream(&caller).await;
+        routed(&node, "balanced").await > 3
+    })
+    .await;
+    assert_eq!(routed(&node, "overflow").await, 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn with_balancing_off_all_streams_stay_in_a_domain_that_is_not_full() {
     let cluster = Cluster::new();
