Forecast: the size of a stream does not change the pressure that it sees

Cause: the memory part of the pressure contained the tokens that the stream itself is expected to hold. Large streams of the less urgent ranks were refused at a load at which small ones were admitted, although size is to have no effect and size classes are to be served about alike.

Change: one more request of typical size is assumed, with and without forecast. The check whether an engine has room for the stream still uses its own size.

Test: 40 large streams of the second rank at a pressure of 0.76.

--- a/crates/heathpitchd/src/gateway/balance.rs
+++ b/crates/heathpitchd/src/gateway/balance.rs
@@ -175,7 +175,6 @@
     let request = PressureQuery {
         service,
         model,
-        tokens: query.tokens,
         prompt: model.typical_prompt,
         latency: targets.latency,
         now,
--- a/crates/heathpitchd/src/gateway/call/pick.rs
+++ b/crates/heathpitchd/src/gateway/call/pick.rs
@@ -121,7 +121,6 @@
     let query = PressureQuery {
         service: &call.service.name,
         model,
-        tokens: expected_tokens(call),
         prompt: call.head.sizes.map_or(model.typical_prompt, |s| f64::from(s.prompt)),
         latency: Some(call.route.latency_target_ms),
         now: avoid.now,
--- a/crates/heathpitchd/src/gateway/forecast.rs
+++ b/crates/heathpitchd/src/gateway/forecast.rs
@@ -13,8 +13,6 @@
 pub(crate) struct PressureQuery<'a> {
     pub(crate) service: &'a Name,
     pub(crate) model: &'a LayeredModel,
-    /// Tokens that it is expected to hold.
-    pub(crate) tokens: f64,
     /// Tokens of its prompt.
     pub(crate) prompt: f64,
     /// Latency target of its first event; none if the wait doesn't matter.
@@ -120,7 +118,8 @@
     }
 }
 
-/// Largest memory use of an engine of these stages that holds `held` tokens, with the request.
+/// Largest memory use of an engine of these stages that holds `held` tokens, with one more request of
+/// typical size: the size of a request must not decide whether it is admitted.
 fn fullest(
     query: &PressureQuery<'_>,
     stages: &[(&Stage, &EngineView)],
@@ -128,7 +127,7 @@
 ) -> f64 {
     let used = |view: &EngineView| {
         let capacity = capacity(view, query.model)?;
-        Some((held(view) + query.tokens) / capacity)
+        Some((held(view) + query.model.mean_tokens()) / capacity)
     };
     stages.iter().filter_map(|(_, view)| used(view)).fold(0.0, f64::max)
 }
--- a/crates/heathpitchd/tests/gateway_sharing.rs
+++ b/crates/heathpitchd/tests/gateway_sharing.rs
@@ -17,6 +17,10 @@
 /// Tokens at which an engine's memory has a pressure of 0.97: above the limit of the second rank,
 /// below that of the first.
 const TOKENS: u64 = 115_000;
+/// Tokens at which it has a pressure of 0.76, below the limit of the second rank.
+const TOKENS_BELOW_LIMIT: u64 = 90_000;
+/// Prompt and answer of a stream that would raise it to 0.88, above that limit.
+const LARGE: &str = "12000,4000";
 /// Streams of the second rank of which a quarter is admitted there.
 const STREAMS: usize = 40;
 
@@ -88,6 +92,23 @@
     assert!(metrics.contains(r#"heathpitch_shed_total{rank="2",reason="rank"}"#), "{metrics}");
 }
 
+/// Guards against a pressure that depends on the size of a stream, so that large ones are refused more
+/// often than others of their rank and account.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_streams_are_admitted_at_the_same_load_as_others() {
+    let (cluster, engines) = cluster();
+    let node = cluster.node().await;
+    wait_for_reports(&node).await;
+    engines.iter().for_each(|e| e.set_held_tokens(TOKENS_BELOW_LIMIT));
+    let caller = Caller::new(node.listen).key(KEY);
+    wait_until("the node knows that engines have memory", async || {
+        admitted(&caller, "/later/x", 10).await == 10
+    })
+    .await;
+    let large = caller.token_counts(LARGE);
+    assert_eq!(admitted(&large, "/later/x", STREAMS).await, STREAMS);
+}
+
 /// Guards against a setting that does not turn the decision off.
 #[tokio::test(flavor = "multi_thread")]
 async fn without_sharing_ranks_make_no_difference() {
