Balance: loads of domains are searched without holding the lock

Change: the lock is held to mark the update as begun, to apply the loads and to draw. No change of behaviour.

--- a/crates/heathpitchd/src/gateway/balance.rs
+++ b/crates/heathpitchd/src/gateway/balance.rs
@@ -89,6 +89,16 @@
             return None;
         }
         let now = shared.now();
+        if self.is_due(shared, service, now) {
+            let loads = domain_loads(table, service, Targets::of(shared, service.name), now);
+            self.update(service.name, &loads, now);
+        }
+        let services = self.services.lock();
+        services.get(service.name)?.balance.pick(rand::rng().random_range(0.0..1.0)).cloned()
+    }
+
+    /// Whether the fractions of a service are to be updated; the caller does so.
+    fn is_due(&self, shared: &Shared, service: BalancedService<'_>, now: Millis) -> bool {
         let mut services = self.services.lock();
         if !services.contains_key(service.name) {
             let catalog = shared.catalog.load();
@@ -96,15 +106,23 @@
         }
         let fresh = || Timed { balance: Balance::new(service.home.clone()), next: 0 };
         let timed = services.entry(service.name.clone()).or_insert_with(fresh);
-        if now >= timed.next {
+        let is_due = now >= timed.next;
+        if is_due {
             timed.next = now + INTERVAL_MS;
-            let loads = domain_loads(table, service, Targets::of(shared, service.name), now);
-            timed.balance.update(&loads, now);
-            if timed.balance.note_change(now) {
-                log_change(service.name, &timed.balance, &loads);
-            }
         }
-        timed.balance.pick(rand::rng().random_range(0.0..1.0)).cloned()
+        is_due
+    }
+
+    /// Adjusts the fractions of a service to these loads and logs large changes.
+    fn update(&self, service: &Name, loads: &[DomainLoad], now: Millis) {
+        let mut services = self.services.lock();
+        let Some(timed) = services.get_mut(service) else { return };
+        timed.balance.update(loads, now);
+        let noted = timed.balance.note_change(now).then(|| timed.balance.clone());
+        drop(services);
+        if let Some(balance) = noted {
+            log_change(service, &balance, loads);
+        }
     }
 }
 
