Forecast: the refusal of a draining engine is no lack of capacity

Cause: every refusal but one of a misdirected stage marked the stream as one that found no capacity, after which it is sent only to a path with a memory forecast of at most 0.85. An engine that drains refuses whatever its load, so such a stream was rejected although other engines would have taken it.

Change: the mark is set only if the engine that refused is not draining.

Test: a draining engine refuses a stream, another one at 0.93 of its usable capacity takes it. Before the change the answer is 503 after one attempt.

--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -390,9 +390,8 @@
             Failure::Refused { status, faulty_address } => {
                 self.attempts += 1;
                 self.evidence.refused();
-                // A misdirected stage means that the engine holds other layers.
-                self.found_full |= *status != StatusCode::MISDIRECTED_REQUEST;
                 let at = faulty_address.unwrap_or(view.entry.address);
+                self.found_full |= self.means_full(at, *status);
                 let rejecting = self.deprioritize_at(at, *status, now);
                 self.avoid.push(rejecting.unwrap_or_else(|| view.entry.id.clone()));
                 RefusalKind::EnginesRefused
@@ -407,6 +406,17 @@
         }
     }
 
+    /// Whether a refusal with this status by the engine at this address means that it has no capacity.
+    ///
+    /// A misdirected stage means that the engine holds other layers, and a draining engine refuses
+    /// whatever its load.
+    fn means_full(&self, at: SocketAddr, status: StatusCode) -> bool {
+        let table = self.traffic.shared.table.load();
+        let is_draining =
+            table.by_address(at).is_some_and(|v| v.stats.backpressure().is_draining());
+        status != StatusCode::MISDIRECTED_REQUEST && !is_draining
+    }
+
     /// Deprioritizes the engine at this address, which refused its stage; returns its id.
     fn deprioritize_at(&self, at: SocketAddr, status: StatusCode, now: Millis) -> Option<Name> {
         let shared = &self.traffic.shared;
--- a/crates/heathpitchd/tests/gateway_forecast.rs
+++ b/crates/heathpitchd/tests/gateway_forecast.rs
@@ -76,6 +76,28 @@
         .await;
 }
 
+/// Guards against a rejection because of an engine that has capacity but stops: its refusal says nothing
+/// of the load of the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_a_draining_engine_refused_is_sent_to_another_full_path() {
+    let cluster = Cluster::new();
+    let engines = engines(&cluster);
+    let node = node(&cluster, "auto").await;
+    wait_until("the engines' reports are known", async || attempts(&node, &engines).await == 1)
+        .await;
+    let [a, b, _] = &engines;
+    // The emptier one is tried first.
+    a.set_held_tokens(HELD_TOKENS - 10_000);
+    tokio::time::sleep(REPORTS).await;
+    a.set_draining(true);
+    b.set_behavior(Behavior::Stream(2, Duration::from_millis(5)));
+    let before = (a.requests().len(), b.requests().len());
+    let caller = Caller::new(node.listen).key(KEY);
+    let reply = caller.call(Method::POST, "/tell/x", "prompt").await.unwrap();
+    let after = (a.requests().len(), b.requests().len());
+    assert_eq!((reply.status, after), (200, (before.0 + 1, before.1 + 1)));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn without_forecast_every_refused_stream_is_sent_again() {
     let cluster = Cluster::new();
