Test: the pressure of a path in another failure domain is that of its engines

Nothing covered a path outside the node's own domain. The forecast already sums the layers of the domains that the path's stages lie in; the test passes without a change of the code.

--- a/crates/heathpitchd/tests/gateway_sharing.rs
+++ b/crates/heathpitchd/tests/gateway_sharing.rs
@@ -109,6 +109,36 @@
     assert_eq!(admitted(&large, "/later/x", STREAMS).await, STREAMS);
 }
 
+/// Guards against a pressure computed from the engines of the node's own failure domain for a path that
+/// lies in another one: the emptiest engine there attracts the streams of all nodes until its next
+/// report, so that its domain counts, which is fuller.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_pressure_of_a_path_in_another_domain_is_that_of_its_engines() {
+    let mut cluster = Cluster::new();
+    cluster.config.routes.push(RouteSpec::stream("/later/", "llm").rank(2));
+    cluster.configure();
+    let spawn = |(id, first, held): (&str, u32, u64)| {
+        let engine = Engine::spawn(&cluster.store, id, "llm", "far", Some("small")).unwrap();
+        engine.set_layers(first, first + 4);
+        engine.set_held_tokens(held);
+        engine.set_behavior(Behavior::Stream(2, Duration::from_millis(1)));
+        engine
+    };
+    // Two complete paths: 0.80 of the usable capacity on the cheapest one, 0.90 on both together.
+    let held = [("a", 0, 95_000), ("b", 0, 118_000), ("c", 4, 95_000), ("d", 4, 118_000)];
+    let _engines = held.map(spawn);
+    let node = cluster.node().await;
+    let far = cluster.start_in("far", "n2");
+    far.wait_ready().await.unwrap();
+    let caller = Caller::new(node.listen).key(KEY);
+    let pressure = || Some(node.events("call_refused").last()?["pressure"].as_f64().unwrap_or(0.0));
+    wait_until("streams are refused by the load of the other domain", async || {
+        admitted(&caller, "/later/x", 10).await;
+        pressure().is_some_and(|p| (0.87..0.93).contains(&p))
+    })
+    .await;
+}
+
 /// Guards against a setting that does not turn the decision off.
 #[tokio::test(flavor = "multi_thread")]
 async fn without_sharing_ranks_make_no_difference() {
