Chains: one search of the cheapest chain within a domain

Cause: find_local_chain and the gateway's balance each selected the engines of a domain, searched a chain among them and checked its capacity.

Change: find_chain_in does so for both. No change of behaviour.

--- a/crates/heathpitchd/src/gateway/balance.rs
+++ b/crates/heathpitchd/src/gateway/balance.rs
@@ -7,7 +7,9 @@
 use std::collections::HashMap;
 
 use heathpitch_core::{LayeredModel, Millis, Name, Path};
-use heathpitch_policy::{Balance, ChainEngine, ChainQuery, DomainLoad, find_chain, has_capacity};
+use heathpitch_policy::{
+    Balance, ChainEngine, ChainQuery, DomainLoad, find_chain_in, has_capacity,
+};
 use parking_lot::Mutex;
 use rand::Rng;
 
@@ -170,10 +172,7 @@
     let mut domains: Vec<&Name> = engines.iter().map(|l| &l.entry.domain).collect();
     domains.sort();
     domains.dedup();
-    let load = |domain: &&Name| {
-        let engines = in_domain(&engines, domain);
-        domain_load(table, &query, targets, domain, &engines)
-    };
+    let load = |domain: &&Name| domain_load(table, &query, targets, domain, &engines);
     domains.iter().filter_map(load).collect()
 }
 
@@ -186,7 +185,7 @@
 ) -> Option<DomainLoad> {
     let &PathQuery { service, model, now, .. } = query;
     let search = ChainQuery { model, name: service, home: domain, current: None };
-    let (path, step_ms) = find_chain(&search, engines)?;
+    let (path, step_ms) = find_chain_in(&search, engines, domain)?;
     let views = table.engines_of(service).iter().filter(|v| &v.entry.domain == domain);
     // An engine without a report is idle as long as others of the domain are reported.
     let age = views.filter_map(|v| v.stats.occupancy().age(now)).min()?;
@@ -198,21 +197,22 @@
         now,
     };
     let pressure = table.pressure(&request, &path, |s| s.is_available(now));
-    let capacity = layer_capacity(model, engines) * MAX_UTILIZATION;
+    let inside: Vec<&ChainEngine> = engines.iter().filter(|l| &l.entry.domain == domain).collect();
+    let capacity = layer_capacity(model, &inside) * MAX_UTILIZATION;
     let is_slow = targets.pause.is_some_and(|pause| step_ms * EVENT_TOKENS > pause as f64);
     let is_late = is_slow || pressure.start >= 1.0;
     Some(DomainLoad { domain: domain.clone(), pressure, capacity, age, is_late })
 }
 
 /// Tokens that all copies of the scarcest layer hold.
-fn layer_capacity(model: &LayeredModel, engines: &[ChainEngine]) -> f64 {
+fn layer_capacity(model: &LayeredModel, engines: &[&ChainEngine]) -> f64 {
     let mut ends: Vec<u32> =
         engines.iter().flat_map(|l| [l.entry.layers.first, l.entry.layers.end]).collect();
     ends.retain(|layer| *layer < model.layers);
     ends.sort_unstable();
     ends.dedup();
     let capacity = |layer: &u32| -> f64 {
-        let holds = |l: &&ChainEngine| (l.entry.layers.first..l.entry.layers.end).contains(layer);
+        let holds = |l: &&&ChainEngine| (l.entry.layers.first..l.entry.layers.end).contains(layer);
         let holders = engines.iter().filter(holds);
         holders.map(|l| model.token_capacity(&l.card, l.entry.layers.count()).max(0.0)).sum()
     };
@@ -225,11 +225,6 @@
     engines: &[ChainEngine],
     domain: &Name,
 ) -> Option<Path> {
-    let engines = in_domain(engines, domain);
-    let (path, _) = find_chain(query, &engines)?;
-    has_capacity(&path, &engines).then_some(path)
-}
-
-fn in_domain(engines: &[ChainEngine], domain: &Name) -> Vec<ChainEngine> {
-    engines.iter().filter(|l| &l.entry.domain == domain).cloned().collect()
+    let (path, _) = find_chain_in(query, engines, domain)?;
+    has_capacity(&path, engines).then_some(path)
 }
--- a/crates/policy/src/chain.rs
+++ b/crates/policy/src/chain.rs
@@ -75,14 +75,23 @@
 /// None if the engines do not hold every layer, or the first engine of the current path is not
 /// among them.
 pub fn find_local_chain(search: &ChainQuery<'_>, engines: &[ChainEngine]) -> Option<(Path, f64)> {
-    let local: Vec<ChainEngine> =
-        engines.iter().filter(|l| &l.entry.domain == search.home).cloned().collect();
-    match find_chain(search, &local) {
-        Some((path, cost)) if has_capacity(&path, &local) => Some((path, cost)),
+    match find_chain_in(search, engines, search.home) {
+        Some((path, cost)) if has_capacity(&path, engines) => Some((path, cost)),
         local => find_chain(search, engines).or(local),
     }
 }
 
+/// Finds the cheapest chain that lies entirely in a domain, whether it has capacity or not.
+pub fn find_chain_in(
+    search: &ChainQuery<'_>,
+    engines: &[ChainEngine],
+    domain: &Name,
+) -> Option<(Path, f64)> {
+    let inside: Vec<ChainEngine> =
+        engines.iter().filter(|l| &l.entry.domain == domain).cloned().collect();
+    find_chain(search, &inside)
+}
+
 /// Whether no engine of a chain through some of `engines` is full or deprioritized.
 pub fn has_capacity(path: &Path, engines: &[ChainEngine]) -> bool {
     let used = |l: &&ChainEngine| path.stages().iter().any(|s| s.engine == l.entry.id);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -89,7 +89,9 @@
 pub use blocks::{BLOCK_TOKENS, blocks, prompt_tokens};
 pub use bucket::Bucket;
 pub use budget::{RetryBudget, retry_after};
-pub use chain::{ChainEngine, ChainQuery, find_chain, find_local_chain, has_capacity};
+pub use chain::{
+    ChainEngine, ChainQuery, find_chain, find_chain_in, find_local_chain, has_capacity,
+};
 pub use claim_decision::{ClaimDecision, decide_claim};
 pub use claims::{ClaimAction, ClaimEvent, Claims, Verdict};
 pub use claims_page::{ClaimEntry, ClaimPage};
