--- a/crates/heathpitchd/src/gateway/balance.rs
+++ b/crates/heathpitchd/src/gateway/balance.rs
@@ -8,13 +8,14 @@
 
 use heathpitch_core::{LayeredModel, Millis, Name, Path};
 use heathpitch_policy::{
-    Balance, ChainEngine, ChainQuery, DomainLoad, Pressure, find_chain, has_capacity,
+    Balance, ChainEngine, ChainQuery, DomainLoad, find_chain_in, has_capacity,
 };
 use parking_lot::Mutex;
 use rand::Rng;
 
 use super::engine_table::{EngineTable, MAX_UTILIZATION, PathQuery};
 use super::event::GatewayEvent;
+use super::forecast::PressureQuery;
 use super::shared::Shared;
 
 /// Interval of updates, milliseconds: that of the planners' exchange of reports.
@@ -90,6 +91,16 @@
             return None;
         }
         let now = shared.now();
+        if self.is_due(shared, service, now) {
+            let loads = domain_loads(table, service, Targets::of(shared, service.name), now);
+            self.update(service.name, &loads, now);
+        }
+        let services = self.services.lock();
+        services.get(service.name)?.balance.pick(rand::rng().random_range(0.0..1.0)).cloned()
+    }
+
+    /// Whether the fractions of a service are to be updated; the caller does so.
+    fn is_due(&self, shared: &Shared, service: BalancedService<'_>, now: Millis) -> bool {
         let mut services = self.services.lock();
         if !services.contains_key(service.name) {
             let catalog = shared.catalog.load();
@@ -97,15 +108,23 @@
         }
         let fresh = || Timed { balance: Balance::new(service.home.clone()), next: 0 };
         let timed = services.entry(service.name.clone()).or_insert_with(fresh);
-        if now >= timed.next {
+        let is_due = now >= timed.next;
+        if is_due {
             timed.next = now + INTERVAL_MS;
-            let loads = domain_loads(table, service, Targets::of(shared, service.name), now);
-            timed.balance.update(&loads, now);
-            if timed.balance.note_change(now) {
-                log_change(service.name, &timed.balance, &loads);
-            }
         }
-        timed.balance.pick(rand::rng().random_range(0.0..1.0)).cloned()
+        is_due
+    }
+
+    /// Adjusts the fractions of a service to these loads and logs large changes.
+    fn update(&self, service: &Name, loads: &[DomainLoad], now: Millis) {
+        let mut services = self.services.lock();
+        let Some(timed) = services.get_mut(service) else { return };
+        timed.balance.update(loads, now);
+        let noted = timed.balance.note_change(now).then(|| timed.balance.clone());
+        drop(services);
+        if let Some(balance) = noted {
+            log_change(service, &balance, loads);
+        }
     }
 }
 
@@ -153,10 +172,7 @@
     let mut domains: Vec<&Name> = engines.iter().map(|l| &l.entry.domain).collect();
     domains.sort();
     domains.dedup();
-    let load = |domain: &&Name| {
-        let engines = in_domain(&engines, domain);
-        domain_load(table, &query, targets, domain, &engines)
-    };
+    let load = |domain: &&Name| domain_load(table, &query, targets, domain, &engines);
     domains.iter().filter_map(load).collect()
 }
 
@@ -169,42 +185,34 @@
 ) -> Option<DomainLoad> {
     let &PathQuery { service, model, now, .. } = query;
     let search = ChainQuery { model, name: service, home: domain, current: None };
-    let (path, step_ms) = find_chain(&search, engines)?;
+    let (path, step_ms) = find_chain_in(&search, engines, domain)?;
     let views = table.engines_of(service).iter().filter(|v| &v.entry.domain == domain);
     // An engine without a report is idle as long as others of the domain are reported.
     let age = views.filter_map(|v| v.stats.occupancy().age(now)).min()?;
-    let pressure = path_pressure(table, &path, engines, targets.latency, now);
-    let capacity = layer_capacity(model, engines) * MAX_UTILIZATION;
+    let request = PressureQuery {
+        service,
+        model,
+        prompt: model.typical_prompt,
+        latency: targets.latency,
+        now,
+    };
+    let pressure = table.pressure(&request, &path, |s| s.is_available(now));
+    let inside: Vec<&ChainEngine> = engines.iter().filter(|l| &l.entry.domain == domain).collect();
+    let capacity = layer_capacity(model, &inside) * MAX_UTILIZATION;
     let is_slow = targets.pause.is_some_and(|pause| step_ms * EVENT_TOKENS > pause as f64);
     let is_late = is_slow || pressure.start >= 1.0;
     Some(DomainLoad { domain: domain.clone(), pressure, capacity, age, is_late })
 }
 
-/// Pressure of a path through some of these engines.
-fn path_pressure(
-    table: &EngineTable,
-    path: &Path,
-    engines: &[ChainEngine],
-    latency: Option<Millis>,
-    now: Millis,
-) -> Pressure {
-    let on_path = |l: &&ChainEngine| path.stages().iter().any(|s| s.engine == l.entry.id);
-    let utilization = engines.iter().filter(on_path).map(|l| l.utilization).fold(0.0, f64::max);
-    let head = table.by_id(path.head().engine.as_str());
-    let wait_ms = head.map_or(0.0, |head| head.stats.wait_ms(now));
-    let start = latency.map_or(0.0, |target| wait_ms / target.max(1) as f64);
-    Pressure { memory: utilization / MAX_UTILIZATION, start }
-}
-
 /// Tokens that all copies of the scarcest layer hold.
-fn layer_capacity(model: &LayeredModel, engines: &[ChainEngine]) -> f64 {
+fn layer_capacity(model: &LayeredModel, engines: &[&ChainEngine]) -> f64 {
     let mut ends: Vec<u32> =
         engines.iter().flat_map(|l| [l.entry.layers.first, l.entry.layers.end]).collect();
     ends.retain(|layer| *layer < model.layers);
     ends.sort_unstable();
     ends.dedup();
     let capacity = |layer: &u32| -> f64 {
-        let holds = |l: &&ChainEngine| (l.entry.layers.first..l.entry.layers.end).contains(layer);
+        let holds = |l: &&&ChainEngine| (l.entry.layers.first..l.entry.layers.end).contains(layer);
         let holders = engines.iter().filter(holds);
         holders.map(|l| model.token_capacity(&l.card, l.entry.layers.count()).max(0.0)).sum()
     };
@@ -217,11 +225,6 @@
     engines: &[ChainEngine],
     domain: &Name,
 ) -> Option<Path> {
-    let engines = in_domain(engines, domain);
-    let (path, _) = find_chain(query, &engines)?;
-    has_capacity(&path, &engines).then_some(path)
-}
-
-fn in_domain(engines: &[ChainEngine], domain: &Name) -> Vec<ChainEngine> {
-    engines.iter().filter(|l| &l.entry.domain == domain).cloned().collect()
+    let (path, _) = find_chain_in(query, engines, domain)?;
+    has_capacity(&path, engines).then_some(path)
 }
--- a/crates/heathpitchd/tests/gateway_sharing.rs
+++ b/crates/heathpitchd/tests/gateway_sharing.rs
@@ -17,6 +17,10 @@
 /// Tokens at which an engine's memory has a pressure of 0.97: above the limit of the second rank,
 /// below that of the first.
 const TOKENS: u64 = 115_000;
+/// Tokens at which it has a pressure of 0.76, below the limit of the second rank.
+const TOKENS_BELOW_LIMIT: u64 = 90_000;
+/// Prompt and answer of a stream that would raise it to 0.88, above that limit.
+const LARGE: &str = "12000,4000";
 /// Streams of the second rank of which a quarter is admitted there.
 const STREAMS: usize = 40;
 
@@ -88,6 +92,53 @@
     assert!(metrics.contains(r#"heathpitch_shed_total{rank="2",reason="rank"}"#), "{metrics}");
 }
 
+/// Guards against a pressure that depends on the size of a stream, so that large ones are refused more
+/// often than others of their rank and account.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_streams_are_admitted_at_the_same_load_as_others() {
+    let (cluster, engines) = cluster();
+    let node = cluster.node().await;
+    wait_for_reports(&node).await;
+    engines.iter().for_each(|e| e.set_held_tokens(TOKENS_BELOW_LIMIT));
+    let caller = Caller::new(node.listen).key(KEY);
+    wait_until("the node knows that engines have memory", async || {
+        admitted(&caller, "/later/x", 10).await == 10
+    })
+    .await;
+    let large = caller.token_counts(LARGE);
+    assert_eq!(admitted(&large, "/later/x", STREAMS).await, STREAMS);
+}
+
+/// Guards against a pressure computed from the engines of the node's own failure domain for a path that
+/// lies in another one: the emptiest engine there attracts the streams of all nodes until its next
+/// report, so that its domain counts, which is fuller.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_pressure_of_a_path_in_another_domain_is_that_of_its_engines() {
+    let mut cluster = Cluster::new();
+    cluster.config.routes.push(RouteSpec::stream("/later/", "llm").rank(2));
+    cluster.configure();
+    let spawn = |(id, first, held): (&str, u32, u64)| {
+        let engine = Engine::spawn(&cluster.store, id, "llm", "far", Some("small")).unwrap();
+        engine.set_layers(first, first + 4);
+        engine.set_held_tokens(held);
+        engine.set_behavior(Behavior::Stream(2, Duration::from_millis(1)));
+        engine
+    };
+    // Two complete paths: 0.80 of the usable capacity on the cheapest one, 0.90 on both together.
+    let held = [("a", 0, 95_000), ("b", 0, 118_000), ("c", 4, 95_000), ("d", 4, 118_000)];
+    let _engines = held.map(spawn);
+    let node = cluster.node().await;
+    let far = cluster.start_in("far", "n2");
+    far.wait_ready().await.unwrap();
+    let caller = Caller::new(node.listen).key(KEY);
+    let pressure = || Some(node.events("call_refused").last()?["pressure"].as_f64().unwrap_or(0.0));
+    wait_until("streams are refused by the load of the other domain", async || {
+        admitted(&caller, "/later/x", 10).await;
+        pressure().is_some_and(|p| (0.87..0.93).contains(&p))
+    })
+    .await;
+}
+
 /// Guards against a setting that does not turn the decision off.
 #[tokio::test(flavor = "multi_thread")]
 async fn without_sharing_ranks_make_no_difference() {
