Retry book: services that are gone make room for others

A book tracks 64 services and never dropped one. A node that had seen 64 services over its configurations neither promised retries of a new one nor counted its admissions. When the book is full, services without promises and with less than one stream admitted in 100 s are now dropped.

--- a/crates/policy/src/retry_book.rs
+++ b/crates/policy/src/retry_book.rs
@@ -103,7 +103,7 @@
 impl RetryBook {
     /// Counts a stream admitted at `now`.
     pub fn admit(&mut self, service: &Name, now: Millis) {
-        if let Some(ledger) = self.ledger(service) {
+        if let Some(ledger) = self.ledger(service, now) {
             ledger.admit(now);
         }
     }
@@ -124,7 +124,7 @@
             None => now + spread(MIN_DELAY_MS, most, rng),
         };
         let (start, is_planner) = (self.grid.start(at), self.is_planner);
-        match self.ledger(service) {
+        match self.ledger(service, now) {
             Some(ledger) if start <= now + HORIZON_MS => ledger.promise(start, is_planner),
             _ => {}
         }
@@ -141,7 +141,7 @@
     ) -> Option<Millis> {
         let (first, seed) = (self.grid.start(from), self.seed);
         let (plans, reserved) = (self.is_planner, now < self.reserved_until);
-        let ledger = self.ledger(service)?;
+        let ledger = self.ledger(service, now)?;
         ledger.expire(now);
         let last = until.min(now + HORIZON_MS);
         (first..=last).step_by(SLOT_MS as usize).find(|start| {
@@ -223,7 +223,7 @@
         self.reserved_until = sent + RESERVE_MS;
         for capacity in &sums.capacities {
             // Creates the ledger of a service that this node has not served yet.
-            let _ = self.ledger(&capacity.service);
+            let _ = self.ledger(&capacity.service, now);
         }
         for (service, ledger) in &mut self.services {
             let listed = sums.promises.iter().filter(|p| &p.service == service && is_near(p));
@@ -274,7 +274,7 @@
 
     /// Counts streams that a polling node admitted since its last poll.
     pub fn record_admitted(&mut self, service: &Name, count: u32, now: Millis) {
-        if let Some(ledger) = self.ledger(service) {
+        if let Some(ledger) = self.ledger(service, now) {
             ledger.record_admitted(count, now);
         }
     }
@@ -294,7 +294,7 @@
         check_size(promises.len(), MAX_SENT)?;
         for p in promises.iter().filter(|p| is_near(p)) {
             let start = self.grid.at(now, p.in_ms);
-            if let Some(ledger) = self.ledger(&p.service) {
+            if let Some(ledger) = self.ledger(&p.service, now) {
                 ledger.record_promises(start, p.count);
             }
         }
@@ -357,9 +357,16 @@
 
 /// # Internals
 impl RetryBook {
-    /// Ledger of a service, unless there are too many services.
-    fn ledger(&mut self, service: &Name) -> Option<&mut RetryLedger> {
+    /// Ledger of a service, unless there are too many services. Services that are no longer in use
+    /// make room for others.
+    fn ledger(&mut self, service: &Name, now: Millis) -> Option<&mut RetryLedger> {
         if !self.services.contains_key(service) {
+            if self.services.len() >= MAX_SERVICES {
+                self.services.retain(|_, ledger| {
+                    ledger.expire(now);
+                    !ledger.is_idle(now)
+                });
+            }
             if self.services.len() >= MAX_SERVICES {
                 return None;
             }
--- a/crates/policy/src/retry_ledger.rs
+++ b/crates/policy/src/retry_ledger.rs
@@ -16,6 +16,8 @@
 pub(crate) const MIN_PER_SLOT: f64 = 1.0;
 /// Largest capacity of a slot: far beyond any admission rate, and small enough to round exactly.
 pub(crate) const MAX_PER_SLOT: f64 = 100_000.0;
+/// Rate of admissions per millisecond below which they don't count: a stream in a hundred seconds.
+const MIN_RATE_PER_MS: f64 = 1e-5;
 /// Most streams counted for a node between two polls: far more than a node can admit.
 const MAX_ADMITTED: u32 = 100_000;
 /// Slots that a fraction of a retry is carried over, before the count starts again.
@@ -95,6 +97,13 @@
         self.all_slots().into_iter().for_each(|slots| slots.align(grid));
     }
 
+    /// Whether it can be dropped without a change of any decision.
+    pub(crate) fn is_idle(&self, now: Millis) -> bool {
+        let rate = self.own_rate.per_ms(now) + self.reported_rate.per_ms(now);
+        let slots = [&self.own, &self.pending, &self.in_flight, &self.domain, &self.reported];
+        rate < MIN_RATE_PER_MS && slots.iter().all(|slots| slots.total() == 0)
+    }
+
     fn all_slots(&mut self) -> [&mut RetrySlots; 6] {
         [
             &mut self.own,
--- a/crates/policy/tests/retry_book.rs
+++ b/crates/policy/tests/retry_book.rs
@@ -133,6 +133,21 @@
     assert!((2_000..=6_000).contains(&delay), "{delay}");
 }
 
+/// A node that runs for long sees services come and go. If those that are gone kept their places, no
+/// retries of new services would be promised.
+#[test]
+fn services_that_are_gone_make_room_for_others() {
+    let mut planner = planner(20_000);
+    for i in 0..64 {
+        planner.record_admitted(&name(&format!("s{i}")), 1, 20_000);
+    }
+    let one = [RetryPromise { service: name("new"), in_ms: 3_000, count: 1 }];
+    let early = planner.answer_poll(&name("n1"), &one, 20_100).unwrap();
+    assert_eq!(early, PromiseSums::default());
+    let later = planner.answer_poll(&name("n1"), &one, 60_000).unwrap();
+    assert_eq!(later.capacities.len(), 1);
+}
+
 /// A standby gets the promises of nodes that lost their planner, and must not lose them when it
 /// becomes planner itself.
 #[test]
