Sharing: less headroom in memory, and only where routes have several ranks

Cause: accounts have ranks of their own on every deployment, so sharing was active on all of them. And a third of the memory was kept free for more urgent streams, which serves nobody.

Change: sharing applies where stream routes of a service have two or more ranks; a third of the headroom counts for memory.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -52,8 +52,8 @@
     routes: HashMap<Arc<str>, Vec<Arc<CallRoute>>>,
     keys: Option<HashMap<Arc<str>, KeyHolder>>,
     ranks: HashMap<Name, Vec<RankPair>>,
-    /// Ranks that streams of each service may have, most urgent first.
-    stream_ranks: HashMap<Name, Vec<RankPair>>,
+    /// Number of different ranks of the stream routes of each service.
+    stream_ranks: HashMap<Name, usize>,
     /// Names of all accounts, ascending.
     accounts: Vec<Name>,
 }
@@ -85,9 +85,8 @@
         routes: Vec<CallRoute>,
         keys: Option<HashMap<Arc<str>, KeyHolder>>,
     ) -> Self {
-        let ranks = service_ranks(routes.iter(), keys.as_ref());
-        let streams = routes.iter().filter(|r| r.kind.streams());
-        let stream_ranks = service_ranks(streams, keys.as_ref());
+        let ranks = service_ranks(&routes, keys.as_ref());
+        let stream_ranks = stream_ranks(&routes);
         let holders = keys.iter().flat_map(HashMap::values);
         let accounts: BTreeSet<Name> = holders.map(|h| h.account.clone()).collect();
         let accounts = accounts.into_iter().collect();
@@ -160,9 +159,9 @@
         }
     }
 
-    /// Number of different ranks that streams of a service may have.
+    /// Number of different ranks of the stream routes that use a service.
     pub fn stream_ranks(&self, service: &Name) -> usize {
-        self.stream_ranks.get(service).map_or(0, Vec::len)
+        self.stream_ranks.get(service).copied().unwrap_or(0)
     }
 
     /// Names of all client accounts, in ascending order.
@@ -181,8 +180,8 @@
 }
 
 /// Distinct ranks that calls to each service may have, most urgent first.
-fn service_ranks<'a>(
-    routes: impl Iterator<Item = &'a CallRoute>,
+fn service_ranks(
+    routes: &[CallRoute],
     keys: Option<&HashMap<Arc<str>, KeyHolder>>,
 ) -> HashMap<Name, Vec<RankPair>> {
     let accounts: BTreeSet<Option<u8>> =
@@ -198,3 +197,14 @@
     }
     ranks.into_iter().map(|(service, pairs)| (service, pairs.into_iter().collect())).collect()
 }
+
+/// Number of different ranks of the stream routes of each service.
+fn stream_ranks(routes: &[CallRoute]) -> HashMap<Name, usize> {
+    let mut ranks: HashMap<&Name, BTreeSet<u8>> = HashMap::new();
+    for route in routes.iter().filter(|r| r.kind.streams()) {
+        for target in route.targets.iter().filter(|t| t.weight > 0) {
+            ranks.entry(&target.service).or_default().insert(route.rank);
+        }
+    }
+    ranks.into_iter().map(|(service, ranks)| (service.clone(), ranks.len())).collect()
+}
--- a/crates/policy/src/sharing.rs
+++ b/crates/policy/src/sharing.rs
@@ -27,6 +27,9 @@
 /// Headroom of a rank if all other demand is more urgent; in between it is in proportion to the
 /// demand that it protects.
 const RANK_HEADROOM: f64 = 0.3;
+/// Part of the headroom that applies to memory: memory that is kept free serves nobody, while a shorter
+/// wait serves everyone. With all of it, a burst was served less well than without ranks.
+const MEMORY_PART: f64 = 1.0 / 3.0;
 /// Further headroom for what exceeds an account's share.
 const EXCESS_HEADROOM: f64 = 0.25;
 /// Least admission probability of the most urgent rank: the streams still admitted show whether the
@@ -49,7 +52,7 @@
 /// ```
 /// use heathpitch_policy::{Pressure, SharingQuery, ShedReason};
 ///
-/// let pressure = Pressure { memory: 0.97, start: 0.3 };
+/// let pressure = Pressure { memory: 0.4, start: 0.7 };
 /// let urgent = SharingQuery { pressure, ..SharingQuery::default() };
 /// assert_eq!(urgent.admit(0.9), Ok(()));
 /// let other = SharingQuery { urgent_share: 0.5, ..urgent };
@@ -142,7 +145,7 @@
         }
         let Pressure { memory, start } = self.pressure;
         let raise = headroom + self.due_pressure();
-        let raised = Pressure { memory: memory + raise, start: start + raise };
+        let raised = Pressure { memory: memory + raise * MEMORY_PART, start: start + raise };
         urgent_admission(raised).min(urgent).max(urgent * FLOOR_SHARE)
     }
 
