--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -30,7 +30,7 @@
 const PATH_WAIT_MS: Millis = 1_700;
 /// Largest memory pressure of a path that a stream is sent to after an engine refused it for lack of
 /// capacity. At 0.85, streams were rejected that a second engine would have taken.
-const MAX_RETRY_MEMORY: f64 = 1.0;
+const MAX_RETRY_MEMORY: f64 = 0.98;
 /// Interval of searches for a path.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(50);
 
