Planner: an engine whose address answers as somebody else is not ordered again

Known red: layers_are_not_left_to_an_unreachable_engine timed out once at a machine load of 23.

Cause: the entry of an exited engine remains, and its port may have been bound by another process by then. Whatever has the address rejects the order (421, 404 or 400). The order was dropped and nothing else changed, so the next plan, 150 ms later, gave it to the same engine, for as long as the entry remained. The run that failed was not recorded closely enough to prove that this happened in it; ruled out were load alone (80 runs of the file beside 12 to 36 busy processes, none failed) and false probes. The same test with the address taken by another engine timed out at the same step on the code before.

Change: an engine that does not answer as itself is taken out of use, as for calls; one that rejects an order counts as unreachable and is probed before the next one.

Test: layers_are_not_left_to_an_engine_whose_address_was_reused, timed out after 20 s before, 3 s now.

--- a/crates/heathpitchd/src/gateway/control/orders.rs
+++ b/crates/heathpitchd/src/gateway/control/orders.rs
@@ -123,6 +123,7 @@
                 "connection failed while polling an order",
             );
         }
+        Err(RpcError::Status(421)) => engines::mark_replaced(&control, &engine.id),
         Err(e) => log::warn!("status request to engine {} failed: {e}", engine.id),
     }
 }
@@ -174,7 +175,15 @@
             // An order without a response may still be executed, so it stays pending.
             Err(_) => return SendOutcome::Accepted,
             Ok(OrderOutcome::Conflict(_)) => return SendOutcome::Busy,
-            Ok(OrderOutcome::Unknown | OrderOutcome::Refused(_)) => return SendOutcome::Refused,
+            Ok(OrderOutcome::Unknown) => {
+                engines::mark_replaced(control, &engine.id);
+                return SendOutcome::Refused;
+            }
+            // The same plan would give it the same order again.
+            Ok(OrderOutcome::Refused(_)) => {
+                reachability::mark_unreachable(control, &engine.id, "it rejected an order");
+                return SendOutcome::Refused;
+            }
         }
     }
     SendOutcome::Refused
--- a/crates/heathpitchd/tests/gateway_layers.rs
+++ b/crates/heathpitchd/tests/gateway_layers.rs
@@ -75,6 +75,37 @@
     .await;
 }
 
+/// Guards against orders that are repeated forever to an engine that is gone, while its entry remains:
+/// whatever has its address by now rejects them, and its share of the layers is on no other engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn layers_are_not_left_to_an_engine_whose_address_was_reused() {
+    let cluster = Cluster::new();
+    let [ended, first, second, third] = ["a", "b", "c", "d"].map(|id| cluster.engine(id, "llm"));
+    ended.crash();
+    // The port is free once the tasks of the engine have ended.
+    wait_until("another engine has the address", async || {
+        ended.spawn_successor("e").is_ok_and(|other| {
+            other.deregister();
+            true
+        })
+    })
+    .await;
+    first.set_layers(0, 4);
+    [&second, &third].iter().for_each(|e| e.set_layers(4, 8));
+    let node = cluster.node().await;
+    let ordered = |e: &serde_json::Value| e["engine"] == "a";
+    wait_until("the exited engine is ordered to load layers", async || {
+        node.events("layers_ordered").iter().any(ordered)
+    })
+    .await;
+    first.crash();
+    first.deregister();
+    wait_until("living engines hold every layer", async || {
+        hold_every_layer(&[second.clone(), third.clone()])
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn another_node_becomes_planner_when_the_planner_exits() {
     let cluster = Cluster::new();
