Refusals for want of an engine say how this node reaches the service

The logs of the incident could not tell engines that are gone from engines that one node cannot reach: the refusal named neither how many engines are listed, nor how many this node keeps from work, nor when one of them last answered it. It does now, in its detail: "3 engines listed, 3 of them suspect, last answer 2104 ms ago".

--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -159,6 +159,7 @@
         }
         SendFailure::Lost(why) => Failure::Lost(why),
     })?;
+    view.stats.record_contact(traffic.shared.now());
     let (parts, body) = answer.into_parts();
     let head = traffic.clients.dialect.answer(&call.head.id, &parts);
     drop(admission);
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -64,10 +64,14 @@
         return Err(refusal);
     }
     let detail = match kind {
-        RefusalKind::Expired => "no answer before the call's deadline",
-        RefusalKind::NoEngine => "no engine of the service is available",
-        RefusalKind::EnginesRefused => "every engine that was tried refused the call",
-        _ => "the connection to an engine was lost",
+        RefusalKind::Expired => "no answer before the call's deadline".to_owned(),
+        RefusalKind::NoEngine => {
+            let (table, now) = (traffic.shared.table.load(), traffic.shared.now());
+            let reach = table.reach(&call.service.name, now);
+            format!("no engine of the service is available: {reach}")
+        }
+        RefusalKind::EnginesRefused => "every engine that was tried refused the call".to_owned(),
+        _ => "the connection to an engine was lost".to_owned(),
     };
     Err(Refusal::given_up(kind, &progress.evidence, id, detail))
 }
--- a/crates/heathpitchd/src/gateway/call/stream.rs
+++ b/crates/heathpitchd/src/gateway/call/stream.rs
@@ -65,16 +65,22 @@
                 return Err(refusal.with_load(flow.load));
             }
             let detail = match kind {
-                RefusalKind::NoEngine => "the available engines do not hold every layer",
-                RefusalKind::EnginesRefused => "every engine that was tried refused the call",
-                _ => "the connection to an engine was lost",
+                RefusalKind::NoEngine => {
+                    let (shared, service) = (&flow.traffic.shared, &flow.call.service.name);
+                    let reach = shared.table.load().reach(service, shared.now());
+                    format!("the available engines do not hold every layer: {reach}")
+                }
+                RefusalKind::EnginesRefused => {
+                    "every engine that was tried refused the call".to_owned()
+                }
+                _ => "the connection to an engine was lost".to_owned(),
             };
             if let Some(refusal) =
-                promised_refusal(&flow.traffic, &flow.call, kind, &flow.evidence, detail)
+                promised_refusal(&flow.traffic, &flow.call, kind, &flow.evidence, &detail)
             {
                 return Err(refusal.with_load(flow.load));
             }
-            (kind, detail.to_owned())
+            (kind, detail)
         }
         None => {
             flow.evidence.lost();
--- a/crates/heathpitchd/src/gateway/engine_table.rs
+++ b/crates/heathpitchd/src/gateway/engine_table.rs
@@ -8,6 +8,8 @@
 use heathpitch_policy::{ChainEngine, EngineStats};
 use rand::Rng;
 
+use super::service_reach::ServiceReach;
+
 /// Share of an engine's token capacity above which it gets no new requests: beyond it, requests
 /// evict each other's tokens and have to be prefilled again.
 pub(crate) const MAX_UTILIZATION: f64 = 0.95;
@@ -89,6 +91,17 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// How well this node reaches the engines of a service.
+    pub(crate) fn reach(&self, service: &Name, now: Millis) -> ServiceReach {
+        let engines = self.engines_of(service);
+        let contact_at = engines.iter().filter_map(|v| v.stats.contact_at()).max();
+        ServiceReach {
+            listed: engines.len(),
+            suspect: engines.iter().filter(|v| v.stats.gauge().is_suspect(now)).count(),
+            contact_age: contact_at.map(|at| now.saturating_sub(at)),
+        }
+    }
+
     /// Usable engines that a path may run through, with their costs for this request.
     pub(crate) fn chain_engines(
         &self,
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod move_progress;
 mod quarantine_snapshot;
+mod service_reach;
 mod shared;
 
 use std::io;
--- a/crates/policy/src/engine_stats.rs
+++ b/crates/policy/src/engine_stats.rs
@@ -46,6 +46,7 @@
     deprioritized: AtomicU64,
     slowdown: AtomicU64,
     reported_at: AtomicU64,
+    contact_at: AtomicU64,
     backpressure: Arc<Backpressure>,
 }
 
@@ -105,6 +106,11 @@
         self.reported_at.store(at, Relaxed);
     }
 
+    /// Records that the engine answered a new request at `now`.
+    pub fn record_contact(&self, now: Millis) {
+        self.contact_at.fetch_max(now.max(1), Relaxed);
+    }
+
     /// Prefers other engines until `until`, because this one had no capacity.
     pub fn deprioritize(&self, until: Millis) {
         self.deprioritized.fetch_max(until, Relaxed);
@@ -194,6 +200,11 @@
         slowdown.clamp(*SLOWDOWN_RANGE.start(), *SLOWDOWN_RANGE.end())
     }
 
+    /// When the engine last answered a new request of this node, if it ever did.
+    pub fn contact_at(&self) -> Option<Millis> {
+        Some(self.contact_at.load(Relaxed)).filter(|at| *at > 0)
+    }
+
     /// Whether other engines are preferred at `now`.
     pub fn is_deprioritized(&self, now: Millis) -> bool {
         self.deprioritized.load(Relaxed) > now
