--- a/crates/heathpitchd/tests/gateway/mod.rs
+++ b/crates/heathpitchd/tests/gateway/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test file uses only some of the items")]
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails its test")]
 
+pub(crate) mod partition;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant, SystemTime};
