--- a/crates/core/src/gateway_settings.rs
+++ b/crates/core/src/gateway_settings.rs
@@ -25,6 +25,10 @@
     /// neither serves them nor requests them from other nodes.
     #[serde(default)]
     pub peer: Option<SocketAddr>,
+    /// Listener on which this node takes calls that other nodes forward, `ip:port`; if `None`, it takes
+    /// none.
+    #[serde(default)]
+    pub forward: Option<SocketAddr>,
     /// Peer listeners of a few nodes, which a starting node asks which node is the planner; some
     /// may be outdated or down.
     #[serde(default)]
--- a/crates/net/schema/feed.capnp
+++ b/crates/net/schema/feed.capnp
@@ -1,6 +1,7 @@
 @0xb9c2a7d15e0f3846;
 
-# Feed of store contents and engine state between nodes. Regenerate with:
+# Feed of store contents and engine state between nodes. Regenerate with capnp and the capnpc-rust of the crate
+# capnpc, whose version is that of the crate capnp:
 #   capnp compile -orust:crates/net/src/generated --src-prefix=crates/net/schema \
 #     crates/net/schema/feed.capnp && cargo fmt -p heathpitch-net
 
@@ -54,6 +55,23 @@
   # Returns promised by the requesting node since then.
   to @19 :Text;
   # Node that is polled; empty if its name is not known. Another node that has its address by now refuses.
+  forwarder @20 :Forwarder;
+  # How the requesting node takes calls of other nodes; none if it does not.
+  forwarders @21 :Bool;
+  # Whether nodes that take calls of others are requested.
+}
+
+struct Forwarder {
+  # A node that takes calls of other nodes.
+  node @0 :Text;
+  domain @1 :Text;
+  address @2 :Text;
+  token @3 :Data;
+  # What it expects with each call.
+  open @4 :UInt32;
+  # Calls open there.
+  unserved @5 :List(Text);
+  # Services that it does not reach or has no engines of.
 }
 
 struct Demand {
@@ -173,6 +191,8 @@
   promises @29 :List(Promise);
   # Outstanding promised returns to the failure domain.
   promiseRates @30 :List(PromiseRate);
+  forwarders @31 :List(Forwarder);
+  # Some nodes that take calls of others, if requested.
 }
 
 struct Report {
--- a/crates/net/src/dialect.rs
+++ b/crates/net/src/dialect.rs
@@ -205,6 +205,10 @@
     /// Headers of one attempt of a call.
     fn headers(&self, received: &HeaderMap, dispatch: &Dispatch<'_>) -> HeaderMap;
 
+    /// Headers of a call that is forwarded to another node: those received, with this time until the
+    /// deadline and this event after which to resume a stream.
+    fn forwarded(&self, received: &HeaderMap, remaining: Millis, after: Option<u64>) -> HeaderMap;
+
     /// Parses the head of a response to the call `id`.
     fn answer(&self, id: &str, parts: &response::Parts) -> ResponseHead;
 }
@@ -217,6 +221,9 @@
         engine: &'a EngineEntry,
     ) -> BoxFuture<'a, Result<EngineResponse<EngineStatus>, RpcError>>;
 
+    /// Whether an engine answers a request on a new connection, whatever it answers.
+    fn responds<'a>(&'a self, engine: &'a EngineEntry) -> BoxFuture<'a, bool>;
+
     /// Whether an engine accepts new work, according to the health check of its service.
     fn healthy<'a>(
         &'a self,
--- a/crates/net/src/feed_codec.rs
+++ b/crates/net/src/feed_codec.rs
@@ -5,12 +5,12 @@
 
 use bytes::Bytes;
 use capnp::message::{Builder, ReaderOptions};
-use heathpitch_core::{Name, Rate, RequestFingerprint, Revision};
+use heathpitch_core::{ForwardToken, Forwarder, Name, Rate, RequestFingerprint, Revision};
 
 use crate::deflate::{deflate_bytes, inflate_bytes};
 use crate::feed_capnp::{
-    ask, demand, end, item, items, leave, limit, planner, promise, promise_rate, report, right_ask,
-    right_told, share, source, told,
+    ask, demand, end, forwarder, item, items, leave, limit, planner, promise, promise_rate, report,
+    right_ask, right_told, share, source, told,
 };
 use crate::{
     FeedCursor, FeedDemand, FeedDrain, FeedEngines, FeedExit, FeedLimit, FeedNotices, FeedPlanner,
@@ -65,7 +65,11 @@
     write_drains(&from.notices.drains, to.reborrow().init_leaves(from.notices.drains.len() as u32));
     write_limits(&from.notices.limits, to.reborrow().init_limits(from.notices.limits.len() as u32));
     write_demand(&from.demand, to.reborrow().init_demand(from.demand.len() as u32));
-    write_promises(&from.promises, to.init_promises(from.promises.len() as u32));
+    write_promises(&from.promises, to.reborrow().init_promises(from.promises.len() as u32));
+    to.set_forwarders(from.wants_forwarders);
+    if let Some(forwarder) = &from.forwarder {
+        write_forwarder(forwarder, to.init_forwarder());
+    }
 }
 
 pub(crate) fn read_request(from: ask::Reader<'_>) -> capnp::Result<FeedRequest> {
@@ -93,6 +97,11 @@
         },
         demand: from.get_demand()?.iter().map(read_demand).collect::<capnp::Result<_>>()?,
         promises: from.get_promises()?.iter().map(read_promise).collect::<capnp::Result<_>>()?,
+        forwarder: from
+            .has_forwarder()
+            .then(|| read_forwarder(from.get_forwarder()?))
+            .transpose()?,
+        wants_forwarders: from.get_forwarders(),
     })
 }
 
@@ -149,6 +158,10 @@
         &from.promise_rates,
         to.reborrow().init_promise_rates(from.promise_rates.len() as u32),
     );
+    let mut forwarders = to.reborrow().init_forwarders(from.forwarders.len() as u32);
+    for (i, f) in from.forwarders.iter().enumerate() {
+        write_forwarder(f, forwarders.reborrow().get(i as u32));
+    }
     let mut standbys = to.init_standbys(from.standbys.len() as u32);
     for (i, (node, address)) in from.standbys.iter().enumerate() {
         write_source(node, *address, standbys.reborrow().get(i as u32));
@@ -206,6 +219,11 @@
             .iter()
             .map(read_promise_rate)
             .collect::<capnp::Result<_>>()?,
+        forwarders: from
+            .get_forwarders()?
+            .iter()
+            .map(read_forwarder)
+            .collect::<capnp::Result<_>>()?,
     })
 }
 
@@ -437,6 +455,30 @@
     Ok(FeedPlanner { domain, node, address, revision })
 }
 
+fn write_forwarder(from: &Forwarder, mut to: forwarder::Builder<'_>) {
+    to.set_node(from.node.as_str());
+    to.set_domain(from.domain.as_str());
+    to.set_address(from.address.to_string());
+    to.set_token(from.token.bytes());
+    to.set_open(from.open);
+    let mut unserved = to.init_unserved(from.unserved.len() as u32);
+    for (i, service) in from.unserved.iter().enumerate() {
+        unserved.set(i as u32, service.as_str());
+    }
+}
+
+fn read_forwarder(from: forwarder::Reader<'_>) -> capnp::Result<Forwarder> {
+    let token = ForwardToken::from_bytes(from.get_token()?);
+    Ok(Forwarder {
+        node: name(from.get_node()?)?,
+        domain: name(from.get_domain()?)?,
+        address: address(from.get_address()?)?,
+        token: token.ok_or_else(|| capnp::Error::failed("token: wrong length".to_owned()))?,
+        open: from.get_open(),
+        unserved: from.get_unserved()?.iter().map(|s| name(s?)).collect::<capnp::Result<_>>()?,
+    })
+}
+
 fn write_source(node: &Name, address: SocketAddr, mut to: source::Builder<'_>) {
     to.set_node(node.as_str());
     to.set_address(address.to_string());
--- a/crates/net/src/feed_message.rs
+++ b/crates/net/src/feed_message.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use heathpitch_core::{Millis, Name, Rate, RequestFingerprint, Revision};
+use heathpitch_core::{Forwarder, Millis, Name, Rate, RequestFingerprint, Revision};
 
 use crate::Item;
 
@@ -39,6 +39,10 @@
     pub demand: Vec<FeedDemand>,
     /// Returns promised by the requesting node since then.
     pub promises: Vec<FeedPromise>,
+    /// How the requesting node takes calls of other nodes; none if it does not.
+    pub forwarder: Option<Forwarder>,
+    /// Whether nodes that take calls of others are requested.
+    pub wants_forwarders: bool,
 }
 
 /// Streams of one service, rank and client account.
@@ -239,6 +243,8 @@
     pub promises: Vec<FeedPromise>,
     /// Returns that a slot has capacity for, by service.
     pub promise_rates: Vec<FeedPromiseRate>,
+    /// Some nodes that take calls of others, if requested.
+    pub forwarders: Vec<Forwarder>,
 }
 
 /// Engine entries in a response.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,6 +14,7 @@
 mod feed;
 mod feed_codec;
 mod feed_message;
+mod forward;
 mod frame;
 mod generated;
 mod listener;
@@ -47,6 +48,7 @@
     FeedPromise, FeedPromiseRate, FeedReport, FeedRequest, FeedResponse, FeedShare, FeedShares,
     NoticeCursor, RightsRequest, RightsResponse,
 };
+pub use forward::{ForwardHead, ForwardRefusal, ForwardedCall};
 pub use frame::{Frame, GenerateCall, Hop};
 pub use generated::{feed_capnp, peer_capnp};
 pub use listener::{Bounds, Listener, serve};
--- a/crates/net/tests/feed_addressee.rs
+++ b/crates/net/tests/feed_addressee.rs
@@ -33,6 +33,8 @@
         notice_cursor: NoticeCursor::default(),
         demand: Vec::new(),
         promises: Vec::new(),
+        forwarder: None,
+        wants_forwarders: false,
     }
 }
 
--- a/crates/policy/src/followers.rs
+++ b/crates/policy/src/followers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use heathpitch_core::{Millis, Name};
+use heathpitch_core::{Forwarder, Millis, Name};
 
 use crate::{STANDBYS, Source};
 
@@ -19,6 +19,15 @@
     source: Source,
     can_plan: bool,
     at: Millis,
+    /// How it takes calls of other nodes; none if it does not.
+    forwarder: Option<Forwarder>,
+}
+
+impl Follower {
+    /// Whether it reaches the engines of every service, as far as it says so.
+    fn reaches_all(&self) -> bool {
+        self.forwarder.as_ref().is_none_or(|f| f.unserved.is_empty())
+    }
 }
 
 /// The followers of a planner.
@@ -48,7 +57,16 @@
 impl Followers {
     /// Records a poll by a node; `can_plan` says whether its VM can run a planner.
     pub fn record_poll(&mut self, source: Source, can_plan: bool, now: Millis) {
-        self.seen.insert(source.node.clone(), Follower { source, can_plan, at: now });
+        let forwarder = self.seen.remove(&source.node).and_then(|f| f.forwarder);
+        let node = source.node.clone();
+        self.seen.insert(node, Follower { source, can_plan, at: now, forwarder });
+    }
+
+    /// Records how a node that polled takes calls of other nodes; none if it does not.
+    pub fn record_forwarder(&mut self, node: &Name, forwarder: Option<Forwarder>) {
+        if let Some(follower) = self.seen.get_mut(node) {
+            follower.forwarder = forwarder;
+        }
     }
 
     /// Drops all followers, when this node stops being the planner.
@@ -56,8 +74,8 @@
         *self = Self::default();
     }
 
-    /// Selects the standbys: nodes that can run a planner first, then the previous standbys, then
-    /// by name.
+    /// Selects the standbys: nodes that can run a planner first, then those that reach the engines of
+    /// every service, then the previous standbys, then by name.
     ///
     /// The selection changes as little as possible, so that all followers know the same standbys.
     pub fn standbys(&mut self, now: Millis) -> Vec<Source> {
@@ -65,7 +83,7 @@
             self.seen.values().filter(|f| now < f.at + PRESENT_MS).collect();
         let rank = |f: &Follower| {
             let previous = self.standbys.iter().position(|n| n == &f.source.node);
-            (!f.can_plan, previous.unwrap_or(STANDBYS))
+            (!f.can_plan, !f.reaches_all(), previous.unwrap_or(STANDBYS))
         };
         // The sort is stable and keeps the order by name.
         present.sort_by_key(|f| rank(f));
@@ -83,6 +101,19 @@
         self.seen.get(node).is_some_and(|f| now < f.at + COUNTED_MS)
     }
 
+    /// Present followers that take calls of other nodes.
+    pub fn forwarders(&self, now: Millis) -> impl Iterator<Item = &Forwarder> {
+        let present = self.seen.values().filter(move |f| now < f.at + PRESENT_MS);
+        present.filter_map(|f| f.forwarder.as_ref())
+    }
+
+    /// Whether a present follower reaches the engines of every service; with `must_plan`, only those whose VM
+    /// can run a planner count.
+    pub fn has_connected(&self, must_plan: bool, now: Millis) -> bool {
+        let mut present = self.seen.values().filter(|f| now < f.at + PRESENT_MS);
+        present.any(|f| (f.can_plan || !must_plan) && f.forwarder.is_some() && f.reaches_all())
+    }
+
     /// Number of followers that are present.
     pub fn present(&self, now: Millis) -> u32 {
         self.seen.values().filter(|f| now < f.at + PRESENT_MS).count() as u32
