--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, OnceLock};
 
 use heathpitch_core::{CallRoute, Catalog, KeyHolder, Millis, RequestFingerprint, ServiceSpec};
-use heathpitch_net::{BodyError, CallBody, CallHead, read};
+use heathpitch_net::{BodyError, CallBody, CallHead, ForwardedCall, read};
 use heathpitch_policy::Quarantine;
 use hyper::Request;
 use hyper::body::{Body as _, Incoming};
@@ -34,6 +34,8 @@
     pub(crate) deadline: Millis,
     /// Time since its caller first asked, as far as its deadline shows.
     pub(crate) age_ms: Millis,
+    /// What another node said of it that received it from its caller.
+    pub(crate) forwarded: Option<ForwardedCall>,
     fingerprint: OnceLock<RequestFingerprint>,
 }
 
@@ -43,6 +45,12 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// Most engines that this node may send it to.
+    pub(crate) fn attempts(&self) -> u32 {
+        let left = self.forwarded.map_or(u32::MAX, |f| f.attempts);
+        self.route.attempts.min(left)
+    }
+
     /// Its fingerprint; computed on first use, as most calls never need it.
     pub(crate) fn fingerprint(&self) -> RequestFingerprint {
         *self.fingerprint.get_or_init(|| {
@@ -63,6 +71,7 @@
     traffic: &Traffic,
     request: Request<Incoming>,
     received: Millis,
+    forwarded: Option<ForwardedCall>,
 ) -> Result<Call, Refusal> {
     let (parts, body) = request.into_parts();
     let head = match traffic.clients.dialect.call(&parts) {
@@ -90,9 +99,10 @@
         .cloned();
     let limit = head.deadline.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let deadline = received + limit;
-    let age_ms = match head.deadline {
-        Some(_) => traffic.usual_deadlines.age(&route.name, limit, received),
-        None => 0,
+    let age_ms = match (forwarded, head.deadline) {
+        (Some(forwarded), _) => forwarded.age_ms,
+        (None, Some(_)) => traffic.usual_deadlines.age(&route.name, limit, received),
+        (None, None) => 0,
     };
     let of_caller = |refusal: Refusal| {
         let rank = catalog.rank(&route.targets[0].service, &route, holder.as_ref());
@@ -118,6 +128,7 @@
         received,
         deadline,
         age_ms,
+        forwarded,
         fingerprint,
     };
     match shared.quarantine.load().held_back(|| call.fingerprint()) {
--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -6,12 +6,13 @@
 
 use heathpitch_core::{EngineEntry, Evidence, Millis, Name, Path};
 use heathpitch_net::Events;
-use heathpitch_policy::{Pressure, ShedReason};
+use heathpitch_policy::{Pressure, ShedReason, Suspicion};
 use hyper::StatusCode;
 
 use super::Traffic;
 use super::admission::{self, Load, Sharing, Shed};
 use super::admit::Call;
+use super::forward::{Declined, ForwardError, Forwarding, Hop, Progress};
 use super::open::{HeldTokens, OpenCall, WaitingRequest};
 use super::pick::{self, Avoid, Chosen, Full};
 use super::record::AttemptLog;
@@ -44,6 +45,8 @@
     /// The running attempt.
     pub(crate) live: Option<Arc<LiveStream>>,
     pub(crate) head: Option<Name>,
+    /// The other node that handles the stream, if it was forwarded.
+    pub(crate) hop: Option<Hop>,
     pub(crate) _open: OpenCall,
     /// Load that the last choice of an engine is based on.
     pub(crate) load: Option<CallLoad>,
@@ -62,7 +65,10 @@
     /// Part of the service's recent demand that is more urgent, 0 to 1.
     urgent_share: f64,
     unsent: u32,
+    /// Attempts whose connections failed.
+    unreached: u32,
     avoid: Vec<Name>,
+    forwarding: Forwarding,
 }
 
 /// An engine, with its path, that a stream may be sent to.
@@ -81,6 +87,8 @@
 pub(crate) enum DispatchError {
     /// It was shed.
     Shed(Shed),
+    /// Another node refused it.
+    Declined(Declined),
     /// An engine's error response, to be passed on unchanged.
     Failed(Box<Answer>),
     /// There is no response to pass on.
@@ -101,6 +109,7 @@
             evidence: Evidence::new(),
             live: None,
             head: None,
+            hop: None,
             _open: open,
             load: None,
             held: None,
@@ -111,18 +120,62 @@
             found_full: false,
             urgent_share,
             unsent: 0,
+            unreached: 0,
             avoid: Vec::new(),
+            forwarding: Forwarding::default(),
         }
     }
 }
 
 /// # Attempts
 impl Flow {
-    /// Sends the stream until an engine takes it.
+    /// Sends the stream until an engine takes it, here or through another node.
     pub(crate) async fn dispatch(&mut self) -> Result<Answer, DispatchError> {
+        let sent = match self.is_cut_off() {
+            true => Err(DispatchError::Refused(RefusalKind::NoEngine)),
+            false => return self.dispatch_or_forward().await,
+        };
+        match self.or_forward(sent).await {
+            // No other node takes it, and the way may be back.
+            Err(DispatchError::Refused(_)) => {
+                self.unsent = self.unsent.max(MAX_UNSENT - 1);
+                self.dispatch_to_engines().await
+            }
+            other => other,
+        }
+    }
+
+    async fn dispatch_or_forward(&mut self) -> Result<Answer, DispatchError> {
+        let sent = self.dispatch_to_engines().await;
+        self.or_forward(sent).await
+    }
+
+    /// Forwards a stream that this node cannot send to an engine, if another node may.
+    async fn or_forward(
+        &mut self,
+        sent: Result<Answer, DispatchError>,
+    ) -> Result<Answer, DispatchError> {
+        match sent {
+            Err(DispatchError::Refused(kind)) if self.may_forward(kind) => self.forward(kind).await,
+            other => other,
+        }
+    }
+
+    async fn dispatch_to_engines(&mut self) -> Result<Answer, DispatchError> {
         let mut kind = RefusalKind::NoEngine;
-        while self.attempts < self.call.route.attempts && self.unsent < MAX_UNSENT {
+        let was_cut_off = self.is_cut_off();
+        while self.attempts < self.call.attempts() && self.unsent < MAX_UNSENT {
+            let is_last = self.attempts + 1 == self.call.attempts();
+            if is_last && self.lost_events.is_some() && !was_cut_off {
+                self.traffic.shared.reach.await_check(&self.call.service.name).await;
+            }
+            // Other nodes are tried before more engines.
+            if self.is_cut_off() && !was_cut_off {
+                return Err(DispatchError::Refused(kind));
+            }
             let Some(choice) = self.choose().await else {
+                let (shared, service) = (&self.traffic.shared, &self.call.service.name);
+                shared.reach.record_without_engine(service, shared.now());
                 return Err(DispatchError::Refused(kind));
             };
             let sharing = Sharing::of_call(&self.traffic, &self.call, self.urgent_share);
@@ -159,7 +212,7 @@
                     self.evidence.started();
                     self.evidence.lost();
                     kind = RefusalKind::Broken;
-                    let last = self.attempts >= self.call.route.attempts;
+                    let last = self.attempts >= self.call.attempts();
                     if last || !failed.parts.status.is_server_error() {
                         return Err(DispatchError::Failed(Box::new(failed)));
                     }
@@ -174,18 +227,61 @@
         Err(DispatchError::Refused(kind))
     }
 
+    /// Whether this node does not reach the service, and may forward the stream.
+    fn is_cut_off(&self) -> bool {
+        let reach = &self.traffic.shared.reach;
+        self.call.forwarded.is_none() && reach.is_cut_off(&self.call.service.name)
+    }
+
+    /// Whether a stream that ends with `kind` here may still be served by another node.
+    fn may_forward(&self, kind: RefusalKind) -> bool {
+        let may_send = self.call.route.kind.retryable() || self.evidence.not_run().is_some();
+        matches!(kind, RefusalKind::NoEngine | RefusalKind::Broken)
+            && may_send
+            && self.allows_retry()
+            && Forwarding::applies(&self.traffic, &self.call, self.unreached)
+    }
+
+    /// Sends the stream to another node; `kind` is why this one does not serve it.
+    async fn forward(&mut self, kind: RefusalKind) -> Result<Answer, DispatchError> {
+        let (traffic, call) = (self.traffic.clone(), self.call.clone());
+        let state = Progress {
+            attempts: &mut self.attempts,
+            evidence: &mut self.evidence,
+            after: self.events.last(),
+            events: self.events.count(),
+        };
+        match self.forwarding.send(&traffic, &call, state).await {
+            Ok((answer, hop)) => {
+                self.evidence.started();
+                self.hop = Some(hop);
+                match answer.parts.status {
+                    StatusCode::OK => Ok(answer),
+                    _ => Err(DispatchError::Failed(Box::new(answer))),
+                }
+            }
+            Err(ForwardError::NoNode) => Err(DispatchError::Refused(kind)),
+            Err(ForwardError::Lost) => Err(DispatchError::Refused(RefusalKind::Broken)),
+            Err(ForwardError::Declined(declined)) => Err(DispatchError::Declined(declined)),
+        }
+    }
+
     /// Moves the stream to another engine while the running attempt is silent but has not ended.
     ///
     /// If no engine takes it, the running attempt continues.
     pub(crate) async fn replace(&mut self, why: &str) -> Option<Answer> {
-        if self.attempts >= self.call.route.attempts {
+        if self.attempts >= self.call.attempts() {
             return None;
         }
         let (live, head, held) = (self.live.take(), self.head.take(), self.held.take());
+        let hop = self.hop.take();
         if let Some(head) = &head {
             self.log_lost(head, why);
             self.avoid.push(head.clone());
         }
+        if let Some(hop) = &hop {
+            self.forwarding.avoid(hop);
+        }
         self.evidence.lost();
         self.waits_for_path = false;
         match self.dispatch().await {
@@ -194,7 +290,7 @@
                 Some(answer)
             }
             Err(_) => {
-                (self.live, self.head, self.held) = (live, head, held);
+                (self.live, self.head, self.held, self.hop) = (live, head, held, hop);
                 self.evidence.started();
                 None
             }
@@ -207,7 +303,14 @@
             self.log_lost(&head, why);
             self.avoid.push(head);
         }
-        self.notify_lost();
+        match self.hop.take() {
+            Some(hop) => self.forwarding.avoid(&hop),
+            None => {
+                let (shared, service) = (&self.traffic.shared, &self.call.service.name);
+                shared.suspect_reach(service, Suspicion::Failed, shared.now());
+                self.notify_lost();
+            }
+        }
         self.evidence.lost();
         self.live = None;
         self.held = None;
@@ -282,7 +385,7 @@
         loop {
             match self.try_choose() {
                 Some(found) => return Some(found),
-                None if !self.waits_for_path => return None,
+                None if !self.waits_for_path || self.is_cut_off() => return None,
                 None if self.traffic.shared.now() >= start + PATH_WAIT_MS => return None,
                 None => tokio::time::sleep(SEARCH_INTERVAL).await,
             }
@@ -376,6 +479,7 @@
         match failure {
             Failure::Unsent(_) => {
                 self.unsent += 1;
+                self.unreached += 1;
                 self.evidence.unsent();
                 view.stats.gauge().record_failure(now);
                 self.traffic.pool.close_idle(view.entry.address);
--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -6,12 +6,14 @@
 //! engine. `admission` decides which new streams are admitted when capacity runs short, and
 //! `usual_deadlines` tells how old a call is, `rank_mixes` how much of the demand is more urgent.
 //! `retry_budgets` bounds retries, `retry_schedules` sets `Retry-After` times, `pick`
-//! chooses engines, `relay` forwards a stream's events. A filter ends a call with a
+//! chooses engines, `relay` passes a stream's events on. `forward` sends a call to another node while this one
+//! does not reach the engines of its service. A filter ends a call with a
 //! [`Refusal`](refusal::Refusal).
 
 mod admission;
 mod admit;
 mod flow;
+mod forward;
 mod open;
 mod pick;
 mod rank_mixes;
@@ -29,7 +31,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 
-use heathpitch_net::{Body, Pool};
+use heathpitch_net::{Body, ForwardedCall, Pool};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
@@ -52,20 +54,42 @@
     pub(crate) rank_mixes: RankMixes,
 }
 
+/// Who sent a call to this node.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Origin {
+    /// Its caller.
+    Caller,
+    /// Another node, which received it from its caller.
+    Node(ForwardedCall),
+}
+
 /// Handles one call.
-pub(crate) async fn handle(traffic: Arc<Traffic>, request: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn handle(
+    traffic: Arc<Traffic>,
+    request: Request<Incoming>,
+    origin: Origin,
+) -> Response<Body> {
     let received = traffic.shared.now();
-    let open = OpenCall::new(traffic.shared.clone());
-    let call = match admit::admit(&traffic, request, received).await {
+    let forwarded = match origin {
+        Origin::Caller => None,
+        Origin::Node(call) => Some(call),
+    };
+    let open = OpenCall::new(traffic.shared.clone(), forwarded.is_some());
+    let call = match admit::admit(&traffic, request, received, forwarded).await {
         Ok(call) => Arc::new(call),
         Err(refusal) => return refusal.respond(&traffic.shared),
     };
-    traffic.retry_budgets.record_call(&call.service.name);
+    // The node that received it from its caller has counted it.
+    if forwarded.is_none() {
+        traffic.retry_budgets.record_call(&call.service.name);
+    }
     let answer = match call.route.kind.streams() {
         true => {
             let answer = stream::run(traffic.clone(), call.clone(), open).await;
             let refused = matches!(&answer, Err(refusal) if refusal.is_not_run());
-            traffic.retry_schedules.record_return(&call, call.age_ms, refused);
+            if forwarded.is_none() {
+                traffic.retry_schedules.record_return(&call, call.age_ms, refused);
+            }
             answer
         }
         false => single::run(&traffic, &call).await,
--- a/crates/heathpitchd/src/gateway/call/open.rs
+++ b/crates/heathpitchd/src/gateway/call/open.rs
@@ -8,20 +8,25 @@
 use crate::gateway::shared::Shared;
 
 /// Counts an open call until dropped.
-pub(crate) struct OpenCall(Arc<Shared>);
+pub(crate) struct OpenCall {
+    shared: Arc<Shared>,
+    is_forwarded: bool,
+}
 
 impl OpenCall {
-    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, is_forwarded: bool) -> Self {
         shared.open_calls.fetch_add(1, Relaxed);
+        shared.open_forwarded.fetch_add(is_forwarded.into(), Relaxed);
         shared.metrics.open.inc();
-        Self(shared)
+        Self { shared, is_forwarded }
     }
 }
 
 impl Drop for OpenCall {
     fn drop(&mut self) {
-        self.0.open_calls.fetch_sub(1, Relaxed);
-        self.0.metrics.open.dec();
+        self.shared.open_calls.fetch_sub(1, Relaxed);
+        self.shared.open_forwarded.fetch_sub(self.is_forwarded.into(), Relaxed);
+        self.shared.metrics.open.dec();
     }
 }
 
--- a/crates/heathpitchd/src/gateway/call/pick.rs
+++ b/crates/heathpitchd/src/gateway/call/pick.rs
@@ -150,6 +150,24 @@
     Some((path, engines))
 }
 
+/// Whether an engine or a path could take a call if this node suspected none.
+pub(crate) fn is_blocked_by_suspicion(
+    table: &EngineTable,
+    call: &Call,
+    home: &Name,
+    now: Millis,
+) -> bool {
+    match call.service.model {
+        Some(_) => {
+            chain(table, call, home, None, now, |s| s.is_available_but_suspect(now)).is_some()
+        }
+        None => {
+            let engines = table.engines_of(&call.service.name);
+            engines.iter().any(|s| s.is_available_but_suspect(now))
+        }
+    }
+}
+
 /// Time until an engine or a path may take a call, if only paused engines or exhausted rate limits
 /// prevent that now; none if anything else does.
 pub(crate) fn backpressure_left(
--- a/crates/heathpitchd/src/gateway/call/refusal.rs
+++ b/crates/heathpitchd/src/gateway/call/refusal.rs
@@ -1,7 +1,7 @@
 //! Calls that end without an answer from an engine.
 
 use heathpitch_core::{Evidence, KeyHolder, Millis, Name, Outcome};
-use heathpitch_net::{Body, json};
+use heathpitch_net::{Body, ForwardRefusal, json};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde_json::json;
@@ -46,6 +46,25 @@
 }
 
 impl RefusalKind {
+    /// All kinds.
+    const ALL: [Self; 15] = [
+        Self::Unconfigured,
+        Self::NoRoute,
+        Self::BadKey,
+        Self::StaleKeys,
+        Self::BadHead,
+        Self::TooLarge,
+        Self::CutBody,
+        Self::NoEngine,
+        Self::Overloaded,
+        Self::Paused,
+        Self::Limited,
+        Self::HeldBack,
+        Self::EnginesRefused,
+        Self::Broken,
+        Self::Expired,
+    ];
+
     /// Name in answers, logs and metrics.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
@@ -67,6 +86,32 @@
         }
     }
 
+    /// The kind with this name.
+    pub(crate) fn parse(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.as_str() == name)
+    }
+
+    /// Whether it depends on the node, so that another one may take the call.
+    pub(crate) fn is_local(self) -> bool {
+        match self {
+            Self::Unconfigured
+            | Self::NoRoute
+            | Self::BadKey
+            | Self::StaleKeys
+            | Self::BadHead
+            | Self::TooLarge
+            | Self::CutBody
+            | Self::NoEngine => true,
+            Self::Overloaded
+            | Self::Paused
+            | Self::Limited
+            | Self::HeldBack
+            | Self::EnginesRefused
+            | Self::Broken
+            | Self::Expired => false,
+        }
+    }
+
     /// Time after which a retry may succeed: about that of a poll of the store, of loading a lost
     /// engine's layers, or of an engine's queue.
     fn retry_after(self) -> Option<Millis> {
@@ -211,6 +256,8 @@
             "kind": self.kind.as_str(), "outcome": self.outcome, "message": self.detail,
         } });
         let mut response = Response::new(json(&error));
+        let refusal = ForwardRefusal { kind: self.kind.as_str().to_owned(), outcome: self.outcome };
+        response.extensions_mut().insert(refusal);
         *response.status_mut() = self.status;
         let media = HeaderValue::from_static("application/json");
         response.headers_mut().insert(CONTENT_TYPE, media);
--- a/crates/heathpitchd/src/gateway/call/relay.rs
+++ b/crates/heathpitchd/src/gateway/call/relay.rs
@@ -11,9 +11,12 @@
 
 use super::flow::Flow;
 use super::record::record_answered;
-use super::send::Answer;
+use super::send::{Answer, SLOW_ANSWER_MS, until_way_lost};
 use crate::gateway::event::GatewayEvent;
 
+/// Time between two attempts to move a stream.
+const MOVE_INTERVAL_MS: Millis = 250;
+
 /// Turns a stream whose head was received into the answer to its caller.
 pub(crate) fn relay(flow: Flow, answer: Answer) -> Response<Body> {
     let now = flow.traffic.shared.now();
@@ -22,8 +25,15 @@
     let mut head = answer.parts.clone();
     heathpitch_net::strip_hop_by_hop(&mut head.headers);
     head.headers.remove(hyper::header::CONTENT_LENGTH);
-    let relay =
-        Relay { flow, source: Some(answer), first_ms, last_event: now, max_pause: 0, ended: false };
+    let relay = Relay {
+        flow,
+        source: Some(answer),
+        first_ms,
+        last_event: now,
+        max_pause: 0,
+        next_move: 0,
+        ended: false,
+    };
     let events = stream::unfold(Some(relay), |relay| async {
         let mut relay = relay?;
         match relay.next().await {
@@ -43,6 +53,8 @@
     first_ms: Millis,
     last_event: Millis,
     max_pause: Millis,
+    /// Time before which the stream is not moved again.
+    next_move: Millis,
     ended: bool,
 }
 
@@ -89,17 +101,27 @@
         let Some(source) = &mut self.source else {
             return ReadOutcome::Failed("no answer to read".to_owned());
         };
-        let live = self.flow.live.clone();
+        let (live, hop) = (self.flow.live.clone(), self.flow.hop.as_ref());
         let abandoned = async {
             match &live {
                 Some(live) => live.abandoned().await,
                 None => std::future::pending().await,
             }
         };
+        let service = &self.flow.call.service.name;
+        let slow_at = self.last_event + SLOW_ANSWER_MS.max(2 * self.max_pause);
+        let way_lost = async {
+            match hop {
+                Some(hop) => hop.until_lost(self.last_event.max(self.next_move)).await,
+                // A connection from before the cut may still work.
+                None => until_way_lost(&shared, service, slow_at.max(self.next_move)).await,
+            }
+        };
         let frame = tokio::select! {
             biased;
             frame = source.body.frame() => frame,
             () = abandoned => return ReadOutcome::Abandoned,
+            () = way_lost => return ReadOutcome::Abandoned,
             () = shared.sleep_until(deadline) => return ReadOutcome::Expired,
         };
         match frame {
@@ -139,7 +161,10 @@
 
     /// Continues at another engine if one takes the stream, else waits for the silent one.
     async fn replace(&mut self) {
-        let why = "the first engine of the path does not respond";
+        let why = match self.flow.hop {
+            Some(_) => "the node that it was forwarded to does not respond",
+            None => "the first engine of the path does not respond",
+        };
         let live = self.flow.live.clone();
         let retryable = self.flow.call.route.kind.retryable();
         let (shared, deadline) = (self.flow.traffic.shared.clone(), self.flow.call.deadline);
@@ -150,6 +175,7 @@
         match replaced {
             Some(answer) => self.source = Some(answer),
             None => {
+                self.next_move = self.flow.traffic.shared.now() + MOVE_INTERVAL_MS;
                 if let Some(live) = live {
                     live.cancel_abandon();
                 }
--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -1,14 +1,15 @@
 //! One attempt of a call at one engine.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
-use heathpitch_core::Path;
+use heathpitch_core::{Millis, Name, Path};
 use heathpitch_net::{
     BackpressureSignal, Connection, Dispatch, Pool, ResponseHead, Reuse, RpcError, SendFailure,
     full, keep_alive_timeout, read,
 };
-use heathpitch_policy::Backpressure;
+use heathpitch_policy::{Backpressure, Suspicion};
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, StatusCode};
@@ -21,6 +22,16 @@
 use crate::gateway::quarantine_snapshot::incarnation_of;
 use crate::gateway::shared::{ControlMessage, Shared};
 
+/// Time after which a connection that is not established suggests that the way is cut, many times the delay
+/// between failure domains.
+const SLOW_CONNECT: Duration = Duration::from_millis(60);
+/// The same for the head of an answer or an event, which engines under load take longer for.
+pub(super) const SLOW_ANSWER_MS: Millis = 300;
+/// Interval at which a call that receives nothing reports a suspicion.
+const SUSPICION_INTERVAL: Duration = Duration::from_millis(500);
+/// Why an attempt is given up at a service that this node is cut off from.
+const CUT_OFF: &str = "this node is cut off from the service";
+
 /// An engine's answer whose body is still to be read.
 pub(crate) struct Answer {
     pub(crate) connection: Connection,
@@ -127,8 +138,7 @@
         return Err(Failure::Backpressure);
     }
     let incarnation = view.entry.started_at.unwrap_or_default();
-    let connected = traffic.pool.connect(view.entry.address, incarnation, reuse).await;
-    let mut connection = connected.map_err(|e: RpcError| Failure::Unsent(e.to_string()))?;
+    let mut connection = connect(traffic, call, view.entry.address, incarnation, reuse).await?;
     if connection.is_new() {
         traffic.shared.metrics.connections.inc();
     }
@@ -152,14 +162,26 @@
     let admission =
         rights.admit(backpressure, traffic.shared.now()).ok_or(Failure::Backpressure)?;
     let sent = traffic.shared.now();
-    let answer = connection.send(request).await.map_err(|e| match e {
+    let answer = tokio::select! {
+        biased;
+        answer = connection.send(request) => answer,
+        () = until_cut_off_since(&traffic.shared, &call.service.name, sent), if call.route.kind.retryable() => {
+            return Err(Failure::Lost(CUT_OFF.to_owned()));
+        }
+    };
+    let answer = answer.map_err(|e| match e {
         SendFailure::Unsent(why) => {
             rights.unspend();
             Failure::Unsent(why)
         }
-        SendFailure::Lost(why) => Failure::Lost(why),
+        SendFailure::Lost(why) => {
+            traffic.shared.suspect_reach(&call.service.name, Suspicion::Failed, sent);
+            Failure::Lost(why)
+        }
     })?;
-    view.stats.record_contact(traffic.shared.now());
+    if connection.is_new() {
+        view.stats.record_contact(traffic.shared.now());
+    }
     let (parts, body) = answer.into_parts();
     let head = traffic.clients.dialect.answer(&call.head.id, &parts);
     drop(admission);
@@ -176,6 +198,56 @@
     Ok(Answer { connection, parts, head, body })
 }
 
+/// Connects to an engine of the call's service, and reports a connection that fails or takes long. Gives up
+/// once this node is found to be cut off from the service.
+async fn connect(
+    traffic: &Traffic,
+    call: &Call,
+    address: SocketAddr,
+    incarnation: u64,
+    reuse: Reuse,
+) -> Result<Connection, Failure> {
+    let (shared, service) = (&traffic.shared, &call.service.name);
+    let since = shared.now();
+    let connecting = traffic.pool.connect(address, incarnation, reuse);
+    let cut_off = async {
+        tokio::time::sleep(SLOW_CONNECT).await;
+        shared.suspect_reach(service, Suspicion::Failed, since);
+        shared.reach.until_cut_off(service).await;
+    };
+    let connected = tokio::select! {
+        biased;
+        connected = connecting => connected,
+        () = cut_off => return Err(Failure::Unsent(CUT_OFF.to_owned())),
+    };
+    connected.map_err(|e: RpcError| {
+        shared.suspect_reach(service, Suspicion::Failed, since);
+        Failure::Unsent(e.to_string())
+    })
+}
+
+/// Waits until this node is found to be cut off from a service that it reached when a request without an answer
+/// was sent at `sent`.
+async fn until_cut_off_since(shared: &Shared, service: &Name, sent: Millis) {
+    if shared.reach.is_cut_off(service) {
+        return std::future::pending().await;
+    }
+    until_way_lost(shared, service, sent + SLOW_ANSWER_MS).await;
+}
+
+/// Waits until this node is cut off from a service, which is suspected from `slow_at` on because nothing was
+/// received.
+pub(super) async fn until_way_lost(shared: &Shared, service: &Name, slow_at: Millis) {
+    shared.sleep_until(slow_at).await;
+    loop {
+        shared.suspect_reach(service, Suspicion::Late, slow_at.saturating_sub(SLOW_ANSWER_MS));
+        let cut_off = shared.reach.until_cut_off(service);
+        if tokio::time::timeout(SUSPICION_INTERVAL, cut_off).await.is_ok() {
+            return;
+        }
+    }
+}
+
 /// Records the backpressure in an engine's response to a call. A pause also applies to another
 /// engine of the path if that one refused the call.
 fn record_backpressure(
@@ -200,7 +272,7 @@
 
 /// Rejects answers that belong to another call, that have no digest, or that state that the call
 /// did not run.
-fn check(answer: Answer) -> Result<Answer, Failure> {
+pub(super) fn check(answer: Answer) -> Result<Answer, Failure> {
     let status = answer.parts.status;
     match &answer.head {
         h if !h.id_matches => {
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -8,6 +8,7 @@
 
 use super::Traffic;
 use super::admit::Call;
+use super::forward::{Declined, ForwardError, Forwarding};
 use super::open::HeldTokens;
 use super::pick::{self, Avoid};
 use super::record::{AttemptLog, final_answer};
@@ -31,8 +32,13 @@
     evidence: Evidence,
     attempts: u32,
     unsent: u32,
+    /// Attempts whose connections failed.
+    unreached: u32,
     avoid: Vec<Name>,
     last: Option<CompleteAnswer>,
+    forwarding: Forwarding,
+    /// Refusal of a node that the call was forwarded to.
+    declined: Option<Declined>,
     /// Whether a connection was lost while an engine may have been running the call.
     lost: bool,
 }
@@ -40,8 +46,7 @@
 /// Runs the call until its final answer or its deadline.
 pub(crate) async fn run(traffic: &Traffic, call: &Call) -> Result<Response<Body>, Refusal> {
     let mut progress = Progress::default();
-    let work =
-        traffic.shared.run_until(call.deadline, run_attempts(traffic, call, &mut progress)).await;
+    let work = traffic.shared.run_until(call.deadline, answer(traffic, call, &mut progress)).await;
     let id = &call.head.id;
     let kind = match work {
         Some(Ok((parts, content))) => {
@@ -60,6 +65,13 @@
             RefusalKind::Expired
         }
     };
+    if let Some(Declined { kind, retry_after, detail }) = progress.declined {
+        let refusal = Refusal::given_up(kind, &progress.evidence, id, detail);
+        return Err(match retry_after {
+            Some(retry_after) => refusal.with_retry_after(retry_after),
+            None => refusal,
+        });
+    }
     if let Some(refusal) = backpressure_refusal(traffic, call, kind, &progress.evidence) {
         return Err(refusal);
     }
@@ -76,19 +88,106 @@
     Err(Refusal::given_up(kind, &progress.evidence, id, detail))
 }
 
+/// Sends the call to engines, or to other nodes if this one does not reach them.
+async fn answer(
+    traffic: &Traffic,
+    call: &Call,
+    progress: &mut Progress,
+) -> Result<CompleteAnswer, RefusalKind> {
+    let was_cut_off = is_cut_off(traffic, call);
+    let sent = match was_cut_off {
+        true => Err(RefusalKind::NoEngine),
+        false => run_attempts(traffic, call, progress).await,
+    };
+    let forwarded = match sent {
+        Err(kind) if may_forward(traffic, call, progress, kind) => {
+            forward(traffic, call, progress, kind).await
+        }
+        other => return other,
+    };
+    match forwarded {
+        // No other node takes it, and the way may be back.
+        Err(_) if was_cut_off && may_send(call, progress) && progress.declined.is_none() => {
+            progress.unsent = progress.unsent.max(MAX_UNSENT - 1);
+            run_attempts(traffic, call, progress).await
+        }
+        other => other,
+    }
+}
+
+/// Sends the call to other nodes; `kind` is why this one does not serve it.
+async fn forward(
+    traffic: &Traffic,
+    call: &Call,
+    progress: &mut Progress,
+    kind: RefusalKind,
+) -> Result<CompleteAnswer, RefusalKind> {
+    let Progress { forwarding, evidence, attempts, .. } = progress;
+    let state = super::forward::Progress { attempts, evidence, after: None, events: 0 };
+    match forwarding.send(traffic, call, state).await {
+        Ok((answer, _hop)) => match answer.read_all(&traffic.pool, MAX_ANSWER_BYTES).await {
+            Ok(answer) => {
+                progress.evidence.started();
+                Ok(answer)
+            }
+            Err(_) => {
+                progress.evidence.lost();
+                Err(RefusalKind::Broken)
+            }
+        },
+        Err(ForwardError::NoNode) => Err(kind),
+        Err(ForwardError::Lost) => Err(RefusalKind::Broken),
+        Err(ForwardError::Declined(declined)) => {
+            let kind = declined.kind;
+            progress.declined = Some(declined);
+            Err(kind)
+        }
+    }
+}
+
+/// Whether this node does not reach the service, and may forward the call.
+fn is_cut_off(traffic: &Traffic, call: &Call) -> bool {
+    call.forwarded.is_none() && traffic.shared.reach.is_cut_off(&call.service.name)
+}
+
+/// Whether the call may be sent again after its attempts so far.
+fn may_send(call: &Call, progress: &Progress) -> bool {
+    call.route.kind.retryable() || progress.evidence.not_run().is_some()
+}
+
+/// Whether a call that ends with `kind` here may still be served by another node.
+fn may_forward(traffic: &Traffic, call: &Call, progress: &Progress, kind: RefusalKind) -> bool {
+    let may_repeat =
+        !progress.lost || traffic.shared.quarantine.load().allows_retry(0, || call.fingerprint());
+    matches!(kind, RefusalKind::NoEngine | RefusalKind::Broken)
+        && may_send(call, progress)
+        && may_repeat
+        && Forwarding::applies(traffic, call, progress.unreached)
+}
+
 async fn run_attempts(
     traffic: &Traffic,
     call: &Call,
     progress: &mut Progress,
 ) -> Result<CompleteAnswer, RefusalKind> {
     let mut kind = RefusalKind::NoEngine;
-    while progress.attempts < call.route.attempts && progress.unsent < MAX_UNSENT {
+    let was_cut_off = is_cut_off(traffic, call);
+    while progress.attempts < call.attempts() && progress.unsent < MAX_UNSENT {
+        let is_last = progress.attempts + 1 == call.attempts();
+        if is_last && progress.lost && !was_cut_off {
+            traffic.shared.reach.await_check(&call.service.name).await;
+        }
+        // Other nodes are tried before more engines.
+        if is_cut_off(traffic, call) && !was_cut_off {
+            return Err(kind);
+        }
         let is_retry = progress.attempts > 0;
         let table = traffic.shared.table.load();
         let now = traffic.shared.now();
         let domain = traffic.shared.settings.load().domain.clone();
         let avoid = Avoid { engines: &progress.avoid, now };
         let Some(view) = pick::engine(&table, &call.service.name, &domain, avoid) else {
+            traffic.shared.reach.record_without_engine(&call.service.name, now);
             return Err(kind);
         };
         if progress.lost && !traffic.shared.quarantine.load().allows_retry(0, || call.fingerprint())
@@ -142,6 +241,7 @@
     match failure {
         Failure::Unsent(_) => {
             progress.unsent += 1;
+            progress.unreached += 1;
             progress.evidence.unsent();
             view.stats.gauge().record_failure(traffic.shared.now());
             traffic.pool.close_idle(view.entry.address);
--- a/crates/heathpitchd/src/gateway/call/stream.rs
+++ b/crates/heathpitchd/src/gateway/call/stream.rs
@@ -13,6 +13,7 @@
 use super::Traffic;
 use super::admit::Call;
 use super::flow::{DispatchError, Flow};
+use super::forward::Declined;
 use super::open::OpenCall;
 use super::record::final_answer;
 use super::refusal::{Refusal, RefusalKind};
@@ -58,6 +59,13 @@
             let refusal = Refusal::unsent(RefusalKind::Overloaded, &id, shed.detail);
             return Err(refusal.with_retry_after(retry_after).with_load(flow.load));
         }
+        Some(Err(DispatchError::Declined(Declined { kind, retry_after, detail }))) => {
+            let refusal = Refusal::given_up(kind, &flow.evidence, &id, detail);
+            return Err(match retry_after {
+                Some(retry_after) => refusal.with_retry_after(retry_after),
+                None => refusal,
+            });
+        }
         Some(Err(DispatchError::Refused(kind))) => {
             if let Some(refusal) =
                 backpressure_refusal(&flow.traffic, &flow.call, kind, &flow.evidence)
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -86,7 +86,10 @@
 pub(super) async fn follow(control: Rc<Control>) {
     let mut state = FeedState::default();
     loop {
-        tokio::time::sleep(state.pause(&control)).await;
+        tokio::select! {
+            () = tokio::time::sleep(state.pause(&control)) => {}
+            () = control.forwarders_wanted.notified() => {}
+        }
         poll_round(&control, &mut state).await;
         control.update_role();
     }
@@ -188,6 +191,7 @@
     response: FeedResponse,
 ) -> PollOutcome {
     record_nodes(control, source, &response);
+    control.receive_forwarders(&response.forwarders);
     control.record_notices(&response.notices, sent, &source.node);
     if let Some(shares) = &response.shares {
         control.receive_shares(&source.node, shares, sent);
@@ -305,6 +309,8 @@
             notice_cursor: cursors.received,
             demand: Vec::new(),
             promises: Vec::new(),
+            forwarder: self.own_forwarder(),
+            wants_forwarders: self.wants_forwarders(),
         };
         (request, end)
     }
--- a/crates/heathpitchd/src/gateway/control/feed_server.rs
+++ b/crates/heathpitchd/src/gateway/control/feed_server.rs
@@ -61,8 +61,10 @@
     let is_known = control.followers.borrow().contains(&request.node, control.now());
     let counts = !request.reports_only && control.receive_demand(&request, is_known);
     let (promises, promise_rates) = control.answer_promises(&request, counts);
+    let wanted = request.clone();
     let response = answer_feed(control, request);
-    FeedResponse { notices, notice_cursor, promises, promise_rates, ..response }
+    let forwarders = control.exchange_forwarders(&wanted);
+    FeedResponse { notices, notice_cursor, promises, promise_rates, forwarders, ..response }
 }
 
 fn answer_feed(control: &Control, request: FeedRequest) -> FeedResponse {
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -11,6 +11,8 @@
 //! - `backpressure`, `rights`, `limit_records`: backpressure of engines, rights under their limits, and the
 //!   stored limits
 //! - `shares`: demand of client accounts, and their shares when capacity runs short
+//! - `connectivity`, `forwarders`: services that this node does not reach, and the nodes that calls for them are
+//!   forwarded to
 //! - `returns`: promised retries of rejected callers, exchanged with the planner
 //! - `recovery`, `moves`, `detour`, `reachability`: rerouting of running streams away from unreachable engines
 //! - `suspension`: detection of VM suspensions
@@ -20,12 +22,14 @@
 
 mod backpressure;
 mod config;
+mod connectivity;
 mod detour;
 mod engine_exits;
 mod engine_list;
 mod engines;
 mod feed;
 mod feed_server;
+mod forwarders;
 mod limit_records;
 mod moves;
 mod neighbours;
@@ -116,6 +120,8 @@
             spawn_local(rights::run(control.clone()));
             spawn_local(limit_records::run(control.clone()));
             spawn_local(shares::run(control.clone()));
+            spawn_local(connectivity::run(control.clone()));
+            spawn_local(forwarders::run(control.clone()));
             spawn_local(suspension::watch(control.clone()));
             spawn_local(receive(control, inbox));
             let _ = stop.wait_for(|s| *s).await;
@@ -139,6 +145,7 @@
             ControlMessage::HeldBack(fingerprint) => control.renew_request(fingerprint),
             ControlMessage::Limited(incarnation) => control.record_limit(&incarnation),
             ControlMessage::Demand(key, admitted) => control.record_demand(key, admitted),
+            ControlMessage::ReachSuspected(suspicion) => control.check_reach(&suspicion),
             ControlMessage::RightsWanted(wanted) => rights::spawn_request(&control, wanted),
         }
     }
--- a/crates/heathpitchd/src/gateway/control/neighbours.rs
+++ b/crates/heathpitchd/src/gateway/control/neighbours.rs
@@ -24,6 +24,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout of a connection and of an answer, many times the delay between failure domains.
 const POLL_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time between two requests for nodes that take calls of others.
+const FORWARDERS_INTERVAL_MS: Millis = 1_000;
 /// Time until a planner that did not answer is polled again.
 const RETRY_INTERVAL_MS: Millis = 1_500;
 
@@ -37,6 +39,8 @@
     notices: NoticeCursors,
     /// Time of the next poll.
     next: Millis,
+    /// Time of the next request for nodes that take calls of others.
+    forwarders_at: Option<Millis>,
 }
 
 /// Polls the planners of the other failure domains while this node is planner or reads the store. The latter
@@ -70,6 +74,7 @@
                 cursor: FeedCursor::default(),
                 notices: NoticeCursors::default(),
                 next: 0,
+                forwarders_at: None,
             };
             neighbours.insert(domain.clone(), neighbour);
         }
@@ -102,6 +107,7 @@
     if response.domain_size > 0 {
         control.domain_sizes.borrow_mut().insert(domain.clone(), response.domain_size);
     }
+    control.receive_remote_forwarders(domain, &response.forwarders);
     reports::receive(control, &response.reports, sent);
     control.record_notices(&response.notices, sent, &neighbour.planner.node);
 }
@@ -113,8 +119,13 @@
         None => FeedClient::open(neighbour.planner.address, POLL_TIMEOUT).await?,
     };
     let (request, sent_to) = control.feed_request(neighbour.cursor, &neighbour.notices, true);
-    let request = FeedRequest { to: Some(neighbour.planner.node.clone()), ..request };
+    let wants_forwarders = neighbour.forwarders_at.is_none_or(|at| control.now() >= at);
+    let to = Some(neighbour.planner.node.clone());
+    let request = FeedRequest { to, wants_forwarders, ..request };
     let response = client.poll(&request, POLL_TIMEOUT).await?;
+    if wants_forwarders {
+        neighbour.forwarders_at = Some(control.now() + FORWARDERS_INTERVAL_MS);
+    }
     neighbour.notices.advance(sent_to, &response);
     neighbour.client = Some(client);
     Ok(response)
--- a/crates/heathpitchd/src/gateway/control/reachability.rs
+++ b/crates/heathpitchd/src/gateway/control/reachability.rs
@@ -102,6 +102,9 @@
         let reached = tokio::time::timeout(PROBE_TIMEOUT, is_reachable(suspect.address, first));
         let reached = reached.await.unwrap_or(false);
         control.recovery.probing.set(control.recovery.probing.get() - 1);
+        if !reached {
+            control.probe_failed(&suspect.engine);
+        }
         if record_probe(&control, &suspect.engine, reached) {
             control.recovery.changed.set(true);
             control.recovery.wake.notify_one();
@@ -185,12 +188,15 @@
 }
 
 /// Probes engines and records which ones are unreachable.
-async fn probe_all(control: &Control, suspects: Vec<Suspect>) {
+async fn probe_all(control: &Rc<Control>, suspects: Vec<Suspect>) {
     let probes =
         suspects.iter().map(|s| is_reachable(s.address, !control.is_unreachable(&s.engine)));
     let found = futures::future::join_all(probes).await;
     let mut changed = false;
     for (suspect, reached) in suspects.into_iter().zip(found) {
+        if !reached {
+            control.probe_failed(&suspect.engine);
+        }
         changed |= record_probe(control, &suspect.engine, reached);
     }
     if changed {
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -205,6 +205,10 @@
         }
         let path = live.path.load_full();
         let recovers = control.recovers(&live);
+        // No order reaches the first engine; the traffic thread continues the stream at another node.
+        if control.shared.reach.is_cut_off(&live.service) {
+            continue;
+        }
         match find_fault(control, &live, &path, now) {
             Some(Fault::Lost(lost)) if recovers => {
                 stalled.push(Stalled { live, path, lost, tracked });
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -14,8 +14,10 @@
 };
 use tokio::sync::Notify;
 
+use super::connectivity::ServiceConnectivity;
 use super::engine_exits::EngineExits;
 use super::feed_server::FullTransfers;
+use super::forwarders::KnownForwarders;
 use super::limit_records::StoredLimits;
 use super::moves::RecoveryState;
 use super::orders::PendingOrder;
@@ -127,6 +129,12 @@
     pub(super) stored_limits: RefCell<StoredLimits>,
     /// Demand and shares of client accounts.
     pub(super) shares: Shares,
+    /// Services that this node does not reach.
+    pub(super) connectivity: RefCell<ServiceConnectivity>,
+    /// Nodes that take calls of others.
+    pub(super) known_forwarders: KnownForwarders,
+    /// Notified when this node needs nodes to forward calls to.
+    pub(super) forwarders_wanted: Notify,
     /// Rights issued by this node.
     pub(super) rights: RefCell<Rights>,
     /// Nodes that issue rights to this one, by failure domain.
@@ -195,6 +203,9 @@
             limits: RefCell::default(),
             stored_limits: RefCell::default(),
             shares: Shares::default(),
+            connectivity: RefCell::default(),
+            known_forwarders: KnownForwarders::default(),
+            forwarders_wanted: Notify::new(),
             rights: RefCell::default(),
             rights_issuers: RefCell::default(),
             engines_revision: Cell::new(Revision(0)),
--- a/crates/heathpitchd/src/gateway/engine_table.rs
+++ b/crates/heathpitchd/src/gateway/engine_table.rs
@@ -8,7 +8,7 @@
 use heathpitch_policy::{ChainEngine, EngineStats};
 use rand::Rng;
 
-use super::service_reach::ServiceReach;
+use super::reach::ServiceReach;
 
 /// Share of an engine's token capacity above which it gets no new requests: beyond it, requests
 /// evict each other's tokens and have to be prefilled again.
@@ -49,9 +49,16 @@
 
     /// Whether at most backpressure keeps it from new requests: it is neither draining nor suspect.
     pub(crate) fn is_in_service(&self, now: Millis) -> bool {
-        let draining =
-            self.entry.state == EntryState::Draining || self.stats.backpressure().is_draining();
-        !draining && !self.stats.gauge().is_suspect(now)
+        !self.is_draining() && !self.stats.gauge().is_suspect(now)
+    }
+
+    /// Whether it would be sent new requests if this node did not suspect it.
+    pub(crate) fn is_available_but_suspect(&self, now: Millis) -> bool {
+        !self.is_draining() && self.stats.backpressure().admits(now)
+    }
+
+    fn is_draining(&self) -> bool {
+        self.entry.state == EntryState::Draining || self.stats.backpressure().is_draining()
     }
 }
 
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -32,6 +32,8 @@
         metrics: String,
         /// Address for other nodes.
         peer: Option<String>,
+        /// Address for calls that other nodes forward.
+        forward: Option<String>,
     },
     /// The settings were reloaded.
     GatewayReloaded {
@@ -73,6 +75,55 @@
         #[serde(rename = "print")]
         fingerprint: Option<RequestFingerprint>,
     },
+    /// A call was forwarded to another node, as this one does not reach the engines of its service.
+    CallForwarded {
+        /// Call.
+        request: String,
+        /// Node that it was sent to.
+        node: Name,
+        /// Failure domain of that node.
+        domain: Name,
+        /// Service.
+        service: Name,
+        /// Attempts made before.
+        attempts: u32,
+        /// Event after which a stream resumes.
+        after: Option<u64>,
+        /// Time until the call's deadline.
+        #[serde(rename = "left_ms")]
+        remaining_ms: Millis,
+    },
+    /// A forwarded call got no answer of an engine.
+    CallForwardFailed {
+        /// Call.
+        request: String,
+        /// Node that it was sent to.
+        node: Name,
+        /// What failed.
+        error: String,
+        /// Whether it is certain that the call did not run there.
+        not_run: bool,
+        /// Events relayed so far.
+        events: u64,
+    },
+    /// A request on the listener for other nodes was rejected.
+    ForwardRejected {
+        /// What is wrong.
+        why: &'static str,
+    },
+    /// No engine of a service answers this node on a new connection any more, or one does again.
+    ServiceReach {
+        /// Service.
+        service: Name,
+        /// Whether the service is cut off from this node.
+        cut_off: bool,
+        /// Engines listed.
+        engines: usize,
+        /// Engines probed.
+        probed: usize,
+        /// How long it was cut off, if it is reached again.
+        cut_ms: Option<Millis>,
+    },
     /// A running stream was moved to other engines.
     CallRerouted {
         /// Call.
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Name and help of every metric of a gateway.
-pub const GATEWAY_METRICS: [(&str, &str); 26] = [
+pub const GATEWAY_METRICS: [(&str, &str); 30] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -43,6 +43,10 @@
         "Streams rejected after an engine refused them, as no path is expected to have capacity",
     ),
     ("heathpitch_engine_probes_total", "Probes of engines whose streams are silent, by result"),
+    ("heathpitch_forwarded_total", "Sends of calls to other nodes, by result"),
+    ("heathpitch_calls_of_nodes_total", "Calls taken that other nodes forwarded"),
+    ("heathpitch_services_cut_off", "Services whose engines this node does not reach"),
+    ("heathpitch_reach_probes_total", "Probes of whether a service is reached at all, by result"),
 ];
 
 /// Bucket bounds for the time to the head of an answer, seconds.
@@ -80,6 +84,10 @@
     pub(crate) moves: IntCounterVec,
     pub(crate) capacity_rejections: IntCounter,
     pub(crate) probes: IntCounterVec,
+    pub(crate) forwarded: IntCounterVec,
+    pub(crate) calls_of_nodes: IntCounter,
+    pub(crate) cut_off: IntGauge,
+    pub(crate) reach_probes: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -122,6 +130,10 @@
             moves: IntCounterVec::new(opts(23), &["result"])?,
             capacity_rejections: IntCounter::with_opts(opts(24))?,
             probes: IntCounterVec::new(opts(25), &["result"])?,
+            forwarded: IntCounterVec::new(opts(26), &["result"])?,
+            calls_of_nodes: IntCounter::with_opts(opts(27))?,
+            cut_off: IntGauge::with_opts(opts(28))?,
+            reach_probes: IntCounterVec::new(opts(29), &["result"])?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -158,6 +170,10 @@
             Box::new(self.moves.clone()),
             Box::new(self.capacity_rejections.clone()),
             Box::new(self.probes.clone()),
+            Box::new(self.forwarded.clone()),
+            Box::new(self.calls_of_nodes.clone()),
+            Box::new(self.cut_off.clone()),
+            Box::new(self.reach_probes.clone()),
         ]
     }
 
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -12,11 +12,12 @@
 mod event;
 mod event_log;
 mod forecast;
+mod forward_listener;
 mod live;
 mod metrics;
 mod move_progress;
 mod quarantine_snapshot;
-mod service_reach;
+mod reach;
 mod shared;
 
 use std::io;
@@ -34,7 +35,7 @@
 use tokio::sync::watch;
 
 use crate::StartError;
-use call::{RankMixes, RetryBudgets, RetrySchedules, Traffic, UsualDeadlines};
+use call::{Origin, RankMixes, RetryBudgets, RetrySchedules, Traffic, UsualDeadlines};
 use control::Listeners;
 pub use event::{CallRefused, CallRouted, GatewayEvent, SharesChanged};
 pub use metrics::GATEWAY_METRICS;
@@ -90,6 +91,7 @@
         let ready = bind("ready", settings.ready)?;
         let metrics = bind("metrics", settings.metrics)?;
         let peers = settings.peer.map(|address| bind("peer", address)).transpose()?;
+        let forward = settings.forward.map(|address| bind("forward", address)).transpose()?;
         let peer = peers.as_ref().map(Listener::address);
         let listen = listener.address();
         let collectors = GatewayMetrics::new().map_err(io::Error::other)?;
@@ -100,11 +102,13 @@
             ready: ready.address().to_string(),
             metrics: metrics.address().to_string(),
             peer: peer.map(|p| p.to_string()),
+            forward: forward.as_ref().map(|f| f.address().to_string()),
         }
         .log();
         let (ready, metrics) = (ready.into_std()?, metrics.into_std()?);
         let peers = peers.map(Listener::into_std).transpose()?;
-        let (shared, inbox) = Shared::new(settings, peer, collectors);
+        let forward_address = forward.as_ref().map(Listener::address);
+        let (shared, inbox) = Shared::new(settings, peer, forward_address, collectors);
         let (stop_control, control_stopped) = watch::channel(false);
         let (stop_traffic, traffic_stopped) = watch::channel(false);
         let listeners = move || {
@@ -128,8 +132,15 @@
             max_head_bytes: MAX_HEAD_BYTES,
             head_timeout: HEAD_TIMEOUT,
         };
+        if let Some(forward) = forward {
+            runtime.spawn(forward_listener::serve_nodes(
+                forward,
+                traffic.clone(),
+                traffic_stopped.clone(),
+            ));
+        }
         let served = runtime.spawn(serve(listener, bounds, traffic_stopped, move |request| {
-            call::handle(traffic.clone(), request)
+            call::handle(traffic.clone(), request, Origin::Caller)
         }));
         Ok(Self { shared, runtime, control, stop_traffic, stop_control, served, listen })
     }
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -6,9 +6,13 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use heathpitch_core::{Catalog, EngineEntry, GatewaySettings, Millis, Name, RequestFingerprint};
+use heathpitch_core::{
+    Catalog, EngineEntry, ForwardToken, GatewaySettings, Millis, Name, RequestFingerprint,
+};
 use heathpitch_net::{Dialect, EngineControl, Pool, Store};
-use heathpitch_policy::{AccountShares, DemandKey, EngineIncarnation, Freshness, RetryBook};
+use heathpitch_policy::{
+    AccountShares, DemandKey, EngineIncarnation, Forwarders, Freshness, RetryBook, Suspicion,
+};
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -17,6 +21,7 @@
 use super::live::LiveStream;
 use super::metrics::GatewayMetrics;
 use super::quarantine_snapshot::QuarantineSnapshot;
+use super::reach::Reach;
 use crate::clock::Clock;
 
 /// Capacity of the channel to the control thread.
@@ -49,6 +54,24 @@
     Demand(DemandKey, bool),
     /// A call needs a right for an engine with a rate limit.
     RightsWanted(RightsWanted),
+    /// The way to the engines of a service may be cut.
+    ReachSuspected(ReachSuspicion),
+}
+
+/// A sign that this node may be cut off from a service.
+#[derive(Clone, Debug)]
+pub(crate) struct ReachSuspicion {
+    pub(crate) service: Name,
+    pub(crate) why: Suspicion,
+    /// When the attempt began that failed or takes long.
+    pub(crate) since: Millis,
+}
+
+/// How this node takes calls of other nodes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ForwardAccess {
+    pub(crate) address: SocketAddr,
+    pub(crate) token: ForwardToken,
 }
 
 /// A request for rights to send requests to an engine with a rate limit.
@@ -110,6 +133,12 @@
     pub(crate) settings: ArcSwap<GatewaySettings>,
     /// Address at which other nodes reach this one, if it listens to them.
     pub(crate) peer: Option<SocketAddr>,
+    /// How other nodes forward calls to this one, if it takes any.
+    pub(crate) forward: Option<ForwardAccess>,
+    /// Nodes that calls may be forwarded to. The lock is held for microseconds.
+    pub(crate) forwarders: Mutex<Forwarders>,
+    /// Services that this node does not reach.
+    pub(crate) reach: Reach,
     pub(crate) clock: Clock,
     pub(crate) metrics: GatewayMetrics,
     /// Connections to engines.
@@ -131,6 +160,8 @@
     pub(crate) retry_book: Mutex<RetryBook>,
     pub(crate) stopping: AtomicBool,
     pub(crate) open_calls: AtomicUsize,
+    /// Open calls that other nodes forwarded to this one.
+    pub(crate) open_forwarded: AtomicUsize,
     /// How often the VM was resumed after a suspension.
     resumed: watch::Sender<u64>,
     control: mpsc::Sender<ControlMessage>,
@@ -142,12 +173,17 @@
     pub(crate) fn new(
         settings: GatewaySettings,
         peer: Option<SocketAddr>,
+        forward: Option<SocketAddr>,
         metrics: GatewayMetrics,
     ) -> (Arc<Self>, mpsc::Receiver<ControlMessage>) {
         let (control, inbox) = mpsc::channel(CONTROL_CAPACITY);
         let shared = Self {
             settings: ArcSwap::from_pointee(settings),
             peer,
+            forward: forward
+                .map(|address| ForwardAccess { address, token: ForwardToken::new(rand::random()) }),
+            forwarders: Mutex::default(),
+            reach: Reach::default(),
             clock: Clock::start(),
             metrics,
             pool: Pool::new(),
@@ -161,6 +197,7 @@
             retry_book: Mutex::new(RetryBook::new(rand::random())),
             stopping: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
+            open_forwarded: AtomicUsize::new(0),
             resumed: watch::Sender::new(0),
             control,
         };
@@ -220,6 +257,17 @@
             && self.config_freshness.load().covers(self.now(), revoke_ms)
     }
 
+    /// Reports a sign that this node may be cut off from a service.
+    pub(crate) fn suspect_reach(&self, service: &Name, why: Suspicion, since: Millis) {
+        if !self.reach.is_notice_due(service, self.now()) {
+            return;
+        }
+        let suspicion = ReachSuspicion { service: service.clone(), why, since };
+        if self.notify_control(ControlMessage::ReachSuspected(suspicion)) {
+            self.reach.set_checking(service, true);
+        }
+    }
+
     /// Sends a message to the control thread; returns false if its channel is full.
     pub(crate) fn notify_control(&self, message: ControlMessage) -> bool {
         let sent = self.control.try_send(message).is_ok();
--- a/crates/heathpitchd/tests/gateway/partition.rs
+++ b/crates/heathpitchd/tests/gateway/partition.rs
@@ -5,7 +5,6 @@
 
 use heathpitch_standin::{Behavior, Caller, Engine, GatewayProcess, LinkMode, Proxy, Reply, Scope};
 use hyper::Method;
-use serde_json::json;
 
 use super::{Cluster, KEY, wait_until};
 
@@ -13,6 +12,8 @@
 pub(crate) const EVENTS: u64 = 3;
 /// Time between events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(2);
+/// Time between two calls of a kind to a node.
+const CALL_INTERVAL: Duration = Duration::from_millis(25);
 /// Layers of an engine without any.
 const NO_LAYERS: (u32, u32) = (0, 0);
 
@@ -194,18 +195,61 @@
             let reply = self.call(node, kind).await;
             served += usize::from(reply.is_ok_and(|reply| kind.is_served(&reply)));
             sent += 1;
+            tokio::time::sleep(CALL_INTERVAL).await;
         }
         (served, sent)
     }
 
-    /// Requests that engines received, of all nodes.
+    /// Times that engines received the call with this id.
     pub(crate) fn received(&self, id: &str) -> usize {
         let of = |e: &Engine| e.requests().into_iter().filter(|r| r.id() == Some(id)).count();
         self.engines.iter().map(of).sum()
     }
 }
 
-/// Bounds of a node with nothing special.
-pub(crate) fn no_bounds() -> serde_json::Value {
-    json!({})
+/// # Observations
+impl PartitionedFleet {
+    /// Waits until a node finds that it is cut off from these services, or reaches them again.
+    pub(crate) async fn wait_reach(&self, node: usize, services: &[&str], cut_off: bool) {
+        let found = |service: &str| {
+            let last = self.nodes[node].events("service_reach");
+            let last = last.iter().rfind(|e| e["service"] == service).map(|e| e["cut_off"].clone());
+            last == Some(cut_off.into())
+        };
+        wait_until("the node finds its reach changed", async || services.iter().all(|s| found(s)))
+            .await;
+    }
+
+    /// Calls a node until it is found to be cut off from all services.
+    pub(crate) async fn wait_cut_off(&self, node: usize) {
+        let calls = async {
+            loop {
+                let calls = CallKind::ALL.map(|kind| self.serve(node, kind, CALL_INTERVAL));
+                futures::future::join_all(calls).await;
+            }
+        };
+        tokio::select! {
+            () = calls => {}
+            () = self.wait_reach(node, &["api", "one", "llm"], true) => {}
+        }
+    }
+
+    /// Index of the node that a call was last forwarded to by `node`.
+    pub(crate) async fn forwarded_to(&self, node: usize, id: &str) -> usize {
+        let events = || {
+            let events = self.nodes[node].events("call_forwarded");
+            events.into_iter().filter(|e| e["request"] == id).collect::<Vec<_>>()
+        };
+        // Lines of the log are written a few times a second.
+        wait_until("the node logs the call", async || !events().is_empty()).await;
+        let last = events().pop().unwrap();
+        let name = last["node"].as_str().unwrap();
+        name.trim_start_matches('n').parse::<usize>().unwrap() - 1
+    }
+
+    /// Makes streams of one engine last for this many events with this interval.
+    pub(crate) fn set_streams(&self, events: u64, interval: Duration) {
+        let streaming = self.engines.iter().filter(|e| e.id.contains("one"));
+        streaming.for_each(|e| e.set_behavior(Behavior::Stream(events, interval)));
+    }
 }
--- a/crates/heathpitchd/tests/gateway_partition.rs
+++ b/crates/heathpitchd/tests/gateway_partition.rs
@@ -8,22 +8,41 @@
 
 mod gateway;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::future::join_all;
 use gateway::partition::{CallKind, PartitionedFleet};
-use heathpitch_standin::LinkMode;
+use gateway::wait_until;
+use heathpitch_standin::{LinkMode, Scope};
+use http_body_util::BodyExt;
+use hyper::Method;
+use hyper::body::Incoming;
 
 /// Time from the start of a cut after which calls have to be served.
 const DETECTION_TIME: Duration = Duration::from_secs(1);
 /// Time for which calls are made.
 const SERVING_TIME: Duration = Duration::from_millis(1_500);
+/// Time from the end of a cut within which a node uses its own way again.
+const RETURN_TIME: Duration = Duration::from_secs(2);
+/// Events of a long stream.
+const LONG_STREAM: u64 = 40;
+/// Time between them.
+const LONG_INTERVAL: Duration = Duration::from_millis(40);
 /// Part of the share served elsewhere that a cut node has to serve.
 const MIN_SERVED: f64 = 0.95;
 
-/// Share of the calls of all kinds that a node serves.
+/// Share of the calls of all kinds that a node serves once the time for detection is over.
 async fn served_share(fleet: &PartitionedFleet, node: usize) -> f64 {
-    let calls = CallKind::ALL.map(|kind| fleet.serve(node, kind, SERVING_TIME));
+    served_share_of(&CallKind::ALL, fleet, node).await
+}
+
+/// The same for these kinds only.
+async fn served_share_of(kinds: &[CallKind], fleet: &PartitionedFleet, node: usize) -> f64 {
+    let early = kinds.iter().map(|kind| fleet.serve(node, *kind, DETECTION_TIME));
+    let start = tokio::time::Instant::now();
+    // Calls that hang since the cut began are not waited for.
+    let _ = tokio::time::timeout_at(start + DETECTION_TIME, join_all(early)).await;
+    let calls = kinds.iter().map(|kind| fleet.serve(node, *kind, SERVING_TIME));
     let counts = join_all(calls).await;
     let (served, sent) = counts.iter().fold((0, 0), |all, one| (all.0 + one.0, all.1 + one.1));
     served as f64 / f64::from(sent as u32)
@@ -32,7 +51,6 @@
 async fn assert_serves_while_cut_off(mode: LinkMode) {
     let fleet = PartitionedFleet::start(&["mem", "mem", "atl"]).await;
     fleet.cut_off(0, mode);
-    tokio::time::sleep(DETECTION_TIME).await;
     let (cut, other) = tokio::join!(served_share(&fleet, 0), served_share(&fleet, 1));
     assert!(cut >= MIN_SERVED * other, "{mode:?}: {cut:.2} of the calls, elsewhere {other:.2}");
 }
@@ -54,3 +72,103 @@
 async fn a_node_that_receives_nothing_from_engines_serves_through_other_nodes() {
     assert_serves_while_cut_off(LinkMode::OneWay).await;
 }
+
+/// Guards against nodes that go on forwarding calls, or change back and forth, once they reach engines again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_uses_its_own_way_again_soon_after_a_cut() {
+    let fleet = PartitionedFleet::start(&["mem", "mem"]).await;
+    fleet.cut_off(0, LinkMode::Blackhole);
+    fleet.wait_cut_off(0).await;
+    fleet.heal(0);
+    let healed = Instant::now();
+    fleet.wait_reach(0, &["api", "one", "llm"], false).await;
+    assert!(healed.elapsed() < RETURN_TIME, "{:?}", healed.elapsed());
+    let changes = fleet.nodes[0].events("service_reach").len();
+    let forwarded = fleet.nodes[0].events("call_forwarded").len();
+    let calls = CallKind::ALL.map(|kind| fleet.serve(0, kind, SERVING_TIME));
+    for (served, sent) in join_all(calls).await {
+        assert_eq!(served, sent);
+    }
+    assert_eq!(fleet.nodes[0].events("call_forwarded").len(), forwarded);
+    assert_eq!(fleet.nodes[0].events("service_reach").len(), changes);
+}
+
+/// Guards against a cut that is found only if it affects every service.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_from_the_engines_of_one_service_affects_calls_for_it_only() {
+    let fleet = PartitionedFleet::start(&["mem", "mem"]).await;
+    fleet.cut(0, &["llm"], LinkMode::Blackhole, Scope::All);
+    let (cut, other) = tokio::join!(served_share(&fleet, 0), served_share(&fleet, 1));
+    assert!(cut >= MIN_SERVED * other, "{cut:.2} of the calls, elsewhere {other:.2}");
+    let forwarded = fleet.nodes[0].events("call_forwarded");
+    assert!(!forwarded.is_empty());
+    assert!(forwarded.iter().all(|e| e["service"] == "llm"), "{forwarded:?}");
+}
+
+/// Opens a long stream at a node, and reads its first event.
+async fn open_stream(fleet: &PartitionedFleet, node: usize) -> Incoming {
+    fleet.set_streams(LONG_STREAM, LONG_INTERVAL);
+    let (reply, mut body) =
+        fleet.caller(node).open(Method::POST, "/whole/x", "body").await.unwrap();
+    assert_eq!(reply.status, 200);
+    body.frame().await.unwrap().unwrap();
+    body
+}
+
+/// Reads a stream to its end, and checks that it holds each event once.
+async fn assert_complete(body: Incoming) {
+    let text = body.collect().await.unwrap().to_bytes();
+    let text = String::from_utf8(text.to_vec()).unwrap();
+    let ids: Vec<u64> = text.lines().filter_map(|l| l.strip_prefix("id: ")?.parse().ok()).collect();
+    assert_eq!(ids, (2..=LONG_STREAM).collect::<Vec<_>>());
+}
+
+/// Guards against running streams that end, lack events or repeat them because their node loses the way.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_continues_through_another_node_after_a_cut() {
+    for mode in [LinkMode::Blackhole, LinkMode::Reset] {
+        let fleet = PartitionedFleet::start(&["mem", "mem"]).await;
+        let body = open_stream(&fleet, 0).await;
+        fleet.cut_off(0, mode);
+        assert_complete(body).await;
+        assert!(!fleet.nodes[0].events("call_forwarded").is_empty(), "{mode:?}");
+    }
+}
+
+/// Guards against streams that are taken from engines whose connections still work.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_stays_where_it_is_while_only_new_connections_fail() {
+    let fleet = PartitionedFleet::start(&["mem", "mem"]).await;
+    let body = open_stream(&fleet, 0).await;
+    fleet.cut(0, &["api", "one", "llm"], LinkMode::Reset, Scope::New);
+    let calls = served_share_of(&[CallKind::Idempotent, CallKind::AtMostOnce], &fleet, 0);
+    let (share, ()) = tokio::join!(calls, assert_complete(body));
+    assert!(share >= MIN_SERVED, "{share:.2}");
+    fleet.wait_reach(0, &["api"], true).await;
+    let abandoned: u64 = fleet.engines.iter().map(|e| e.abandoned_streams()).sum();
+    assert_eq!(abandoned, 0);
+}
+
+/// Guards against a planner that takes engines that it does not reach for lost: it ordered others to hold
+/// their layers, and kept another node from planning.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_that_is_cut_off_leaves_planning_to_another_node() {
+    let fleet = PartitionedFleet::start(&["mem", "mem", "mem"]).await;
+    let is_planner = |n: usize| {
+        fleet.nodes[n].events("domain_planner").last().is_some_and(|e| e["active"] == true)
+    };
+    wait_until("a node is the planner", async || (0..3).any(is_planner)).await;
+    let planner = (0..3).find(|n| is_planner(*n)).unwrap();
+    let layers: Vec<_> = fleet.engines.iter().map(|e| e.layers()).collect();
+    fleet.cut_off(planner, LinkMode::Reset);
+    fleet.wait_cut_off(planner).await;
+    wait_until("another node is the planner", async || {
+        (0..3).any(|n| n != planner && is_planner(n)) && !is_planner(planner)
+    })
+    .await;
+    fleet.heal(planner);
+    fleet.wait_reach(planner, &["api", "one", "llm"], false).await;
+    tokio::time::sleep(RETURN_TIME).await;
+    assert_eq!(fleet.engines.iter().map(|e| e.layers()).collect::<Vec<_>>(), layers);
+    assert!(fleet.nodes.iter().all(|n| n.events("engine_ended").is_empty()));
+}
