--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -131,6 +131,15 @@
 impl Flow {
     /// Sends the stream until an engine takes it, here or through another node.
     pub(crate) async fn dispatch(&mut self) -> Result<Answer, DispatchError> {
+        if self.call.forwarded.is_some() {
+            // The cut that this node is about to find may be that of the other one.
+            let (reach, service) = (&self.traffic.shared.reach, &self.call.service.name);
+            reach.await_check(service).await;
+            return match reach.is_cut_off(service) {
+                true => Err(DispatchError::Refused(RefusalKind::NoEngine)),
+                false => self.dispatch_to_engines().await,
+            };
+        }
         let sent = match self.is_cut_off() {
             true => Err(DispatchError::Refused(RefusalKind::NoEngine)),
             false => return self.dispatch_or_forward().await,
@@ -275,7 +284,7 @@
         }
         let (live, head, held) = (self.live.take(), self.head.take(), self.held.take());
         let hop = self.hop.take();
-        if let Some(head) = &head {
+        if let Some(head) = head.as_ref().filter(|head| !self.avoid.contains(head)) {
             self.log_lost(head, why);
             self.avoid.push(head.clone());
         }
--- a/crates/heathpitchd/src/gateway/call/forward.rs
+++ b/crates/heathpitchd/src/gateway/call/forward.rs
@@ -162,14 +162,8 @@
         progress: Progress<'_>,
     ) -> Result<(Answer, Hop), ForwardError> {
         let Progress { attempts, evidence, after, events } = progress;
-        // A send after an attempt that may have run is a retry.
-        let mut is_paid = *attempts == 0;
         while *attempts < call.attempts() {
             let Some(hop) = self.choose(traffic, call) else { break };
-            if !is_paid && !traffic.retry_budgets.spend(&call.service.name) {
-                break;
-            }
-            is_paid = true;
             let node = hop.forwarder.node.clone();
             log_forwarded(traffic, call, &hop.forwarder, *attempts, after);
             evidence.sent();
@@ -192,7 +186,6 @@
                 HopFailure::Refused { refusal, .. } if refusal.outcome != Outcome::NotRun => {
                     *attempts += 1;
                     evidence.lost();
-                    is_paid = false;
                     if !call.route.kind.retryable() {
                         return Err(ForwardError::Lost);
                     }
@@ -218,7 +211,6 @@
                 HopFailure::Lost(_) => {
                     *attempts += 1;
                     evidence.lost();
-                    is_paid = false;
                     forwarders.record_unreachable(&node, now);
                     if !call.route.kind.retryable() {
                         return Err(ForwardError::Lost);
@@ -285,8 +277,11 @@
     let sent = traffic.shared.now();
     let dialect = &traffic.clients.dialect;
     *request.headers_mut() = dialect.forwarded(&call.body.headers, call.remaining(sent), after);
-    let attempts = call.attempts().saturating_sub(attempts);
-    let forwarded = ForwardedCall { attempts, age_ms: call.age_ms };
+    let forwarded = ForwardedCall {
+        attempts: call.attempts().saturating_sub(attempts),
+        is_retry: attempts > 0,
+        age_ms: call.age_ms,
+    };
     ForwardHead { token, call: Some(forwarded) }.write(request.headers_mut());
     let answer = tokio::select! {
         biased;
--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -42,6 +42,7 @@
 
 use super::shared::{Clients, Shared};
 use open::OpenCall;
+use refusal::{Refusal, RefusalKind};
 
 /// State of the traffic thread.
 pub(crate) struct Traffic {
@@ -79,9 +80,17 @@
         Ok(call) => Arc::new(call),
         Err(refusal) => return refusal.respond(&traffic.shared),
     };
-    // The node that received it from its caller has counted it.
-    if forwarded.is_none() {
-        traffic.retry_budgets.record_call(&call.service.name);
+    match forwarded {
+        None => traffic.retry_budgets.record_call(&call.service.name),
+        // The node that received it from its caller has counted it, and has not paid for the retry.
+        Some(ForwardedCall { is_retry: true, .. })
+            if !traffic.retry_budgets.spend(&call.service.name) =>
+        {
+            let detail = "this node has no retry left for the service";
+            let refusal = Refusal::unsent(RefusalKind::NoRetry, &call.head.id, detail);
+            return refusal.of_call(&call).respond(&traffic.shared);
+        }
+        Some(_) => {}
     }
     let answer = match call.route.kind.streams() {
         true => {
--- a/crates/heathpitchd/src/gateway/call/refusal.rs
+++ b/crates/heathpitchd/src/gateway/call/refusal.rs
@@ -37,6 +37,8 @@
     Limited,
     /// Engines exit when they start to run it.
     HeldBack,
+    /// Another node forwarded it as a retry, and this one has none left.
+    NoRetry,
     /// Every engine that it was sent to refused it.
     EnginesRefused,
     /// The connection to an engine was lost, or its answer is unusable.
@@ -47,7 +49,7 @@
 
 impl RefusalKind {
     /// All kinds.
-    const ALL: [Self; 15] = [
+    const ALL: [Self; 16] = [
         Self::Unconfigured,
         Self::NoRoute,
         Self::BadKey,
@@ -60,6 +62,7 @@
         Self::Paused,
         Self::Limited,
         Self::HeldBack,
+        Self::NoRetry,
         Self::EnginesRefused,
         Self::Broken,
         Self::Expired,
@@ -80,6 +83,7 @@
             Self::Paused => "resting",
             Self::Limited => "limited",
             Self::HeldBack => "held_back",
+            Self::NoRetry => "no_retry",
             Self::EnginesRefused => "engines_refused",
             Self::Broken => "broken",
             Self::Expired => "expired",
@@ -101,7 +105,8 @@
             | Self::BadHead
             | Self::TooLarge
             | Self::CutBody
-            | Self::NoEngine => true,
+            | Self::NoEngine
+            | Self::NoRetry => true,
             Self::Overloaded
             | Self::Paused
             | Self::Limited
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -94,6 +94,15 @@
     call: &Call,
     progress: &mut Progress,
 ) -> Result<CompleteAnswer, RefusalKind> {
+    if call.forwarded.is_some() {
+        // The cut that this node is about to find may be that of the other one.
+        let (reach, service) = (&traffic.shared.reach, &call.service.name);
+        reach.await_check(service).await;
+        return match reach.is_cut_off(service) {
+            true => Err(RefusalKind::NoEngine),
+            false => run_attempts(traffic, call, progress).await,
+        };
+    }
     let was_cut_off = is_cut_off(traffic, call);
     let sent = match was_cut_off {
         true => Err(RefusalKind::NoEngine),
--- a/crates/heathpitchd/src/gateway/control/connectivity.rs
+++ b/crates/heathpitchd/src/gateway/control/connectivity.rs
@@ -133,6 +133,13 @@
     fn cut_off(self: &Rc<Self>, service: &Name, engines: usize, probed: usize) {
         let now = self.now();
         self.connectivity.borrow_mut().cut_since.insert(service.clone(), now);
+        let addresses: Vec<_> = {
+            let entries = self.entries.borrow();
+            let of_service = entries.values().filter(|e| &e.service == service);
+            of_service.map(|e| e.address).collect()
+        };
+        // Idle connections may be dead, and would cost the first calls after the return an attempt.
+        addresses.into_iter().for_each(|address| self.shared.pool.close_idle(address));
         self.publish_reach();
         let service = service.clone();
         GatewayEvent::ServiceReach { service, cut_off: true, engines, probed, cut_ms: None }.log();
--- a/crates/heathpitchd/src/gateway/control/engine_exits.rs
+++ b/crates/heathpitchd/src/gateway/control/engine_exits.rs
@@ -40,7 +40,8 @@
 
 /// Records a call whose connection was lost, and probes its engine.
 pub(super) fn record_lost(control: &Rc<Control>, lost: LostAttempt) {
-    let (engine, address, now) = (lost.engine.id.clone(), lost.engine.address, control.now());
+    let entry = lost.engine.clone();
+    let (engine, address, now) = (entry.id.clone(), entry.address, control.now());
     let (known, first) = {
         let mut exits = control.engine_exits.borrow_mut();
         exits.exited.retain(|_, at| now < *at + ATTRIBUTION_MS);
@@ -52,10 +53,11 @@
     if !first {
         return;
     }
-    let control = control.clone();
+    let (control, entry) = (control.clone(), entry);
     spawn_local(async move {
         tokio::time::sleep(COLLECTION_TIME).await;
-        let exited = known || refuses(address).await;
+        // Where the way to all engines is cut, refused connections tell nothing of one.
+        let exited = known || refuses(address).await && control.confirms_reach(&entry).await;
         let lost = control.engine_exits.borrow_mut().lost.remove(&engine).unwrap_or_default();
         if exited {
             record_exit(&control, &lost);
--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -16,6 +16,7 @@
 use heathpitch_net::{Item, ItemChange, StoreError, Write};
 use heathpitch_policy::{DomainPlanner, FleetStart, Source};
 use rand::Rng;
+use tokio::task::spawn_local;
 
 use super::state::{Control, Fleet};
 use super::{limit_records, quarantine};
@@ -34,6 +35,8 @@
 const MAX_STAGGER_MS: Millis = 200;
 /// Extra delay of nodes on small VMs: the longest delay of the others, and two answers of the store.
 const SMALL_VM_DELAY_MS: Millis = 250;
+/// Extra delay of nodes that are cut off from engines: several polls, so that any other node comes first.
+const CUT_OFF_DELAY_MS: Millis = 1_000;
 /// Minimum link of a planner's VM: sixty followers that start together are served 30 kB each, twice, within
 /// 0.6 s.
 const MIN_LINK_MBPS: f64 = 50.0;
@@ -128,7 +131,13 @@
         }
         let prefix = if control.is_planner() { ROOT } else { key };
         // Nodes with a longer random delay find the lease already taken.
-        let wait = if free { stagger(&control.shared.settings.load()) } else { MAX_WATCH_MS };
+        let wait = match free {
+            true if control.is_cut_off() => {
+                CUT_OFF_DELAY_MS + stagger(&control.shared.settings.load())
+            }
+            true => stagger(&control.shared.settings.load()),
+            false => MAX_WATCH_MS,
+        };
         let Ok(watched) = control.watch("planner", prefix, at, wait).await else {
             return WatchEnd::Stopped;
         };
@@ -248,6 +257,24 @@
     }
 }
 
+/// Gives up planning, because this node is cut off from engines, if another node of its failure domain can
+/// plan that is not.
+pub(super) fn yield_planning(control: &Rc<Control>) {
+    let (now, must_plan) = (control.now(), can_plan(&control.shared.settings.load()));
+    let (Some(lease), true) =
+        (control.lease(), control.followers.borrow().has_connected(must_plan, now))
+    else {
+        return;
+    };
+    step_down(control, "this node is cut off from engines");
+    control.planner_released.set(true);
+    let control = control.clone();
+    // If the call fails, the lease expires on its own.
+    spawn_local(async move {
+        let _ = control.call("end", control.clients.store.end(lease)).await;
+    });
+}
+
 /// Records the planner of a failure domain.
 pub(super) fn record_planner(control: &Control, domain: &Name, planner: DomainPlanner) {
     let other = *domain == control.domain() && planner.source.node != control.node();
--- a/crates/heathpitchd/src/gateway/control/planner.rs
+++ b/crates/heathpitchd/src/gateway/control/planner.rs
@@ -37,7 +37,7 @@
         if let Some(model) = &service.model {
             orders::check_pending(control);
             let engines = engines(control, &service.name);
-            if is_isolated(control, &service.name) {
+            if control.is_reach_unsettled(&service.name) || is_isolated(control, &service.name) {
                 continue;
             }
             if has_foreign_order(control) {
--- a/crates/heathpitchd/src/gateway/control/publish.rs
+++ b/crates/heathpitchd/src/gateway/control/publish.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 
 use heathpitch_core::{EntryState, LayerRange, Name};
 use heathpitch_policy::{Backpressure, EngineStats, primaries};
@@ -42,6 +43,18 @@
         found
     }
 
+    /// Nodes of this failure domain that send as many calls as this one: calls that others forward are sent here
+    /// in their place.
+    fn sending_nodes(&self) -> u32 {
+        let domain_size = self.fleet.get().map_or(1, |f| f.domain_size.max(1));
+        let (open, forwarded) = (
+            self.shared.open_calls.load(Relaxed).max(1) as f64,
+            self.shared.open_forwarded.load(Relaxed) as f64,
+        );
+        let own_share = 1.0 - (forwarded / open).min(1.0);
+        (f64::from(domain_size) * own_share).round().max(1.0) as u32
+    }
+
     /// Publishes the engine table.
     pub(super) fn publish(&self) {
         let catalog = self.shared.catalog.load();
@@ -75,7 +88,7 @@
         self.shared.metrics.engines.set(entries.len() as i64);
         let fleet_size = self.fleet.get().map(|f| f.fleet_size);
         self.shared.metrics.nodes.set(i64::from(fleet_size.unwrap_or(0)));
-        let domain_size = self.fleet.get().map_or(1, |f| f.domain_size.max(1));
+        let domain_size = self.sending_nodes();
         let forecast = self.shared.settings.load().load.forecast.is_on();
         let table = EngineTable { services, domain_size, fleet_size, forecast };
         self.shared.table.store(Arc::new(table));
--- a/crates/net/src/forward.rs
+++ b/crates/net/src/forward.rs
@@ -12,6 +12,8 @@
 const TOKEN: HeaderName = HeaderName::from_static("x-heathpitch-forward-token");
 /// Engines that the call may still be sent to; absent in a probe of the node.
 const ATTEMPTS: HeaderName = HeaderName::from_static("x-heathpitch-forward-attempts");
+/// Present if the call may have run already, so that sending it to an engine is a retry.
+const RETRY: HeaderName = HeaderName::from_static("x-heathpitch-forward-retry");
 /// Time since the caller first asked, milliseconds.
 const AGE_MS: HeaderName = HeaderName::from_static("x-heathpitch-forward-age-ms");
 /// Kind of a response that the node gave itself.
@@ -19,7 +21,7 @@
 /// Outcome of the call according to such a response.
 const OUTCOME: HeaderName = HeaderName::from_static("x-heathpitch-forward-outcome");
 /// All of them.
-const ALL: [HeaderName; 5] = [TOKEN, ATTEMPTS, AGE_MS, KIND, OUTCOME];
+const ALL: [HeaderName; 6] = [TOKEN, ATTEMPTS, RETRY, AGE_MS, KIND, OUTCOME];
 
 /// What a node adds to a request that it sends to another node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +37,9 @@
 pub struct ForwardedCall {
     /// Engines that it may still be sent to.
     pub attempts: u32,
+    /// Whether it may have run already, so that sending it to an engine is a retry, which the node that sends it
+    /// pays for.
+    pub is_retry: bool,
     /// Time since its caller first asked.
     pub age_ms: Millis,
 }
@@ -56,6 +61,9 @@
         if let Some(call) = self.call {
             set(headers, ATTEMPTS, &call.attempts.to_string());
             set(headers, AGE_MS, &call.age_ms.to_string());
+            if call.is_retry {
+                set(headers, RETRY, "1");
+            }
         }
     }
 
@@ -64,9 +72,11 @@
         let token = text(headers, &TOKEN).and_then(|t| t.parse().ok());
         let number = |name| text(headers, name).and_then(|t| t.parse::<u64>().ok());
         let (attempts, age_ms) = (number(&ATTEMPTS), number(&AGE_MS));
+        let is_retry = headers.contains_key(RETRY);
         clear(headers);
         let call = attempts.zip(age_ms).map(|(attempts, age_ms)| ForwardedCall {
             attempts: attempts.min(u32::MAX.into()) as u32,
+            is_retry,
             age_ms,
         });
         Some(Self { token: token?, call })
