Feed codec and flow split by what they do

Notices and forwarders have codecs of their own, and what a stream does about other nodes stands beside the stream over engines.

--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -1,4 +1,6 @@
 //! A stream over all its attempts: which engine is next, and what failures mean.
+//!
+//! `flow_forward` decides when it is sent to another node instead.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,7 +14,7 @@
 use super::Traffic;
 use super::admission::{self, Load, Sharing, Shed};
 use super::admit::Call;
-use super::forward::{Declined, ForwardError, Forwarding, Hop, Progress};
+use super::forward::{Declined, Forwarding, Hop};
 use super::open::{HeldTokens, OpenCall, WaitingRequest};
 use super::pick::{self, Avoid, Chosen, Full};
 use super::record::AttemptLog;
@@ -25,7 +27,7 @@
 use crate::gateway::shared::{ControlMessage, LostAttempt};
 
 /// Attempts in which nothing could be sent to the first engine of the path.
-const MAX_UNSENT: u32 = 4;
+pub(super) const MAX_UNSENT: u32 = 4;
 /// Time for which a started stream waits for a path: callers disconnect after two seconds of
 /// silence.
 const PATH_WAIT_MS: Millis = 1_700;
@@ -64,11 +66,11 @@
     found_full: bool,
     /// Part of the service's recent demand that is more urgent, 0 to 1.
     urgent_share: f64,
-    unsent: u32,
+    pub(super) unsent: u32,
     /// Attempts whose connections failed.
-    unreached: u32,
+    pub(super) unreached: u32,
     avoid: Vec<Name>,
-    forwarding: Forwarding,
+    pub(super) forwarding: Forwarding,
 }
 
 /// An engine, with its path, that a stream may be sent to.
@@ -129,48 +131,8 @@
 
 /// # Attempts
 impl Flow {
-    /// Sends the stream until an engine takes it, here or through another node.
-    pub(crate) async fn dispatch(&mut self) -> Result<Answer, DispatchError> {
-        if self.call.forwarded.is_some() {
-            // The cut that this node is about to find may be that of the other one.
-            let (reach, service) = (&self.traffic.shared.reach, &self.call.service.name);
-            reach.await_check(service).await;
-            return match reach.is_cut_off(service) {
-                true => Err(DispatchError::Refused(RefusalKind::NoEngine)),
-                false => self.dispatch_to_engines().await,
-            };
-        }
-        let sent = match self.is_cut_off() {
-            true => Err(DispatchError::Refused(RefusalKind::NoEngine)),
-            false => return self.dispatch_or_forward().await,
-        };
-        match self.or_forward(sent).await {
-            // No other node takes it, and the way may be back.
-            Err(DispatchError::Refused(_)) => {
-                self.unsent = self.unsent.max(MAX_UNSENT - 1);
-                self.dispatch_to_engines().await
-            }
-            other => other,
-        }
-    }
-
-    async fn dispatch_or_forward(&mut self) -> Result<Answer, DispatchError> {
-        let sent = self.dispatch_to_engines().await;
-        self.or_forward(sent).await
-    }
-
-    /// Forwards a stream that this node cannot send to an engine, if another node may.
-    async fn or_forward(
-        &mut self,
-        sent: Result<Answer, DispatchError>,
-    ) -> Result<Answer, DispatchError> {
-        match sent {
-            Err(DispatchError::Refused(kind)) if self.may_forward(kind) => self.forward(kind).await,
-            other => other,
-        }
-    }
-
-    async fn dispatch_to_engines(&mut self) -> Result<Answer, DispatchError> {
+    /// Sends the stream to engines until one takes it.
+    pub(super) async fn dispatch_to_engines(&mut self) -> Result<Answer, DispatchError> {
         let mut kind = RefusalKind::NoEngine;
         let was_cut_off = self.is_cut_off();
         while self.attempts < self.call.attempts() && self.unsent < MAX_UNSENT {
@@ -236,45 +198,6 @@
         Err(DispatchError::Refused(kind))
     }
 
-    /// Whether this node does not reach the service, and may forward the stream.
-    fn is_cut_off(&self) -> bool {
-        let reach = &self.traffic.shared.reach;
-        self.call.forwarded.is_none() && reach.is_cut_off(&self.call.service.name)
-    }
-
-    /// Whether a stream that ends with `kind` here may still be served by another node.
-    fn may_forward(&self, kind: RefusalKind) -> bool {
-        let may_send = self.call.route.kind.retryable() || self.evidence.not_run().is_some();
-        matches!(kind, RefusalKind::NoEngine | RefusalKind::Broken)
-            && may_send
-            && self.allows_retry()
-            && Forwarding::applies(&self.traffic, &self.call, self.unreached)
-    }
-
-    /// Sends the stream to another node; `kind` is why this one does not serve it.
-    async fn forward(&mut self, kind: RefusalKind) -> Result<Answer, DispatchError> {
-        let (traffic, call) = (self.traffic.clone(), self.call.clone());
-        let state = Progress {
-            attempts: &mut self.attempts,
-            evidence: &mut self.evidence,
-            after: self.events.last(),
-            events: self.events.count(),
-        };
-        match self.forwarding.send(&traffic, &call, state).await {
-            Ok((answer, hop)) => {
-                self.evidence.started();
-                self.hop = Some(hop);
-                match answer.parts.status {
-                    StatusCode::OK => Ok(answer),
-                    _ => Err(DispatchError::Failed(Box::new(answer))),
-                }
-            }
-            Err(ForwardError::NoNode) => Err(DispatchError::Refused(kind)),
-            Err(ForwardError::Lost) => Err(DispatchError::Refused(RefusalKind::Broken)),
-            Err(ForwardError::Declined(declined)) => Err(DispatchError::Declined(declined)),
-        }
-    }
-
     /// Moves the stream to another engine while the running attempt is silent but has not ended.
     ///
     /// If no engine takes it, the running attempt continues.
@@ -363,7 +286,7 @@
     }
 
     /// Whether another attempt is safe after the way in which the last one failed.
-    fn allows_retry(&self) -> bool {
+    pub(super) fn allows_retry(&self) -> bool {
         let quarantine = self.traffic.shared.quarantine.load();
         self.lost_events
             .is_none_or(|events| quarantine.allows_retry(events, || self.call.fingerprint()))
--- a/crates/heathpitchd/src/gateway/call/forward.rs
+++ b/crates/heathpitchd/src/gateway/call/forward.rs
@@ -22,8 +22,8 @@
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::shared::Shared;
 
-/// Most nodes that a call is forwarded to.
-const MAX_NODES: usize = 3;
+/// Most nodes that a call is forwarded to: enough to find the one in a few that is not cut off as well.
+const MAX_NODES: usize = 8;
 /// Silence after which the node that handles a call is probed.
 const SILENCE: Duration = Duration::from_millis(300);
 /// Timeout of a probe, many times the delay between failure domains: a node on a busy VM answers late.
--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -13,6 +13,7 @@
 mod admission;
 mod admit;
 mod flow;
+mod flow_forward;
 mod forward;
 mod open;
 mod pick;
--- a/crates/net/src/feed_codec.rs
+++ b/crates/net/src/feed_codec.rs
@@ -5,17 +5,21 @@
 
 use bytes::Bytes;
 use capnp::message::{Builder, ReaderOptions};
-use heathpitch_core::{ForwardToken, Forwarder, Name, Rate, RequestFingerprint, Revision};
+use heathpitch_core::{Name, Revision};
 
 use crate::deflate::{deflate_bytes, inflate_bytes};
 use crate::feed_capnp::{
-    ask, demand, end, forwarder, item, items, leave, limit, planner, promise, promise_rate, report,
-    right_ask, right_told, share, source, told,
+    ask, demand, item, items, planner, promise, promise_rate, report, right_ask, right_told, share,
+    source, told,
+};
+use crate::feed_forwarder_codec::{read_forwarder, write_forwarder};
+use crate::feed_notice_codec::{
+    read_limit, read_notices, write_drains, write_exits, write_limit, write_limits,
 };
 use crate::{
-    FeedCursor, FeedDemand, FeedDrain, FeedEngines, FeedExit, FeedLimit, FeedNotices, FeedPlanner,
-    FeedPromise, FeedPromiseRate, FeedReport, FeedRequest, FeedResponse, FeedShare, FeedShares,
-    Item, NoticeCursor, RightsRequest, RightsResponse, RpcError,
+    FeedCursor, FeedDemand, FeedEngines, FeedPlanner, FeedPromise, FeedPromiseRate, FeedReport,
+    FeedRequest, FeedResponse, FeedShare, FeedShares, Item, NoticeCursor, RightsRequest,
+    RightsResponse, RpcError,
 };
 
 /// Encodes and compresses a complete list of items: 100 engine entries take about 3 kB instead of
@@ -339,82 +343,6 @@
     })
 }
 
-fn write_exits(from: &[FeedExit], mut to: capnp::struct_list::Builder<'_, end::Owned>) {
-    for (i, e) in from.iter().enumerate() {
-        let mut to = to.reborrow().get(i as u32);
-        to.set_print(e.fingerprint.0);
-        to.set_engine(e.engine.as_str());
-        to.set_born(e.started_at.unwrap_or(0));
-        to.set_events(e.events);
-        to.set_renewed(e.renewed);
-        to.set_void(e.cleared);
-        to.set_age_ms(e.age_ms);
-    }
-}
-
-fn read_notices(
-    ends: capnp::struct_list::Reader<'_, end::Owned>,
-    leaves: capnp::struct_list::Reader<'_, leave::Owned>,
-    limits: capnp::struct_list::Reader<'_, limit::Owned>,
-) -> capnp::Result<FeedNotices> {
-    Ok(FeedNotices {
-        exits: ends.iter().map(read_exit).collect::<capnp::Result<_>>()?,
-        drains: leaves.iter().map(read_drain).collect::<capnp::Result<_>>()?,
-        limits: limits.iter().map(read_limit).collect::<capnp::Result<_>>()?,
-    })
-}
-
-fn read_exit(from: end::Reader<'_>) -> capnp::Result<FeedExit> {
-    Ok(FeedExit {
-        fingerprint: RequestFingerprint(from.get_print()),
-        engine: name(from.get_engine()?)?,
-        started_at: Some(from.get_born()).filter(|started_at| *started_at > 0),
-        events: from.get_events(),
-        renewed: from.get_renewed(),
-        cleared: from.get_void(),
-        age_ms: from.get_age_ms(),
-    })
-}
-
-fn write_drains(from: &[FeedDrain], mut to: capnp::struct_list::Builder<'_, leave::Owned>) {
-    for (i, l) in from.iter().enumerate() {
-        let mut to = to.reborrow().get(i as u32);
-        to.set_engine(l.engine.as_str());
-        to.set_born(l.started_at.unwrap_or(0));
-        to.set_age_ms(l.age_ms);
-    }
-}
-
-fn read_drain(from: leave::Reader<'_>) -> capnp::Result<FeedDrain> {
-    Ok(FeedDrain {
-        engine: name(from.get_engine()?)?,
-        started_at: Some(from.get_born()).filter(|started_at| *started_at > 0),
-        age_ms: from.get_age_ms(),
-    })
-}
-
-fn write_limits(from: &[FeedLimit], mut to: capnp::struct_list::Builder<'_, limit::Owned>) {
-    for (i, l) in from.iter().enumerate() {
-        write_limit(l, to.reborrow().get(i as u32));
-    }
-}
-
-fn write_limit(from: &FeedLimit, mut to: limit::Builder<'_>) {
-    to.set_engine(from.engine.as_str());
-    to.set_born(from.started_at.unwrap_or(0));
-    to.set_parts(Rate::pack(from.rate));
-    to.set_age_ms(from.age_ms);
-}
-
-fn read_limit(from: limit::Reader<'_>) -> capnp::Result<FeedLimit> {
-    Ok(FeedLimit {
-        engine: name(from.get_engine()?)?,
-        started_at: Some(from.get_born()).filter(|started_at| *started_at > 0),
-        rate: Rate::unpack(from.get_parts()),
-        age_ms: from.get_age_ms(),
-    })
-}
-
 pub(crate) fn write_rights_request(from: &RightsRequest, mut to: right_ask::Builder<'_>) {
     to.set_node(from.node.as_str());
     to.set_wanted(from.requested);
@@ -455,30 +383,6 @@
     Ok(FeedPlanner { domain, node, address, revision })
 }
 
-fn write_forwarder(from: &Forwarder, mut to: forwarder::Builder<'_>) {
-    to.set_node(from.node.as_str());
-    to.set_domain(from.domain.as_str());
-    to.set_address(from.address.to_string());
-    to.set_token(from.token.bytes());
-    to.set_open(from.open);
-    let mut unserved = to.init_unserved(from.unserved.len() as u32);
-    for (i, service) in from.unserved.iter().enumerate() {
-        unserved.set(i as u32, service.as_str());
-    }
-}
-
-fn read_forwarder(from: forwarder::Reader<'_>) -> capnp::Result<Forwarder> {
-    let token = ForwardToken::from_bytes(from.get_token()?);
-    Ok(Forwarder {
-        node: name(from.get_node()?)?,
-        domain: name(from.get_domain()?)?,
-        address: address(from.get_address()?)?,
-        token: token.ok_or_else(|| capnp::Error::failed("token: wrong length".to_owned()))?,
-        open: from.get_open(),
-        unserved: from.get_unserved()?.iter().map(|s| name(s?)).collect::<capnp::Result<_>>()?,
-    })
-}
-
 fn write_source(node: &Name, address: SocketAddr, mut to: source::Builder<'_>) {
     to.set_node(node.as_str());
     to.set_address(address.to_string());
@@ -488,11 +392,11 @@
     Ok((name(from.get_node()?)?, address(from.get_address()?)?))
 }
 
-fn name(text: capnp::text::Reader<'_>) -> capnp::Result<Name> {
+pub(crate) fn name(text: capnp::text::Reader<'_>) -> capnp::Result<Name> {
     text.to_str()?.parse().map_err(|e| capnp::Error::failed(format!("name: {e}")))
 }
 
-fn address(text: capnp::text::Reader<'_>) -> capnp::Result<SocketAddr> {
+pub(crate) fn address(text: capnp::text::Reader<'_>) -> capnp::Result<SocketAddr> {
     text.to_str()?.parse().map_err(|e| capnp::Error::failed(format!("address: {e}")))
 }
 
--- /dev/null
+++ b/crates/net/src/feed_notice_codec.rs
@@ -0,0 +1,89 @@
+//! Cap'n Proto encoding of the notices in feed messages.
+
+use heathpitch_core::{Rate, RequestFingerprint};
+
+use crate::feed_capnp::{end, leave, limit};
+use crate::feed_codec::name;
+use crate::{FeedDrain, FeedExit, FeedLimit, FeedNotices};
+
+pub(crate) fn write_exits(from: &[FeedExit], mut to: capnp::struct_list::Builder<'_, end::Owned>) {
+    for (i, e) in from.iter().enumerate() {
+        let mut to = to.reborrow().get(i as u32);
+        to.set_print(e.fingerprint.0);
+        to.set_engine(e.engine.as_str());
+        to.set_born(e.started_at.unwrap_or(0));
+        to.set_events(e.events);
+        to.set_renewed(e.renewed);
+        to.set_void(e.cleared);
+        to.set_age_ms(e.age_ms);
+    }
+}
+
+pub(crate) fn read_notices(
+    ends: capnp::struct_list::Reader<'_, end::Owned>,
+    leaves: capnp::struct_list::Reader<'_, leave::Owned>,
+    limits: capnp::struct_list::Reader<'_, limit::Owned>,
+) -> capnp::Result<FeedNotices> {
+    Ok(FeedNotices {
+        exits: ends.iter().map(read_exit).collect::<capnp::Result<_>>()?,
+        drains: leaves.iter().map(read_drain).collect::<capnp::Result<_>>()?,
+        limits: limits.iter().map(read_limit).collect::<capnp::Result<_>>()?,
+    })
+}
+
+fn read_exit(from: end::Reader<'_>) -> capnp::Result<FeedExit> {
+    Ok(FeedExit {
+        fingerprint: RequestFingerprint(from.get_print()),
+        engine: name(from.get_engine()?)?,
+        started_at: Some(from.get_born()).filter(|started_at| *started_at > 0),
+        events: from.get_events(),
+        renewed: from.get_renewed(),
+        cleared: from.get_void(),
+        age_ms: from.get_age_ms(),
+    })
+}
+
+pub(crate) fn write_drains(
+    from: &[FeedDrain],
+    mut to: capnp::struct_list::Builder<'_, leave::Owned>,
+) {
+    for (i, l) in from.iter().enumerate() {
+        let mut to = to.reborrow().get(i as u32);
+        to.set_engine(l.engine.as_str());
+        to.set_born(l.started_at.unwrap_or(0));
+        to.set_age_ms(l.age_ms);
+    }
+}
+
+fn read_drain(from: leave::Reader<'_>) -> capnp::Result<FeedDrain> {
+    Ok(FeedDrain {
+        engine: name(from.get_engine()?)?,
+        started_at: Some(from.get_born()).filter(|started_at| *started_at > 0),
+        age_ms: from.get_age_ms(),
+    })
+}
+
+pub(crate) fn write_limits(
+    from: &[FeedLimit],
+    mut to: capnp::struct_list::Builder<'_, limit::Owned>,
+) {
+    for (i, l) in from.iter().enumerate() {
+        write_limit(l, to.reborrow().get(i as u32));
+    }
+}
+
+pub(crate) fn write_limit(from: &FeedLimit, mut to: limit::Builder<'_>) {
+    to.set_engine(from.engine.as_str());
+    to.set_born(from.started_at.unwrap_or(0));
+    to.set_parts(Rate::pack(from.rate));
+    to.set_age_ms(from.age_ms);
+}
+
+pub(crate) fn read_limit(from: limit::Reader<'_>) -> capnp::Result<FeedLimit> {
+    Ok(FeedLimit {
+        engine: name(from.get_engine()?)?,
+        started_at: Some(from.get_born()).filter(|started_at| *started_at > 0),
+        rate: Rate::unpack(from.get_parts()),
+        age_ms: from.get_age_ms(),
+    })
+}
