--- a/crates/heathpitchd/tests/gateway/partition.rs
+++ b/crates/heathpitchd/tests/gateway/partition.rs
@@ -159,6 +159,11 @@
         self.cut(node, &["api", "one", "llm"], mode, Scope::All);
     }
 
+    /// Has an engine refuse connections, as if it had exited.
+    pub(crate) fn shut_down(&self, engine: &Engine) {
+        self.proxies[&engine.id].shut_down();
+    }
+
     /// Ends all cuts of a node.
     pub(crate) fn heal(&self, node: usize) {
         let process = self.nodes[node].process();
--- a/crates/heathpitchd/tests/gateway_forwarding.rs
+++ b/crates/heathpitchd/tests/gateway_forwarding.rs
@@ -55,13 +55,14 @@
     let ids = |text: &str| -> Vec<u64> {
         text.lines().filter_map(|l| l.strip_prefix("id: ")?.parse().ok()).collect()
     };
-    let ids = read.as_deref().map(ids);
-    if ids.as_ref().is_ok_and(|ids| ids.iter().copied().eq(2..=LONG_STREAM)) {
-        return;
+    let ids = read.as_deref().map(ids).unwrap_or_default();
+    let expected: Vec<u64> = (2..=LONG_STREAM).collect();
+    if ids != expected {
+        // Lines of the log are written a few times a second.
+        tokio::time::sleep(SETTLE_TIME).await;
     }
-    tokio::time::sleep(SETTLE_TIME).await;
     let lines: Vec<String> = fleet.nodes.iter().flat_map(|n| n.request_log(ID)).collect();
-    panic!("events {ids:?}; log of the call:\n{}", lines.join("\n"));
+    assert_eq!(ids, expected, "log of the call:\n{}", lines.join("\n"));
 }
 
 /// Guards against engines that work on for a caller who left the node in front of another one.
--- a/crates/heathpitchd/tests/gateway_partition.rs
+++ b/crates/heathpitchd/tests/gateway_partition.rs
@@ -172,3 +172,17 @@
     assert_eq!(fleet.engines.iter().map(|e| e.layers()).collect::<Vec<_>>(), layers);
     assert!(fleet.nodes.iter().all(|n| n.events("engine_ended").is_empty()));
 }
+
+/// Guards against reports that engines ended, which keep other nodes from them, when this node lost the way to
+/// all of them: refused connections look the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_that_all_refuse_connections_are_not_reported_as_exited() {
+    let fleet = PartitionedFleet::start(&["mem"]).await;
+    let bodies = futures::future::join_all((0..8).map(|_| open_stream(&fleet, 0))).await;
+    let streaming = || fleet.engines.iter().filter(|e| e.id.contains("one"));
+    assert!(streaming().all(|e| e.requests().len() > 1), "each runs a stream");
+    streaming().for_each(|e| fleet.shut_down(e));
+    drop(futures::future::join_all(bodies.into_iter().map(BodyExt::collect)).await);
+    tokio::time::sleep(RETURN_TIME).await;
+    assert!(fleet.nodes[0].events("engine_ended").is_empty());
+}
--- a/crates/heathpitchd/tests/gateway_returns.rs
+++ b/crates/heathpitchd/tests/gateway_returns.rs
@@ -77,6 +77,8 @@
         notice_cursor: NoticeCursor::default(),
         demand,
         promises,
+        forwarder: None,
+        wants_forwarders: false,
     };
     let ask = async {
         FeedClient::open(address, TIMEOUT).await.unwrap().poll(&request, TIMEOUT).await.unwrap()
--- a/crates/heathpitchd/tests/gateway_soak.rs
+++ b/crates/heathpitchd/tests/gateway_soak.rs
@@ -55,6 +55,13 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_while_nodes_are_cut_off_from_all_engines() {
+    for seed in [10, 11] {
+        run_schedule(&FaultSchedule::generate(seed, Duration::from_secs(8)).with_cuts()).await;
+    }
+}
+
 /// An engine downstream of the first one had set a rate limit, which the store kept. After all
 /// nodes had restarted, the limit never ended for them.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -54,7 +54,8 @@
                     .with_crashes()
                     .with_backpressure()
                     .with_store_restores()
-                    .with_limits(),
+                    .with_limits()
+                    .with_cuts(),
             );
             tokio::spawn(async move { (schedule.seed, run(binary, &schedule).await) })
         });
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -1,12 +1,13 @@
 //! Test cluster of a run: node processes, engines and the store, with operations that inject faults.
 
+use std::collections::HashMap;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use heathpitch_standin::{
-    Behavior, Caller, Engine, GatewayProcess, LinkMode, Proxy, RouteSpec, StandInError, Store,
-    StoreMode, TestConfig,
+    Behavior, Caller, Engine, GatewayProcess, LinkMode, LogLine, Proxy, RouteSpec, Scope,
+    StandInError, Store, StoreMode, TestConfig,
 };
 use parking_lot::Mutex;
 use serde_json::json;
@@ -82,6 +83,8 @@
     node_disruptions: Mutex<Vec<NodeDisruption>>,
     /// Engines whose requests may have been delayed, or that restarted.
     engine_disruptions: Mutex<Vec<EngineDisruption>>,
+    /// Nodes that are cut off from all engines.
+    cuts: Mutex<HashMap<usize, (LinkMode, Scope)>>,
 }
 
 /// # Startup
@@ -105,6 +108,7 @@
             fatal_calls: Mutex::default(),
             node_disruptions: Mutex::default(),
             engine_disruptions: Mutex::default(),
+            cuts: Mutex::default(),
         };
         cluster.update_config(|_| {});
         for index in 0..PLAIN_ENGINES + LAYERED_ENGINES {
@@ -124,6 +128,7 @@
         let mut engine = Engine::spawn(&self.store, &id, service, "mem", kind)?;
         engine.deregister();
         let proxy = Proxy::spawn(engine.address)?;
+        (0..NODES).for_each(|node| self.apply_cut(node, &proxy));
         engine.address = proxy.address();
         engine.set_behavior(default_behavior(index));
         engine.exit_on_body(FATAL_BODY);
@@ -145,6 +150,7 @@
         let name = format!("n{index}-{}", self.store.address().port());
         let node = GatewayProcess::spawn(&self.binary, store, &name, domain, &bounds)?;
         *self.nodes[index].lock() = Some(node);
+        self.engines.lock().iter().for_each(|e| self.apply_cut(index, &e.proxy));
         Ok(())
     }
 
@@ -179,6 +185,7 @@
         let engines = engines.iter().map(|e| &e.engine).chain(replaced.iter());
         History {
             calls,
+            forwarded: self.forwarded_calls(),
             received: engines.flat_map(Engine::requests).collect(),
             revoked_keys: self.revoked_keys.lock().clone(),
             revocation_bound: Duration::from_millis(REVOKE_MS),
@@ -189,6 +196,19 @@
         }
     }
 
+    /// Calls that nodes forwarded, with the node that each was sent to last, as far as the running processes have
+    /// logged it.
+    fn forwarded_calls(&self) -> HashMap<String, usize> {
+        let events = |n: &Mutex<Option<GatewayProcess>>| {
+            n.lock().as_ref().map(|n| n.events("call_forwarded")).unwrap_or_default()
+        };
+        let to = |event: LogLine| {
+            let node = event["node"].as_str()?.trim_start_matches('n').split('-').next()?;
+            Some((event["request"].as_str()?.to_owned(), node.parse().ok()?))
+        };
+        self.nodes.iter().flat_map(events).filter_map(to).collect()
+    }
+
     /// Log lines of all nodes that mention a call.
     pub(crate) fn request_log(&self, request: &str) -> Vec<String> {
         let lines = |n: &Mutex<Option<GatewayProcess>>| {
@@ -245,6 +265,25 @@
         self.store_proxies[index].blackhole_open();
     }
 
+    /// Cuts a node off from all engines, or ends the cut.
+    pub(crate) fn cut_from_engines(&self, index: usize, cut: Option<(LinkMode, Scope)>) {
+        match cut {
+            Some(cut) => self.cuts.lock().insert(index, cut),
+            None => self.cuts.lock().remove(&index),
+        };
+        self.engines.lock().iter().for_each(|e| self.apply_cut(index, &e.proxy));
+    }
+
+    /// Has a proxy treat the connections of a node as its cut says.
+    fn apply_cut(&self, index: usize, proxy: &Proxy) {
+        let Some(process) = self.nodes[index].lock().as_ref().map(GatewayProcess::process) else {
+            return;
+        };
+        let cut = self.cuts.lock().get(&index).copied();
+        let scope = cut.map_or(Scope::All, |(_, scope)| scope);
+        proxy.set_process_mode(process, cut.map(|(mode, _)| mode), scope);
+    }
+
     /// Records that a node, or all nodes, were disrupted from `from` until now.
     pub(crate) fn record_node_disruption(&self, node: Option<usize>, from: Instant) {
         self.node_disruptions.lock().push(NodeDisruption { node, from, until: Instant::now() });
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -85,6 +85,8 @@
 pub struct History {
     /// Calls as seen by their callers.
     pub calls: Vec<CallRecord>,
+    /// Calls that nodes forwarded, with the node that sent each to an engine.
+    pub forwarded: HashMap<String, usize>,
     /// Requests that reached engines.
     pub received: Vec<ReceivedRequest>,
     /// Revoked API keys.
@@ -165,9 +167,11 @@
         repeats.chain(wrongly_held).collect()
     }
 
-    /// Node that each call was sent to, by call id.
+    /// Node that sent each call to engines, by call id: the one that its caller sent it to, or the one that it
+    /// was forwarded to.
     fn nodes_by_call(&self) -> HashMap<&str, usize> {
-        self.calls.iter().map(|t| (t.id.as_str(), t.node)).collect()
+        let node = |t: &CallRecord| self.forwarded.get(&t.id).copied().unwrap_or(t.node);
+        self.calls.iter().map(|t| (t.id.as_str(), node(t))).collect()
     }
 
     /// Requests that reached a draining engine after the grace period, from nodes that were not disrupted
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -145,6 +145,7 @@
             | Fault::Pause(node, _)
             | Fault::StoreLink(node, ..)
             | Fault::SuspendVm(node)
+            | Fault::CutFromEngines(node, ..)
             | Fault::StoreBlackhole(node) => self.cluster.record_node_disruption(Some(node), from),
             Fault::Store(..) | Fault::RestoreStore(..) => {
                 self.cluster.record_node_disruption(None, from)
@@ -206,6 +207,11 @@
                 tokio::time::sleep(duration).await;
                 engine.set_limits(&[]);
             }
+            Fault::CutFromEngines(node, mode, scope, duration) => {
+                cluster.cut_from_engines(node, Some((mode, scope)));
+                tokio::time::sleep(duration).await;
+                cluster.cut_from_engines(node, None);
+            }
             Fault::DrainNotice(engine, duration) => {
                 cluster.engine(engine).set_draining(true);
                 tokio::time::sleep(duration).await;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -3,7 +3,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use heathpitch_standin::{Behavior, LinkMode, StoreMode};
+use heathpitch_standin::{Behavior, LinkMode, Scope, StoreMode};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -60,6 +60,8 @@
     DrainNotice(usize, Duration),
     /// Has an engine set this rate limit in requests per second.
     Limit(usize, &'static str, Duration),
+    /// Disrupts the links of a node to all engines, for all its connections or for new ones.
+    CutFromEngines(usize, LinkMode, Scope, Duration),
 }
 
 /// Retry-After values of engines that refuse requests.
@@ -76,6 +78,9 @@
     r#"{"service":"api","address":"127.0.0.1:9","zone":"mem","slots":8,"state":"asleep"}"#,
     r#"{"service":7,"address":"127.0.0.1:9","zone":"mem","slots":8,"state":"ready"}"#,
 ];
+/// How a node's links to all engines are disrupted.
+const CUT_MODES: [LinkMode; 3] = [LinkMode::Blackhole, LinkMode::Reset, LinkMode::OneWay];
+
 /// Added to the seed, so that restarts and foreign entries are drawn from a random generator of their own.
 const RESTART_SALT: u64 = 0x11fe;
 /// Likewise for suspended VMs and fatal requests.
@@ -90,6 +95,9 @@
 /// Likewise for rate limits that engines set.
 const LIMIT_SALT: u64 = 0x11a7;
 
+/// Likewise for nodes that are cut off from all engines.
+const CUT_SALT: u64 = 0x0c07;
+
 /// A fault and its start time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ScheduledFault {
@@ -187,6 +195,18 @@
         })
     }
 
+    /// Adds nodes that are cut off from all engines, sometimes several or all at once.
+    #[must_use]
+    pub fn with_cuts(self) -> Self {
+        self.with_faults(CUT_SALT, 200..2_500, |rng| {
+            let mode = CUT_MODES[rng.random_range(0..CUT_MODES.len())];
+            let scope = if rng.random_bool(0.7) { Scope::All } else { Scope::New };
+            let time = random_millis(rng, 300..5_000);
+            let fault = Fault::CutFromEngines(rng.random_range(0..NODES), mode, scope, time);
+            (fault, random_millis(rng, 50..3_000))
+        })
+    }
+
     /// Adds engines that restart under the same id, and entries of other writers.
     #[must_use]
     pub fn with_restarts(self) -> Self {
