--- a/crates/heathpitchd/src/gateway/reach.rs
+++ b/crates/heathpitchd/src/gateway/reach.rs
@@ -14,8 +14,9 @@
 /// Shortest time between two notices that the way to a service is suspected to be cut.
 const NOTICE_INTERVAL_MS: Millis = 50;
 
-/// Longest wait for the check of a suspicion: longer than it takes where connections are refused.
-const CHECK_WAIT: Duration = Duration::from_millis(50);
+/// Longest wait for the check of a suspicion, which ends within milliseconds if an engine answers: until the first
+/// probes have timed out.
+const CHECK_WAIT: Duration = Duration::from_millis(250);
 
 /// Services that this node does not reach.
 #[derive(Debug, Default)]
