Quarantine: what nodes exchange of exits is apart from the verdict

The state of exits (merging, expiry, eviction, changes since a serial) was part of the verdict about whole requests. Parts of prompts need the same state under another verdict. It moves into exit_book.rs, generic over what is suspected.

--- /dev/null
+++ b/crates/policy/src/exit_book.rs
@@ -0,0 +1,253 @@
+//! Engine exits by what the engines were running: the state that nodes exchange.
+//!
+//! The state of an exit changes in one direction only: it may be renewed, or cleared. So nodes
+//! agree whether updates arrive out of order, twice or late.
+
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use heathpitch_core::Millis;
+
+use crate::{EngineIncarnation, just_started};
+
+/// Time for which an exit is kept after its suspect was last seen: engines are repaired, or an
+/// operator has intervened, within some minutes.
+pub(crate) const EXIT_TTL_MS: Millis = 600_000;
+/// Bounds the exits kept, about 100 bytes each.
+const MAX_EXITS: usize = 2_048;
+
+/// What is known of a suspect at one engine that exited.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ExitDetails {
+    /// Events that the engine had delivered.
+    pub(crate) events: u32,
+    /// Position of a part in its prompt, from 0; 0 for a whole request.
+    pub(crate) position: u8,
+    /// Whether other requests of the same account and service were answered at that time.
+    pub(crate) others_answered: bool,
+}
+
+/// An exit as nodes exchange it; `S` is what is suspected.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Exit<S> {
+    pub(crate) suspect: S,
+    pub(crate) incarnation: EngineIncarnation,
+    pub(crate) details: ExitDetails,
+    pub(crate) renewed: u32,
+    pub(crate) cleared: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ExitState {
+    pub(crate) details: ExitDetails,
+    pub(crate) renewed: u32,
+    pub(crate) cleared: bool,
+    pub(crate) at: Millis,
+    serial: u64,
+}
+
+/// Exits by suspect and engine, bounded in number and age.
+#[derive(Clone, Debug)]
+pub(crate) struct ExitBook<S> {
+    serial: u64,
+    exits: BTreeMap<(S, EngineIncarnation), ExitState>,
+}
+
+impl<S> Default for ExitBook<S> {
+    fn default() -> Self {
+        Self { serial: 0, exits: BTreeMap::new() }
+    }
+}
+
+/// # Updates
+impl<S: Copy + Ord + std::hash::Hash> ExitBook<S> {
+    /// Merges an exit that has been known for `age`; returns whether it changes anything. The exits
+    /// of suspects in `held` are evicted last.
+    pub(crate) fn learn(
+        &mut self,
+        exit: Exit<S>,
+        age: Millis,
+        now: Millis,
+        held: &BTreeSet<S>,
+    ) -> bool {
+        // An old exit is kept as long as a later one of its suspect; at twice the TTL all have
+        // expired.
+        if age >= 2 * EXIT_TTL_MS {
+            return false;
+        }
+        let at = now.saturating_sub(age);
+        let serial = self.serial + 1;
+        let Exit { suspect, incarnation, details, renewed, cleared } = exit;
+        let update = ExitState { details, renewed, cleared, at, serial };
+        let new = match self.exits.get_mut(&(suspect, incarnation.clone())) {
+            None => {
+                self.exits.insert((suspect, incarnation), update);
+                true
+            }
+            Some(known) => known.join(update),
+        };
+        if new {
+            self.serial = serial;
+            self.make_room(held);
+        }
+        new
+    }
+
+    /// Clears the exits that match; returns whether there were any.
+    pub(crate) fn clear(&mut self, of: impl Fn(&S, &EngineIncarnation) -> bool) -> bool {
+        let serial = self.serial + 1;
+        let mut new = false;
+        for (_, known) in self.exits.iter_mut().filter(|((s, i), k)| !k.cleared && of(s, i)) {
+            (known.cleared, known.serial) = (true, serial);
+            new = true;
+        }
+        if new {
+            self.serial = serial;
+        }
+        new
+    }
+
+    /// Extends the time of a suspect's exits once half of it is over; returns whether it did.
+    pub(crate) fn renew(&mut self, suspect: S, now: Millis) -> bool {
+        let due = Self::is_renewal_due(self.remaining(suspect, now));
+        if due {
+            self.serial += 1;
+            for (_, known) in
+                self.exits.iter_mut().filter(|((s, _), k)| *s == suspect && !k.cleared)
+            {
+                (known.renewed, known.at, known.serial) = (known.renewed + 1, now, self.serial);
+            }
+        }
+        due
+    }
+
+    /// Drops expired exits, all exits of a suspect together; returns whether there were any.
+    pub(crate) fn expire(&mut self, now: Millis) -> bool {
+        let before = self.exits.len();
+        let mut last: HashMap<S, Millis> = HashMap::new();
+        for ((suspect, _), known) in &self.exits {
+            let at = last.entry(*suspect).or_default();
+            *at = known.at.max(*at);
+        }
+        self.exits.retain(|(suspect, _), _| now < last[suspect] + EXIT_TTL_MS);
+        self.exits.len() < before
+    }
+
+    /// Evicts the least important exit if there are too many: cleared exits first, those of held
+    /// suspects last, and the oldest of each kind first.
+    fn make_room(&mut self, held: &BTreeSet<S>) {
+        if self.exits.len() <= MAX_EXITS {
+            return;
+        }
+        let worth = |(key, k): (&(S, EngineIncarnation), &ExitState)| {
+            (!k.cleared, held.contains(&key.0), k.at)
+        };
+        let least = self.exits.iter().min_by_key(|e| worth(*e)).map(|(key, _)| key.clone());
+        if let Some(least) = least {
+            self.exits.remove(&least);
+        }
+    }
+}
+
+impl ExitState {
+    /// Whether this exit counts against its suspect.
+    fn counts(&self) -> bool {
+        !self.cleared && just_started(self.details.events)
+    }
+
+    /// Merges another state of the same exit; returns whether it changes anything.
+    fn join(&mut self, update: Self) -> bool {
+        let others_answered = self.details.others_answered || update.details.others_answered;
+        let new = (update.cleared && !self.cleared)
+            || update.renewed > self.renewed
+            || others_answered != self.details.others_answered;
+        let at = match update.renewed.cmp(&self.renewed) {
+            Ordering::Greater => update.at,
+            // The older one, so that passing an exit back and forth does not make it younger.
+            Ordering::Equal => self.at.min(update.at),
+            Ordering::Less => self.at,
+        };
+        let serial = if new { update.serial } else { self.serial };
+        let details = ExitDetails {
+            events: self.details.events.min(update.details.events),
+            position: self.details.position.max(update.details.position),
+            others_answered,
+        };
+        *self = Self {
+            details,
+            renewed: self.renewed.max(update.renewed),
+            cleared: self.cleared || update.cleared,
+            at,
+            serial,
+        };
+        new
+    }
+}
+
+/// # Queries
+impl<S: Copy + Ord + std::hash::Hash> ExitBook<S> {
+    /// Exits that count against their suspects.
+    pub(crate) fn counting(&self) -> impl Iterator<Item = (S, &EngineIncarnation, &ExitState)> {
+        let counting = self.exits.iter().filter(|(_, k)| k.counts());
+        counting.map(|((suspect, incarnation), k)| (*suspect, incarnation, k))
+    }
+
+    /// Engine incarnations whose exits are not cleared.
+    pub(crate) fn incarnations(&self) -> impl Iterator<Item = &EngineIncarnation> {
+        let exits = self.exits.iter().filter(|(_, k)| !k.cleared);
+        exits.map(|((_, incarnation), _)| incarnation)
+    }
+
+    /// Exits that count against a suspect: incarnation, events delivered and age.
+    pub(crate) fn evidence(
+        &self,
+        suspect: S,
+        now: Millis,
+    ) -> impl Iterator<Item = (&EngineIncarnation, u32, Millis)> {
+        let of = self.counting().filter(move |(s, ..)| *s == suspect);
+        of.map(move |(_, incarnation, k)| (incarnation, k.details.events, now.saturating_sub(k.at)))
+    }
+
+    /// Time until the exits of a suspect expire if it is not seen again.
+    pub(crate) fn remaining(&self, suspect: S, now: Millis) -> Millis {
+        let youngest = self.evidence(suspect, now).map(|(.., age)| age).min();
+        EXIT_TTL_MS.saturating_sub(youngest.unwrap_or(EXIT_TTL_MS))
+    }
+
+    /// How often the time of a suspect's exits was extended.
+    pub(crate) fn renewed(&self, suspect: S) -> u32 {
+        let of = self.exits.iter().filter(|((s, _), _)| *s == suspect);
+        of.map(|(_, k)| k.renewed).max().unwrap_or(0)
+    }
+
+    /// Whether a suspect with this much time remaining is extended if it is seen again.
+    pub(crate) fn is_renewal_due(left: Millis) -> bool {
+        left <= EXIT_TTL_MS / 2
+    }
+
+    /// Serial of the last change.
+    pub(crate) fn serial(&self) -> u64 {
+        self.serial
+    }
+
+    /// Exits that changed after `serial`, in order of change, with their ages, and the serial to
+    /// continue from. At most `most`, plus all that changed together with the last one.
+    pub(crate) fn since(
+        &self,
+        serial: u64,
+        most: usize,
+        now: Millis,
+    ) -> (Vec<(Exit<S>, Millis)>, u64) {
+        let mut new: Vec<_> = self.exits.iter().filter(|(_, k)| k.serial > serial).collect();
+        new.sort_by_key(|(_, k)| k.serial);
+        let last = new.get(most.saturating_sub(1)).map_or(self.serial, |(_, k)| k.serial);
+        let exit = |((suspect, incarnation), k): &(&(S, EngineIncarnation), &ExitState)| {
+            let (suspect, incarnation) = (*suspect, incarnation.clone());
+            let ExitState { details, renewed, cleared, at, .. } = **k;
+            let exit = Exit { suspect, incarnation, details, renewed, cleared };
+            (exit, now.saturating_sub(at))
+        };
+        let changed = new.iter().take_while(|(_, k)| k.serial <= last);
+        (changed.map(exit).collect(), last)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 mod engine;
 mod engine_limit;
 mod engine_stats;
+mod exit_book;
 mod fair_level;
 mod fleet;
 mod followers;
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -6,15 +6,14 @@
 //! other, and each node derives the same verdict from them. A verdict blames the fewest requests
 //! that explain the terminations ([`Quarantine::verdict`]), so that requests which were rerouted
 //! from engine to engine along with the faulty one are not quarantined with it.
-//!
-//! The state of an exit changes in one direction only: it may be renewed, or cleared. So nodes
-//! agree whether updates arrive out of order, twice or late.
 
-use std::cmp::{Ordering, Reverse};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use heathpitch_core::{Millis, Name, RequestFingerprint};
 
+use crate::exit_book::{Exit, ExitBook, ExitDetails};
+
 /// Engines that must have terminated under a request before it is quarantined. Two also happen to
 /// harmless requests that are rerouted along with the faulty one. Three keeps the cost within the
 /// agreed bound of three further engines.
@@ -24,11 +23,6 @@
 /// repeatedly, many harmless requests are as young (167 of 288 attempts that were cut off in one
 /// recorded day), so this alone does not blame a request.
 const JUST_STARTED_EVENTS: u32 = 8;
-/// Time for which an exit is kept after the request was last seen: engines are repaired, or an
-/// operator has intervened, within some minutes.
-const EXIT_TTL_MS: Millis = 600_000;
-/// Bounds the exits kept, about 100 bytes each.
-const MAX_EXITS: usize = 2_048;
 
 /// Whether a request for which an engine has delivered this many events had just started there.
 ///
@@ -74,15 +68,6 @@
     events: u32,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct ExitState {
-    events: u32,
-    renewed: u32,
-    cleared: bool,
-    at: Millis,
-    serial: u64,
-}
-
 /// Known exits and the requests that are quarantined for them.
 ///
 /// # Examples
@@ -108,8 +93,7 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    serial: u64,
-    exits: BTreeMap<(RequestFingerprint, EngineIncarnation), ExitState>,
+    exits: ExitBook<RequestFingerprint>,
     held: BTreeSet<RequestFingerprint>,
 }
 
@@ -130,120 +114,32 @@
 
     /// Merges an exit that another node has known for `age`; returns whether it changes anything.
     pub fn learn(&mut self, exit: EngineExit, age: Millis, now: Millis) -> bool {
-        // An old exit is kept as long as a later one of its request; at twice the TTL all have
-        // expired.
-        if age >= 2 * EXIT_TTL_MS {
-            return false;
-        }
-        let at = now.saturating_sub(age);
-        let serial = self.serial + 1;
-        let EngineExit { fingerprint, incarnation, events, renewed, cleared } = exit;
-        let update = ExitState { events, renewed, cleared, at, serial };
-        let new = match self.exits.get_mut(&(fingerprint, incarnation.clone())) {
-            None => {
-                self.exits.insert((fingerprint, incarnation), update);
-                true
-            }
-            Some(known) => known.join(update),
-        };
-        if new {
-            self.serial = serial;
-            self.make_room();
-        }
-        new
+        let EngineExit { fingerprint: suspect, incarnation, events, renewed, cleared } = exit;
+        let details = ExitDetails { events, ..ExitDetails::default() };
+        let exit = Exit { suspect, incarnation, details, renewed, cleared };
+        self.exits.learn(exit, age, now, &self.held)
     }
 
     /// Clears the exits of a request that was answered completely, so that it crashed no engine;
     /// returns whether there were any.
     pub fn clear_request(&mut self, fingerprint: RequestFingerprint) -> bool {
-        self.clear(|(p, _)| *p == fingerprint)
+        self.exits.clear(|f, _| *f == fingerprint)
     }
 
     /// Clears the exits of an engine that has answered since; returns whether there were any.
     pub fn engine_alive(&mut self, incarnation: &EngineIncarnation) -> bool {
-        self.clear(|(_, l)| l == incarnation)
+        self.exits.clear(|_, i| i == incarnation)
     }
 
     /// Extends the quarantine of a request that came again, once half of its time is over; returns
     /// whether it did.
     pub fn renew(&mut self, fingerprint: RequestFingerprint, now: Millis) -> bool {
-        let due = Self::is_renewal_due(self.remaining(fingerprint, now));
-        if due {
-            self.serial += 1;
-            for (_, known) in
-                self.exits.iter_mut().filter(|((p, _), k)| *p == fingerprint && !k.cleared)
-            {
-                (known.renewed, known.at, known.serial) = (known.renewed + 1, now, self.serial);
-            }
-        }
-        due
+        self.exits.renew(fingerprint, now)
     }
 
     /// Drops expired exits, all exits of a request together; returns whether there were any.
     pub fn expire(&mut self, now: Millis) -> bool {
-        let before = self.exits.len();
-        let mut last: HashMap<RequestFingerprint, Millis> = HashMap::new();
-        for ((fingerprint, _), known) in &self.exits {
-            let at = last.entry(*fingerprint).or_default();
-            *at = known.at.max(*at);
-        }
-        self.exits.retain(|(fingerprint, _), _| now < last[fingerprint] + EXIT_TTL_MS);
-        self.exits.len() < before
-    }
-
-    fn clear(&mut self, of: impl Fn(&(RequestFingerprint, EngineIncarnation)) -> bool) -> bool {
-        let serial = self.serial + 1;
-        let mut new = false;
-        for (_, known) in self.exits.iter_mut().filter(|(key, k)| !k.cleared && of(key)) {
-            (known.cleared, known.serial) = (true, serial);
-            new = true;
-        }
-        if new {
-            self.serial = serial;
-        }
-        new
-    }
-
-    /// Evicts the least important exit if there are too many: cleared exits first, those of
-    /// quarantined requests last, and the oldest of each kind first.
-    fn make_room(&mut self) {
-        if self.exits.len() <= MAX_EXITS {
-            return;
-        }
-        let worth = |(key, k): (&(RequestFingerprint, EngineIncarnation), &ExitState)| {
-            (!k.cleared, self.held.contains(&key.0), k.at)
-        };
-        let least = self.exits.iter().min_by_key(|e| worth(*e)).map(|(key, _)| key.clone());
-        if let Some(least) = least {
-            self.exits.remove(&least);
-        }
-    }
-}
-
-impl ExitState {
-    /// Whether this exit counts against its request.
-    fn counts(&self) -> bool {
-        !self.cleared && just_started(self.events)
-    }
-
-    /// Merges another state of the same exit; returns whether it changes anything.
-    fn join(&mut self, update: ExitState) -> bool {
-        let new = (update.cleared && !self.cleared) || update.renewed > self.renewed;
-        let at = match update.renewed.cmp(&self.renewed) {
-            Ordering::Greater => update.at,
-            // The older one, so that passing an exit back and forth does not make it younger.
-            Ordering::Equal => self.at.min(update.at),
-            Ordering::Less => self.at,
-        };
-        let serial = if new { update.serial } else { self.serial };
-        *self = ExitState {
-            events: self.events.min(update.events),
-            renewed: self.renewed.max(update.renewed),
-            cleared: self.cleared || update.cleared,
-            at,
-            serial,
-        };
-        new
+        self.exits.expire(now)
     }
 }
 
@@ -293,12 +189,11 @@
     /// Requests under which enough engines terminated.
     fn suspects(&self) -> Vec<Suspect<'_>> {
         let mut suspects: BTreeMap<RequestFingerprint, Suspect<'_>> = BTreeMap::new();
-        for ((fingerprint, incarnation), known) in self.exits.iter().filter(|(_, k)| k.counts()) {
-            let fresh =
-                || Suspect { fingerprint: *fingerprint, incarnations: BTreeSet::new(), events: 0 };
-            let suspect = suspects.entry(*fingerprint).or_insert_with(fresh);
+        for (fingerprint, incarnation, known) in self.exits.counting() {
+            let fresh = || Suspect { fingerprint, incarnations: BTreeSet::new(), events: 0 };
+            let suspect = suspects.entry(fingerprint).or_insert_with(fresh);
             suspect.incarnations.insert(incarnation);
-            suspect.events += known.events;
+            suspect.events += known.details.events;
         }
         suspects.into_values().filter(|s| s.incarnations.len() >= MIN_ENGINES).collect()
     }
@@ -322,67 +217,52 @@
         fingerprint: RequestFingerprint,
         now: Millis,
     ) -> impl Iterator<Item = (&EngineIncarnation, u32, Millis)> {
-        let of = self.exits.iter().filter(move |((p, _), k)| *p == fingerprint && k.counts());
-        of.map(move |((_, incarnation), k)| (incarnation, k.events, now.saturating_sub(k.at)))
+        self.exits.evidence(fingerprint, now)
     }
 
     /// Number of exits that count against each request.
     pub fn counts(&self) -> HashMap<RequestFingerprint, u32> {
         let mut counts = HashMap::new();
-        for (fingerprint, _) in self.exits.iter().filter(|(_, k)| k.counts()).map(|(key, _)| key) {
-            *counts.entry(*fingerprint).or_default() += 1;
+        for (fingerprint, ..) in self.exits.counting() {
+            *counts.entry(fingerprint).or_default() += 1;
         }
         counts
     }
 
     /// Engine incarnations known to have terminated.
     pub fn exited_engines(&self) -> HashSet<EngineIncarnation> {
-        let exits = self.exits.iter().filter(|(_, k)| !k.cleared);
-        exits.map(|((_, incarnation), _)| incarnation.clone()).collect()
+        self.exits.incarnations().cloned().collect()
     }
 
     /// Remaining quarantine of a request if it does not come again.
     pub fn remaining(&self, fingerprint: RequestFingerprint, now: Millis) -> Millis {
-        let youngest = self.evidence(fingerprint, now).map(|(.., age)| age).min();
-        EXIT_TTL_MS.saturating_sub(youngest.unwrap_or(EXIT_TTL_MS))
+        self.exits.remaining(fingerprint, now)
     }
 
     /// How often the quarantine of a request was extended.
     pub fn renewed(&self, fingerprint: RequestFingerprint) -> u32 {
-        let of = self.exits.iter().filter(|((p, _), _)| *p == fingerprint);
-        of.map(|(_, k)| k.renewed).max().unwrap_or(0)
+        self.exits.renewed(fingerprint)
     }
 
     /// Whether a request with this much quarantine remaining is extended if it comes again.
     pub fn is_renewal_due(left: Millis) -> bool {
-        left <= EXIT_TTL_MS / 2
+        ExitBook::<RequestFingerprint>::is_renewal_due(left)
     }
 
     /// Serial of the last change.
     pub fn serial(&self) -> u64 {
-        self.serial
+        self.exits.serial()
     }
 
     /// Exits that changed after `serial`, in order of change, with their ages, and the serial to
     /// continue from. At most `most`, plus all that changed together with the last one.
     pub fn since(&self, serial: u64, most: usize, now: Millis) -> (Vec<(EngineExit, Millis)>, u64) {
-        let mut new: Vec<_> = self.exits.iter().filter(|(_, k)| k.serial > serial).collect();
-        new.sort_by_key(|(_, k)| k.serial);
-        let last = new.get(most.saturating_sub(1)).map_or(self.serial, |(_, k)| k.serial);
-        let exits = new.iter().take_while(|(_, k)| k.serial <= last).map(
-            |((fingerprint, incarnation), k)| {
-                let (fingerprint, incarnation, events) =
-                    (*fingerprint, incarnation.clone(), k.events);
-                let exit = EngineExit {
-                    fingerprint,
-                    incarnation,
-                    events,
-                    renewed: k.renewed,
-                    cleared: k.cleared,
-                };
-                (exit, now.saturating_sub(k.at))
-            },
-        );
-        (exits.collect(), last)
+        let (exits, last) = self.exits.since(serial, most, now);
+        let exit = |(exit, age): (Exit<RequestFingerprint>, Millis)| {
+            let Exit { suspect: fingerprint, incarnation, details, renewed, cleared } = exit;
+            let events = details.events;
+            (EngineExit { fingerprint, incarnation, events, renewed, cleared }, age)
+        };
+        (exits.into_iter().map(exit).collect(), last)
     }
 }
