Quarantine: sound streams lost with engines that a part crashed are not held back

Cause: a request is blamed for three exits that no other request explains. Streams that are moved, or come back, from one engine to the next that a part crashes collect three exits each, and the faulty requests, of which no two are alike, explain none. Change: a request is not blamed, nor refused a second engine, for exits that a part explains which was running at all of them and at others. A faulty request is not hidden by its own parts: these are at the same exits, or are held back themselves.

--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -335,9 +335,10 @@
 
     /// Records notices of another node from a message sent at `sent` or later.
     pub(super) fn record_notices(&self, notices: &FeedNotices, sent: Millis, by: &Name) {
+        // Parts first: they may explain exits that would otherwise blame requests.
+        self.receive_part_exits(&notices.part_exits, sent);
         self.receive_exits(&notices.exits, sent, by);
         self.receive_drains(&notices.drains, sent);
         self.receive_limits(&notices.limits, sent);
-        self.receive_part_exits(&notices.part_exits, sent);
     }
 }
--- a/crates/heathpitchd/src/gateway/control/quarantine.rs
+++ b/crates/heathpitchd/src/gateway/control/quarantine.rs
@@ -145,7 +145,7 @@
     pub(super) fn update_held(&self, why: &'static str) {
         let now = self.now();
         let mut quarantine = self.quarantine.borrow_mut();
-        let (new, released) = quarantine.decide();
+        let (new, released) = quarantine.decide_beside(&self.part_quarantine.borrow());
         for fingerprint in new {
             let exits: Vec<_> = quarantine
                 .evidence(fingerprint, now)
@@ -164,7 +164,8 @@
         };
         let held: HashMap<_, _> = quarantine.held().map(held).collect();
         self.shared.metrics.held.set(held.len() as i64);
-        let (counts, ended) = (quarantine.counts(), quarantine.exited_engines());
+        let counts = quarantine.counts_beside(&self.part_quarantine.borrow());
+        let ended = quarantine.exited_engines();
         let parts = self.update_held_parts(why, now);
         self.shared.quarantine.store(Arc::new(QuarantineSnapshot { counts, held, ended, parts }));
     }
--- a/crates/heathpitchd/tests/gateway_prompt_parts.rs
+++ b/crates/heathpitchd/tests/gateway_prompt_parts.rs
@@ -158,3 +158,53 @@
         assert_eq!(reply.status, status, "{key}");
     }
 }
+
+/// Guards against sound streams that are held back, since they were lost with three engines that a part of other
+/// requests crashed one after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sound_stream_that_engines_lost_under_a_fatal_part_is_not_held_back() {
+    let cluster = Cluster::new();
+    // Shows that the way to the service exists.
+    let full = cluster.engine("full", "one");
+    full.set_behavior(Behavior::Refuse);
+    let node = cluster.node().await;
+    let sound = Caller::new(node.listen).key(KEY).prompt_parts(&format!("{FIRST_PART}:40,5a:200"));
+    let fatal = format!("{FIRST_PART}:40,{FATAL_PART}:100,");
+    let mut engines = Vec::new();
+    for round in 0..4 {
+        let engine = cluster.engine(&format!("e{round}"), "one");
+        engine.set_behavior(Behavior::Stream(40, Duration::from_millis(150)));
+        engine.exit_on_part(FATAL_PART);
+        let mut body = None;
+        wait_until("the engine runs the sound stream", async || {
+            let (reply, _) = sound.open(Method::POST, "/whole/other", "another").await.unwrap();
+            reply.status == 200
+        })
+        .await;
+        // One exit more under the part than under the stream.
+        if round > 0 {
+            let (reply, stream) = sound.open(Method::POST, "/whole/x", "sound").await.unwrap();
+            assert_eq!(reply.status, 200, "after {round} exits");
+            body = Some(stream);
+        }
+        let caller = Caller::new(node.listen).key(KEY).prompt_parts(&format!("{fatal}{round}0:9"));
+        caller.call(Method::POST, "/whole/x", &format!("fatal {round}")).await.unwrap();
+        assert!(engine.has_exited());
+        drop(body);
+        wait_until("the exit is found", async || {
+            node.events("engine_ended").iter().any(|e| e["engine"] == engine.id.as_str())
+        })
+        .await;
+        engines.push(engine);
+    }
+    let engine = cluster.engine("e9", "one");
+    engine.set_behavior(Behavior::Stream(3, Duration::from_millis(5)));
+    wait_until("the engine answers", async || {
+        let reply = sound.call(Method::POST, "/whole/y", "any").await.unwrap();
+        reply.status == 200
+    })
+    .await;
+    let reply = sound.call(Method::POST, "/whole/x", "sound").await.unwrap();
+    let events = node.events("request_held_back");
+    assert_eq!((reply.status, events.len()), (200, 0), "{events:?}");
+}
--- a/crates/policy/src/part_quarantine.rs
+++ b/crates/policy/src/part_quarantine.rs
@@ -280,11 +280,16 @@
 
     /// Parts that may be the cause of several exits: no other part is there at these and at more.
     pub fn suspected(&self) -> HashSet<PartKey> {
-        let all = PartExits::new(self.exits.counting().map(|(key, i, _)| (key, i)));
+        let all = self.part_exits();
         let several = all.iter().filter(|(_, exits)| exits.len() >= MIN_SUSPECT_ENGINES);
         several.filter(|(_, exits)| !all.explain(exits)).map(|(key, _)| key).collect()
     }
 
+    /// Exits that count, by part.
+    pub(crate) fn part_exits(&self) -> PartExits<'_> {
+        PartExits::new(self.exits.counting().map(|(key, incarnation, _)| (key, incarnation)))
+    }
+
     /// Remaining quarantine of a part if it does not come again.
     pub fn remaining(&self, key: PartKey, now: Millis) -> Millis {
         self.exits.remaining(key, now)
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -12,6 +12,7 @@
 
 use heathpitch_core::{Millis, Name, RequestFingerprint};
 
+use crate::PartQuarantine;
 use crate::exit_book::{Exit, ExitBook, ExitDetails};
 
 /// Engines that must have terminated under a request before it is quarantined. Two also happen to
@@ -148,7 +149,15 @@
     /// Recomputes which requests are quarantined; returns those that were added and those that were
     /// released.
     pub fn decide(&mut self) -> (Vec<RequestFingerprint>, Vec<RequestFingerprint>) {
-        let held = self.verdict();
+        self.decide_beside(&PartQuarantine::default())
+    }
+
+    /// The same, except that requests are not blamed for exits that a part of prompts explains.
+    pub fn decide_beside(
+        &mut self,
+        parts: &PartQuarantine,
+    ) -> (Vec<RequestFingerprint>, Vec<RequestFingerprint>) {
+        let held = self.verdict(parts);
         let new = held.difference(&self.held).copied().collect();
         let released = self.held.difference(&held).copied().collect();
         self.held = held;
@@ -163,8 +172,8 @@
     /// distinguishes them. In 32 minutes of the model in this module's tests, 13 of 96 000 harmless
     /// requests were quarantined along with a fatal one without the two rules and none with both,
     /// and no more engines terminated.
-    fn verdict(&self) -> BTreeSet<RequestFingerprint> {
-        let suspects = self.suspects();
+    fn verdict(&self, parts: &PartQuarantine) -> BTreeSet<RequestFingerprint> {
+        let suspects = self.suspects(parts);
         let mut explained: BTreeSet<&EngineIncarnation> = BTreeSet::new();
         let mut blamed = BTreeSet::new();
         loop {
@@ -186,8 +195,8 @@
         }
     }
 
-    /// Requests under which enough engines terminated.
-    fn suspects(&self) -> Vec<Suspect<'_>> {
+    /// Requests under which enough engines terminated, without those whose exits a part explains.
+    fn suspects(&self, parts: &PartQuarantine) -> Vec<Suspect<'_>> {
         let mut suspects: BTreeMap<RequestFingerprint, Suspect<'_>> = BTreeMap::new();
         for (fingerprint, incarnation, known) in self.exits.counting() {
             let fresh = || Suspect { fingerprint, incarnations: BTreeSet::new(), events: 0 };
@@ -195,7 +204,9 @@
             suspect.incarnations.insert(incarnation);
             suspect.events += known.details.events;
         }
-        suspects.into_values().filter(|s| s.incarnations.len() >= MIN_ENGINES).collect()
+        let explained = parts.part_exits();
+        let enough = suspects.into_values().filter(|s| s.incarnations.len() >= MIN_ENGINES);
+        enough.filter(|s| !explained.explain(&s.incarnations)).collect()
     }
 }
 
@@ -222,11 +233,18 @@
 
     /// Number of exits that count against each request.
     pub fn counts(&self) -> HashMap<RequestFingerprint, u32> {
-        let mut counts = HashMap::new();
-        for (fingerprint, ..) in self.exits.counting() {
-            *counts.entry(fingerprint).or_default() += 1;
+        self.counts_beside(&PartQuarantine::default())
+    }
+
+    /// The same without requests whose exits a part of prompts explains.
+    pub fn counts_beside(&self, parts: &PartQuarantine) -> HashMap<RequestFingerprint, u32> {
+        let mut exits: HashMap<RequestFingerprint, BTreeSet<&EngineIncarnation>> = HashMap::new();
+        for (fingerprint, incarnation, _) in self.exits.counting() {
+            exits.entry(fingerprint).or_default().insert(incarnation);
         }
-        counts
+        let explained = parts.part_exits();
+        let unexplained = exits.into_iter().filter(|(_, exits)| !explained.explain(exits));
+        unexplained.map(|(fingerprint, exits)| (fingerprint, exits.len() as u32)).collect()
     }
 
     /// Engine incarnations known to have terminated.
--- a/crates/policy/tests/part_quarantine.rs
+++ b/crates/policy/tests/part_quarantine.rs
@@ -5,8 +5,10 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails its test")]
 
-use heathpitch_core::{Millis, PromptPart};
-use heathpitch_policy::{EngineIncarnation, HeldPart, PartExit, PartKey, PartQuarantine};
+use heathpitch_core::{Millis, PromptPart, RequestFingerprint};
+use heathpitch_policy::{
+    EngineIncarnation, HeldPart, PartExit, PartKey, PartQuarantine, Quarantine,
+};
 
 const ACCOUNT: u64 = 7;
 const OTHER_ACCOUNT: u64 = 8;
@@ -204,3 +206,25 @@
     here.decide(SETTLED_MS);
     assert!(!here.holds(&fatal));
 }
+
+/// Guards against sound streams that are held back because they were lost with engines that a part of other
+/// requests crashed one after the other.
+#[test]
+fn requests_are_not_blamed_for_exits_that_a_part_explains() {
+    let (request, mut quarantine) = (RequestFingerprint(9), Quarantine::default());
+    let mut parts = PartQuarantine::default();
+    record(&mut parts, key(FATAL, ACCOUNT), 1, &[1, 2, 3]);
+    let crash = |quarantine: &mut Quarantine, engine| {
+        let incarnation = exit(key(FATAL, ACCOUNT), engine, 1).incarnation;
+        quarantine.record_exit(request, incarnation, 0, 10);
+    };
+    [1, 2, 3].into_iter().for_each(|engine| crash(&mut quarantine, engine));
+    quarantine.decide_beside(&parts);
+    assert!(quarantine.holds(request), "the part may be one of the request itself");
+    record(&mut parts, key(FATAL, ACCOUNT), 1, &[4]);
+    assert_eq!(quarantine.decide_beside(&parts).1, [request]);
+    assert!(quarantine.counts_beside(&parts).is_empty());
+    crash(&mut quarantine, 5);
+    quarantine.decide_beside(&parts);
+    assert!(quarantine.holds(request), "an exit without the part");
+}
