Moves: a late stream waits from its own silence, not from that of another one

Callers saw: a stream that could no longer resume in time took a substitute up to 10 ms (30 by reading) before the more urgent ones that it has to leave it to. Cause: its wait was counted from the moment at which the loss of its engine was known. Where another stream finds the loss, that takes 80 ms of this one's silence rather than the 110 of its own threshold. Evidence: lost_ms 151 or 152 of the 150 wanted, while silent_ms was 252 to 257, so that the loss was known after 101 to 106. Change: the wait begins at the later of both; its length is rounded up to a millisecond.

--- a/crates/heathpitchd/src/gateway/control/moves.rs
+++ b/crates/heathpitchd/src/gateway/control/moves.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 
 use super::detour::{find_detour, prefill_stages, reachable_holders, substitute_prefill_ms};
-use super::recovery::{MOVE_INTERVAL_MS, TrackedStream, reroute};
+use super::recovery::{self, MOVE_INTERVAL_MS, TrackedStream, reroute};
 use super::state::Control;
 use crate::gateway::engine_table::EngineTable;
 use crate::gateway::live::LiveStream;
@@ -69,11 +69,16 @@
 /// Ranks a stalled stream, and sets when it is tried again if it is not moved now.
 fn candidate(stalled: Stalled<'_>, now: Millis) -> StalledStream<Stalled<'_>> {
     let rank = stalled.live.terms.rank;
+    // Another stream may have found the loss before this one is silent itself.
+    let own_silence = match stalled.live.has_started() {
+        true => recovery::silent_at(&stalled.live, now),
+        false => 0,
+    };
     let candidate = StalledStream {
         rank,
         urgent_share: stalled.live.terms.urgent_share,
         due: stalled.live.due(),
-        since: stalled.tracked.lost_since(now),
+        since: stalled.tracked.lost_since(now).max(own_silence),
         stream: stalled,
     };
     let (retry_at, wait_until) = (now + SEARCH_INTERVAL_MS, candidate.late_move_at());
--- a/crates/heathpitchd/src/gateway/control/recovery.rs
+++ b/crates/heathpitchd/src/gateway/control/recovery.rs
@@ -154,7 +154,7 @@
     let latest = now + CHECK_INTERVAL.as_millis() as Millis;
     let due = streams.iter().filter_map(|tracked| {
         let live = tracked.live.upgrade().filter(|live| control.recovers(live))?;
-        let silent_at = now.saturating_sub(live.silence(now)) + silence_limit(&live);
+        let silent_at = silent_at(&live, now);
         let moved_at = tracked.lost_since.get().map(|_| tracked.next_move.get());
         let times = [Some(silent_at), moved_at];
         times.into_iter().flatten().filter(|at| *at > now).min()
@@ -179,6 +179,11 @@
     live.silence(now) >= silence_limit(live)
 }
 
+/// Time at which a stream has been silent for longer than its engines should need.
+pub(super) fn silent_at(live: &LiveStream, now: Millis) -> Millis {
+    now.saturating_sub(live.silence(now)) + silence_limit(live)
+}
+
 fn silence_limit(live: &LiveStream) -> Millis {
     if live.has_started() { live.threshold() } else { FIRST_EVENT_SILENCE_MS }
 }
--- a/crates/policy/src/move_order.rs
+++ b/crates/policy/src/move_order.rs
@@ -36,7 +36,7 @@
     pub urgent_share: f64,
     /// Time by which its next event has to arrive.
     pub due: Millis,
-    /// Time at which the loss was noticed.
+    /// Time at which the loss was noticed and the stream was silent itself.
     pub since: Millis,
 }
 
@@ -52,7 +52,7 @@
 
     /// Earliest time of a move that comes too late anyway.
     pub fn late_move_at(&self) -> Millis {
-        self.since + (LATE_WAIT_MS * self.urgent_share.clamp(0.0, 1.0)) as Millis
+        self.since + (LATE_WAIT_MS * self.urgent_share.clamp(0.0, 1.0)).ceil() as Millis
     }
 }
 
