Tests of partitions: engines are listed so that no part of the list has a gap beside copies

Seen: exits_of_all_first_engines_… timed out once among all tests of the crate, and in 2 of 18 runs beside six busy processes with three copies at a time. Each time the exit of the only first engine was found; the test waited for that of an engine that the planner had ordered to take its place. Cause: the set-up listed two engines with layers 0 to 4, then two with 4 to 8, while the node was running. On a busy machine the planner saw the first two alone and ordered one to the missing layers (layers_ordered, gap). Change: the set-up lists the layers in turn. The test is unchanged.

--- a/crates/heathpitchd/tests/gateway/partition.rs
+++ b/crates/heathpitchd/tests/gateway/partition.rs
@@ -86,14 +86,16 @@
         let mut distinct = domains.to_vec();
         distinct.dedup();
         for domain in distinct {
+            // The planner orders engines to fill gaps in the layers as soon as it sees some: no part of this list has
+            // two engines for the same layers and none for the others.
             for (service, layers) in [
                 ("api", NO_LAYERS),
                 ("api", NO_LAYERS),
                 ("one", NO_LAYERS),
                 ("one", NO_LAYERS),
                 ("llm", (0, 4)),
-                ("llm", (0, 4)),
                 ("llm", (4, 8)),
+                ("llm", (0, 4)),
                 ("llm", (4, 8)),
             ] {
                 fleet.add_engine(service, domain, layers);
