--- a/crates/heathpitchd/src/main.rs
+++ b/crates/heathpitchd/src/main.rs
@@ -43,7 +43,8 @@
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     if arguments.version {
-        println!("heathpitchd {}", env!("CARGO_PKG_VERSION"));
+        let seams = if cfg!(feature = "seams") { " (seams)" } else { "" };
+        println!("heathpitchd {}{seams}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     match run(&arguments) {
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -6,12 +6,13 @@
 use std::time::{Duration, Instant};
 
 use heathpitch_standin::{
-    Behavior, Caller, Engine, GatewayProcess, LinkMode, LogLine, Proxy, RouteSpec, Scope,
-    StandInError, Store, StoreMode, TestConfig,
+    Behavior, Caller, Engine, GatewayProcess, LinkMode, LogLine, Proxy, RouteSpec, Scope, Store,
+    StoreMode, TestConfig,
 };
 use parking_lot::Mutex;
 use serde_json::json;
 
+use crate::error::SoakError;
 use crate::invariants::{DrainedEngine, EngineDisruption, History, NodeDisruption, RevokedKey};
 use crate::load::{self, CallKind, CallRecord};
 use crate::retry_limit::RetryLimit;
@@ -51,17 +52,6 @@
 const RETRY_LIMIT: RetryLimit =
     RetryLimit { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) };
 
-/// Why a run could not be carried out.
-#[derive(Debug, thiserror::Error)]
-pub enum SoakError {
-    /// A test process could not be started or signalled.
-    #[error(transparent)]
-    Node(#[from] StandInError),
-    /// The operating system reported an error.
-    #[error(transparent)]
-    System(#[from] std::io::Error),
-}
-
 /// An engine and the proxy in front of it.
 pub(crate) struct ProxiedEngine {
     pub(crate) engine: Engine,
@@ -95,6 +85,7 @@
 impl TestCluster {
     /// Starts the store, the engines and the nodes; does not wait until the nodes are ready.
     pub(crate) async fn start(binary: PathBuf) -> Result<Self, SoakError> {
+        SoakError::check_binary(&binary)?;
         let store = Store::spawn()?;
         let store_proxies =
             (0..NODES).map(|_| Proxy::spawn(store.address())).collect::<Result<_, _>>()?;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,13 +6,14 @@
 //! calls and of requests that reached engines.
 
 mod cluster;
+mod error;
 mod invariants;
 mod load;
 mod retry_limit;
 mod runner;
 mod schedule;
 
-pub use cluster::SoakError;
+pub use error::SoakError;
 pub use invariants::{
     DrainedEngine, EngineDisruption, History, NodeDisruption, RevokedKey, Violation,
 };
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -10,7 +10,8 @@
 use parking_lot::Mutex;
 use tokio::task::JoinSet;
 
-use crate::cluster::{SoakError, TestCluster};
+use crate::cluster::TestCluster;
+use crate::error::SoakError;
 use crate::invariants::Violation;
 use crate::load::{self, CallRecord};
 use crate::schedule::{Fault, FaultSchedule};
