Soak: requests at engines count for the node that sent them

Cause: the check took every request of a forwarded call for one of the node that it was forwarded to last. By the call's log its first node routed it to that engine, then forwarded it to the node that the engine had asked, and that one refused (no_retry) and sent nothing. So the case is allowed. Change: a request counts for the node that logged its send; one that was chosen but not sent does not count. The violation names both calls and the node, and log lines name their node. The checks of drained engines and rate limits go by the same senders. requests_count_for_the_node_that_sent_them fails without it.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use heathpitch_standin::{
-    Behavior, Caller, Engine, GatewayProcess, LinkMode, LogLine, Proxy, RouteSpec, Scope, Store,
-    StoreMode, TestConfig,
+    Behavior, Caller, Engine, GatewayProcess, LinkMode, Proxy, RouteSpec, Scope, Store, StoreMode,
+    TestConfig,
 };
 use parking_lot::Mutex;
 use serde_json::json;
@@ -17,6 +17,7 @@
 use crate::load::{self, CallKind, CallRecord};
 use crate::retry_limit::RetryLimit;
 use crate::schedule::{LAYERED_ENGINES, NODES, PLAIN_ENGINES};
+use crate::senders::Senders;
 
 /// API key that is never revoked.
 pub(crate) const API_KEY: &str = "key-of-desk";
@@ -183,7 +184,7 @@
         let engines = engines.iter().map(|e| &e.engine).chain(replaced.iter());
         History {
             calls,
-            forwarded: self.forwarded_calls(),
+            senders: self.senders(),
             received: engines.flat_map(Engine::requests).collect(),
             revoked_keys: self.revoked_keys.lock().clone(),
             revocation_bound: Duration::from_millis(REVOKE_MS),
@@ -195,25 +196,25 @@
         }
     }
 
-    /// Calls that nodes forwarded, with the node that each was sent to last, as far as the running processes have
-    /// logged it.
-    fn forwarded_calls(&self) -> HashMap<String, usize> {
-        let events = |n: &Mutex<Option<GatewayProcess>>| {
-            n.lock().as_ref().map(|n| n.events("call_forwarded")).unwrap_or_default()
-        };
-        let to = |event: LogLine| {
-            let node = event["node"].as_str()?.trim_start_matches('n').split('-').next()?;
-            Some((event["request"].as_str()?.to_owned(), node.parse().ok()?))
-        };
-        self.nodes.iter().flat_map(events).filter_map(to).collect()
+    /// Nodes that sent calls to engines, as far as the running processes have logged it.
+    fn senders(&self) -> Senders {
+        let mut senders = Senders::default();
+        for (number, node) in self.nodes.iter().enumerate() {
+            let events = |event| node.lock().as_ref().map(|n| n.events(event)).unwrap_or_default();
+            let kinds = ["call_routed", "call_forwarded", "call_attempt_failed"];
+            let lines = kinds.into_iter().flat_map(events);
+            lines.for_each(|line| senders.record(number, &line));
+        }
+        senders
     }
 
     /// Log lines of all nodes that mention a call.
     pub(crate) fn request_log(&self, request: &str) -> Vec<String> {
-        let lines = |n: &Mutex<Option<GatewayProcess>>| {
-            n.lock().as_ref().map(|n| n.request_log(request)).unwrap_or_default()
+        let lines = |(number, node): (usize, &Mutex<Option<GatewayProcess>>)| {
+            let lines = node.lock().as_ref().map(|n| n.request_log(request)).unwrap_or_default();
+            lines.into_iter().map(move |line| format!("n{number} {line}"))
         };
-        self.nodes.iter().flat_map(lines).collect()
+        self.nodes.iter().enumerate().flat_map(lines).collect()
     }
 }
 
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -8,6 +8,7 @@
 use crate::cluster::{FATAL_BODY, STREAM_EVENTS};
 use crate::load::{CallKind, CallRecord};
 use crate::retry_limit::RetryLimit;
+use crate::senders::Senders;
 
 /// Time beyond the route timeout after which an answer is late.
 const DEADLINE_SLACK: Duration = Duration::from_millis(1_000);
@@ -86,8 +87,8 @@
 pub struct History {
     /// Calls as seen by their callers.
     pub calls: Vec<CallRecord>,
-    /// Calls that nodes forwarded, with the node that sent each to an engine.
-    pub forwarded: HashMap<String, usize>,
+    /// Nodes that sent calls to engines.
+    pub senders: Senders,
     /// Requests that reached engines.
     pub received: Vec<ReceivedRequest>,
     /// Revoked API keys.
@@ -171,37 +172,45 @@
         repeats.chain(wrongly_held).collect()
     }
 
-    /// Node that sent each call to engines, by call id: the one that its caller sent it to, or the one that it
-    /// was forwarded to.
-    fn nodes_by_call(&self) -> HashMap<&str, usize> {
-        let node = |t: &CallRecord| self.forwarded.get(&t.id).copied().unwrap_or(t.node);
-        self.calls.iter().map(|t| (t.id.as_str(), node(t))).collect()
+    /// Requests in order of their receipt, with the node that sent each.
+    fn sent(&self) -> Vec<(&ReceivedRequest, Option<usize>)> {
+        let callers: HashMap<&str, usize> =
+            self.calls.iter().map(|call| (call.id.as_str(), call.node)).collect();
+        let mut received: Vec<&ReceivedRequest> = self.received.iter().collect();
+        received.sort_by_key(|s| s.at);
+        let mut earlier: HashMap<_, usize> = HashMap::new();
+        let sender = |s: &ReceivedRequest, nth| {
+            let caller = callers.get(s.id()?)?;
+            Some(self.senders.sender(s, nth, *caller))
+        };
+        let numbered = received.into_iter().map(|s| {
+            let count = earlier.entry((s.id(), s.engine())).or_default();
+            *count += 1;
+            (s, *count - 1)
+        });
+        numbered.map(|(s, nth)| (s, sender(s, nth))).collect()
     }
 
     /// Requests that reached a draining engine after the grace period, from nodes that were not disrupted
     /// themselves. A disruption of the node that informs them is no excuse.
     fn sent_after_drain(&self) -> Vec<Violation> {
-        let nodes = self.nodes_by_call();
-        let late = |s: &&ReceivedRequest| {
+        let late = |(s, node): &(&ReceivedRequest, Option<usize>)| {
             let drained = self.drained.iter().find(|l| s.engine() == Some(&l.engine));
-            let node = s.id().and_then(|id| nodes.get(id)).copied();
-            drained.is_some_and(|l| s.at > l.at + DRAIN_GRACE) && !self.was_disrupted(node, s.at)
+            drained.is_some_and(|l| s.at > l.at + DRAIN_GRACE) && !self.was_disrupted(*node, s.at)
         };
         let violation = |s: &ReceivedRequest| Violation {
             invariant: "a drained engine receives no requests",
             id: s.id().map(str::to_owned),
             detail: format!("at {:?}", s.engine()),
         };
-        self.received.iter().filter(late).map(violation).collect()
+        self.sent().into_iter().filter(late).map(|(s, _)| violation(s)).collect()
     }
 
     /// Requests that ignored what an engine had asked of the same node: more than two during a pause, or any
     /// after the grace period of a drain notice. A disruption of the node or the engine in between excuses them.
     fn ignored_backpressure(&self) -> Vec<Violation> {
-        let nodes = self.nodes_by_call();
         let mut by_pair: HashMap<(&str, usize), Vec<&ReceivedRequest>> = HashMap::new();
-        for request in &self.received {
-            let node = request.id().and_then(|id| nodes.get(id)).copied();
+        for (request, node) in self.sent() {
             if let (Some(engine), Some(node)) = (request.engine(), node) {
                 by_pair.entry((engine, node)).or_default().push(request);
             }
@@ -224,7 +233,11 @@
                 let violation = |invariant, s: &ReceivedRequest| Violation {
                     invariant,
                     id: s.id().map(str::to_owned),
-                    detail: format!("at {engine}, {} ms later", (s.at - asking.at).as_millis()),
+                    detail: format!(
+                        "at {engine} by node {node}, {} ms after its answer to {:?}",
+                        (s.at - asking.at).as_millis(),
+                        asking.id()
+                    ),
                 };
                 found.extend(within.map(|s| violation("an engine's Retry-After is respected", s)));
                 found.extend(after.map(|s| {
@@ -239,25 +252,23 @@
     /// not these had learned of it. Requests of disrupted nodes or to disrupted engines are not counted; a
     /// disruption of the store, or of the node that issues rights, is no excuse.
     fn limit_exceeded(&self) -> Vec<Violation> {
-        let nodes = self.nodes_by_call();
-        let mut by_engine: HashMap<&str, Vec<&ReceivedRequest>> = HashMap::new();
-        for request in &self.received {
-            by_engine.entry(request.engine().unwrap_or_default()).or_default().push(request);
+        let mut by_engine: HashMap<&str, Vec<(&ReceivedRequest, Option<usize>)>> = HashMap::new();
+        for (request, node) in self.sent() {
+            let engine = request.engine().unwrap_or_default();
+            by_engine.entry(engine).or_default().push((request, node));
         }
         let mut found = Vec::new();
-        for (engine, mut received) in by_engine {
-            received.sort_by_key(|s| s.at);
-            for limited in
-                received.split(|s| s.limit.is_none()).filter(|limited| !limited.is_empty())
-            {
-                let since = limited[0].at + PROPAGATION_GRACE;
-                let counts = |s: &&&ReceivedRequest| {
-                    let node = s.id().and_then(|id| nodes.get(id));
+        for (engine, received) in by_engine {
+            let all_limited = received.split(|(s, _)| s.limit.is_none());
+            for limited in all_limited.filter(|limited| !limited.is_empty()) {
+                let since = limited[0].0.at + PROPAGATION_GRACE;
+                let counts = |(s, node): &&(&ReceivedRequest, Option<usize>)| {
                     let from = s.at.checked_sub(PROPAGATION_GRACE).unwrap_or(s.at);
-                    s.at >= since && !node.is_some_and(|n| self.is_excused(engine, *n, from, s.at))
+                    s.at >= since && !node.is_some_and(|n| self.is_excused(engine, n, from, s.at))
                 };
-                let counted: Vec<&&ReceivedRequest> = limited.iter().filter(counts).collect();
-                let excess = |(i, first): (usize, &&&ReceivedRequest)| {
+                let counted: Vec<&ReceivedRequest> =
+                    limited.iter().filter(counts).map(|(s, _)| *s).collect();
+                let excess = |(i, first): (usize, &&ReceivedRequest)| {
                     let window = counted[i..].iter().take_while(|s| s.at < first.at + LIMIT_WINDOW);
                     let limit = window.clone().filter_map(|s| s.limit).fold(0.0, f64::max);
                     let allowed =
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod retry_limit;
 mod runner;
 mod schedule;
+mod senders;
 
 pub use error::SoakError;
 pub use invariants::{
@@ -21,3 +22,4 @@
 pub use retry_limit::RetryLimit;
 pub use runner::{SoakReport, run};
 pub use schedule::{Fault, FaultSchedule, ScheduledFault};
+pub use senders::Senders;
--- a/crates/soak/tests/invariants.rs
+++ b/crates/soak/tests/invariants.rs
@@ -6,9 +6,10 @@
 
 use heathpitch_soak::{
     CallKind, CallRecord, DrainedEngine, EngineDisruption, History, NodeDisruption, RetryLimit,
-    RevokedKey,
+    RevokedKey, Senders,
 };
-use heathpitch_standin::{ReceivedRequest, Reply};
+use heathpitch_standin::{LogLine, ReceivedRequest, Reply};
+use serde_json::json;
 
 fn call(kind: CallKind, status: u16, body: &str) -> CallRecord {
     CallRecord {
@@ -230,3 +231,43 @@
     assert_eq!(retried(1), [""; 0]);
     assert_eq!(retried(2), ["retries of all nodes stay within the limit"]);
 }
+
+/// Guards against a request that is taken for that of the node to which its call was forwarded later.
+#[test]
+fn requests_count_for_the_node_that_sent_them() {
+    let start = Instant::now();
+    let at = |id: &str, ms: u64| {
+        let request = ReceivedRequest::new(id, "desk", "body").with_engine("e1");
+        ReceivedRequest { at: start + Duration::from_millis(ms), ..request }
+    };
+    let asking = ReceivedRequest { retry_after: Some(Duration::from_secs(3)), ..at("a", 0) };
+    let later = ["b", "c", "d"].map(|id| at(id, 1_000));
+    let call = |(id, node): (&str, usize)| CallRecord {
+        id: id.to_owned(),
+        node,
+        ..call(CallKind::Idempotent, 200, "body")
+    };
+    let invariants = |node: usize| {
+        let mut senders = Senders::default();
+        for id in ["b", "c", "d"] {
+            let line = |event: &str, at: u64| json!({ "event": event, "request": id, "at": at });
+            let with = |mut line: LogLine, key: &str, value: &str| {
+                line[key] = value.into();
+                line
+            };
+            let routed = |at| with(line("call_routed", at), "engine", "e1");
+            let failed = with(line("call_attempt_failed", 2), "engine", "e1");
+            // The other node chose the engine first, but sent nothing.
+            senders.record(1 - node, &routed(1));
+            senders.record(node, &routed(3));
+            senders.record(0, &with(line("call_forwarded", 4), "node", "n1-7"));
+            senders.record(1 - node, &with(failed, "error", "not sent: the engine rests"));
+        }
+        let calls = Vec::from([("a", 1), ("b", 0), ("c", 0), ("d", 0)].map(call));
+        let received = later.iter().cloned().chain([asking.clone()]).collect();
+        let history = History { calls, received, senders, ..History::default() };
+        history.check().iter().map(|v| v.invariant).collect::<Vec<_>>()
+    };
+    assert_eq!(invariants(0), [""; 0]);
+    assert_eq!(invariants(1), ["an engine's Retry-After is respected"]);
+}
