Soak: a part of prompts crashes engines

All streams of a run begin with one part of their prompts and belong to a session; with_part_crashes sends requests of which no two are alike, with a part that crashes each engine that starts to run them, also while the fleet recovers, since disrupted nodes are not judged. Checked: at most three such requests reach engines from nodes in touch later than the contact bound after the fifth exit, and no other call is held back.

--- a/crates/heathpitchd/tests/gateway_soak.rs
+++ b/crates/heathpitchd/tests/gateway_soak.rs
@@ -36,6 +36,14 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_while_a_part_of_prompts_crashes_engines() {
+    for seed in [12, 13] {
+        let schedule = FaultSchedule::generate(seed, Duration::from_secs(8));
+        run_schedule(&schedule.with_part_crashes()).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_while_engines_ask_for_pauses_and_the_store_is_restored() {
     for seed in [6, 7] {
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -52,6 +52,7 @@
                 FaultSchedule::generate(*seed, length)
                     .with_restarts()
                     .with_crashes()
+                    .with_part_crashes()
                     .with_backpressure()
                     .with_store_restores()
                     .with_limits()
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -14,7 +14,7 @@
 
 use crate::error::SoakError;
 use crate::invariants::{DrainedEngine, EngineDisruption, History, NodeDisruption, RevokedKey};
-use crate::load::{self, CallKind, CallRecord};
+use crate::load::{self, CallKind, CallRecord, FATAL_PART};
 use crate::retry_limit::RetryLimit;
 use crate::schedule::{LAYERED_ENGINES, NODES, PLAIN_ENGINES};
 use crate::senders::Senders;
@@ -73,7 +73,7 @@
     /// Paused nodes and when each resumed.
     pauses: Mutex<Vec<(usize, Instant)>>,
     drained: Mutex<Vec<DrainedEngine>>,
-    /// Calls with the fatal body.
+    /// Calls that crash engines.
     fatal_calls: Mutex<Vec<CallRecord>>,
     node_disruptions: Mutex<Vec<NodeDisruption>>,
     /// Engines whose requests may have been delayed, or that restarted.
@@ -128,6 +128,7 @@
         engine.list_at(proxy.address());
         engine.set_behavior(default_behavior(index));
         engine.exit_on_body(FATAL_BODY);
+        engine.exit_on_part(FATAL_PART);
         match index {
             i if i < PLAIN_ENGINES => engine.register("ready"),
             i if i % 2 == 1 => engine.set_layers(0, LAYER_RANGE_ENDS.0),
@@ -368,16 +369,16 @@
         engine.register("ready");
     }
 
-    /// Sends the fatal request to a node, with a new call id each time.
-    pub(crate) async fn send_fatal_request(&self, node: usize, serial: u64) {
+    /// Sends a request that crashes engines to a node, with a new call id each time.
+    pub(crate) async fn send_fatal_request(&self, node: usize, serial: u64, body: String) {
         let Some(address) = self.listen_address(node) else { return };
         let (caller, id, key) =
             (Caller::new(address).key(API_KEY), format!("f{serial}"), API_KEY.to_owned());
-        let call = load::send(caller, node, CallKind::Stream, id, key, FATAL_BODY.to_owned()).await;
+        let call = load::send(caller, node, CallKind::Stream, id, key, body).await;
         self.fatal_calls.lock().push(call);
     }
 
-    /// Takes the calls recorded with the fatal body.
+    /// Takes the recorded calls that crash engines.
     pub(crate) fn take_fatal_calls(&self) -> Vec<CallRecord> {
         std::mem::take(&mut *self.fatal_calls.lock())
     }
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -6,7 +6,7 @@
 use heathpitch_standin::{ReceivedRequest, Reply};
 
 use crate::cluster::{FATAL_BODY, STREAM_EVENTS};
-use crate::load::{CallKind, CallRecord};
+use crate::load::{CallKind, CallRecord, FATAL_PART, FATAL_PART_BODY};
 use crate::retry_limit::RetryLimit;
 use crate::senders::Senders;
 
@@ -26,7 +26,7 @@
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Requests allowed in a window: a multiple of the limit, plus a fixed number.
 const LIMIT_TOLERANCE: (f64, f64) = (1.5, 5.0);
-/// Further times that the fatal request may reach engines after it has crashed three.
+/// Further times that a fatal request may reach engines after it has crashed three, or a fatal part five.
 const MAX_FATAL_REPEATS: usize = 3;
 /// Account of all calls.
 const ACCOUNT: &str = "desk";
@@ -137,6 +137,7 @@
             .chain(self.altered_requests())
             .chain(self.sent_after_drain())
             .chain(self.fatal_repeats())
+            .chain(self.fatal_part_repeats())
             .chain(self.ignored_backpressure())
             .chain(self.limit_exceeded())
             .chain(self.retry_limit_exceeded())
@@ -162,8 +163,9 @@
                 id: s.id().map(str::to_owned),
                 detail: format!("at {:?}", s.engine()),
             });
+        let is_fatal = |body: &str| body == FATAL_BODY || body.starts_with(FATAL_PART_BODY);
         let held =
-            |t: &&CallRecord| t.body != FATAL_BODY && t.reply.as_ref().is_some_and(is_held_back);
+            |t: &&CallRecord| !is_fatal(&t.body) && t.reply.as_ref().is_some_and(is_held_back);
         let wrongly_held = self.calls.iter().filter(held).map(|t| Violation {
             invariant: "normal requests are not held back",
             id: Some(t.id.clone()),
@@ -172,6 +174,27 @@
         repeats.chain(wrongly_held).collect()
     }
 
+    /// Requests with the fatal part beyond the allowed number after it had crashed five engines, from nodes that were
+    /// not disrupted.
+    fn fatal_part_repeats(&self) -> Vec<Violation> {
+        let has_part = |s: &ReceivedRequest| {
+            s.header("x-prefix-hash").is_some_and(|parts| parts.contains(FATAL_PART))
+        };
+        let sent = self.sent();
+        let fatal = || sent.iter().filter(|(s, _)| has_part(s));
+        let Some(fifth) = fatal().filter(|(s, _)| s.ran).nth(4).map(|(s, _)| s.at) else {
+            return Vec::new();
+        };
+        let later = fatal().filter(|(s, _)| s.at > fifth + PROPAGATION_GRACE);
+        let counted = later.filter(|(s, node)| !self.was_disrupted(*node, s.at));
+        let violation = |(s, node): &(&ReceivedRequest, Option<usize>)| Violation {
+            invariant: "a part of prompts that crashed five engines reaches at most three more",
+            id: s.id().map(str::to_owned),
+            detail: format!("at {:?} by node {node:?}", s.engine()),
+        };
+        counted.skip(MAX_FATAL_REPEATS).map(violation).collect()
+    }
+
     /// Requests in order of their receipt, with the node that sent each.
     fn sent(&self) -> Vec<(&ReceivedRequest, Option<usize>)> {
         let callers: HashMap<&str, usize> =
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -14,6 +14,12 @@
 use crate::schedule::NODES;
 
 const CALLERS_PER_NODE: usize = 3;
+/// Part of a prompt that crashes every engine which starts to run a request with it.
+pub(crate) const FATAL_PART: &str = "fa7a1";
+/// Start of the bodies of such requests.
+pub(crate) const FATAL_PART_BODY: &str = "fatal part";
+/// Part that all prompts begin with.
+const FIRST_PART: &str = "50d";
 /// Time after which a caller abandons an incomplete answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -161,8 +167,21 @@
         CallKind::Stream => (Method::POST, "/tell/x"),
     };
     let sent_at = Instant::now();
-    let caller = caller.call_id(&id);
+    let caller = match kind {
+        CallKind::Stream => caller.call_id(&id).prompt_parts(&prompt_parts(&id, &body)),
+        CallKind::Idempotent | CallKind::AtMostOnce => caller.call_id(&id),
+    };
     let result = tokio::time::timeout(ANSWER_TIMEOUT, caller.call(method, target, &body)).await;
     let reply = result.ok().and_then(Result::ok);
     CallRecord { id, node, kind, body, key, sent_at, elapsed: sent_at.elapsed(), reply }
 }
+
+/// Parts of a prompt: one that all share, the fatal one or that of one of sixteen sessions, and its own.
+fn prompt_parts(id: &str, body: &str) -> String {
+    let own = id.bytes().map(|byte| format!("{byte:02x}")).collect::<String>();
+    let session = own.get(own.len().saturating_sub(1)..).unwrap_or_default();
+    match body.starts_with(FATAL_PART_BODY) {
+        true => format!("{FIRST_PART}:40,{FATAL_PART}:60,{own}:9"),
+        false => format!("{FIRST_PART}:40,5e{session}:60,{own}:9"),
+    }
+}
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -10,16 +10,20 @@
 use parking_lot::Mutex;
 use tokio::task::JoinSet;
 
-use crate::cluster::TestCluster;
+use crate::cluster::{FATAL_BODY, TestCluster};
 use crate::error::SoakError;
 use crate::invariants::Violation;
-use crate::load::{self, CallRecord};
-use crate::schedule::{Fault, FaultSchedule};
+use crate::load::{self, CallRecord, FATAL_PART_BODY};
+use crate::schedule::{Fault, FaultSchedule, NODES};
 
 /// Time after recovery in which the success rate is measured.
 const MEASUREMENT_TIME: Duration = Duration::from_millis(2_500);
 /// Time from the end of the last fault to the measurement: suspicion of engines and nodes has to clear first.
 const RECOVERY_TIME: Duration = Duration::from_millis(6_000);
+/// Time between requests with the fatal part meanwhile.
+const FATAL_PART_INTERVAL: Duration = Duration::from_millis(300);
+/// First serial of these requests.
+const RECOVERY_SERIALS: u64 = 1_000_000;
 /// Smallest share of calls that have to succeed after recovery.
 const MIN_RECOVERY_RATE: f64 = 0.9;
 /// Exit codes of a node after SIGTERM: 0 if all calls had ended, 4 if some were cut off.
@@ -66,7 +70,7 @@
             "a node was not ready in time after the last fault".to_owned(),
         ));
     }
-    tokio::time::sleep(RECOVERY_TIME).await;
+    recover(&cluster, schedule).await;
     let from = Instant::now();
     tokio::time::sleep(MEASUREMENT_TIME).await;
     stop.store(true, Relaxed);
@@ -96,6 +100,24 @@
     Ok(SoakReport { calls: total, succeeded, recovery_rate, violations, request_logs })
 }
 
+/// Waits until suspicions have cleared; requests with the fatal part go on, as disrupted nodes are not judged.
+async fn recover(cluster: &TestCluster, schedule: &FaultSchedule) {
+    let end = Instant::now() + RECOVERY_TIME;
+    let has_part = schedule.faults.iter().any(|s| matches!(s.fault, Fault::FatalPart(_)));
+    for serial in 0.. {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return;
+        }
+        if has_part {
+            let body = format!("{FATAL_PART_BODY} of recovery {serial}");
+            let node = serial as usize % NODES;
+            cluster.send_fatal_request(node, RECOVERY_SERIALS + serial, body).await;
+        }
+        tokio::time::sleep(left.min(FATAL_PART_INTERVAL)).await;
+    }
+}
+
 fn run_violation(invariant: &'static str, detail: String) -> Violation {
     Violation { invariant, id: None, detail }
 }
@@ -195,7 +217,13 @@
             Fault::RestartEngine(engine) => cluster.restart_engine(engine),
             Fault::ForeignEntry(text) => cluster.write_foreign_entry(serial, text),
             Fault::SuspendVm(node) => cluster.signal_node(node, "USR2")?,
-            Fault::FatalRequest(node) => cluster.send_fatal_request(node, serial).await,
+            Fault::FatalRequest(node) => {
+                cluster.send_fatal_request(node, serial, FATAL_BODY.to_owned()).await;
+            }
+            Fault::FatalPart(node) => {
+                let body = format!("{FATAL_PART_BODY} {serial}");
+                cluster.send_fatal_request(node, serial, body).await;
+            }
             Fault::RestoreStore(age, changes) => cluster.restore_store(age, changes).await,
             Fault::RetryAfter(engine, value, duration) => {
                 cluster.set_retry_after(engine, Some(value));
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -51,6 +51,8 @@
     SuspendVm(usize),
     /// Sends a node the request that crashes every engine which starts to run it.
     FatalRequest(usize),
+    /// Sends a node a new request with the part of a prompt that crashes every engine which starts to run it.
+    FatalPart(usize),
     /// Restores the store from a snapshot of this age, with this many later changes by others.
     RestoreStore(Duration, u64),
     /// Has an engine refuse all requests with this Retry-After value.
@@ -86,6 +88,9 @@
 /// Likewise for suspended VMs and fatal requests.
 const CRASH_SALT: u64 = 0xe2d5;
 
+/// Likewise for requests with a part of a prompt that crashes engines.
+const PART_SALT: u64 = 0x9a27;
+
 /// Likewise for backpressure from engines.
 const BACKPRESSURE_SALT: u64 = 0x3e57;
 
@@ -153,6 +158,14 @@
         })
     }
 
+    /// Adds requests of which no two are alike, with a part of a prompt that crashes engines.
+    #[must_use]
+    pub fn with_part_crashes(self) -> Self {
+        self.with_faults(PART_SALT, 200..2_000, |rng| {
+            (Fault::FatalPart(rng.random_range(0..NODES)), random_millis(rng, 100..800))
+        })
+    }
+
     /// Adds restores of the store from an older snapshot, usually one or two.
     #[must_use]
     pub fn with_store_restores(self) -> Self {
