Retries: calls are reported to a planner once, also if its response is lost

The planner then issued retries that two counts of the same calls earn, against the limit of all nodes. The second request reports no calls now. No test loses a response at this point; the tests of retries pass.

--- a/crates/heathpitchd/src/gateway/control/retries.rs
+++ b/crates/heathpitchd/src/gateway/control/retries.rs
@@ -128,15 +128,18 @@
         domain: &Name,
         request: &RetryRequest,
     ) -> Result<RetryResponse, RpcError> {
-        let unknown = || RpcError::Connect("no planner is known".to_owned());
-        let planner = self.sources.borrow().planner(domain).map(|p| p.source.clone());
-        if *domain == self.domain()
-            && planner.as_ref().is_none_or(|planner| planner.node == self.node())
-        {
+        let planner = self.planner_of(domain);
+        if *domain == self.domain() && planner.as_ref().is_none_or(|p| p.node == self.node()) {
             return Ok(self.issue_retry(request));
         }
-        let planner = planner.filter(|_| self.shared.peer.is_some()).ok_or_else(unknown)?;
-        let send = async |client: &FeedClient| client.request_retry(request, REQUEST_TIMEOUT).await;
+        let unknown = || RpcError::Connect("no planner is known".to_owned());
+        let planner = planner.ok_or_else(unknown)?;
+        // The first request may have arrived although its response was lost: its calls are not reported again.
+        let calls = Cell::new(request.calls);
+        let send = async |client: &FeedClient| {
+            let request = RetryRequest { calls: calls.take(), ..request.clone() };
+            client.request_retry(&request, REQUEST_TIMEOUT).await
+        };
         self.ask_planner(domain, &planner, send).await
     }
 }
