--- a/crates/heathpitchd/tests/gateway_forwarding.rs
+++ b/crates/heathpitchd/tests/gateway_forwarding.rs
@@ -13,7 +13,7 @@
 use gateway::partition::{CallKind, PartitionedFleet};
 use gateway::{KEY, wait_until};
 use heathpitch_net::{Pool, Reuse, full};
-use heathpitch_standin::{Behavior, LinkMode, Reply};
+use heathpitch_standin::{Behavior, Engine, LinkMode, Reply};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Method, Request};
@@ -195,3 +195,31 @@
     let added = received.headers.keys().filter(|k| k.as_str().starts_with("x-heathpitch"));
     assert_eq!(added.count(), 0);
 }
+
+/// Guards against calls that engines refuse at one node after the other as if each sent it for the first time.
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_calls_that_engines_refuse_are_paid_for() {
+    let fleet = PartitionedFleet::start(&["mem", "mem", "mem", "atl"]).await;
+    let plain = |domain: &'static str| {
+        fleet.engines.iter().filter(move |e| e.id.starts_with(domain) && e.id.contains("api"))
+    };
+    // Nodes try the one in their domain first, and then cannot connect to the others.
+    plain("mem").skip(1).for_each(Engine::deregister);
+    plain("mem").for_each(|e| e.set_behavior(Behavior::Refuse));
+    plain("atl").for_each(|e| fleet.shut_down(e));
+    fleet.cut_off(0, LinkMode::Blackhole);
+    fleet.wait_cut_off(0).await;
+    let caller = fleet.caller(0).call_id(ID);
+    let reply = caller.call(Method::GET, "/get/x", "").await.unwrap();
+    assert_eq!(reply.status, 503);
+    let arrivals = fleet.received(ID);
+    assert!(arrivals > 0);
+    let mut paid = 0;
+    for node in &fleet.nodes {
+        let text = node.metrics().await.unwrap();
+        let made = text.lines().filter(|l| l.starts_with("heathpitch_retries_total"));
+        let made = made.filter(|l| !l.contains("denied")).filter_map(|l| l.rsplit_once(' '));
+        paid += made.map(|(_, count)| count.parse::<usize>().unwrap()).sum::<usize>();
+    }
+    assert!(arrivals <= 1 + paid, "{arrivals} arrivals, {paid} retries");
+}
--- a/crates/policy/tests/fleet_retries.rs
+++ b/crates/policy/tests/fleet_retries.rs
@@ -293,3 +293,18 @@
         }
     }
 }
+
+/// Guards against planners that go on issuing their whole part while the store is down and another one may have taken
+/// over.
+#[test]
+fn an_issuer_whose_lease_may_have_ended_issues_the_reserve_only() {
+    let issued = |leased_until: u64, now: u64| {
+        let mut pool = RetryPool::new(0);
+        (0..2_000).filter(|_| pool.issue(&LIMIT, 0, leased_until, now)).count() as f64
+    };
+    let proven = issued(32_400, 30_000);
+    assert!(proven >= MIN_USE * LIMIT.slack, "{proven}");
+    assert_eq!(issued(28_000, 30_000), proven, "a successor waits as long");
+    let unproven = issued(24_000, 30_000);
+    assert!(unproven > 0.0 && unproven + proven <= MAX_USE * LIMIT.slack, "{unproven}");
+}
