Quarantine: a stream without events does not count as answered; what the caller is told of a part

By reading: an answer without a length ends with its connection, so that a stream whose engine exits before its first event can look complete. It cleared the parts of its prompt, the faulty one among them. It needs an event now. The refusal says that engines exited under requests with the part, not under this one.

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -185,7 +185,11 @@
     }
     let position = call.parts().iter().position(|k| *k == key);
     let id = position.and_then(|p| call.head.prompt_parts.get(p)).map_or("", |id| id);
-    let detail = format!("part {id} ({}) of the prompt: {held}", key.part);
+    let detail = format!(
+        "engines exited shortly after they started requests with part {id} ({}) of the prompt:{}",
+        key.part,
+        held.engine_list()
+    );
     let refusal = Refusal::unsent(RefusalKind::HeldBack, &call.head.id, detail);
     refusal.with_retry_after(remaining).of_call(call)
 }
--- a/crates/heathpitchd/src/gateway/call/relay.rs
+++ b/crates/heathpitchd/src/gateway/call/relay.rs
@@ -203,7 +203,10 @@
         if let (true, Some(source)) = (complete, self.source.take()) {
             source.release(&self.flow.traffic.pool);
             record_answered(&self.flow.traffic, &self.flow.call);
-            record_parts_answered(&self.flow.traffic, &self.flow.call);
+            // An answer without a length also ends where its engine exits.
+            if self.flow.events.count() > 0 {
+                record_parts_answered(&self.flow.traffic, &self.flow.call);
+            }
         }
         self.log(complete);
     }
--- a/crates/heathpitchd/src/gateway/control/quarantine.rs
+++ b/crates/heathpitchd/src/gateway/control/quarantine.rs
@@ -33,6 +33,7 @@
 const AVOID_WITHIN_MS: Millis = 1_500;
 /// Interval between checks for expired requests and for entries to write to the store.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+
 /// # Local observations
 impl Control {
     /// Records that an engine exited while it ran calls of this node.
--- a/crates/heathpitchd/src/gateway/quarantine_snapshot.rs
+++ b/crates/heathpitchd/src/gateway/quarantine_snapshot.rs
@@ -115,9 +115,15 @@
     pub(crate) until: Millis,
 }
 
+impl HeldBack {
+    /// The engines, each after a space.
+    pub(crate) fn engine_list(&self) -> String {
+        self.engines.iter().map(|engine| format!(" {engine}")).collect()
+    }
+}
+
 impl fmt::Display for HeldBack {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("engines exited shortly after they started this request:")?;
-        self.engines.iter().try_for_each(|engine| write!(f, " {engine}"))
+        write!(f, "engines exited shortly after they started this request:{}", self.engine_list())
     }
 }
