Soak: logs of nodes that have exited are kept, and written for runs that violate an invariant

Logs outlive their processes now; senders are told by all of them. `--logs DIRECTORY` writes the log of all nodes for each run that violates an invariant.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -37,6 +37,8 @@
     /// Time within which faults start, in seconds.
     #[options(default = "12")]
     length: u64,
+    /// Directory for the logs of runs that violate an invariant.
+    logs: Option<PathBuf>,
 }
 
 #[tokio::main]
@@ -75,6 +77,10 @@
                 println!("  {}: {:?}, {}", violation.invariant, violation.id, violation.detail);
             }
             report.request_logs.iter().take(20).for_each(|line| println!("    {line}"));
+            if let Some(directory) = arguments.logs.as_ref().filter(|_| !report.log.is_empty()) {
+                std::fs::write(directory.join(format!("{seed}.log")), report.log.join("\n"))
+                    .unwrap();
+            }
         }
     }
     println!("{failed} of {} seeds violated an invariant", seeds.len());
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use heathpitch_standin::{
-    Behavior, Caller, Engine, GatewayProcess, LinkMode, Proxy, RouteSpec, Scope, Store, StoreMode,
-    TestConfig,
+    Behavior, Caller, Engine, GatewayProcess, LinkMode, LogLine, NodeLog, Proxy, RouteSpec, Scope,
+    Store, StoreMode, TestConfig,
 };
 use parking_lot::Mutex;
 use serde_json::json;
@@ -66,6 +66,8 @@
     config: Mutex<TestConfig>,
     store_proxies: Vec<Proxy>,
     nodes: Vec<Mutex<Option<GatewayProcess>>>,
+    /// Logs of all node processes, also of those that have exited.
+    logs: Mutex<Vec<(usize, NodeLog)>>,
     engines: Mutex<Vec<ProxiedEngine>>,
     /// Replaced engines; requests they received still count.
     replaced: Mutex<Vec<Engine>>,
@@ -96,6 +98,7 @@
             config: Mutex::new(initial_config()),
             store_proxies,
             nodes: (0..NODES).map(|_| Mutex::new(None)).collect(),
+            logs: Mutex::default(),
             engines: Mutex::default(),
             replaced: Mutex::default(),
             revoked_keys: Mutex::default(),
@@ -149,6 +152,7 @@
         // killed node must not be taken for that one.
         let name = format!("n{index}-{}", self.store.address().port());
         let node = GatewayProcess::spawn(&self.binary, store, &name, domain, &bounds)?;
+        self.logs.lock().push((index, node.log()));
         *self.nodes[index].lock() = Some(node);
         self.engines.lock().iter().for_each(|e| self.apply_cut(index, &e.proxy));
         Ok(())
@@ -197,25 +201,30 @@
         }
     }
 
-    /// Nodes that sent calls to engines, as far as the running processes have logged it.
+    /// Nodes that sent calls to engines, by their logs; the sends of a call come before its failed attempts.
     fn senders(&self) -> Senders {
         let mut senders = Senders::default();
-        for (number, node) in self.nodes.iter().enumerate() {
-            let events = |event| node.lock().as_ref().map(|n| n.events(event)).unwrap_or_default();
-            let kinds = ["call_routed", "call_forwarded", "call_attempt_failed"];
-            let lines = kinds.into_iter().flat_map(events);
-            lines.for_each(|line| senders.record(number, &line));
+        let logs: Vec<(usize, Vec<LogLine>)> =
+            self.logs.lock().iter().map(|(node, log)| (*node, log.lines())).collect();
+        for event in ["call_routed", "call_forwarded", "call_attempt_failed"] {
+            for (node, lines) in &logs {
+                let of_event = lines.iter().filter(|line| line["event"] == event);
+                of_event.for_each(|line| senders.record(*node, line));
+            }
         }
         senders
     }
 
-    /// Log lines of all nodes that mention a call.
-    pub(crate) fn request_log(&self, request: &str) -> Vec<String> {
-        let lines = |(number, node): (usize, &Mutex<Option<GatewayProcess>>)| {
-            let lines = node.lock().as_ref().map(|n| n.request_log(request)).unwrap_or_default();
-            lines.into_iter().map(move |line| format!("n{number} {line}"))
+    /// Log lines of all nodes in order of time, each with its node.
+    pub(crate) fn log(&self) -> Vec<(usize, LogLine)> {
+        let logs = self.logs.lock();
+        let of_node = |(node, log): &(usize, NodeLog)| {
+            let node = *node;
+            log.lines().into_iter().map(move |line| (node, line))
         };
-        self.nodes.iter().enumerate().flat_map(lines).collect()
+        let mut lines: Vec<_> = logs.iter().flat_map(of_node).collect();
+        lines.sort_by_key(|(_, line)| line["at"].as_u64());
+        lines
     }
 }
 
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
-use heathpitch_standin::{LinkMode, StoreMode};
+use heathpitch_standin::{LinkMode, LogLine, StoreMode};
 use parking_lot::Mutex;
 use tokio::task::JoinSet;
 
@@ -40,7 +40,9 @@
     pub recovery_rate: f64,
     /// Invariants that were violated.
     pub violations: Vec<Violation>,
-    /// Log lines of the nodes that mention the calls of these violations.
+    /// Log lines of all nodes, each after its node, if an invariant was violated.
+    pub log: Vec<String>,
+    /// Those of them that mention the calls of the violations.
     pub request_logs: Vec<String>,
 }
 
@@ -94,10 +96,15 @@
     let calls: Vec<CallRecord> = calls.into_iter().chain(cluster.take_fatal_calls()).collect();
     let (total, succeeded) = (calls.len(), calls.iter().filter(|c| c.succeeded()).count());
     violations.extend(cluster.history(calls).check());
-    let request_logs =
-        violations.iter().filter_map(|v| v.id.as_deref()).flat_map(|id| cluster.request_log(id));
-    let request_logs = request_logs.collect();
-    Ok(SoakReport { calls: total, succeeded, recovery_rate, violations, request_logs })
+    let lines = if violations.is_empty() { Vec::new() } else { cluster.log() };
+    let is_violated = |line: &LogLine| {
+        let request = line["request"].as_str();
+        request.is_some() && violations.iter().any(|v| v.id.as_deref() == request)
+    };
+    let text = |(node, line): &(usize, LogLine)| format!("n{node} {line}");
+    let log = lines.iter().map(text).collect();
+    let request_logs = lines.iter().filter(|(_, line)| is_violated(line)).map(text).collect();
+    Ok(SoakReport { calls: total, succeeded, recovery_rate, violations, log, request_logs })
 }
 
 /// Waits until suspicions have cleared; requests with the fatal part go on, as disrupted nodes are not judged.
