Quarantine: exits from before a node started keep their times

Cause: the time of an exit was its age subtracted from the node's clock, which begins with the process, so that all exits from before its start got the same time. Exits at one moment count once, since engines of one host exit together. The node then told others these ages, of which the older one holds, and the verdict was lost on nodes that had had it (`part_let_through`, with equal ages in `ends`).

Times of exits may lie before the start of the clock now. `exits_from_before_a_node_started_keep_their_moments` failed before. The same subtraction elsewhere, by reading: notices of draining and of limits and proofs of other nodes, where it makes something look at most as old as the process; left as it is.

--- a/crates/policy/src/exit_book.rs
+++ b/crates/policy/src/exit_book.rs
@@ -16,6 +16,15 @@
 /// Bounds the exits kept, about 100 bytes each.
 const MAX_EXITS: usize = 2_048;
 
+/// Time of an exit on this node's clock, milliseconds. Other nodes report exits from before this node started,
+/// which are negative.
+pub(crate) type ExitTime = i64;
+
+/// Time `age` before `now`.
+fn time_before(now: Millis, age: Millis) -> ExitTime {
+    now as ExitTime - age as ExitTime
+}
+
 /// What is known of a suspect at one engine that exited.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ExitDetails {
@@ -42,7 +51,7 @@
     pub(crate) details: ExitDetails,
     pub(crate) renewed: u32,
     pub(crate) cleared: bool,
-    pub(crate) at: Millis,
+    pub(crate) at: ExitTime,
     serial: u64,
 }
 
@@ -75,7 +84,7 @@
         if age >= 2 * EXIT_TTL_MS {
             return false;
         }
-        let at = now.saturating_sub(age);
+        let at = time_before(now, age);
         let serial = self.serial + 1;
         let Exit { suspect, incarnation, details, renewed, cleared } = exit;
         let update = ExitState { details, renewed, cleared, at, serial };
@@ -115,7 +124,8 @@
             for (_, known) in
                 self.exits.iter_mut().filter(|((s, _), k)| *s == suspect && !k.cleared)
             {
-                (known.renewed, known.at, known.serial) = (known.renewed + 1, now, self.serial);
+                (known.renewed, known.at, known.serial) =
+                    (known.renewed + 1, time_before(now, 0), self.serial);
             }
         }
         due
@@ -124,12 +134,13 @@
     /// Drops expired exits, all exits of a suspect together; returns whether there were any.
     pub(crate) fn expire(&mut self, now: Millis) -> bool {
         let before = self.exits.len();
-        let mut last: HashMap<S, Millis> = HashMap::new();
+        let mut last: HashMap<S, ExitTime> = HashMap::new();
         for ((suspect, _), known) in &self.exits {
-            let at = last.entry(*suspect).or_default();
+            let at = last.entry(*suspect).or_insert(known.at);
             *at = known.at.max(*at);
         }
-        self.exits.retain(|(suspect, _), _| now < last[suspect] + EXIT_TTL_MS);
+        let oldest = time_before(now, EXIT_TTL_MS);
+        self.exits.retain(|(suspect, _), _| last[suspect] > oldest);
         self.exits.len() < before
     }
 
@@ -150,6 +161,11 @@
 }
 
 impl ExitState {
+    /// Time since the exit.
+    pub(crate) fn age(&self, now: Millis) -> Millis {
+        (now as ExitTime).saturating_sub(self.at).max(0) as Millis
+    }
+
     /// Whether this exit counts against its suspect.
     fn counts(&self) -> bool {
         !self.cleared && just_started(self.details.events)
@@ -205,7 +221,7 @@
         now: Millis,
     ) -> impl Iterator<Item = (&EngineIncarnation, u32, Millis)> {
         let of = self.counting().filter(move |(s, ..)| *s == suspect);
-        of.map(move |(_, incarnation, k)| (incarnation, k.details.events, now.saturating_sub(k.at)))
+        of.map(move |(_, incarnation, k)| (incarnation, k.details.events, k.age(now)))
     }
 
     /// Time until the exits of a suspect expire if it is not seen again.
@@ -243,9 +259,9 @@
         let last = new.get(most.saturating_sub(1)).map_or(self.serial, |(_, k)| k.serial);
         let exit = |((suspect, incarnation), k): &(&(S, EngineIncarnation), &ExitState)| {
             let (suspect, incarnation) = (*suspect, incarnation.clone());
-            let ExitState { details, renewed, cleared, at, .. } = **k;
+            let ExitState { details, renewed, cleared, .. } = **k;
             let exit = Exit { suspect, incarnation, details, renewed, cleared };
-            (exit, now.saturating_sub(at))
+            (exit, k.age(now))
         };
         let changed = new.iter().take_while(|(_, k)| k.serial <= last);
         (changed.map(exit).collect(), last)
--- a/crates/policy/src/part_quarantine.rs
+++ b/crates/policy/src/part_quarantine.rs
@@ -17,7 +17,7 @@
 
 use heathpitch_core::{Millis, PromptPart};
 
-use crate::exit_book::{Exit, ExitBook, ExitDetails, ExitState};
+use crate::exit_book::{Exit, ExitBook, ExitDetails, ExitState, ExitTime};
 use crate::part_exits::PartExits;
 use crate::{EngineIncarnation, PartKey};
 
@@ -178,7 +178,7 @@
     pub fn is_decision_due(&self, now: Millis) -> bool {
         self.exits
             .counting()
-            .any(|(.., exit)| (self.decided_at + 1..=now).contains(&(exit.at + SETTLE_MS)))
+            .any(|(.., exit)| exit.is_settled(now) && !exit.is_settled(self.decided_at))
     }
 
     fn verdict(&self, now: Millis) -> BTreeSet<HeldPart> {
@@ -200,7 +200,7 @@
     fn suspects(&self, now: Millis) -> Vec<Suspect<'_>> {
         let mut by_part: BTreeMap<_, BTreeMap<u64, Vec<_>>> = BTreeMap::new();
         for (key, incarnation, exit) in self.exits.counting() {
-            if exit.renewed > 0 || now >= exit.at + SETTLE_MS {
+            if exit.renewed > 0 || exit.is_settled(now) {
                 let accounts = by_part.entry((key.service, key.part)).or_default();
                 accounts.entry(key.account).or_default().push((incarnation, exit));
             }
@@ -234,14 +234,21 @@
     enough.then_some(Suspect { held, incarnations, position })
 }
 
+impl ExitState {
+    /// Whether nodes that know an answer have reported it.
+    fn is_settled(&self, now: Millis) -> bool {
+        self.age(now) >= SETTLE_MS
+    }
+}
+
 /// Number of moments at which these exits happened.
 fn moments(exits: &[(&EngineIncarnation, &ExitState)]) -> usize {
-    let mut times: Vec<Millis> = exits.iter().map(|(_, exit)| exit.at).collect();
+    let mut times: Vec<ExitTime> = exits.iter().map(|(_, exit)| exit.at).collect();
     times.sort_unstable();
     let (mut count, mut end) = (0, 0);
     for at in times {
         if count == 0 || at >= end {
-            (count, end) = (count + 1, at + MOMENT_MS);
+            (count, end) = (count + 1, at + MOMENT_MS as ExitTime);
         }
     }
     count
--- a/crates/policy/tests/part_quarantine.rs
+++ b/crates/policy/tests/part_quarantine.rs
@@ -59,6 +59,29 @@
     assert!(!quarantine.is_decision_due(SETTLED_MS + 1_000));
 }
 
+/// Guards against exits that seem to have happened together because a node learns of them only after
+/// it has started, and against passing that on.
+#[test]
+fn exits_from_before_a_node_started_keep_their_moments() {
+    let (fatal, mut started) = (key(FATAL, ACCOUNT), PartQuarantine::default());
+    let now = 1_100;
+    for engine in 0..4 {
+        started.learn(exit(fatal, engine, 1), 20_000 + 500 * u64::from(engine), now);
+    }
+    started.decide(now);
+    assert!(started.holds(&fatal));
+    let mut ages: Vec<_> = started.evidence(fatal, now).map(|(.., age)| age).collect();
+    ages.sort_unstable();
+    assert_eq!(ages, [20_000, 20_500, 21_000, 21_500]);
+
+    let mut informed = PartQuarantine::default();
+    for (exit, age) in started.since(0, usize::MAX, now).0 {
+        informed.learn(exit, age, SETTLED_MS);
+    }
+    informed.decide(SETTLED_MS);
+    assert!(informed.holds(&fatal));
+}
+
 /// Guards against a part that is blamed for the loss of a host, whose engines exit together.
 #[test]
 fn engines_that_exit_at_one_moment_hold_no_part_back() {
