Start: nodes serve once they know what is held back and which limits engines have

Class: two reads that belong together, each with its own retry.

The list is read with the configuration until it has been read once, and until then, or until a node has answered a poll, calls are refused as without a configuration. A node that has a configuration serves without after four failed lists in a row, with a warning.

Limits of engines come by the same list, and were late by as much.

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -101,6 +101,10 @@
         let detail = "no configuration has been loaded yet";
         return Err(Refusal::unsent(RefusalKind::Unconfigured, &id, detail));
     };
+    if !shared.is_informed() {
+        let detail = "what is held back and the limits of engines have not been read yet";
+        return Err(Refusal::unsent(RefusalKind::Unconfigured, &id, detail));
+    }
     let current = shared.config_freshness.load().covers(received, MAX_DENIAL_AGE_MS);
     let deny = |kind, detail: String| match current {
         true => Refusal::unsent(kind, &id, detail),
--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -50,6 +50,8 @@
 const FIRST_COUNT_DELAY_MS: Millis = 1_500;
 /// Initial retry interval while the store does not answer; doubled after each failure.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Failed lookups in a row after which a node that has a configuration serves without them.
+const MAX_LOOKUPS: u32 = 4;
 /// Upper bound of the retry interval; a wait also ends when the store returns.
 const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(4_000);
 
@@ -68,13 +70,21 @@
     };
     let start = FleetStart { first_start, can_plan, seeded: !control.seeds.is_empty() };
     control.sources.borrow_mut().schedule_first_lookup(start, control.now(), &mut rand::rng());
-    let mut seen = None;
+    let (mut seen, mut failures) = (None, 0);
     loop {
-        control.wait_to_claim().await;
+        control.wait_to_look_up().await;
         let result = control.call("list", control.clients.store.list(ROOT)).await;
         let Ok(listing) = result else {
+            failures = if control.shared.catalog.load().is_some() { failures + 1 } else { 0 };
+            if failures >= MAX_LOOKUPS && !control.shared.is_informed() {
+                // The store answers other calls, and engines at risk are better than no service.
+                log::warn!("serving without knowing what is held back: the list fails");
+                control.shared.set_informed();
+            }
             control.pause(retry).await;
-            retry = (retry * 2).min(MAX_RETRY_INTERVAL);
+            if control.shared.is_informed() {
+                retry = (retry * 2).min(MAX_RETRY_INTERVAL);
+            }
             continue;
         };
         retry = RETRY_INTERVAL;
@@ -82,6 +92,7 @@
         for item in &listing.items {
             apply_entry(&control, &key, &mut planner, item);
         }
+        control.shared.set_informed();
         // A planner found for the first time is polled before its entry is watched.
         let found = planner.as_ref().map(|item| item.revision);
         if found.is_some() && found != seen && !is_own(&control, planner.as_ref()) {
--- a/crates/heathpitchd/src/gateway/control/sources.rs
+++ b/crates/heathpitchd/src/gateway/control/sources.rs
@@ -28,6 +28,9 @@
     pub(super) fn record_poll(&self, node: &Name, outcome: PollOutcome) {
         let before = self.sources.borrow().active().cloned();
         let domain_size = self.domain_size();
+        if outcome == PollOutcome::Fresh {
+            self.shared.set_informed();
+        }
         self.sources.borrow_mut().record_poll(
             node,
             outcome,
@@ -92,9 +95,10 @@
         had_feed
     }
 
-    /// Waits until this node may claim the lease of its failure domain's planner.
-    pub(super) async fn wait_to_claim(&self) {
-        while !self.may_claim() {
+    /// Waits until this node may look up the planners and what is held back: to claim the lease, or because it
+    /// needs the store and knows nothing of either yet.
+    pub(super) async fn wait_to_look_up(&self) {
+        while !self.may_claim() && (self.shared.is_informed() || !self.reads_store()) {
             self.role_changed.notified().await;
         }
     }
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -179,6 +179,7 @@
     pub(crate) list_freshness: ArcSwap<Freshness>,
     /// Requests that were running on engines when these exited.
     pub(crate) quarantine: ArcSwap<QuarantineSnapshot>,
+    informed: AtomicBool,
     /// Parts of prompts that engines answered lately. The lock is held for microseconds.
     pub(crate) answered_parts: Mutex<AnsweredParts>,
     /// Fractions of calls that run in other failure domains.
@@ -226,6 +227,7 @@
             balances: Balances::default(),
             shares: ArcSwap::default(),
             retry_book: Mutex::new(RetryBook::new(rand::random())),
+            informed: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
             open_forwarded: AtomicUsize::new(0),
@@ -279,10 +281,21 @@
         self.resumed.send_modify(|count| *count += 1);
     }
 
+    /// Whether this node has learned since its start what is held back and which limits engines have.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.informed.load(Relaxed)
+    }
+
+    /// Records that it has.
+    pub(crate) fn set_informed(&self) {
+        self.informed.store(true, Relaxed);
+    }
+
     /// Whether the load balancer should send new connections here.
     pub(crate) fn ready(&self) -> bool {
         let revoke_ms = self.settings.load().bounds.revoke_ms;
         !self.stopping.load(Relaxed)
+            && self.is_informed()
             && self.catalog.load().is_some()
             && !self.table.load().services.is_empty()
             && self.config_freshness.load().covers(self.now(), revoke_ms)
--- a/crates/heathpitchd/tests/gateway/mod.rs
+++ b/crates/heathpitchd/tests/gateway/mod.rs
@@ -116,6 +116,11 @@
         (planner, link, other)
     }
 
+    /// Starts a node that uses the store at an address, without waiting until it is ready.
+    pub(crate) fn start_at(&self, store: SocketAddr, name: &str) -> GatewayProcess {
+        spawn(store, name, "mem", &json!({}))
+    }
+
     /// Starts a node that reaches the store through a proxy, without waiting until it is ready.
     pub(crate) fn start_behind(&self, name: &str, bounds: &Value) -> (GatewayProcess, Proxy) {
         let link = Proxy::spawn(self.store.address()).unwrap();
--- a/crates/heathpitchd/tests/gateway_prompt_parts.rs
+++ b/crates/heathpitchd/tests/gateway_prompt_parts.rs
@@ -9,8 +9,8 @@
 
 use std::time::{Duration, Instant};
 
-use gateway::{Cluster, KEY, wait_until};
-use heathpitch_standin::{Behavior, Caller, Engine, GatewayProcess, Reply};
+use gateway::{Cluster, KEY, WAIT_TIMEOUT, wait_until};
+use heathpitch_standin::{Behavior, Caller, Engine, GatewayProcess, LinkMode, Proxy, Reply};
 use hyper::Method;
 use serde_json::json;
 
@@ -208,3 +208,40 @@
     let events = node.events("request_held_back");
     assert_eq!((reply.status, events.len()), (200, 0), "{events:?}");
 }
+
+/// Guards against nodes that start while the store is away, and serve by its configuration before they have read what is
+/// held back there.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_start_while_the_store_is_away_hold_a_part_back_from_their_first_call_on() {
+    let cluster = Cluster::new();
+    let (engines, nodes) = fleet(&cluster).await;
+    hold_part_back(&nodes).await;
+    let entries = || cluster.store.list("heathpitch/quarantine/part-");
+    wait_until("the verdict is in the store", async || !entries().is_empty()).await;
+    drop(nodes);
+    let exits = exited(&engines);
+    let start = |i: usize| {
+        let link = Proxy::spawn(cluster.store.address()).unwrap();
+        link.set_mode(LinkMode::Reset);
+        (cluster.start_at(link.address(), &format!("n{}", i + 3)), link)
+    };
+    let started: Vec<_> = (0..4).map(start).collect();
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    started.iter().for_each(|(_, link)| link.set_mode(LinkMode::Pass));
+    let first_call = async |(i, (node, _)): (usize, &(GatewayProcess, Proxy))| {
+        let start = Instant::now();
+        while start.elapsed() < WAIT_TIMEOUT {
+            let reply = stream(node, &format!("{FATAL_PART}:100,"), 1_000 + i).await;
+            let body = String::from_utf8_lossy(&reply.body).into_owned();
+            let not_serving = ["unconfigured", "stale_keys"];
+            if !not_serving.iter().any(|kind| body.contains(kind)) {
+                return body;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        String::new()
+    };
+    let bodies = futures::future::join_all(started.iter().enumerate().map(first_call)).await;
+    assert!(bodies.iter().all(|body| body.contains("held_back")), "{bodies:?}");
+    assert_eq!(exited(&engines), exits);
+}
