Quarantine: exits before a verdict are kept in the store

Callers would see a request, or a part of prompts, crash engine after engine where all nodes start again between the exits: none of them is remembered, and a verdict needs three or four. Class: evidence that only running processes keep.

Planners share one record of the exits that no verdict rests on (`heathpitch/exits`, at most 256), and nodes read it in the one list that they make when they start. The verdicts' entries are written first, so that no exit is in neither.

`crashes_count_although_all_nodes_start_again_after_each`, for whole requests: failed before.

--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -7,8 +7,8 @@
 //! - `nodes`: the lease of the failure domain's planner and the size of the fleet
 //! - `planner`, `orders`: placement of layers and the orders that carry it out
 //! - `reports`, `neighbours`: load reports of engines of this failure domain and of the others
-//! - `engine_exits`, `quarantine`, `part_quarantine`, `quarantine_store`: detection of engines that exited, and the
-//!   requests and parts of prompts suspected of causing it
+//! - `engine_exits`, `quarantine`, `part_quarantine`, `quarantine_store`, `exit_records`: detection of engines that
+//!   exited, the requests and parts of prompts suspected of causing it, and what the store keeps of both
 //! - `backpressure`, `rights`, `limit_records`: backpressure of engines, rights under their limits, and the
 //!   stored limits
 //! - `shares`: demand of client accounts, and their shares when capacity runs short
@@ -28,6 +28,7 @@
 mod engine_exits;
 mod engine_list;
 mod engines;
+mod exit_records;
 mod feed;
 mod feed_server;
 mod forwarders;
--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -19,7 +19,7 @@
 use tokio::task::spawn_local;
 
 use super::state::{Control, Fleet};
-use super::{limit_records, quarantine_store};
+use super::{exit_records, limit_records, quarantine_store};
 use crate::gateway::event::GatewayEvent;
 
 /// Prefix of all keys written by nodes.
@@ -156,6 +156,9 @@
             match change {
                 ItemChange::Put(item) => apply_entry(control, key, &mut planner, item),
                 ItemChange::Deleted(deleted) if &**deleted == key => planner = None,
+                ItemChange::Deleted(deleted) if &**deleted == exit_records::KEY => {
+                    exit_records::deleted(control);
+                }
                 // Planners of other failure domains are polled until they have a successor.
                 ItemChange::Deleted(deleted) => {
                     quarantine_store::entry_deleted(control, deleted);
@@ -308,6 +311,9 @@
     if item.key.starts_with(quarantine_store::PREFIX) {
         return quarantine_store::load_entry(control, item);
     }
+    if &*item.key == exit_records::KEY {
+        return exit_records::load(control, item);
+    }
     if item.key.starts_with(limit_records::PREFIX) {
         return limit_records::load_record(control, item);
     }
--- a/crates/heathpitchd/src/gateway/control/quarantine.rs
+++ b/crates/heathpitchd/src/gateway/control/quarantine.rs
@@ -5,7 +5,8 @@
 //! response of the feed, in both directions, whether or not the store is reachable, and planners
 //! exchange them across failure domains: followers poll every 0.4 s and planners every 0.25 s, so
 //! every connected node knows an exit within [`PROPAGATION_MS`]. `part_quarantine` does the same for
-//! parts of prompts, and `quarantine_store` keeps what is held back in the store.
+//! parts of prompts, `quarantine_store` keeps what is held back in the store, and `exit_records` the
+//! exits before a verdict.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -17,7 +18,7 @@
 use heathpitch_policy::{EngineExit, EngineIncarnation, just_started};
 
 use super::state::Control;
-use super::{quarantine_store, reachability};
+use super::{exit_records, quarantine_store, reachability};
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::quarantine_snapshot::{HeldBack, QuarantineSnapshot, incarnation_of};
 use crate::gateway::shared::LostAttempt;
@@ -191,8 +192,10 @@
         } else if control.part_quarantine.borrow().is_decision_due(now) {
             control.update_held("no node has reported an answer");
         }
-        if control.is_planner() && control.reachable() && !control.stopping() {
-            quarantine_store::write_due(&control).await;
+        let writes = control.is_planner() && control.reachable() && !control.stopping();
+        // The record lacks the exits under what is held back.
+        if writes && quarantine_store::write_due(&control).await {
+            exit_records::write_due(&control).await;
         }
     }
 }
--- a/crates/heathpitchd/src/gateway/control/quarantine_store.rs
+++ b/crates/heathpitchd/src/gateway/control/quarantine_store.rs
@@ -4,35 +4,24 @@
 //! deletes an entry releases what it stands for.
 
 use std::collections::HashMap;
-use std::fmt;
-use std::str::FromStr;
 
 use bytes::Bytes;
-use heathpitch_core::{FingerprintError, Millis, PromptPart, RequestFingerprint, Revision};
+use heathpitch_core::{Millis, Revision};
 use heathpitch_net::{Item, StoreError, Write};
-use heathpitch_policy::{EngineExit, EngineIncarnation, PartExit, PartKey};
+use heathpitch_policy::{EngineExit, EngineIncarnation, PartExit, Suspect};
 
 use super::state::Control;
 
 /// Key prefix of the entries.
 pub(super) const PREFIX: &str = "heathpitch/quarantine/";
-/// What the rest of a key begins with if the entry stands for a part of prompts.
-const PART: &str = "part-";
 /// Time for which planners leave writing to that of the failure domain that is first by name, so
 /// that only one writes.
 const WRITE_DELAY_MS: Millis = 1_500;
 /// Lifetime of an entry that is not written again: the store's longest lease.
-const ENTRY_TTL_MS: Millis = 600_000;
+pub(super) const ENTRY_TTL_MS: Millis = 600_000;
 /// Most engines in an entry.
 const MAX_ENTRY_ENGINES: usize = 16;
 
-/// What an entry stands for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Suspect {
-    Request(RequestFingerprint),
-    Part(PartKey),
-}
-
 /// Entries of the store as this node knows them.
 #[derive(Debug, Default)]
 pub(super) struct StoredEntries {
@@ -53,51 +42,24 @@
     }
 }
 
-/// # Keys
-impl Suspect {
-    fn of_key(key: &str) -> Option<Self> {
-        key.strip_prefix(PREFIX)?.parse().ok()
-    }
-}
-
-impl fmt::Display for Suspect {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Request(fingerprint) => fingerprint.fmt(f),
-            Self::Part(PartKey { service, part, account }) => {
-                write!(f, "{PART}{service:016x}-{part}-{account:016x}")
-            }
-        }
-    }
-}
-
-impl FromStr for Suspect {
-    type Err = FingerprintError;
-
-    fn from_str(text: &str) -> Result<Self, FingerprintError> {
-        let Some(part) = text.strip_prefix(PART) else { return text.parse().map(Self::Request) };
-        let mut fields = part.split('-').map(str::parse::<RequestFingerprint>);
-        let mut next = || fields.next().ok_or(FingerprintError)?.map(|RequestFingerprint(n)| n);
-        let (service, part, account) = (next()?, PromptPart(next()?), next()?);
-        Ok(Self::Part(PartKey { service, part, account }))
-    }
+fn suspect_of_key(key: &str) -> Option<Suspect> {
+    key.strip_prefix(PREFIX)?.parse().ok()
 }
 
-/// Writes what is held back and has no entry, or an outdated one.
-pub(super) async fn write_due(control: &Control) {
+/// Writes what is held back and has no entry, or an outdated one; returns whether the store has all of it.
+pub(super) async fn write_due(control: &Control) -> bool {
     for suspect in due(control) {
         if let Err(e) = write(control, suspect).await {
             log::warn!("could not write quarantine entry {suspect} to the store: {e}");
-            return;
+            return false;
         }
     }
+    true
 }
 
 fn due(control: &Control) -> Vec<Suspect> {
     let entries = control.stored_quarantine.borrow();
-    let own = control.domain();
-    let first = control.sources.borrow().planners().all(|(domain, _)| own <= *domain);
-    let now = control.now();
+    let (first, now) = (control.writes_first(), control.now());
     let wanted = |suspect: &Suspect| {
         let known = entries.known.get(suspect).map(|e| e.renewed);
         known.is_none_or(|known| known < control.renewals(*suspect))
@@ -138,6 +100,12 @@
 
 /// # Entries
 impl Control {
+    /// Whether this node's failure domain is the first by name of those with a planner.
+    pub(super) fn writes_first(&self) -> bool {
+        let own = self.domain();
+        self.sources.borrow().planners().all(|(domain, _)| own <= *domain)
+    }
+
     /// How often the quarantine of a suspect was extended.
     fn renewals(&self, suspect: Suspect) -> u32 {
         match suspect {
@@ -181,7 +149,7 @@
 
 /// Loads an entry of the store.
 pub(super) fn load_entry(control: &Control, item: &Item) {
-    let (Some(suspect), Ok(text)) = (Suspect::of_key(&item.key), std::str::from_utf8(&item.value))
+    let (Some(suspect), Ok(text)) = (suspect_of_key(&item.key), std::str::from_utf8(&item.value))
     else {
         return log::warn!("quarantine entry {} cannot be parsed", item.key);
     };
@@ -227,7 +195,7 @@
 
 /// Releases what an entry stands for that was deleted by an operator or has expired.
 pub(super) fn entry_deleted(control: &Control, key: &str) {
-    if let Some(suspect) = Suspect::of_key(key) {
+    if let Some(suspect) = suspect_of_key(key) {
         release_deleted(control, suspect);
     }
 }
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -16,6 +16,7 @@
 
 use super::connectivity::ServiceConnectivity;
 use super::engine_exits::EngineExits;
+use super::exit_records::StoredExits;
 use super::feed_server::FullTransfers;
 use super::forwarders::KnownForwarders;
 use super::limit_records::StoredLimits;
@@ -119,6 +120,8 @@
     pub(super) part_quarantine: RefCell<PartQuarantine>,
     /// Quarantine entries present in the store.
     pub(super) stored_quarantine: RefCell<StoredEntries>,
+    /// Engine exits without a verdict as the store holds them.
+    pub(super) stored_exits: RefCell<StoredExits>,
     /// Highest number of orders each engine is known to have begun; an engine starts with none.
     pub(super) orders: RefCell<HashMap<Name, u64>>,
     pub(super) engine_stats: RefCell<HashMap<Name, Arc<EngineStats>>>,
@@ -209,6 +212,7 @@
             backpressure: RefCell::default(),
             drain_notices: RefCell::default(),
             limits: RefCell::default(),
+            stored_exits: RefCell::default(),
             stored_limits: RefCell::default(),
             shares: Shares::default(),
             connectivity: RefCell::default(),
--- a/crates/heathpitchd/src/gateway/control/store.rs
+++ b/crates/heathpitchd/src/gateway/control/store.rs
@@ -112,6 +112,7 @@
             self.drain_notices.borrow_mut().learn(incarnation, 0, self.now());
         }
         self.stored_quarantine.borrow_mut().forget();
+        self.stored_exits.borrow_mut().forget();
         self.stored_limits.borrow_mut().forget();
         self.shared.metrics.era.set(era as i64);
         let revision = self.revision();
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -274,6 +274,20 @@
         #[serde(rename = "ends")]
         exits: usize,
     },
+    /// A planner wrote engine exits without a verdict to the store.
+    ExitsStored {
+        /// Number of exits.
+        exits: usize,
+        /// Revision of the record.
+        revision: Revision,
+    },
+    /// This node read engine exits without a verdict from the store.
+    ExitsLoaded {
+        /// Number of exits that are new to this node.
+        exits: usize,
+        /// Revision of the record.
+        revision: Revision,
+    },
     /// A request is not sent to any engine from now on.
     RequestHeldBack {
         /// Fingerprint of the request.
--- a/crates/heathpitchd/src/gateway/event_log.rs
+++ b/crates/heathpitchd/src/gateway/event_log.rs
@@ -4,7 +4,7 @@
 
 impl GatewayEvent {
     /// Names of all events; they do not change between versions.
-    pub const NAMES: [&'static str; 41] = [
+    pub const NAMES: [&'static str; 45] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -25,8 +25,12 @@
         "engine_reborn",
         "engine_ended",
         "ends_heard",
+        "exits_stored",
+        "exits_loaded",
         "request_held_back",
         "request_let_through",
+        "part_held_back",
+        "part_let_through",
         "engine_doubted",
         "engine_wished",
         "engine_leaves",
--- a/crates/heathpitchd/tests/gateway_crashing_requests.rs
+++ b/crates/heathpitchd/tests/gateway_crashing_requests.rs
@@ -330,3 +330,23 @@
         assert!(sent.count() <= 1, "only the call that was cut off");
     }
 }
+
+/// Guards against crashes that are forgotten because all nodes start again before the third one.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_count_although_all_nodes_start_again_after_each() {
+    let cluster = Cluster::new();
+    let engines = engines(&cluster, 18);
+    let mut node = cluster.node().await;
+    for crash in 1..=4 {
+        stream(&node, FATAL).await;
+        if crashed(&engines) < crash {
+            break;
+        }
+        tokio::time::sleep(CONTACT_BOUND).await;
+        drop(node);
+        node = cluster.node().await;
+    }
+    let crashes = crashed(&engines);
+    assert_eq!(stream(&node, FATAL).await.status, 503);
+    assert_eq!(crashed(&engines), crashes);
+}
--- a/crates/heathpitchd/tests/gateway_prompt_parts.rs
+++ b/crates/heathpitchd/tests/gateway_prompt_parts.rs
@@ -212,6 +212,34 @@
     assert_eq!((reply.status, events.len()), (200, 0), "{events:?}");
 }
 
+/// Guards against exits that are forgotten because all nodes start again before there are enough of them for a verdict:
+/// the part then crashes engine after engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn exits_under_a_part_count_although_all_nodes_start_again_after_each() {
+    let cluster = Cluster::new();
+    let (engines, mut nodes) = fleet(&cluster).await;
+    let fatal = format!("{FATAL_PART}:100,");
+    for exit in 1..=EXITS {
+        assert_eq!(stream(&nodes[0], "", 2 * exit).await.status, 200);
+        stream(&nodes[0], &fatal, 2 * exit + 1).await;
+        if exited(&engines) < exit {
+            break;
+        }
+        tokio::time::sleep(CONTACT_BOUND).await;
+        // All nodes of the fleet are gone at the same time.
+        drop(nodes);
+        nodes = [cluster.start("n1", &json!({})), cluster.start_in("atl", "n2")];
+        for node in &nodes {
+            node.wait_ready().await.unwrap();
+        }
+    }
+    let exits = exited(&engines);
+    for number in 100..100 + LATE_REQUESTS {
+        stream(&nodes[number % 2], &fatal, number).await;
+    }
+    assert!(exited(&engines) <= exits + MAX_LATE_SENDS, "{} engines exited", exited(&engines));
+}
+
 /// Guards against nodes that start while the store is away, and serve by its configuration before they have read what is
 /// held back there.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/policy/src/exit_book.rs
+++ b/crates/policy/src/exit_book.rs
@@ -8,7 +8,7 @@
 
 use heathpitch_core::Millis;
 
-use crate::{EngineIncarnation, just_started};
+use crate::{EngineIncarnation, RecordedExit, Suspect, just_started};
 
 /// Time for which an exit is kept after its suspect was last seen: engines are repaired, or an
 /// operator has intervened, within some minutes.
@@ -171,6 +171,18 @@
         !self.cleared && just_started(self.details.events)
     }
 
+    /// The exit as the store keeps it.
+    pub(crate) fn recorded(
+        &self,
+        suspect: Suspect,
+        incarnation: &EngineIncarnation,
+        now: Millis,
+    ) -> RecordedExit {
+        let ExitDetails { events, position, others_answered } = self.details;
+        let (incarnation, age) = (incarnation.clone(), self.age(now));
+        RecordedExit { suspect, incarnation, events, position, others_answered, age }
+    }
+
     /// Merges another state of the same exit; returns whether it changes anything.
     fn join(&mut self, update: Self) -> bool {
         let others_answered = self.details.others_answered || update.details.others_answered;
--- /dev/null
+++ b/crates/policy/src/exit_record.rs
@@ -0,0 +1,201 @@
+//! Engine exits without a verdict, persisted in the store for the case that all nodes restart at
+//! once.
+//!
+//! A verdict needs several exits. Nodes that all restart in between have no peer to learn of the
+//! earlier ones from, and what crashes engines would crash as many again. Exits under what is held
+//! back are not recorded here: the store has an entry for each verdict.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
+
+use heathpitch_core::Millis;
+
+use crate::{EngineIncarnation, Suspect};
+
+/// Most exits in a record, some hundred bytes each.
+const MAX_RECORDED: usize = 256;
+/// Most of them under one suspect: more than any verdict needs.
+const MAX_PER_SUSPECT: usize = 8;
+/// Least interval between writes that add exits.
+const ADD_INTERVAL_MS: Millis = 500;
+/// The same for writes that only drop exits.
+const DROP_INTERVAL_MS: Millis = 5_000;
+/// Age of an exit from which a planner adds it although another one should have, and the least
+/// interval between such writes.
+const TAKEOVER_MS: Millis = 1_500;
+
+/// An exit in a record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecordedExit {
+    /// What was running on the engine.
+    pub suspect: Suspect,
+    /// The engine.
+    pub incarnation: EngineIncarnation,
+    /// Events that the engine had delivered.
+    pub events: u32,
+    /// Position of a part in its prompt, from 0.
+    pub position: u8,
+    /// Whether a node knew answers to other requests of the account and service.
+    pub others_answered: bool,
+    /// Age when the record was made.
+    pub age: Millis,
+}
+
+impl RecordedExit {
+    /// What distinguishes it in a record, other than its age.
+    fn content(&self) -> (Suspect, EngineIncarnation, bool) {
+        (self.suspect, self.incarnation.clone(), self.others_answered)
+    }
+}
+
+/// Exits without a verdict.
+///
+/// # Examples
+///
+/// ```
+/// use heathpitch_core::RequestFingerprint;
+/// use heathpitch_policy::{EngineIncarnation, ExitRecord, RecordedExit, Suspect};
+///
+/// let exit = RecordedExit {
+///     suspect: Suspect::Request(RequestFingerprint(0x2f)),
+///     incarnation: EngineIncarnation { engine: "i-1".parse()?, started_at: Some(17) },
+///     events: 3,
+///     position: 0,
+///     others_answered: false,
+///     age: 250,
+/// };
+/// let record = ExitRecord::new([exit]);
+/// assert_eq!(record.text(), "000000000000002f i-1 17 3 0 unanswered 250\n");
+/// let (read, unreadable) = ExitRecord::read("000000000000002f i-1 17 3 0 unanswered 250\n?\n");
+/// assert_eq!((read, unreadable), (record, 1));
+/// # Ok::<(), heathpitch_core::NameError>(())
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ExitRecord {
+    exits: Vec<RecordedExit>,
+}
+
+/// Values in the stored format for whether others were answered.
+const ANSWERED: &str = "answered";
+const UNANSWERED: &str = "unanswered";
+
+impl ExitRecord {
+    /// Builds a record of these exits; where there are too many, those under suspects with few exits
+    /// are left out. Nodes that know the same exits build the same record.
+    pub fn new(exits: impl IntoIterator<Item = RecordedExit>) -> Self {
+        let mut by_suspect: BTreeMap<Suspect, BTreeMap<EngineIncarnation, RecordedExit>> =
+            BTreeMap::new();
+        for exit in exits {
+            let of = by_suspect.entry(exit.suspect).or_default();
+            of.insert(exit.incarnation.clone(), exit);
+        }
+        let mut groups: Vec<_> = by_suspect.into_values().collect();
+        groups.sort_by_key(|exits| std::cmp::Reverse(exits.len()));
+        let kept = groups.into_iter().flat_map(|of| of.into_values().take(MAX_PER_SUSPECT));
+        Self { exits: kept.take(MAX_RECORDED).collect() }
+    }
+
+    /// Parses a record; also returns the number of unreadable lines.
+    pub fn read(text: &str) -> (Self, usize) {
+        let lines = text.lines().take(MAX_RECORDED);
+        let exits: Vec<_> = lines.filter_map(read_line).collect();
+        let unreadable = text.lines().count() - exits.len();
+        (Self { exits }, unreadable)
+    }
+
+    /// Formats the record, one line per exit: suspect, engine, its start time (0 if unknown),
+    /// events, position, whether others were answered, and age in milliseconds.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        for exit in &self.exits {
+            let RecordedExit { suspect, incarnation, events, position, others_answered, age } =
+                exit;
+            let others = if *others_answered { ANSWERED } else { UNANSWERED };
+            let EngineIncarnation { engine, started_at } = incarnation;
+            let started_at = started_at.unwrap_or(0);
+            // Writing to a string cannot fail.
+            let _ = writeln!(
+                text,
+                "{suspect} {engine} {started_at} {events} {position} {others} {age}"
+            );
+        }
+        text
+    }
+
+    /// The exits.
+    pub fn exits(&self) -> &[RecordedExit] {
+        &self.exits
+    }
+}
+
+fn read_line(line: &str) -> Option<RecordedExit> {
+    let mut fields = line.split(' ');
+    let mut next = || fields.next();
+    let suspect = next()?.parse().ok()?;
+    let engine = next()?.parse().ok()?;
+    let started_at = next()?.parse().ok().map(|at| Some(at).filter(|at| *at > 0))?;
+    let (events, position) = (next()?.parse().ok()?, next()?.parse().ok()?);
+    let others_answered = match next()? {
+        ANSWERED => true,
+        UNANSWERED => false,
+        _ => return None,
+    };
+    let age = next()?.parse().ok()?;
+    let incarnation = EngineIncarnation { engine, started_at };
+    Some(RecordedExit { suspect, incarnation, events, position, others_answered, age })
+}
+
+/// Schedules the writes of the record, which all planners share.
+///
+/// # Examples
+///
+/// ```
+/// use heathpitch_core::RequestFingerprint;
+/// use heathpitch_policy::{
+///     EngineIncarnation, ExitRecord, ExitRecorder, RecordedExit, Suspect,
+/// };
+///
+/// let exit = RecordedExit {
+///     suspect: Suspect::Request(RequestFingerprint(0x2f)),
+///     incarnation: EngineIncarnation { engine: "i-1".parse()?, started_at: None },
+///     events: 0,
+///     position: 0,
+///     others_answered: false,
+///     age: 300,
+/// };
+/// let record = ExitRecord::new([exit]);
+/// let mut recorder = ExitRecorder::default();
+/// assert!(recorder.is_due(&record, true, 10));
+/// assert!(!recorder.is_due(&record, false, 10), "the first planner writes it");
+/// recorder.stored(&record, 10);
+/// assert!(!recorder.is_due(&record, true, 20_000));
+/// assert!(recorder.is_due(&ExitRecord::default(), true, 20_000));
+/// # Ok::<(), heathpitch_core::NameError>(())
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct ExitRecorder {
+    stored: BTreeSet<(Suspect, EngineIncarnation, bool)>,
+    /// Time of the last write or read.
+    at: Option<Millis>,
+}
+
+impl ExitRecorder {
+    /// Records that the store holds `record` as of `now`.
+    pub fn stored(&mut self, record: &ExitRecord, now: Millis) {
+        self.stored = record.exits.iter().map(RecordedExit::content).collect();
+        self.at = Some(now);
+    }
+
+    /// Whether this planner should write `current` now; `leads` tells whether it is the one that
+    /// writes first.
+    pub fn is_due(&self, current: &ExitRecord, leads: bool, now: Millis) -> bool {
+        let missing = |exit: &&RecordedExit| !self.stored.contains(&exit.content());
+        let mut added = current.exits.iter().filter(missing);
+        let (due, interval) = match leads {
+            true if added.next().is_some() => (true, ADD_INTERVAL_MS),
+            true => (self.stored.len() > current.exits.len(), DROP_INTERVAL_MS),
+            false => (added.any(|exit| exit.age >= TAKEOVER_MS), TAKEOVER_MS),
+        };
+        due && self.at.is_none_or(|at| now >= at + interval)
+    }
+}
--- a/crates/policy/src/part_quarantine.rs
+++ b/crates/policy/src/part_quarantine.rs
@@ -19,7 +19,7 @@
 
 use crate::exit_book::{Exit, ExitBook, ExitDetails, ExitState, ExitTime};
 use crate::part_exits::PartExits;
-use crate::{EngineIncarnation, PartKey};
+use crate::{EngineIncarnation, PartKey, RecordedExit, Suspect};
 
 /// Engines that must have exited under a part before it is held back: one fewer than agreed, as an
 /// exit may go unnoticed.
@@ -72,7 +72,7 @@
 }
 
 /// A part under which enough engines exited.
-struct Suspect<'a> {
+struct Candidate<'a> {
     held: HeldPart,
     incarnations: BTreeSet<&'a EngineIncarnation>,
     position: u8,
@@ -182,14 +182,14 @@
     }
 
     fn verdict(&self, now: Millis) -> BTreeSet<HeldPart> {
-        let suspects = self.suspects(now);
+        let candidates = self.candidates(now);
         let mut explained: BTreeSet<&EngineIncarnation> = BTreeSet::new();
         let mut blamed = BTreeSet::new();
         loop {
-            let unexplained = |s: &Suspect<'_>| s.incarnations.difference(&explained).count();
-            let left = suspects.iter().filter(|s| unexplained(s) >= MIN_ENGINES);
+            let unexplained = |s: &Candidate<'_>| s.incarnations.difference(&explained).count();
+            let left = candidates.iter().filter(|s| unexplained(s) >= MIN_ENGINES);
             // One that holds back a single account comes after the same part for all.
-            let order = |s: &&Suspect<'_>| (unexplained(s), s.position, s.held.account.is_none());
+            let order = |s: &&Candidate<'_>| (unexplained(s), s.position, s.held.account.is_none());
             let Some(worst) = left.max_by_key(order) else { return blamed };
             blamed.insert(worst.held);
             explained.extend(&worst.incarnations);
@@ -197,7 +197,7 @@
     }
 
     /// Parts under which enough engines exited, for each account and for all together.
-    fn suspects(&self, now: Millis) -> Vec<Suspect<'_>> {
+    fn candidates(&self, now: Millis) -> Vec<Candidate<'_>> {
         let mut by_part: BTreeMap<_, BTreeMap<u64, Vec<_>>> = BTreeMap::new();
         for (key, incarnation, exit) in self.exits.counting() {
             if exit.renewed > 0 || exit.is_settled(now) {
@@ -205,24 +205,24 @@
                 accounts.entry(key.account).or_default().push((incarnation, exit));
             }
         }
-        let mut suspects = Vec::new();
+        let mut candidates = Vec::new();
         for (&(service, part), accounts) in &by_part {
             let single = accounts.iter().map(|(account, exits)| (Some(*account), exits.clone()));
             let all = (accounts.len() > 1).then(|| (None, accounts.values().flatten().copied()));
             let all = all.map(|(account, exits)| (account, exits.collect()));
             for (account, exits) in single.chain(all) {
-                suspects.extend(suspect(HeldPart { service, part, account }, &exits));
+                candidates.extend(candidate(HeldPart { service, part, account }, &exits));
             }
         }
-        suspects
+        candidates
     }
 }
 
 /// Whether these exits suffice to hold back a part.
-fn suspect<'a>(
+fn candidate<'a>(
     held: HeldPart,
     exits: &[(&'a EngineIncarnation, &ExitState)],
-) -> Option<Suspect<'a>> {
+) -> Option<Candidate<'a>> {
     let incarnations: BTreeSet<_> = exits.iter().map(|(incarnation, _)| *incarnation).collect();
     // What was held back before has been judged, and its exits have the times of its renewal.
     let was_held = exits.iter().any(|(_, exit)| exit.renewed > 0);
@@ -231,7 +231,7 @@
         && others_answered
         && (was_held || moments(exits) >= MIN_MOMENTS);
     let position = exits.iter().map(|(_, exit)| exit.details.position).max()?;
-    enough.then_some(Suspect { held, incarnations, position })
+    enough.then_some(Candidate { held, incarnations, position })
 }
 
 impl ExitState {
@@ -280,6 +280,19 @@
         self.exits.evidence(key, now)
     }
 
+    /// Exits that count against parts which are not held back.
+    pub fn undecided(&self, now: Millis) -> impl Iterator<Item = RecordedExit> {
+        let undecided = self.exits.counting().filter(|(key, ..)| !self.evidence.contains(key));
+        undecided.map(move |(key, incarnation, exit)| {
+            exit.recorded(Suspect::Part(key), incarnation, now)
+        })
+    }
+
+    /// Serial of the last change.
+    pub fn serial(&self) -> u64 {
+        self.exits.serial()
+    }
+
     /// Parts with exits that count.
     pub fn known(&self) -> HashSet<PartKey> {
         self.exits.counting().map(|(key, ..)| key).collect()
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -12,8 +12,8 @@
 
 use heathpitch_core::{Millis, Name, RequestFingerprint};
 
-use crate::PartQuarantine;
 use crate::exit_book::{Exit, ExitBook, ExitDetails};
+use crate::{PartQuarantine, RecordedExit, Suspect};
 
 /// Engines that must have terminated under a request before it is quarantined. Two also happen to
 /// harmless requests that are rerouted along with the faulty one. Three keeps the cost within the
@@ -62,7 +62,7 @@
 }
 
 /// A request under which enough engines terminated.
-struct Suspect<'a> {
+struct Candidate<'a> {
     fingerprint: RequestFingerprint,
     incarnations: BTreeSet<&'a EngineIncarnation>,
     /// Events delivered, summed over these engines.
@@ -173,19 +173,20 @@
     /// requests were quarantined along with a fatal one without the two rules and none with both,
     /// and no more engines terminated.
     fn verdict(&self, parts: &PartQuarantine) -> BTreeSet<RequestFingerprint> {
-        let suspects = self.suspects(parts);
+        let candidates = self.candidates(parts);
         let mut explained: BTreeSet<&EngineIncarnation> = BTreeSet::new();
         let mut blamed = BTreeSet::new();
         loop {
-            let unexplained = |s: &Suspect<'_>| s.incarnations.difference(&explained).count();
-            let left =
-                suspects.iter().filter(|s| !blamed.contains(&s.fingerprint) && unexplained(s) > 0);
+            let unexplained = |s: &Candidate<'_>| s.incarnations.difference(&explained).count();
+            let left = candidates
+                .iter()
+                .filter(|s| !blamed.contains(&s.fingerprint) && unexplained(s) > 0);
             let Some(worst) =
                 left.clone().max_by_key(|s| (unexplained(s), Reverse(s.events), s.fingerprint))
             else {
                 return blamed;
             };
-            let same_incarnations = |s: &Suspect<'_>| {
+            let same_incarnations = |s: &Candidate<'_>| {
                 s.fingerprint != worst.fingerprint && s.incarnations == worst.incarnations
             };
             if worst.incarnations.len() > MIN_ENGINES || !left.clone().any(same_incarnations) {
@@ -196,16 +197,16 @@
     }
 
     /// Requests under which enough engines terminated, without those whose exits a part explains.
-    fn suspects(&self, parts: &PartQuarantine) -> Vec<Suspect<'_>> {
-        let mut suspects: BTreeMap<RequestFingerprint, Suspect<'_>> = BTreeMap::new();
+    fn candidates(&self, parts: &PartQuarantine) -> Vec<Candidate<'_>> {
+        let mut candidates: BTreeMap<RequestFingerprint, Candidate<'_>> = BTreeMap::new();
         for (fingerprint, incarnation, known) in self.exits.counting() {
-            let fresh = || Suspect { fingerprint, incarnations: BTreeSet::new(), events: 0 };
-            let suspect = suspects.entry(fingerprint).or_insert_with(fresh);
-            suspect.incarnations.insert(incarnation);
-            suspect.events += known.details.events;
+            let fresh = || Candidate { fingerprint, incarnations: BTreeSet::new(), events: 0 };
+            let candidate = candidates.entry(fingerprint).or_insert_with(fresh);
+            candidate.incarnations.insert(incarnation);
+            candidate.events += known.details.events;
         }
         let explained = parts.part_exits();
-        let enough = suspects.into_values().filter(|s| s.incarnations.len() >= MIN_ENGINES);
+        let enough = candidates.into_values().filter(|s| s.incarnations.len() >= MIN_ENGINES);
         enough.filter(|s| !explained.explain(&s.incarnations)).collect()
     }
 }
@@ -247,6 +248,13 @@
         unexplained.map(|(fingerprint, exits)| (fingerprint, exits.len() as u32)).collect()
     }
 
+    /// Exits that count against requests which are not quarantined.
+    pub fn undecided(&self, now: Millis) -> impl Iterator<Item = RecordedExit> {
+        let undecided = self.exits.counting().filter(|(f, ..)| !self.held.contains(f));
+        undecided
+            .map(move |(f, incarnation, exit)| exit.recorded(Suspect::Request(f), incarnation, now))
+    }
+
     /// Engine incarnations known to have terminated.
     pub fn exited_engines(&self) -> HashSet<EngineIncarnation> {
         self.exits.incarnations().cloned().collect()
--- a/crates/policy/tests/part_quarantine_model.rs
+++ b/crates/policy/tests/part_quarantine_model.rs
@@ -9,7 +9,10 @@
 use std::collections::HashSet;
 
 use heathpitch_core::{Millis, PromptPart};
-use heathpitch_policy::{AnsweredParts, EngineIncarnation, PartExit, PartKey, PartQuarantine};
+use heathpitch_policy::{
+    AnsweredParts, EngineIncarnation, ExitRecord, ExitRecorder, PartExit, PartKey, PartQuarantine,
+    RecordedExit, Suspect,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -29,6 +32,8 @@
 const DETECTION_MS: Millis = 120;
 /// Time until an engine is back.
 const RESTART_MS: Millis = 3_000;
+/// Interval at which planners check what the store lacks.
+const CHECK_MS: Millis = 300;
 /// Interval at which a node exchanges exits with the planner of its failure domain.
 const POLL_MS: Millis = 400;
 const DOMAINS: usize = 3;
@@ -59,6 +64,30 @@
     remembers: bool,
     /// Time at which all nodes start anew.
     restart_at: Option<Millis>,
+    /// Interval at which all nodes start anew from then on.
+    restart_every: Option<Millis>,
+    /// Whether exits without a verdict are in the store, too.
+    records: bool,
+}
+
+impl Scene {
+    fn new(nodes: usize, cause: Cause) -> Self {
+        Self { nodes, cause, remembers: true, restart_at: None, restart_every: None, records: true }
+    }
+
+    fn restarts(&self, now: Millis) -> bool {
+        let again =
+            |at: Millis| self.restart_every.is_some_and(|every| (now - at).is_multiple_of(every));
+        self.restart_at.is_some_and(|at| now == at || now > at && again(at))
+    }
+}
+
+/// What the store holds of exits.
+#[derive(Default)]
+struct Stored {
+    recorder: ExitRecorder,
+    record: ExitRecord,
+    verdicts: Vec<PartExit>,
 }
 
 #[derive(Default)]
@@ -93,6 +122,7 @@
     rng: SmallRng,
     nodes: Vec<Node>,
     planners: Vec<Node>,
+    stored: Stored,
     running: Vec<Vec<Run>>,
     up_at: Vec<Millis>,
     incarnation: u64,
@@ -115,6 +145,7 @@
             rng: SmallRng::seed_from_u64(seed),
             nodes: (0..scene.nodes).map(|_| Node::default()).collect(),
             planners: (0..DOMAINS).map(|_| Node::default()).collect(),
+            stored: Stored::default(),
             running: vec![Vec::new(); engines],
             up_at: vec![0; engines],
             incarnation: 0,
@@ -134,15 +165,69 @@
             self.crash(now);
             self.detect(now);
             self.exchange(now);
-            if self.scene.restart_at == Some(now) {
-                // Verdicts are kept in the store, single exits are not.
-                let all = self.nodes.iter_mut().chain(&mut self.planners);
-                all.for_each(|n| *n = Node::default());
+            if now.is_multiple_of(CHECK_MS) {
+                self.store(now);
+            }
+            if self.scene.restarts(now) {
+                self.restart(now);
             }
         }
         self.outcome
     }
 
+    /// The first planner writes verdicts, and what else it knows of exits.
+    fn store(&mut self, now: Millis) {
+        let quarantine = &self.planners[0].quarantine;
+        for key in quarantine.held_keys() {
+            let known = |exit: &PartExit| exit.key == key;
+            if self.stored.verdicts.iter().any(known) {
+                continue;
+            }
+            let verdict = |(incarnation, events, _): (&EngineIncarnation, u32, Millis)| PartExit {
+                key,
+                incarnation: incarnation.clone(),
+                events,
+                position: quarantine.position(key),
+                others_answered: true,
+                renewed: 1,
+                cleared: false,
+            };
+            self.stored.verdicts.extend(quarantine.evidence(key, now).map(verdict));
+        }
+        let record = ExitRecord::new(quarantine.undecided(now));
+        if self.scene.records && self.stored.recorder.is_due(&record, true, now) {
+            self.stored.recorder.stored(&record, now);
+            self.stored.record = record;
+        }
+    }
+
+    /// All nodes start anew and read the store.
+    fn restart(&mut self, now: Millis) {
+        for node in self.nodes.iter_mut().chain(&mut self.planners) {
+            *node = Node::default();
+            for exit in &self.stored.verdicts {
+                node.quarantine.learn(exit.clone(), 0, now);
+            }
+            for exit in self.stored.record.exits() {
+                let Suspect::Part(key) = exit.suspect else { continue };
+                let RecordedExit { incarnation, events, position, others_answered, age, .. } =
+                    exit.clone();
+                let (renewed, cleared) = (0, false);
+                let exit = PartExit {
+                    key,
+                    incarnation,
+                    events,
+                    position,
+                    others_answered,
+                    renewed,
+                    cleared,
+                };
+                node.quarantine.learn(exit, age, now);
+            }
+            node.quarantine.decide(now);
+        }
+    }
+
     fn arrive(&mut self, now: Millis) {
         // One sound request a step; half of them open a session, whose part nobody has seen before.
         let session = match self.rng.random_bool(0.5) {
@@ -340,7 +425,7 @@
     for nodes in SIZES {
         for count in [1, 2] {
             let cause = Cause::Parts(count);
-            let sum = play(Scene { nodes, cause, remembers: true, restart_at: None });
+            let sum = play(Scene::new(nodes, cause));
             assert_eq!(sum.held, 0, "{sum:?}");
             assert!(sum.late <= 1, "{sum:?}");
         }
@@ -351,27 +436,48 @@
 fn no_part_is_held_back_where_engines_exit_for_other_reasons() {
     for nodes in SIZES {
         for cause in [Cause::Racks, Cause::Chance] {
-            let sum = play(Scene { nodes, cause, remembers: true, restart_at: None });
+            let sum = play(Scene::new(nodes, cause));
             assert!(sum.exited > 20 && sum.held == 0, "{sum:?}");
         }
     }
 }
 
-/// Exits that are not held back yet are forgotten with the nodes that know them.
 #[test]
 fn nodes_that_all_start_anew_before_the_verdict_find_the_part_again() {
     for restart_at in [DISTURBED_AT_MS + 400, DISTURBED_AT_MS + 1_000] {
         let restart_at = Some(restart_at);
         let cause = Cause::Parts(1);
-        let sum = play(Scene { nodes: 87, cause, remembers: true, restart_at });
+        let sum = play(Scene { restart_at, ..Scene::new(87, cause) });
         assert_eq!(sum.held, 0, "{sum:?}");
         assert!(sum.late <= 1, "{sum:?}");
     }
 }
 
+/// Nodes that are killed again and again, sooner than enough engines exit for a verdict.
+fn killed_again_and_again(nodes: usize, records: bool) -> Outcome {
+    let (restart_at, restart_every) = (Some(DISTURBED_AT_MS + 1_500), Some(1_500));
+    play(Scene { restart_at, restart_every, records, ..Scene::new(nodes, Cause::Parts(1)) })
+}
+
+/// Guards against exits that are forgotten with the nodes that know them.
+#[test]
+fn nodes_that_all_start_anew_again_and_again_hold_the_part_back() {
+    for nodes in SIZES {
+        let sum = killed_again_and_again(nodes, true);
+        assert_eq!(sum.held, 0, "{sum:?}");
+        assert!(sum.late <= 1, "{sum:?}");
+    }
+}
+
+/// Shows what the record in the store carries.
+#[test]
+fn without_the_record_nodes_that_start_anew_again_and_again_find_nothing() {
+    assert!(killed_again_and_again(87, false).late > 1);
+}
+
 /// Shows what the memory of answers carries.
 #[test]
 fn without_the_memory_of_answers_sound_requests_are_held_back() {
-    let scene = |cause| Scene { nodes: 87, cause, remembers: false, restart_at: None };
+    let scene = |cause| Scene { remembers: false, ..Scene::new(87, cause) };
     assert!(play(scene(Cause::Chance)).held > 0);
 }
