Quarantine: a part answered for another client account is not held back for all

Callers of one account could get sound requests of another one refused (503 `held_back`): two accounts that name a part of its prompts in requests that crash engines got the part held back for all, on every node that had not itself answered the third account.

Cause: answers were remembered for one account only, and nothing of them was told beyond the account whose exits it cleared. Nodes remember answers for any account as well now, and report an answer for another one as a cleared exit of any account: on the wire an exit as before, which older nodes keep without effect. It is in the record of exits, so that nodes that start know it.

`accounts_that_name_a_part_of_another_one_do_not_get_its_requests_held_back` failed before (503), `a_part_that_was_answered_for_another_account_…` shows both sides in the policy.

--- a/crates/heathpitchd/src/gateway/control/exit_records.rs
+++ b/crates/heathpitchd/src/gateway/control/exit_records.rs
@@ -98,9 +98,9 @@
 
 /// Learns an exit; returns whether it changes anything.
 fn learn(control: &Control, exit: &RecordedExit) -> bool {
-    let RecordedExit { suspect, incarnation, events, position, others_answered, age } =
+    let RecordedExit { suspect, incarnation, events, position, others_answered, cleared, age } =
         exit.clone();
-    let (renewed, cleared, now) = (0, false, control.now());
+    let (renewed, now) = (0, control.now());
     match suspect {
         Suspect::Request(fingerprint) => {
             let exit = EngineExit { fingerprint, incarnation, events, renewed, cleared };
--- a/crates/heathpitchd/src/gateway/control/part_quarantine.rs
+++ b/crates/heathpitchd/src/gateway/control/part_quarantine.rs
@@ -47,6 +47,9 @@
                     renewed: 0,
                     cleared: false,
                 };
+                if answered.contains(&key.any_account(), now) {
+                    new |= quarantine.learn(exit.answered_for_another(), 0, now);
+                }
                 new |= quarantine.learn(exit, 0, now);
             }
         }
@@ -135,9 +138,10 @@
             let now = self.now();
             let FeedPartExit { service, part, account, .. } = *exit;
             let key = PartKey { service, part, account };
-            let (is_answered, others) = {
+            let (is_answered, others, for_another) = {
                 let mut answered = self.shared.answered_parts.lock();
-                (answered.contains(&key, now), answered.contains(&key.any(), now))
+                let mut contains = |key| answered.contains(&key, now);
+                (contains(key), contains(key.any()), contains(key.any_account()))
             };
             if is_answered {
                 answered.push(key);
@@ -149,7 +153,11 @@
             let learned =
                 PartExit { key, incarnation, events, position, others_answered, renewed, cleared };
             let age = now.saturating_sub(sent) + exit.age_ms;
-            new |= self.part_quarantine.borrow_mut().learn(learned, age, now);
+            let mut quarantine = self.part_quarantine.borrow_mut();
+            if for_another && !is_answered {
+                new |= quarantine.learn(learned.answered_for_another(), age, now);
+            }
+            new |= quarantine.learn(learned, age, now);
         }
         new |= self.part_quarantine.borrow_mut().clear(&answered);
         if new {
--- a/crates/heathpitchd/tests/gateway_prompt_parts.rs
+++ b/crates/heathpitchd/tests/gateway_prompt_parts.rs
@@ -7,6 +7,7 @@
 
 mod gateway;
 
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
 use gateway::{Cluster, KEY, WAIT_TIMEOUT, wait_until};
@@ -162,6 +163,46 @@
     }
 }
 
+/// Guards against two client accounts that get requests of a third one held back, at a node that knows no answer to
+/// these, by naming a part of its prompts.
+#[tokio::test(flavor = "multi_thread")]
+async fn accounts_that_name_a_part_of_another_one_do_not_get_its_requests_held_back() {
+    let mut cluster = Cluster::new();
+    for account in ["floor", "hall", "desk-2"] {
+        cluster.config.tenants.push((account.to_owned(), vec![format!("key-of-{account}")]));
+    }
+    cluster.config.version += 1;
+    cluster.configure();
+    let (engines, nodes) = fleet(&cluster).await;
+    // The last part of a prompt belongs to the request itself and is not blamed.
+    let fatal = format!("{FIRST_PART}:40,5ba7ed:100,{FATAL_PART}:9");
+    let parts = |number: usize| format!("{FIRST_PART}:40,5ba7ed:100,{number:x}0:9");
+    let bodies = AtomicUsize::new(0);
+    let send = async |node: usize, key: &str, parts: &str| {
+        let caller = Caller::new(nodes[node].listen).key(key).prompt_parts(parts);
+        let body = format!("request {}", bodies.fetch_add(1, Relaxed));
+        caller.call(Method::POST, "/whole/x", &body).await.unwrap()
+    };
+    assert_eq!(send(0, "key-of-desk-2", &parts(1)).await.status, 200);
+    for number in 0..40 {
+        for (node, key) in [(0, "key-of-floor"), (1, "key-of-hall")] {
+            send(node, key, &format!("{FIRST_PART}:40,{number:x}1:9")).await;
+            send(node, key, &fatal).await;
+        }
+        if nodes.iter().all(|n| n.events("part_held_back").len() >= 2) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    engines.iter().filter(|e| e.has_exited()).for_each(Engine::deregister);
+    tokio::time::sleep(CONTACT_BOUND).await;
+    for key in ["key-of-floor", "key-of-hall"] {
+        assert_eq!(send(1, key, &parts(2)).await.status, 503, "{key}");
+    }
+    let reply = send(1, "key-of-desk-2", &parts(3)).await;
+    assert_eq!(reply.status, 200, "{:?}", reply.body);
+}
+
 /// Guards against sound streams that are held back, since they were lost with three engines that a part of other
 /// requests crashed one after the other.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/policy/src/answered_parts.rs
+++ b/crates/policy/src/answered_parts.rs
@@ -25,7 +25,15 @@
     pub account: u64,
 }
 
+/// Account that stands for all accounts.
+const ANY_ACCOUNT: u64 = u64::MAX;
+
 impl PartKey {
+    /// Stands for the part in the prompts of all accounts.
+    pub fn any_account(self) -> Self {
+        Self { account: ANY_ACCOUNT, ..self }
+    }
+
     /// Stands for all prompts of the account and service.
     pub fn any(self) -> Self {
         Self { part: PromptPart::ANY, ..self }
@@ -45,6 +53,7 @@
 /// answered.record(&[key], 1_000);
 /// assert!(answered.contains(&key, 61_000));
 /// assert!(!answered.contains(&PartKey { account: 8, ..key }, 1_000));
+/// assert!(answered.contains(&key.any_account(), 1_000));
 /// assert!(!answered.contains(&key, 130_000));
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -56,13 +65,13 @@
 }
 
 impl AnsweredParts {
-    /// Records the parts of a prompt that an engine answered.
+    /// Records the parts of a prompt that an engine answered, for their account and for any.
     pub fn record(&mut self, keys: &[PartKey], now: Millis) {
         self.rotate(now);
         if self.current.len() >= MAX_PARTS {
             self.start_period(now);
         }
-        self.current.extend(keys);
+        self.current.extend(keys.iter().flat_map(|key| [*key, key.any_account()]));
     }
 
     /// Whether an engine answered this part lately.
--- a/crates/policy/src/exit_book.rs
+++ b/crates/policy/src/exit_book.rs
@@ -179,8 +179,8 @@
         now: Millis,
     ) -> RecordedExit {
         let ExitDetails { events, position, others_answered } = self.details;
-        let (incarnation, age) = (incarnation.clone(), self.age(now));
-        RecordedExit { suspect, incarnation, events, position, others_answered, age }
+        let (incarnation, cleared, age) = (incarnation.clone(), self.cleared, self.age(now));
+        RecordedExit { suspect, incarnation, events, position, others_answered, cleared, age }
     }
 
     /// Merges another state of the same exit; returns whether it changes anything.
@@ -220,6 +220,17 @@
         counting.map(|((suspect, incarnation), k)| (*suspect, incarnation, k))
     }
 
+    /// Exits that are cleared.
+    pub(crate) fn cleared(&self) -> impl Iterator<Item = (S, &EngineIncarnation, &ExitState)> {
+        let cleared = self.exits.iter().filter(|(_, k)| k.cleared);
+        cleared.map(|((suspect, incarnation), k)| (*suspect, incarnation, k))
+    }
+
+    /// Whether an exit under a suspect is cleared.
+    pub(crate) fn is_cleared(&self, suspect: S) -> bool {
+        self.cleared().any(|(s, ..)| s == suspect)
+    }
+
     /// Engine incarnations whose exits are not cleared.
     pub(crate) fn incarnations(&self) -> impl Iterator<Item = &EngineIncarnation> {
         let exits = self.exits.iter().filter(|(_, k)| !k.cleared);
--- a/crates/policy/src/exit_record.rs
+++ b/crates/policy/src/exit_record.rs
@@ -37,6 +37,8 @@
     pub position: u8,
     /// Whether a node knew answers to other requests of the account and service.
     pub others_answered: bool,
+    /// Whether it stands for an answer ([`PartExit::answered_for_another`](crate::PartExit::answered_for_another)).
+    pub cleared: bool,
     /// Age when the record was made.
     pub age: Millis,
 }
@@ -46,6 +48,15 @@
     fn content(&self) -> (Suspect, EngineIncarnation, bool) {
         (self.suspect, self.incarnation.clone(), self.others_answered)
     }
+
+    /// Word for its state in the stored format.
+    fn state(&self) -> &'static str {
+        match self {
+            Self { cleared: true, .. } => CLEARED,
+            Self { others_answered: true, .. } => ANSWERED,
+            Self { .. } => UNANSWERED,
+        }
+    }
 }
 
 /// Exits without a verdict.
@@ -62,6 +73,7 @@
 ///     events: 3,
 ///     position: 0,
 ///     others_answered: false,
+///     cleared: false,
 ///     age: 250,
 /// };
 /// let record = ExitRecord::new([exit]);
@@ -75,9 +87,10 @@
     exits: Vec<RecordedExit>,
 }
 
-/// Values in the stored format for whether others were answered.
+/// Values in the stored format for whether others were answered, or the part for another account.
 const ANSWERED: &str = "answered";
 const UNANSWERED: &str = "unanswered";
+const CLEARED: &str = "cleared";
 
 impl ExitRecord {
     /// Builds a record of these exits; where there are too many, those under suspects with few exits
@@ -104,20 +117,17 @@
     }
 
     /// Formats the record, one line per exit: suspect, engine, its start time (0 if unknown),
-    /// events, position, whether others were answered, and age in milliseconds.
+    /// events, position, state, and age in milliseconds.
     pub fn text(&self) -> String {
         let mut text = String::new();
         for exit in &self.exits {
-            let RecordedExit { suspect, incarnation, events, position, others_answered, age } =
-                exit;
-            let others = if *others_answered { ANSWERED } else { UNANSWERED };
+            let RecordedExit { suspect, incarnation, events, position, age, .. } = exit;
+            let state = exit.state();
             let EngineIncarnation { engine, started_at } = incarnation;
             let started_at = started_at.unwrap_or(0);
             // Writing to a string cannot fail.
-            let _ = writeln!(
-                text,
-                "{suspect} {engine} {started_at} {events} {position} {others} {age}"
-            );
+            let _ =
+                writeln!(text, "{suspect} {engine} {started_at} {events} {position} {state} {age}");
         }
         text
     }
@@ -135,14 +145,15 @@
     let engine = next()?.parse().ok()?;
     let started_at = next()?.parse().ok().map(|at| Some(at).filter(|at| *at > 0))?;
     let (events, position) = (next()?.parse().ok()?, next()?.parse().ok()?);
-    let others_answered = match next()? {
-        ANSWERED => true,
-        UNANSWERED => false,
+    let (others_answered, cleared) = match next()? {
+        ANSWERED => (true, false),
+        UNANSWERED => (false, false),
+        CLEARED => (false, true),
         _ => return None,
     };
     let age = next()?.parse().ok()?;
     let incarnation = EngineIncarnation { engine, started_at };
-    Some(RecordedExit { suspect, incarnation, events, position, others_answered, age })
+    Some(RecordedExit { suspect, incarnation, events, position, others_answered, cleared, age })
 }
 
 /// Schedules the writes of the record, which all planners share.
@@ -161,6 +172,7 @@
 ///     events: 0,
 ///     position: 0,
 ///     others_answered: false,
+///     cleared: false,
 ///     age: 300,
 /// };
 /// let record = ExitRecord::new([exit]);
--- a/crates/policy/src/part_quarantine.rs
+++ b/crates/policy/src/part_quarantine.rs
@@ -11,7 +11,8 @@
 //! exits; among equals the last in the prompt, which occurs in the fewest requests.
 //!
 //! Callers name the parts, so that exits under the requests of one account hold back requests of
-//! that account only, and those under several accounts hold back all.
+//! that account only. Those under several accounts hold back all, unless the part was answered for
+//! another one: a cleared exit of any account ([`PartExit::answered_for_another`]) tells this.
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
@@ -52,6 +53,14 @@
     pub cleared: bool,
 }
 
+impl PartExit {
+    /// What nodes exchange in addition once they know an answer to the part for another account.
+    #[must_use]
+    pub fn answered_for_another(&self) -> Self {
+        Self { key: self.key.any_account(), cleared: true, ..self.clone() }
+    }
+}
+
 /// Requests that are held back for a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct HeldPart {
@@ -208,7 +217,8 @@
         let mut candidates = Vec::new();
         for (&(service, part), accounts) in &by_part {
             let single = accounts.iter().map(|(account, exits)| (Some(*account), exits.clone()));
-            let all = (accounts.len() > 1).then(|| (None, accounts.values().flatten().copied()));
+            let shared = accounts.len() > 1 && !self.is_answered_for_another(service, part);
+            let all = shared.then(|| (None, accounts.values().flatten().copied()));
             let all = all.map(|(account, exits)| (account, exits.collect()));
             for (account, exits) in single.chain(all) {
                 candidates.extend(candidate(HeldPart { service, part, account }, &exits));
@@ -218,6 +228,15 @@
     }
 }
 
+/// # Answers for other accounts
+impl PartQuarantine {
+    /// Whether a node knew an answer to a part for an account without exits under it.
+    fn is_answered_for_another(&self, service: u64, part: PromptPart) -> bool {
+        let key = PartKey { service, part, account: 0 }.any_account();
+        self.exits.is_cleared(key)
+    }
+}
+
 /// Whether these exits suffice to hold back a part.
 fn candidate<'a>(
     held: HeldPart,
@@ -280,10 +299,12 @@
         self.exits.evidence(key, now)
     }
 
-    /// Exits that count against parts which are not held back.
+    /// Exits that count against parts which are not held back, and what is known of answers for other
+    /// accounts.
     pub fn undecided(&self, now: Millis) -> impl Iterator<Item = RecordedExit> {
         let undecided = self.exits.counting().filter(|(key, ..)| !self.evidence.contains(key));
-        undecided.map(move |(key, incarnation, exit)| {
+        let answers = self.exits.cleared().filter(|(key, ..)| *key == key.any_account());
+        undecided.chain(answers).map(move |(key, incarnation, exit)| {
             exit.recorded(Suspect::Part(key), incarnation, now)
         })
     }
--- a/crates/policy/tests/exit_record.rs
+++ b/crates/policy/tests/exit_record.rs
@@ -22,7 +22,8 @@
 
 fn exit(suspect: Suspect, engine: u64, age: Millis) -> RecordedExit {
     let (incarnation, others_answered) = (incarnation(engine), true);
-    RecordedExit { suspect, incarnation, events: 0, position: 1, others_answered, age }
+    let cleared = false;
+    RecordedExit { suspect, incarnation, events: 0, position: 1, others_answered, cleared, age }
 }
 
 fn request(n: u64) -> Suspect {
--- a/crates/policy/tests/part_quarantine.rs
+++ b/crates/policy/tests/part_quarantine.rs
@@ -108,6 +108,30 @@
     assert!(quarantine.holds(&part));
 }
 
+/// Guards against two client accounts that get requests of a third one held back, by naming a part
+/// of its prompts in requests that crash engines.
+#[test]
+fn a_part_that_was_answered_for_another_account_is_held_back_only_for_those_with_exits() {
+    let part = |account| key(FATAL, account);
+    let mut quarantine = PartQuarantine::default();
+    for engine in 0..8 {
+        let account = if engine % 2 == 0 { ACCOUNT } else { OTHER_ACCOUNT };
+        quarantine.learn(exit(part(account), engine, 1), 0, u64::from(engine) * 500);
+    }
+    let mut unanswered = quarantine.clone();
+    unanswered.decide(SETTLED_MS);
+    assert!(unanswered.holds(&part(9)), "no answer is known");
+
+    let answered = exit(part(ACCOUNT), 0, 1).answered_for_another();
+    assert!(quarantine.learn(answered.clone(), 0, SETTLED_MS));
+    quarantine.decide(SETTLED_MS);
+    assert!(!quarantine.holds(&part(9)));
+    assert!(quarantine.holds(&part(ACCOUNT)) && quarantine.holds(&part(OTHER_ACCOUNT)));
+    let reported = quarantine.since(0, usize::MAX, SETTLED_MS).0;
+    assert!(reported.iter().any(|(exit, _)| *exit == answered), "other nodes learn of it");
+    assert!(quarantine.undecided(SETTLED_MS).any(|e| e.cleared), "nodes that start learn of it");
+}
+
 #[test]
 fn an_answer_clears_a_part_and_an_engine_that_answers_clears_its_exit() {
     let (fatal, mut quarantine) = (key(FATAL, ACCOUNT), PartQuarantine::default());
