Quarantine: a part that is held back keeps explaining its exits

Cause, by the log: the session had been on three of the four engines that the faulty part crashed, with 7, 1 and 3 events delivered, and on one that a whole request crashed later. Both parts then had four exits, and among equals the order of their prints decided. Class: a decision that is made anew from the evidence without what was decided before.

A part that is held back comes first and explains its exits, so that another one needs four of its own; among equals that are not held back the one for which engines had delivered fewer events is blamed. Both tests failed before.

--- a/crates/policy/src/part_quarantine.rs
+++ b/crates/policy/src/part_quarantine.rs
@@ -7,13 +7,15 @@
 //! the cause: exits at several moments, since engines of one host exit together, and answers to
 //! other requests of the same account, since without any nothing distinguishes a part.
 //!
-//! Of several parts the one under which most engines exited is blamed first and explains these
-//! exits; among equals the last in the prompt, which occurs in the fewest requests.
+//! Of several parts one that is held back already is blamed first and explains its exits, then the
+//! one under which most engines exited; among equals the one for which they had delivered fewer
+//! events, then the last in the prompt, which occurs in the fewest requests.
 //!
 //! Callers name the parts, so that exits under the requests of one account hold back requests of
 //! that account only. Those under several accounts hold back all, unless the part was answered for
 //! another one: a cleared exit of any account ([`PartExit::answered_for_another`]) tells this.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use heathpitch_core::{Millis, PromptPart};
@@ -84,6 +86,10 @@
 struct Candidate<'a> {
     held: HeldPart,
     incarnations: BTreeSet<&'a EngineIncarnation>,
+    /// Whether the part is held back already, for whatever account.
+    was_held: bool,
+    /// Events delivered, summed over these engines.
+    events: u32,
     position: u8,
 }
 
@@ -198,7 +204,10 @@
             let unexplained = |s: &Candidate<'_>| s.incarnations.difference(&explained).count();
             let left = candidates.iter().filter(|s| unexplained(s) >= MIN_ENGINES);
             // One that holds back a single account comes after the same part for all.
-            let order = |s: &&Candidate<'_>| (unexplained(s), s.position, s.held.account.is_none());
+            let order = |s: &&Candidate<'_>| {
+                let all = s.held.account.is_none();
+                (s.was_held, unexplained(s), Reverse(s.events), s.position, all)
+            };
             let Some(worst) = left.max_by_key(order) else { return blamed };
             blamed.insert(worst.held);
             explained.extend(&worst.incarnations);
@@ -221,7 +230,9 @@
             let all = shared.then(|| (None, accounts.values().flatten().copied()));
             let all = all.map(|(account, exits)| (account, exits.collect()));
             for (account, exits) in single.chain(all) {
-                candidates.extend(candidate(HeldPart { service, part, account }, &exits));
+                let held = HeldPart { service, part, account };
+                let was_held = self.held.iter().any(|h| (h.service, h.part) == (service, part));
+                candidates.extend(candidate(held, &exits, was_held));
             }
         }
         candidates
@@ -241,16 +252,19 @@
 fn candidate<'a>(
     held: HeldPart,
     exits: &[(&'a EngineIncarnation, &ExitState)],
+    was_held: bool,
 ) -> Option<Candidate<'a>> {
     let incarnations: BTreeSet<_> = exits.iter().map(|(incarnation, _)| *incarnation).collect();
     // What was held back before has been judged, and its exits have the times of its renewal.
-    let was_held = exits.iter().any(|(_, exit)| exit.renewed > 0);
+    let was_judged = exits.iter().any(|(_, exit)| exit.renewed > 0);
     let others_answered = exits.iter().any(|(_, exit)| exit.details.others_answered);
     let enough = incarnations.len() >= MIN_ENGINES
         && others_answered
-        && (was_held || moments(exits) >= MIN_MOMENTS);
+        && (was_judged || moments(exits) >= MIN_MOMENTS);
     let position = exits.iter().map(|(_, exit)| exit.details.position).max()?;
-    enough.then_some(Candidate { held, incarnations, position })
+    let events = exits.iter().map(|(_, exit)| exit.details.events).sum();
+    let was_held = was_held || was_judged;
+    enough.then_some(Candidate { held, incarnations, was_held, events, position })
 }
 
 impl ExitState {
--- a/crates/policy/tests/part_quarantine.rs
+++ b/crates/policy/tests/part_quarantine.rs
@@ -146,6 +146,40 @@
     assert!(!alive.holds(&fatal));
 }
 
+/// Guards against a sound part that takes the place of the faulty one, as it was on most of the
+/// engines that this one crashed and on one that exited for another reason.
+#[test]
+fn a_part_that_is_held_back_keeps_explaining_its_exits() {
+    let (fatal, session) = (key(FATAL, ACCOUNT), key(SESSION, ACCOUNT));
+    let mut quarantine = PartQuarantine::default();
+    record(&mut quarantine, fatal, 1, &[1, 2, 3, 4]);
+    quarantine.decide(SETTLED_MS);
+    assert!(quarantine.holds(&fatal));
+    for engine in 2..=7 {
+        quarantine.learn(exit(session, engine, 1), 0, SETTLED_MS + 500 * u64::from(engine));
+    }
+    quarantine.decide(2 * SETTLED_MS);
+    assert!(quarantine.holds(&fatal) && !quarantine.holds(&session));
+    let third = exit(session, 8, 1);
+    quarantine.learn(third, 0, 2 * SETTLED_MS);
+    quarantine.decide(3 * SETTLED_MS);
+    assert!(quarantine.holds(&session), "four exits that nothing else explains");
+}
+
+/// The same where no part is held back yet: engines crash before they deliver events.
+#[test]
+fn of_parts_with_as_many_exits_the_one_with_fewer_events_is_blamed() {
+    let (fatal, session) = (key(FATAL, ACCOUNT), key(SESSION, ACCOUNT));
+    let mut quarantine = PartQuarantine::default();
+    record(&mut quarantine, fatal, 1, &[1, 2, 3, 4]);
+    for engine in 2..=5 {
+        let exit = PartExit { events: engine, ..exit(session, engine, 1) };
+        quarantine.learn(exit, 0, 500 * u64::from(engine));
+    }
+    quarantine.decide(SETTLED_MS);
+    assert!(quarantine.holds(&fatal) && !quarantine.holds(&session));
+}
+
 /// Guards against holding back all requests of an account for the part that all their prompts begin
 /// with: it has the same exits as the faulty one.
 #[test]
