Planners: one that loses its lease tells its followers, and claims it again

Cause, by the log: the planner of a failure domain had lost its lease (`the lease expired`) and went on answering polls, as a node that reads the store; its follower answered its polls in turn. Each took the other for a source of its domain, which ends the claim of the lease, so that the domain had no planner, nobody issued rights, and no layers would have been ordered. A planner that stops or is cut off from engines told its followers that the lease is free; one that lost it did not. Class: a transition that one of several ways into it makes in part.

All ways of stepping down while no successor is known tell it now, also to the node itself, and one that becomes planner takes it back.

--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -182,7 +182,6 @@
         let Some(lease) = control.lease() else { continue };
         if control.stopping() {
             step_down(&control, "this node is stopping");
-            control.planner_released.set(true);
             // If the call fails, the lease expires on its own.
             let _ = control.call("end", control.clients.store.end(lease)).await;
             continue;
@@ -250,6 +249,7 @@
             let planner = DomainPlanner { source, revision };
             control.sources.borrow_mut().learn_planner(settings.domain.clone(), planner);
             control.set_planner_lease(Some(lease));
+            control.planner_released.set(false);
             let why = if own.is_some() { "this node held it before" } else { "the lease was free" };
             GatewayEvent::DomainPlanner { active: true, why }.log();
             true
@@ -262,15 +262,25 @@
     }
 }
 
-/// Ends this node's role as planner; it keeps reading the store until another node serves it.
+/// Ends this node's role as planner while no successor is known; it keeps reading the store until another node serves
+/// it.
+///
+/// Polls tell its followers that the lease is free: it still answers them, and they answer it, so that otherwise none of
+/// them would claim the lease.
 pub(super) fn step_down(control: &Control, why: &'static str) {
     if control.is_planner() {
-        control.sources.borrow_mut().allow_reads(control.now());
-        control.set_planner_lease(None);
-        GatewayEvent::DomainPlanner { active: false, why }.log();
+        end_role(control, why);
+        control.planner_released.set(true);
+        control.planner_released_lease();
     }
 }
 
+fn end_role(control: &Control, why: &'static str) {
+    control.sources.borrow_mut().allow_reads(control.now());
+    control.set_planner_lease(None);
+    GatewayEvent::DomainPlanner { active: false, why }.log();
+}
+
 /// Gives up planning, because this node is cut off from engines, if another node of its failure domain can
 /// plan that is not.
 pub(super) fn yield_planning(control: &Rc<Control>) {
@@ -281,7 +291,6 @@
         return;
     };
     step_down(control, "this node is cut off from engines");
-    control.planner_released.set(true);
     let control = control.clone();
     // If the call fails, the lease expires on its own.
     spawn_local(async move {
@@ -295,7 +304,9 @@
     let new = control.sources.borrow_mut().learn_planner(domain.clone(), planner);
     if new && other {
         control.planner_released.set(false);
-        step_down(control, "another node holds the lease");
+        if control.is_planner() {
+            end_role(control, "another node holds the lease");
+        }
     }
 }
 
--- a/crates/heathpitchd/tests/gateway_feed.rs
+++ b/crates/heathpitchd/tests/gateway_feed.rs
@@ -5,13 +5,16 @@
 
 mod gateway;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gateway::{Cluster, KEY, is_fed, reachable, status, wait_until, wall_ms};
 use heathpitch_standin::{Behavior, Caller, GatewayProcess, LinkMode, Proxy, RouteSpec, StoreMode};
 use hyper::Method;
 use serde_json::json;
 
+/// Time within which a failure domain without a planner has one again.
+const SUCCESSION_BOUND: Duration = Duration::from_millis(4_000);
+
 /// Starts a planner, and a follower whose link to the store can be faulted.
 async fn pair(cluster: &Cluster) -> (GatewayProcess, GatewayProcess, Proxy) {
     let planner = cluster.node().await;
@@ -338,3 +341,26 @@
     }
     assert_eq!(other.events("feed_changed").len(), before);
 }
+
+/// Guards against a failure domain that stays without a planner: the one that lost its lease and its followers answer each
+/// other's polls, and each takes that for a planner's.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_domain_whose_planner_loses_its_lease_has_one_again_in_time() {
+    let cluster = Cluster::new();
+    cluster.engine("a", "api");
+    let (_planner, _other, _link) = pair(&cluster).await;
+    let third = cluster.start("n3", &json!({}));
+    let remote = cluster.start_in("atl", "n4");
+    for node in [&third, &remote] {
+        node.wait_ready().await.unwrap();
+    }
+    let has_planner = || !cluster.store.list("heathpitch/planners/mem").is_empty();
+    for round in 0..5 {
+        wait_until("the domain has a planner", async || has_planner()).await;
+        tokio::time::sleep(Duration::from_millis(1_300)).await;
+        cluster.store.end_leases();
+        let ended = Instant::now();
+        wait_until("the domain has a planner again", async || has_planner()).await;
+        assert!(ended.elapsed() < SUCCESSION_BOUND, "round {round}: {:?}", ended.elapsed());
+    }
+}
