Exit record: what is read back counts as written

By reading: an answer for another account stands in the record without whether others were answered, so that a planner which read its own record found it out of date, and would have written it twice a second while such an exit is known: four calls on the store. Records are compared by what their format tells now. `a_record_that_is_read_back_is_not_written_again` failed before.

--- a/crates/policy/src/exit_record.rs
+++ b/crates/policy/src/exit_record.rs
@@ -44,9 +44,9 @@
 }
 
 impl RecordedExit {
-    /// What distinguishes it in a record, other than its age.
-    fn content(&self) -> (Suspect, EngineIncarnation, bool) {
-        (self.suspect, self.incarnation.clone(), self.others_answered)
+    /// What the stored format tells of it, other than its age and details.
+    fn content(&self) -> (Suspect, EngineIncarnation, &'static str) {
+        (self.suspect, self.incarnation.clone(), self.state())
     }
 
     /// Word for its state in the stored format.
@@ -186,7 +186,7 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct ExitRecorder {
-    stored: BTreeSet<(Suspect, EngineIncarnation, bool)>,
+    stored: BTreeSet<(Suspect, EngineIncarnation, &'static str)>,
     /// Time of the last write or read.
     at: Option<Millis>,
 }
--- a/crates/policy/tests/exit_record.rs
+++ b/crates/policy/tests/exit_record.rs
@@ -121,6 +121,17 @@
     assert!(!recorder.is_due(&two, true, 90_000), "its ages alone are no reason");
 }
 
+/// Guards against planners that write the record again each time they read it.
+#[test]
+fn a_record_that_is_read_back_is_not_written_again() {
+    let answered = RecordedExit { cleared: true, ..exit(Suspect::Part(PART), 1, 0) };
+    let record = ExitRecord::new([answered, exit(request(1), 2, 0)]);
+    let mut recorder = ExitRecorder::default();
+    recorder.stored(&ExitRecord::read(&record.text()).0, 0);
+    assert!(!recorder.is_due(&record, true, 60_000));
+    assert!(!recorder.is_due(&record, false, 60_000));
+}
+
 #[test]
 fn lines_that_cannot_be_parsed_are_counted() {
     let text = "\
