Planners: one that steps down ends its watch of the store

Cause, by the log: the node had stepped down while its watch of planners was on a dead connection. Since it may claim the lease from that moment on, and the loss of that permission was what had ended the watch. So it waited for its answer, up to 25 s, polled the others at their addresses from before they had started again, and got no rights. A node that is no longer planner reads the planners anew.

`a_planner_that_loses_its_lease_follows_the_next_one_despite_a_dead_watch` timed out before (20 s).

--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -105,6 +105,7 @@
         let watched = tokio::select! {
             watched = control.until_store_change(watched) => watched,
             () = control.wait_until_no_claim() => None,
+            () = control.wait_until_role_ends() => None,
         };
         if watched != Some(WatchEnd::BecamePlanner) {
             control.pause(RETRY_INTERVAL).await;
--- a/crates/heathpitchd/src/gateway/control/sources.rs
+++ b/crates/heathpitchd/src/gateway/control/sources.rs
@@ -110,7 +110,15 @@
         }
     }
 
-    /// Waits until this node may no longer claim that lease.
+    /// Waits until this node becomes planner, if it is not, and then until it no longer is.
+    pub(super) async fn wait_until_role_ends(&self) {
+        self.wait_until_planner().await;
+        while self.is_planner() {
+            self.role_changed.notified().await;
+        }
+    }
+
+    /// Waits until this node may no longer claim the lease of its failure domain's planner.
     pub(super) async fn wait_until_no_claim(&self) {
         while self.may_claim() {
             self.role_changed.notified().await;
--- a/crates/heathpitchd/tests/gateway_feed.rs
+++ b/crates/heathpitchd/tests/gateway_feed.rs
@@ -364,3 +364,27 @@
         assert!(ended.elapsed() < SUCCESSION_BOUND, "round {round}: {:?}", ended.elapsed());
     }
 }
+
+/// Guards against a former planner that waits for the answer to a dead watch, and never learns of its successor.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_that_loses_its_lease_follows_the_next_one_despite_a_dead_watch() {
+    let cluster = Cluster::new();
+    cluster.engine("a", "api");
+    let (planner, link, other) = cluster.planner_and_follower().await;
+    link.blackhole_open();
+    cluster.store.end_leases();
+    // Its address is new, so that only the store tells where it is.
+    drop(other);
+    let successor = cluster.start("n2", &json!({}));
+    successor.wait_ready().await.unwrap();
+    let ended = Instant::now();
+    let plans = |node: &GatewayProcess| {
+        node.events("domain_planner").last().is_some_and(|e| e["active"] == true)
+    };
+    let lost = || planner.events("domain_planner").len() > 1;
+    wait_until("it has lost its lease, and plans or is fed", async || {
+        lost() && (plans(&planner) || is_fed(&planner) == Some(true))
+    })
+    .await;
+    assert!(ended.elapsed() < 2 * SUCCESSION_BOUND, "{:?}", ended.elapsed());
+}
