Log: why a part of prompts that engines exited under is not held back

`part_undecided` tells how many engines exited under it, at how many moments, how many exits are cleared and whether others were answered; `part_skipped` names an exit that is not counted against a part. The former is logged at changes only, at most 16 parts at a time.

--- a/crates/heathpitchd/src/gateway/control/part_quarantine.rs
+++ b/crates/heathpitchd/src/gateway/control/part_quarantine.rs
@@ -9,7 +9,8 @@
 use heathpitch_core::{Millis, Name};
 use heathpitch_net::FeedPartExit;
 use heathpitch_policy::{
-    Demand, EngineIncarnation, HeldPart, PartExit, PartKey, PartQuarantine, just_started,
+    Demand, EngineIncarnation, HeldPart, PartEvidence, PartExit, PartKey, PartQuarantine,
+    just_started,
 };
 
 use super::quarantine::MAX_EXITS;
@@ -19,6 +20,9 @@
 use crate::gateway::quarantine_snapshot::HeldBack;
 use crate::gateway::shared::LostAttempt;
 
+/// Most parts logged at one change.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// # Local observations
 impl Control {
     /// Records the parts of the calls that had just started on an engine that exited; returns whether
@@ -35,6 +39,12 @@
         for call in lost.iter().filter(|call| just_started(call.events)) {
             for (position, key) in call.parts.iter().enumerate() {
                 if answered.contains(key, now) {
+                    GatewayEvent::PartSkipped {
+                        part: key.part,
+                        engine: incarnation.engine.clone(),
+                        why: "it was answered lately",
+                    }
+                    .log();
                     continue;
                 }
                 let others_answered = answered.contains(&key.any(), now);
@@ -83,6 +93,7 @@
             let account = self.account_name(held);
             GatewayEvent::PartLetThrough { part: held.part, account, why }.log();
         }
+        self.log_not_blamed(&quarantine);
         let held = |held| {
             let engines = exits(&quarantine, held, now).into_iter().map(|(e, ..)| e).collect();
             let keys = quarantine.held_keys().filter(|key| held.covers(key));
@@ -94,6 +105,31 @@
         PartSnapshot { known: quarantine.known(), suspected: quarantine.suspected(), held }
     }
 
+    /// Logs why parts are not held back that several engines exited under, if that has changed.
+    fn log_not_blamed(&self, quarantine: &PartQuarantine) {
+        let evidence = quarantine.not_blamed();
+        let mut logged = self.logged_parts.borrow_mut();
+        for new in evidence.iter().filter(|e| !logged.contains(e)).take(MAX_LOGGED_PARTS) {
+            let held = HeldPart {
+                service: new.key.service,
+                part: new.key.part,
+                account: Some(new.key.account),
+            };
+            let account = self.account_name(held);
+            let PartEvidence { engines, cleared, moments, others_answered, .. } = *new;
+            GatewayEvent::PartUndecided {
+                part: held.part,
+                account,
+                engines,
+                cleared,
+                moments,
+                others_answered,
+            }
+            .log();
+        }
+        *logged = evidence;
+    }
+
     /// The client account that is held back; none if all are, or if it is not in the configuration.
     fn account_name(&self, held: HeldPart) -> Option<Name> {
         let catalog = self.shared.catalog.load_full()?;
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -9,7 +9,7 @@
 use heathpitch_core::{EngineEntry, GatewaySettings, Millis, Name, Revision, ServiceSpec};
 use heathpitch_net::{Item, LeaseId};
 use heathpitch_policy::{
-    Backpressure, DrainNotices, EngineStats, Followers, Incarnations, Limits, Mirror,
+    Backpressure, DrainNotices, EngineStats, Followers, Incarnations, Limits, Mirror, PartEvidence,
     PartQuarantine, Quarantine, Rights, Source, Sources,
 };
 use tokio::sync::Notify;
@@ -118,6 +118,8 @@
     /// Requests suspected of crashing engines, from this node's evidence and that received from others.
     pub(super) quarantine: RefCell<Quarantine>,
     pub(super) part_quarantine: RefCell<PartQuarantine>,
+    /// What was last logged of parts that several engines exited under and that are not held back.
+    pub(super) logged_parts: RefCell<Vec<PartEvidence>>,
     /// Quarantine entries present in the store.
     pub(super) stored_quarantine: RefCell<StoredEntries>,
     /// Engine exits without a verdict as the store holds them.
@@ -206,6 +208,7 @@
             engine_exits: RefCell::default(),
             quarantine: RefCell::default(),
             part_quarantine: RefCell::default(),
+            logged_parts: RefCell::default(),
             stored_quarantine: RefCell::default(),
             orders: RefCell::default(),
             engine_stats: RefCell::default(),
--- a/crates/heathpitchd/src/gateway/event_log.rs
+++ b/crates/heathpitchd/src/gateway/event_log.rs
@@ -4,7 +4,7 @@
 
 impl GatewayEvent {
     /// Names of all events; they do not change between versions.
-    pub const NAMES: [&'static str; 45] = [
+    pub const NAMES: [&'static str; 47] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -31,6 +31,8 @@
         "request_let_through",
         "part_held_back",
         "part_let_through",
+        "part_undecided",
+        "part_skipped",
         "engine_doubted",
         "engine_wished",
         "engine_leaves",
--- a/crates/policy/src/exit_book.rs
+++ b/crates/policy/src/exit_book.rs
@@ -220,6 +220,11 @@
         counting.map(|((suspect, incarnation), k)| (*suspect, incarnation, k))
     }
 
+    /// All exits.
+    pub(crate) fn all(&self) -> impl Iterator<Item = (S, &EngineIncarnation, &ExitState)> {
+        self.exits.iter().map(|((suspect, incarnation), k)| (*suspect, incarnation, k))
+    }
+
     /// Exits that are cleared.
     pub(crate) fn cleared(&self) -> impl Iterator<Item = (S, &EngineIncarnation, &ExitState)> {
         let cleared = self.exits.iter().filter(|(_, k)| k.cleared);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -141,7 +141,7 @@
 pub use move_load::{MoveBooking, MoveLoad};
 pub use move_order::{MoveResult, StalledStream, plan_moves};
 pub use occupancy::Occupancy;
-pub use part_quarantine::{HeldPart, PartExit, PartQuarantine};
+pub use part_quarantine::{HeldPart, PartEvidence, PartExit, PartQuarantine};
 pub use placement::{
     LoadedLayers, ModelDemand, Move, MoveReason, PlacementEngine, model_gaps, plan_placement,
 };
--- a/crates/policy/src/part_quarantine.rs
+++ b/crates/policy/src/part_quarantine.rs
@@ -82,6 +82,21 @@
     }
 }
 
+/// What is known of a part under which several engines exited and which is not held back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartEvidence {
+    /// The part.
+    pub key: PartKey,
+    /// Engines that exited under it.
+    pub engines: usize,
+    /// Those whose exits do not count, as the part was answered or the engine responds.
+    pub cleared: usize,
+    /// Moments of the exits that count.
+    pub moments: usize,
+    /// Whether a node knew answers to other requests of the account and service.
+    pub others_answered: bool,
+}
+
 /// A part under which enough engines exited.
 struct Candidate<'a> {
     held: HeldPart,
@@ -323,6 +338,25 @@
         })
     }
 
+    /// Parts that are not held back although as many engines exited under them as a verdict needs.
+    pub fn not_blamed(&self) -> Vec<PartEvidence> {
+        let mut by_part: BTreeMap<PartKey, Vec<_>> = BTreeMap::new();
+        for (key, incarnation, exit) in self.exits.all() {
+            by_part.entry(key).or_default().push((incarnation, exit));
+        }
+        let evidence = |(key, mut exits): (PartKey, Vec<(_, &ExitState)>)| {
+            let engines = exits.len();
+            let others_answered = exits.iter().any(|(_, exit)| exit.details.others_answered);
+            exits.retain(|(_, exit)| !exit.cleared);
+            let (cleared, moments) = (engines - exits.len(), moments(&exits));
+            PartEvidence { key, engines, cleared, moments, others_answered }
+        };
+        let undecided = by_part
+            .into_iter()
+            .filter(|(key, exits)| exits.len() >= MIN_ENGINES && !self.holds(key));
+        undecided.map(evidence).collect()
+    }
+
     /// Serial of the last change.
     pub fn serial(&self) -> u64 {
         self.exits.serial()
