--- a/crates/heathpitchd/src/gateway/call/flow.rs
+++ b/crates/heathpitchd/src/gateway/call/flow.rs
@@ -281,11 +281,19 @@
     /// Records events of the running attempt: an engine that gets past the start of an answer is not
     /// crashed by a part of the prompt.
     pub(crate) fn record_progress(&mut self) {
-        let Some((_, before)) = self.started.as_ref().filter(|_| !self.past_start) else { return };
+        let started = self.started.as_ref().filter(|_| !self.past_start);
+        let Some((engine, before)) = started else { return };
         let events = self.events.count().saturating_sub(*before).min(u32::MAX.into()) as u32;
         if !just_started(events) {
             self.past_start = true;
-            record_parts_answered(&self.traffic, &self.call);
+            record_parts_answered(&self.traffic, &self.call, engine);
+        }
+    }
+
+    /// Records that the running attempt was answered completely.
+    pub(crate) fn record_complete(&self) {
+        if let Some((engine, _)) = &self.started {
+            record_parts_answered(&self.traffic, &self.call, engine);
         }
     }
 
--- a/crates/heathpitchd/src/gateway/call/record.rs
+++ b/crates/heathpitchd/src/gateway/call/record.rs
@@ -1,7 +1,7 @@
 //! Log lines and counts that single calls and streams share.
 
 use bytes::Bytes;
-use heathpitch_core::{Name, Path, PromptPart};
+use heathpitch_core::{EngineEntry, Name, Path, PromptPart};
 use heathpitch_net::{Body, full, strip_hop_by_hop};
 use hyper::Response;
 use hyper::http::response::Parts;
@@ -10,6 +10,7 @@
 use super::admit::Call;
 use super::send::Failure;
 use crate::gateway::event::{CallRouted, GatewayEvent, parts};
+use crate::gateway::quarantine_snapshot::incarnation_of;
 use crate::gateway::shared::ControlMessage;
 
 /// One attempt of a call.
@@ -60,19 +61,19 @@
 }
 
 /// Records that an engine got past the start of an answer, so that no part of the prompt crashed it.
-pub(crate) fn record_parts_answered(traffic: &Traffic, call: &Call) {
+pub(crate) fn record_parts_answered(traffic: &Traffic, call: &Call, engine: &EngineEntry) {
     if call.head.prompt_parts.is_empty() {
         return;
     }
     let (shared, parts, now) = (&traffic.shared, call.parts(), traffic.shared.now());
+    let incarnation = incarnation_of(engine);
     {
         let mut answered = shared.answered_parts.lock();
-        answered.record(parts, now);
-        answered.record(&[call.part_key(PromptPart::ANY)], now);
+        answered.record(parts, incarnation.digest(), now);
+        answered.record(&[call.part_key(PromptPart::ANY)], incarnation.digest(), now);
     }
-    let known = &shared.quarantine.load().parts.known;
-    if !known.is_empty() && parts.iter().any(|key| known.contains(key)) {
-        shared.notify_control(ControlMessage::PartsAnswered(parts.clone()));
+    if shared.quarantine.load().parts.counts_answers(parts) {
+        shared.notify_control(ControlMessage::PartsAnswered(parts.clone(), incarnation));
     }
 }
 
@@ -92,9 +93,6 @@
     content: Bytes,
 ) -> Response<Body> {
     record_answered(traffic, call);
-    if parts.status.is_success() {
-        record_parts_answered(traffic, call);
-    }
     let ms = traffic.shared.now().saturating_sub(call.received);
     traffic.shared.metrics.first.observe(ms as f64 / 1e3);
     GatewayEvent::CallEnded {
--- a/crates/heathpitchd/src/gateway/call/relay.rs
+++ b/crates/heathpitchd/src/gateway/call/relay.rs
@@ -10,7 +10,7 @@
 use hyper::body::Frame;
 
 use super::flow::Flow;
-use super::record::{record_answered, record_parts_answered};
+use super::record::record_answered;
 use super::send::{Answer, SLOW_ANSWER_MS, until_way_lost};
 use crate::gateway::event::GatewayEvent;
 
@@ -205,7 +205,7 @@
             record_answered(&self.flow.traffic, &self.flow.call);
             // An answer without a length also ends where its engine exits.
             if self.flow.events.count() > 0 {
-                record_parts_answered(&self.flow.traffic, &self.flow.call);
+                self.flow.record_complete();
             }
         }
         self.log(complete);
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -11,7 +11,7 @@
 use super::forward::{Declined, ForwardError, Forwarding};
 use super::open::HeldTokens;
 use super::pick::{self, Avoid};
-use super::record::{AttemptLog, final_answer};
+use super::record::{AttemptLog, final_answer, record_parts_answered};
 use super::refusal::{Refusal, RefusalKind};
 use super::retry_schedules::backpressure_refusal;
 use super::send::{Failure, Target, send};
@@ -220,6 +220,9 @@
                 progress.evidence.started();
                 let done = traffic.shared.now();
                 view.stats.record_latency(done.saturating_sub(now), done);
+                if answer.0.status.is_success() {
+                    record_parts_answered(traffic, call, &view.entry);
+                }
                 return Ok(answer);
             }
             Ok(failed) => {
--- a/crates/heathpitchd/src/gateway/control/exit_records.rs
+++ b/crates/heathpitchd/src/gateway/control/exit_records.rs
@@ -5,7 +5,9 @@
 
 use heathpitch_core::Revision;
 use heathpitch_net::{Item, StoreError, Write};
-use heathpitch_policy::{EngineExit, ExitRecord, ExitRecorder, PartExit, RecordedExit, Suspect};
+use heathpitch_policy::{
+    EngineExit, ExitRecord, ExitRecorder, PartExit, RecordedAnswer, RecordedExit, Suspect,
+};
 
 use super::quarantine_store::ENTRY_TTL_MS;
 use super::state::Control;
@@ -44,7 +46,8 @@
 fn current(control: &Control) -> ExitRecord {
     let now = control.now();
     let (requests, parts) = (control.quarantine.borrow(), control.part_quarantine.borrow());
-    ExitRecord::new(requests.undecided(now).chain(parts.undecided(now)))
+    let (part_exits, answers) = parts.undecided(now);
+    ExitRecord::new(requests.undecided(now).chain(part_exits)).with_answers(answers)
 }
 
 async fn write(control: &Control, record: &ExitRecord) -> Result<(), StoreError> {
@@ -90,6 +93,9 @@
     }
     keep(control, &record, item.revision);
     let learned = record.exits().iter().filter(|exit| learn(control, exit)).count();
+    for RecordedAnswer { answer, age } in record.answers() {
+        control.part_quarantine.borrow_mut().learn_answer(*answer, *age, control.now());
+    }
     if learned > 0 {
         GatewayEvent::ExitsLoaded { exits: learned, revision: item.revision }.log();
         control.update_held("the store has a record of exits");
@@ -107,8 +113,16 @@
             control.quarantine.borrow_mut().learn(exit, age, now)
         }
         Suspect::Part(key) => {
-            let exit =
-                PartExit { key, incarnation, events, position, others_answered, renewed, cleared };
+            let exit = PartExit {
+                key,
+                incarnation,
+                events,
+                position,
+                others_answered,
+                answered_before: false,
+                renewed,
+                cleared,
+            };
             control.part_quarantine.borrow_mut().learn(exit, age, now)
         }
     }
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -323,20 +323,22 @@
         let (drains, drains_cursor) = self.drains_since(known.drains);
         let (limits, limits_cursor) = self.limits_since(known.limits);
         let (part_exits, parts_cursor) = self.part_exits_since(known.part_exits);
+        let (part_answers, answers_cursor) = self.part_answers_since(known.part_answers);
         let cursor = NoticeCursor {
             incarnation: self.incarnation,
             exits: exits_cursor,
             drains: drains_cursor,
             limits: limits_cursor,
             part_exits: parts_cursor,
+            part_answers: answers_cursor,
         };
-        (FeedNotices { exits, drains, limits, part_exits }, cursor)
+        (FeedNotices { exits, drains, limits, part_exits, part_answers }, cursor)
     }
 
     /// Records notices of another node from a message sent at `sent` or later.
     pub(super) fn record_notices(&self, notices: &FeedNotices, sent: Millis, by: &Name) {
         // Parts first: they may explain exits that would otherwise blame requests.
-        self.receive_part_exits(&notices.part_exits, sent);
+        self.receive_part_notices(&notices.part_exits, &notices.part_answers, sent);
         self.receive_exits(&notices.exits, sent, by);
         self.receive_drains(&notices.drains, sent);
         self.receive_limits(&notices.limits, sent);
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -147,7 +147,9 @@
             ControlMessage::Refused(engine) => reachability::check_refusal(&control, &engine),
             ControlMessage::ConnectionLost(lost) => engine_exits::record_lost(&control, lost),
             ControlMessage::Answered(fingerprint) => control.clear_request(fingerprint),
-            ControlMessage::PartsAnswered(parts) => control.clear_parts(&parts),
+            ControlMessage::PartsAnswered(parts, engine) => {
+                control.record_part_answers(&parts, &engine);
+            }
             ControlMessage::EngineAlive(incarnation) => control.engine_alive(&incarnation),
             ControlMessage::Draining(incarnation) => control.engine_draining(&incarnation),
             ControlMessage::HeldBack(fingerprint) => control.renew_request(fingerprint),
--- a/crates/heathpitchd/src/gateway/control/part_quarantine.rs
+++ b/crates/heathpitchd/src/gateway/control/part_quarantine.rs
@@ -1,27 +1,30 @@
 //! Quarantine of parts of prompts that crash engines.
 //!
 //! Exits are recorded, exchanged and stored like those of whole requests (`quarantine`). Nodes also
-//! remember which parts were answered lately (`Shared::answered_parts`): such a part is not blamed,
-//! and a node that learns of exits under it clears them for all.
+//! remember which parts were answered lately (`Shared::answered_parts`), and tell each other of
+//! answers to parts under which engines exited.
 
 use std::collections::HashMap;
 
 use heathpitch_core::{Millis, Name};
-use heathpitch_net::FeedPartExit;
+use heathpitch_net::{FeedPartAnswer, FeedPartExit};
 use heathpitch_policy::{
-    Demand, EngineIncarnation, HeldPart, PartEvidence, PartExit, PartKey, PartQuarantine,
-    just_started,
+    Demand, EngineIncarnation, HeldPart, PartAnswer, PartEvidence, PartExit, PartKey,
+    PartQuarantine, just_started,
 };
 
-use super::quarantine::MAX_EXITS;
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::part_snapshot::PartSnapshot;
 use crate::gateway::quarantine_snapshot::HeldBack;
 use crate::gateway::shared::LostAttempt;
 
+/// Most exits under parts, and most answers to these, in one message, about eighty bytes each.
+const MAX_PART_NOTICES: usize = 1_024;
 /// Most parts logged at one change.
 const MAX_LOGGED_PARTS: usize = 16;
+/// Most parts that are recorded for the exit of an engine.
+const MAX_EXIT_PARTS: usize = 256;
 
 /// # Local observations
 impl Control {
@@ -35,40 +38,35 @@
     ) -> bool {
         let mut answered = self.shared.answered_parts.lock();
         let mut quarantine = self.part_quarantine.borrow_mut();
+        let started = || lost.iter().filter(|call| just_started(call.events));
+        let calls =
+            started().flat_map(|call| call.parts.iter().enumerate().map(move |p| (call, p)));
         let mut new = false;
-        for call in lost.iter().filter(|call| just_started(call.events)) {
-            for (position, key) in call.parts.iter().enumerate() {
-                if answered.contains(key, now) {
-                    GatewayEvent::PartSkipped {
-                        part: key.part,
-                        engine: incarnation.engine.clone(),
-                        why: "it was answered lately",
-                    }
-                    .log();
-                    continue;
-                }
-                let others_answered = answered.contains(&key.any(), now);
-                let exit = PartExit {
-                    key: *key,
-                    incarnation: incarnation.clone(),
-                    events: call.events,
-                    position: position.min(u8::MAX.into()) as u8,
-                    others_answered,
-                    renewed: 0,
-                    cleared: false,
-                };
-                if answered.contains(&key.any_account(), now) {
-                    new |= quarantine.learn(exit.answered_for_another(), 0, now);
-                }
-                new |= quarantine.learn(exit, 0, now);
-            }
+        for (call, (position, key)) in calls.take(MAX_EXIT_PARTS) {
+            let exit = PartExit {
+                key: *key,
+                incarnation: incarnation.clone(),
+                events: call.events,
+                position: position.min(u8::MAX.into()) as u8,
+                others_answered: false,
+                answered_before: false,
+                renewed: 0,
+                cleared: false,
+            };
+            new |= quarantine.learn_beside(exit, 0, now, &mut answered, self.incarnation);
         }
         new
     }
 
-    /// Clears suspected parts that an engine answered.
-    pub(super) fn clear_parts(&self, parts: &[PartKey]) {
-        if self.part_quarantine.borrow_mut().clear(parts) {
+    /// Records that an engine got past the start of an answer to a request with these parts.
+    pub(super) fn record_part_answers(&self, parts: &[PartKey], engine: &EngineIncarnation) {
+        let now = self.now();
+        let mut new = false;
+        for key in parts {
+            let answer = PartAnswer::new(*key, engine.digest(), self.incarnation, now);
+            new |= self.part_quarantine.borrow_mut().learn_answer(answer, 0, now);
+        }
+        if new {
             self.update_held("the part was answered");
         }
     }
@@ -93,7 +91,7 @@
             let account = self.account_name(held);
             GatewayEvent::PartLetThrough { part: held.part, account, why }.log();
         }
-        self.log_not_blamed(&quarantine);
+        self.log_undecided(&quarantine);
         let held = |held| {
             let engines = exits(&quarantine, held, now).into_iter().map(|(e, ..)| e).collect();
             let keys = quarantine.held_keys().filter(|key| held.covers(key));
@@ -102,30 +100,25 @@
         };
         let held: HashMap<_, _> = quarantine.held().map(held).collect();
         self.shared.metrics.held_parts.set(held.len() as i64);
-        PartSnapshot { known: quarantine.known(), suspected: quarantine.suspected(), held }
+        PartSnapshot {
+            open: quarantine.open_parts(),
+            exited: quarantine.exited_keys(),
+            suspected: quarantine.suspected(),
+            exempt: quarantine.exempt(),
+            held,
+        }
     }
 
-    /// Logs why parts are not held back that several engines exited under, if that has changed.
-    fn log_not_blamed(&self, quarantine: &PartQuarantine) {
-        let evidence = quarantine.not_blamed();
+    /// Logs what is known of parts that may be the cause of exits, if that has changed.
+    fn log_undecided(&self, quarantine: &PartQuarantine) {
+        let evidence = quarantine.undecided_parts();
         let mut logged = self.logged_parts.borrow_mut();
         for new in evidence.iter().filter(|e| !logged.contains(e)).take(MAX_LOGGED_PARTS) {
-            let held = HeldPart {
-                service: new.key.service,
-                part: new.key.part,
-                account: Some(new.key.account),
-            };
-            let account = self.account_name(held);
-            let PartEvidence { engines, cleared, moments, others_answered, .. } = *new;
-            GatewayEvent::PartUndecided {
-                part: held.part,
-                account,
-                engines,
-                cleared,
-                moments,
-                others_answered,
-            }
-            .log();
+            let PartEvidence { scope, engines, answers, score, others_answered } = *new;
+            let account = self.account_name(scope);
+            let part = scope.part;
+            GatewayEvent::PartUndecided { part, account, engines, answers, score, others_answered }
+                .log();
         }
         *logged = evidence;
     }
@@ -149,7 +142,8 @@
 impl Control {
     /// Exits recorded after `serial`, and the serial of the last one returned.
     pub(super) fn part_exits_since(&self, serial: u64) -> (Vec<FeedPartExit>, u64) {
-        let (exits, upto) = self.part_quarantine.borrow().since(serial, MAX_EXITS, self.now());
+        let (exits, upto) =
+            self.part_quarantine.borrow().since(serial, MAX_PART_NOTICES, self.now());
         let exits = exits.into_iter().map(|(exit, age_ms)| FeedPartExit {
             service: exit.key.service,
             part: exit.key.part,
@@ -159,6 +153,7 @@
             events: exit.events,
             position: exit.position,
             others_answered: exit.others_answered,
+            answered_before: exit.answered_before,
             renewed: exit.renewed,
             cleared: exit.cleared,
             age_ms,
@@ -166,38 +161,57 @@
         (exits.collect(), upto)
     }
 
-    /// Records exits that another node reported in a message sent at `sent` or later.
-    pub(super) fn receive_part_exits(&self, exits: &[FeedPartExit], sent: Millis) {
+    /// Answers recorded after `serial`, and the serial of the last one returned.
+    pub(super) fn part_answers_since(&self, serial: u64) -> (Vec<FeedPartAnswer>, u64) {
+        let (answers, upto) =
+            self.part_quarantine.borrow().answers_since(serial, MAX_PART_NOTICES, self.now());
+        let answers = answers.into_iter().map(|(PartAnswer { key, engine, id }, age_ms)| {
+            let PartKey { service, part, account } = key;
+            FeedPartAnswer { service, part, account, engine, id, age_ms }
+        });
+        (answers.collect(), upto)
+    }
+
+    /// Records exits and answers that another node reported in a message sent at `sent` or later.
+    pub(super) fn receive_part_notices(
+        &self,
+        exits: &[FeedPartExit],
+        answers: &[FeedPartAnswer],
+        sent: Millis,
+    ) {
+        let now = self.now();
+        let age = |age_ms| now.saturating_sub(sent) + age_ms;
         let mut new = false;
-        let mut answered = Vec::new();
-        for exit in exits {
-            let now = self.now();
-            let FeedPartExit { service, part, account, .. } = *exit;
-            let key = PartKey { service, part, account };
-            let (is_answered, others, for_another) = {
-                let mut answered = self.shared.answered_parts.lock();
-                let mut contains = |key| answered.contains(&key, now);
-                (contains(key), contains(key.any()), contains(key.any_account()))
-            };
-            if is_answered {
-                answered.push(key);
-            }
-            let FeedPartExit { events, position, renewed, cleared, .. } = *exit;
-            let others_answered = exit.others_answered || others;
-            let incarnation =
-                EngineIncarnation { engine: exit.engine.clone(), started_at: exit.started_at };
-            let learned =
-                PartExit { key, incarnation, events, position, others_answered, renewed, cleared };
-            let age = now.saturating_sub(sent) + exit.age_ms;
+        {
+            let mut answered = self.shared.answered_parts.lock();
             let mut quarantine = self.part_quarantine.borrow_mut();
-            if for_another && !is_answered {
-                new |= quarantine.learn(learned.answered_for_another(), age, now);
+            for exit in exits {
+                let learned = received_exit(exit);
+                let age = age(exit.age_ms);
+                new |= quarantine.learn_beside(learned, age, now, &mut answered, self.incarnation);
+            }
+            for answer in answers {
+                let FeedPartAnswer { service, part, account, engine, id, age_ms } = *answer;
+                let answer = PartAnswer { key: PartKey { service, part, account }, engine, id };
+                new |= quarantine.learn_answer(answer, age(age_ms), now);
             }
-            new |= quarantine.learn(learned, age, now);
         }
-        new |= self.part_quarantine.borrow_mut().clear(&answered);
         if new {
-            self.update_held("another node reported exits");
+            self.update_held("another node reported exits or answers");
         }
     }
 }
+
+fn received_exit(exit: &FeedPartExit) -> PartExit {
+    let FeedPartExit { service, part, account, events, position, .. } = *exit;
+    PartExit {
+        key: PartKey { service, part, account },
+        incarnation: EngineIncarnation { engine: exit.engine.clone(), started_at: exit.started_at },
+        events,
+        position,
+        others_answered: exit.others_answered,
+        answered_before: exit.answered_before,
+        renewed: exit.renewed,
+        cleared: exit.cleared,
+    }
+}
--- a/crates/heathpitchd/src/gateway/control/quarantine.rs
+++ b/crates/heathpitchd/src/gateway/control/quarantine.rs
@@ -28,7 +28,7 @@
 /// Below the smallest contact bound (3 000).
 const PROPAGATION_MS: Millis = 2_000;
 /// Most exits in one message, about sixty bytes each.
-pub(super) const MAX_EXITS: usize = 256;
+const MAX_EXITS: usize = 256;
 /// Age of an exit up to which nodes that learn of it avoid the engine: its entry is unlisted after
 /// three seconds, and another engine may then have its address.
 const AVOID_WITHIN_MS: Millis = 1_500;
@@ -146,6 +146,7 @@
     /// Recomputes which requests and parts of prompts are held back, and publishes them.
     pub(super) fn update_held(&self, why: &'static str) {
         let now = self.now();
+        let parts = self.update_held_parts(why, now);
         let mut quarantine = self.quarantine.borrow_mut();
         let (new, released) = quarantine.decide_beside(&self.part_quarantine.borrow());
         for fingerprint in new {
@@ -168,7 +169,6 @@
         self.shared.metrics.held.set(held.len() as i64);
         let counts = quarantine.counts_beside(&self.part_quarantine.borrow());
         let ended = quarantine.exited_engines();
-        let parts = self.update_held_parts(why, now);
         self.shared.quarantine.store(Arc::new(QuarantineSnapshot { counts, held, ended, parts }));
     }
 }
--- a/crates/heathpitchd/src/gateway/control/quarantine_store.rs
+++ b/crates/heathpitchd/src/gateway/control/quarantine_store.rs
@@ -184,9 +184,16 @@
         Suspect::Part(key) => {
             let position = fields.next()?.parse().ok()?;
             // The entry stands for a verdict, so that its exits need not be judged again.
-            let (others_answered, renewed) = (true, 1);
-            let exit =
-                PartExit { key, incarnation, events, position, others_answered, renewed, cleared };
+            let exit = PartExit {
+                key,
+                incarnation,
+                events,
+                position,
+                others_answered: true,
+                answered_before: false,
+                renewed: 1,
+                cleared,
+            };
             control.part_quarantine.borrow_mut().learn(exit, 0, now)
         }
     };
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -330,30 +330,21 @@
         /// Cause of the change.
         why: &'static str,
     },
-    /// As many engines exited under a part of prompts as a verdict needs, and it is not held back.
+    /// As many engines exited under a part of prompts as a verdict needs, and it is not held back yet.
     PartUndecided {
         /// Fingerprint of the part.
         part: PromptPart,
-        /// The client account.
+        /// The client account; none for all together.
         account: Option<Name>,
         /// Engines that exited under it.
         engines: usize,
-        /// Those whose exits do not count, as the part was answered or the engine responds.
-        cleared: usize,
-        /// Moments of the exits that count.
-        moments: usize,
-        /// Whether other requests of the account and service are known to have been answered.
+        /// Known answers to it.
+        answers: usize,
+        /// Score by the sequential test of exits and answers.
+        score: u32,
+        /// Whether other requests are known to have been answered.
         others_answered: bool,
     },
-    /// An engine exited under a part of prompts that this is not counted against.
-    PartSkipped {
-        /// Fingerprint of the part.
-        part: PromptPart,
-        /// The engine.
-        engine: Name,
-        /// Why it does not count.
-        why: &'static str,
-    },
     /// An engine is suspect and gets no new requests for a while.
     #[serde(rename = "engine_doubted")]
     EngineSuspected {
--- a/crates/heathpitchd/src/gateway/event_log.rs
+++ b/crates/heathpitchd/src/gateway/event_log.rs
@@ -4,7 +4,7 @@
 
 impl GatewayEvent {
     /// Names of all events; they do not change between versions.
-    pub const NAMES: [&'static str; 47] = [
+    pub const NAMES: [&'static str; 46] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -32,7 +32,6 @@
         "part_held_back",
         "part_let_through",
         "part_undecided",
-        "part_skipped",
         "engine_doubted",
         "engine_wished",
         "engine_leaves",
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -44,7 +44,7 @@
     /// An engine completely answered a request that others had exited under before.
     Answered(RequestFingerprint),
     /// An engine answered a prompt with parts that others had exited under before.
-    PartsAnswered(Arc<[PartKey]>),
+    PartsAnswered(Arc<[PartKey]>, EngineIncarnation),
     /// An engine that was reported as exited answered a call sent after the report.
     EngineAlive(EngineIncarnation),
     /// An engine announced that it drains.
--- a/crates/net/schema/feed.capnp
+++ b/crates/net/schema/feed.capnp
@@ -63,6 +63,10 @@
   # Engine exits under parts of prompts that the requesting node has learned of since its last poll of the same node.
   partEndsSerial @23 :UInt64;
   # Serial of the last known one of the same incarnation.
+  partAnswers @24 :List(PartAnswer);
+  # Answers to requests with such parts that the requesting node has learned of since its last poll of the same node.
+  partAnswersSerial @25 :UInt64;
+  # Serial of the last known one of the same incarnation.
 }
 
 struct Forwarder {
@@ -157,6 +161,23 @@
   # Position of the part in the prompt, from 0.
   answered @5 :Bool;
   # Whether other requests of the account and service were answered.
+  seen @6 :Bool;
+  # Whether the part itself was answered in the minutes before.
+}
+
+struct PartAnswer {
+  # Notice of an answer to a request with a part of a prompt that engines had exited under.
+  service @0 :UInt64;
+  # Digest of the service.
+  part @1 :UInt64;
+  # Fingerprint of the part.
+  account @2 :UInt64;
+  # Digest of the client account; 0 for none.
+  engine @3 :UInt64;
+  # Digest of the engine's incarnation.
+  id @4 :UInt64;
+  # Tells answers of one engine apart.
+  ageMs @5 :UInt64;
 }
 
 struct Told {
@@ -216,6 +237,9 @@
   partEnds @32 :List(PartEnd);
   partEndsSerial @33 :UInt64;
   # Engine exits under parts of prompts, and the position after them in the same incarnation.
+  partAnswers @34 :List(PartAnswer);
+  partAnswersSerial @35 :UInt64;
+  # Answers to requests with such parts, and the position after them in the same incarnation.
 }
 
 struct Report {
--- a/crates/net/src/feed_codec.rs
+++ b/crates/net/src/feed_codec.rs
@@ -15,7 +15,7 @@
 use crate::feed_forwarder_codec::{read_forwarder, write_forwarder};
 use crate::feed_notice_codec::{
     read_limit, read_notices, write_drains, write_exits, write_limit, write_limits,
-    write_part_exits,
+    write_part_answers, write_part_exits,
 };
 use crate::{
     FeedCursor, FeedDemand, FeedEngines, FeedPlanner, FeedPromise, FeedPromiseRate, FeedReport,
@@ -67,6 +67,7 @@
     to.set_leaves_serial(from.notice_cursor.drains);
     to.set_limits_serial(from.notice_cursor.limits);
     to.set_part_ends_serial(from.notice_cursor.part_exits);
+    to.set_part_answers_serial(from.notice_cursor.part_answers);
     write_exits(&from.notices.exits, to.reborrow().init_ends(from.notices.exits.len() as u32));
     write_drains(&from.notices.drains, to.reborrow().init_leaves(from.notices.drains.len() as u32));
     write_limits(&from.notices.limits, to.reborrow().init_limits(from.notices.limits.len() as u32));
@@ -74,6 +75,10 @@
         &from.notices.part_exits,
         to.reborrow().init_part_ends(from.notices.part_exits.len() as u32),
     );
+    write_part_answers(
+        &from.notices.part_answers,
+        to.reborrow().init_part_answers(from.notices.part_answers.len() as u32),
+    );
     write_demand(&from.demand, to.reborrow().init_demand(from.demand.len() as u32));
     write_promises(&from.promises, to.reborrow().init_promises(from.promises.len() as u32));
     to.set_forwarders(from.wants_forwarders);
@@ -103,6 +108,7 @@
             from.get_leaves()?,
             from.get_limits()?,
             from.get_part_ends()?,
+            from.get_part_answers()?,
         )?,
         notice_cursor: NoticeCursor {
             incarnation: from.get_ends_life(),
@@ -110,6 +116,7 @@
             drains: from.get_leaves_serial(),
             limits: from.get_limits_serial(),
             part_exits: from.get_part_ends_serial(),
+            part_answers: from.get_part_answers_serial(),
         },
         demand: from.get_demand()?.iter().map(read_demand).collect::<capnp::Result<_>>()?,
         promises: from.get_promises()?.iter().map(read_promise).collect::<capnp::Result<_>>()?,
@@ -162,6 +169,7 @@
     to.set_leaves_serial(from.notice_cursor.drains);
     to.set_limits_serial(from.notice_cursor.limits);
     to.set_part_ends_serial(from.notice_cursor.part_exits);
+    to.set_part_answers_serial(from.notice_cursor.part_answers);
     write_exits(&from.notices.exits, to.reborrow().init_ends(from.notices.exits.len() as u32));
     write_drains(&from.notices.drains, to.reborrow().init_leaves(from.notices.drains.len() as u32));
     write_limits(&from.notices.limits, to.reborrow().init_limits(from.notices.limits.len() as u32));
@@ -169,6 +177,10 @@
         &from.notices.part_exits,
         to.reborrow().init_part_ends(from.notices.part_exits.len() as u32),
     );
+    write_part_answers(
+        &from.notices.part_answers,
+        to.reborrow().init_part_answers(from.notices.part_answers.len() as u32),
+    );
     if let Some(known) = &from.shares {
         to.set_shares_known(true);
         to.set_shares_ms(known.age_ms);
@@ -231,6 +243,7 @@
             from.get_leaves()?,
             from.get_limits()?,
             from.get_part_ends()?,
+            from.get_part_answers()?,
         )?,
         notice_cursor: NoticeCursor {
             incarnation: from.get_ends_life(),
@@ -238,6 +251,7 @@
             drains: from.get_leaves_serial(),
             limits: from.get_limits_serial(),
             part_exits: from.get_part_ends_serial(),
+            part_answers: from.get_part_answers_serial(),
         },
         shares,
         promises: from.get_promises()?.iter().map(read_promise).collect::<capnp::Result<_>>()?,
--- a/crates/net/src/feed_message.rs
+++ b/crates/net/src/feed_message.rs
@@ -113,6 +113,8 @@
     pub limits: Vec<FeedLimit>,
     /// Engines that ended while they ran a request, by the parts of its prompt.
     pub part_exits: Vec<FeedPartExit>,
+    /// Answers to requests with such parts.
+    pub part_answers: Vec<FeedPartAnswer>,
 }
 
 /// Position in the notices of one incarnation of a node.
@@ -128,6 +130,8 @@
     pub limits: u64,
     /// Serial of the last engine exit under a part of a prompt; 0 for none.
     pub part_exits: u64,
+    /// Serial of the last answer to a request with such a part; 0 for none.
+    pub part_answers: u64,
 }
 
 /// Rate limit of an engine over all nodes.
@@ -232,6 +236,8 @@
     pub position: u8,
     /// Whether other requests of the account and service were answered.
     pub others_answered: bool,
+    /// Whether the part itself was answered in the minutes before.
+    pub answered_before: bool,
     /// How often the part was seen again much later.
     pub renewed: u32,
     /// Whether it no longer counts as evidence against the part.
@@ -240,6 +246,23 @@
     pub age_ms: Millis,
 }
 
+/// Notice of an answer to a request with a part of a prompt that engines had ended under.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FeedPartAnswer {
+    /// Digest of the service.
+    pub service: u64,
+    /// The part.
+    pub part: PromptPart,
+    /// Digest of the client account; 0 for none.
+    pub account: u64,
+    /// Digest of the engine's incarnation.
+    pub engine: u64,
+    /// Tells answers of one engine apart.
+    pub id: u64,
+    /// Time since the answer.
+    pub age_ms: Millis,
+}
+
 /// Position of a follower in the feed of a node.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FeedCursor {
--- a/crates/net/src/feed_notice_codec.rs
+++ b/crates/net/src/feed_notice_codec.rs
@@ -2,9 +2,9 @@
 
 use heathpitch_core::{PromptPart, Rate, RequestFingerprint};
 
-use crate::feed_capnp::{end, leave, limit, part_end};
+use crate::feed_capnp::{end, leave, limit, part_answer, part_end};
 use crate::feed_codec::name;
-use crate::{FeedDrain, FeedExit, FeedLimit, FeedNotices, FeedPartExit};
+use crate::{FeedDrain, FeedExit, FeedLimit, FeedNotices, FeedPartAnswer, FeedPartExit};
 
 pub(crate) fn write_exits(from: &[FeedExit], mut to: capnp::struct_list::Builder<'_, end::Owned>) {
     for (i, e) in from.iter().enumerate() {
@@ -24,12 +24,14 @@
     leaves: capnp::struct_list::Reader<'_, leave::Owned>,
     limits: capnp::struct_list::Reader<'_, limit::Owned>,
     part_ends: capnp::struct_list::Reader<'_, part_end::Owned>,
+    part_answers: capnp::struct_list::Reader<'_, part_answer::Owned>,
 ) -> capnp::Result<FeedNotices> {
     Ok(FeedNotices {
         exits: ends.iter().map(read_exit).collect::<capnp::Result<_>>()?,
         drains: leaves.iter().map(read_drain).collect::<capnp::Result<_>>()?,
         limits: limits.iter().map(read_limit).collect::<capnp::Result<_>>()?,
         part_exits: part_ends.iter().map(read_part_exit).collect::<capnp::Result<_>>()?,
+        part_answers: part_answers.iter().map(read_part_answer).collect(),
     })
 }
 
@@ -44,6 +46,7 @@
         to.set_account(e.account);
         to.set_position(e.position);
         to.set_answered(e.others_answered);
+        to.set_seen(e.answered_before);
         let mut end = to.init_end();
         end.set_engine(e.engine.as_str());
         end.set_born(e.started_at.unwrap_or(0));
@@ -66,12 +69,39 @@
         events,
         position: from.get_position(),
         others_answered: from.get_answered(),
+        answered_before: from.get_seen(),
         renewed,
         cleared,
         age_ms,
     })
 }
 
+pub(crate) fn write_part_answers(
+    from: &[FeedPartAnswer],
+    mut to: capnp::struct_list::Builder<'_, part_answer::Owned>,
+) {
+    for (i, a) in from.iter().enumerate() {
+        let mut to = to.reborrow().get(i as u32);
+        to.set_service(a.service);
+        to.set_part(a.part.0);
+        to.set_account(a.account);
+        to.set_engine(a.engine);
+        to.set_id(a.id);
+        to.set_age_ms(a.age_ms);
+    }
+}
+
+fn read_part_answer(from: part_answer::Reader<'_>) -> FeedPartAnswer {
+    FeedPartAnswer {
+        service: from.get_service(),
+        part: PromptPart(from.get_part()),
+        account: from.get_account(),
+        engine: from.get_engine(),
+        id: from.get_id(),
+        age_ms: from.get_age_ms(),
+    }
+}
+
 fn read_exit(from: end::Reader<'_>) -> capnp::Result<FeedExit> {
     Ok(FeedExit {
         fingerprint: RequestFingerprint(from.get_print()),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -47,9 +47,10 @@
 pub use feed::{FeedClient, FeedServer};
 pub use feed_codec::{pack, unpack};
 pub use feed_message::{
-    FeedCursor, FeedDemand, FeedDrain, FeedEngines, FeedExit, FeedLimit, FeedNotices, FeedPartExit,
-    FeedPlanner, FeedPromise, FeedPromiseRate, FeedReport, FeedRequest, FeedResponse, FeedShare,
-    FeedShares, NoticeCursor, RetryRequest, RetryResponse, RightsRequest, RightsResponse,
+    FeedCursor, FeedDemand, FeedDrain, FeedEngines, FeedExit, FeedLimit, FeedNotices,
+    FeedPartAnswer, FeedPartExit, FeedPlanner, FeedPromise, FeedPromiseRate, FeedReport,
+    FeedRequest, FeedResponse, FeedShare, FeedShares, NoticeCursor, RetryRequest, RetryResponse,
+    RightsRequest, RightsResponse,
 };
 pub use forward::{ForwardHead, ForwardRefusal, ForwardedCall};
 pub use frame::{Frame, GenerateCall, Hop};
--- a/crates/policy/src/answered_parts.rs
+++ b/crates/policy/src/answered_parts.rs
@@ -1,13 +1,12 @@
-//! Parts of prompts that engines answered lately, so that exits of engines do not blame them.
+//! Parts of prompts that engines answered lately.
 
-use std::collections::HashSet;
+use std::collections::BTreeMap;
 
 use heathpitch_core::{Millis, PromptPart};
 
-/// Shortest time for which a part counts as answered; at most twice as long. Engines may be replaced
-/// by ones that a part crashes.
+/// Shortest time for which an answer is remembered; at most twice as long.
 const ANSWERED_MS: Millis = 60_000;
-/// Parts kept for each of the two periods, 24 bytes each. A node with 100 requests a second of four
+/// Parts kept for each of the two periods, 40 bytes each. A node with 100 requests a second of four
 /// parts each, half of them new, records as many in 80 s.
 const MAX_PARTS: usize = 16_384;
 
@@ -40,6 +39,9 @@
     }
 }
 
+/// When a part was last answered, and the digest of the engine's incarnation.
+pub type LastAnswer = (Millis, u64);
+
 /// Recently answered parts, in two periods of which the older one is dropped as a whole.
 ///
 /// # Examples
@@ -50,34 +52,45 @@
 ///
 /// let mut answered = AnsweredParts::default();
 /// let key = PartKey { service: 1, part: PromptPart::new("5c1e07a2"), account: 7 };
-/// answered.record(&[key], 1_000);
+/// let engine = 5;
+/// answered.record(&[key], engine, 1_000);
 /// assert!(answered.contains(&key, 61_000));
 /// assert!(!answered.contains(&PartKey { account: 8, ..key }, 1_000));
-/// assert!(answered.contains(&key.any_account(), 1_000));
+/// assert_eq!(answered.accounts(&key, 1_000), [(key, (1_000, engine))]);
 /// assert!(!answered.contains(&key, 130_000));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct AnsweredParts {
-    current: HashSet<PartKey>,
-    previous: HashSet<PartKey>,
+    current: BTreeMap<PartKey, LastAnswer>,
+    previous: BTreeMap<PartKey, LastAnswer>,
     /// Start of the current period.
     since: Millis,
 }
 
 impl AnsweredParts {
-    /// Records the parts of a prompt that an engine answered, for their account and for any.
-    pub fn record(&mut self, keys: &[PartKey], now: Millis) {
+    /// Records the parts of a prompt that an engine answered; `engine` is the digest of its incarnation.
+    pub fn record(&mut self, keys: &[PartKey], engine: u64, now: Millis) {
         self.rotate(now);
         if self.current.len() >= MAX_PARTS {
             self.start_period(now);
         }
-        self.current.extend(keys.iter().flat_map(|key| [*key, key.any_account()]));
+        self.current.extend(keys.iter().map(|key| (*key, (now, engine))));
     }
 
     /// Whether an engine answered this part lately.
     pub fn contains(&mut self, key: &PartKey, now: Millis) -> bool {
         self.rotate(now);
-        self.current.contains(key) || self.previous.contains(key)
+        self.current.contains_key(key) || self.previous.contains_key(key)
+    }
+
+    /// The part in the prompts of all client accounts for which engines answered it lately, and the last answer to each.
+    pub fn accounts(&mut self, key: &PartKey, now: Millis) -> Vec<(PartKey, LastAnswer)> {
+        self.rotate(now);
+        let range = PartKey { account: 0, ..*key }..=PartKey { account: u64::MAX, ..*key };
+        let (previous, current) = (self.previous.range(range.clone()), self.current.range(range));
+        let newest: BTreeMap<_, _> =
+            previous.chain(current).map(|(key, last)| (*key, *last)).collect();
+        newest.into_iter().collect()
     }
 
     fn rotate(&mut self, now: Millis) {
--- a/crates/policy/src/exit_book.rs
+++ b/crates/policy/src/exit_book.rs
@@ -21,7 +21,7 @@
 pub(crate) type ExitTime = i64;
 
 /// Time `age` before `now`.
-fn time_before(now: Millis, age: Millis) -> ExitTime {
+pub(crate) fn time_before(now: Millis, age: Millis) -> ExitTime {
     now as ExitTime - age as ExitTime
 }
 
@@ -32,8 +32,10 @@
     pub(crate) events: u32,
     /// Position of a part in its prompt, from 0; 0 for a whole request.
     pub(crate) position: u8,
-    /// Whether other requests of the same account and service were answered at that time.
+    /// Whether other requests of the same service were answered at that time.
     pub(crate) others_answered: bool,
+    /// Whether the suspect itself was answered in the minutes before.
+    pub(crate) answered_before: bool,
 }
 
 /// An exit as nodes exchange it; `S` is what is suspected.
@@ -144,18 +146,25 @@
         self.exits.len() < before
     }
 
-    /// Evicts the least important exit if there are too many: cleared exits first, those of held
-    /// suspects last, and the oldest of each kind first.
+    /// Evicts an eighth of the exits if there are too many: cleared ones first, then those of suspects with one exit, those
+    /// of held suspects last, and the oldest of each kind first.
     fn make_room(&mut self, held: &BTreeSet<S>) {
         if self.exits.len() <= MAX_EXITS {
             return;
         }
-        let worth = |(key, k): (&(S, EngineIncarnation), &ExitState)| {
-            (!k.cleared, held.contains(&key.0), k.at)
+        let mut counts: HashMap<S, usize> = HashMap::new();
+        for (suspect, _) in self.exits.keys() {
+            *counts.entry(*suspect).or_default() += 1;
+        }
+        let worth = |((suspect, _), k): &(&(S, EngineIncarnation), &ExitState)| {
+            (!k.cleared, held.contains(suspect), counts[suspect] > 1, k.at)
         };
-        let least = self.exits.iter().min_by_key(|e| worth(*e)).map(|(key, _)| key.clone());
-        if let Some(least) = least {
-            self.exits.remove(&least);
+        let mut all: Vec<_> = self.exits.iter().collect();
+        all.sort_by_key(worth);
+        let least: Vec<_> =
+            all.into_iter().take(MAX_EXITS / 8).map(|(key, _)| key.clone()).collect();
+        for key in least {
+            self.exits.remove(&key);
         }
     }
 }
@@ -178,7 +187,7 @@
         incarnation: &EngineIncarnation,
         now: Millis,
     ) -> RecordedExit {
-        let ExitDetails { events, position, others_answered } = self.details;
+        let ExitDetails { events, position, others_answered, .. } = self.details;
         let (incarnation, cleared, age) = (incarnation.clone(), self.cleared, self.age(now));
         RecordedExit { suspect, incarnation, events, position, others_answered, cleared, age }
     }
@@ -186,9 +195,11 @@
     /// Merges another state of the same exit; returns whether it changes anything.
     fn join(&mut self, update: Self) -> bool {
         let others_answered = self.details.others_answered || update.details.others_answered;
+        let answered_before = self.details.answered_before || update.details.answered_before;
         let new = (update.cleared && !self.cleared)
             || update.renewed > self.renewed
-            || others_answered != self.details.others_answered;
+            || others_answered != self.details.others_answered
+            || answered_before != self.details.answered_before;
         let at = match update.renewed.cmp(&self.renewed) {
             Ordering::Greater => update.at,
             // The older one, so that passing an exit back and forth does not make it younger.
@@ -200,6 +211,7 @@
             events: self.details.events.min(update.details.events),
             position: self.details.position.max(update.details.position),
             others_answered,
+            answered_before,
         };
         *self = Self {
             details,
@@ -220,22 +232,6 @@
         counting.map(|((suspect, incarnation), k)| (*suspect, incarnation, k))
     }
 
-    /// All exits.
-    pub(crate) fn all(&self) -> impl Iterator<Item = (S, &EngineIncarnation, &ExitState)> {
-        self.exits.iter().map(|((suspect, incarnation), k)| (*suspect, incarnation, k))
-    }
-
-    /// Exits that are cleared.
-    pub(crate) fn cleared(&self) -> impl Iterator<Item = (S, &EngineIncarnation, &ExitState)> {
-        let cleared = self.exits.iter().filter(|(_, k)| k.cleared);
-        cleared.map(|((suspect, incarnation), k)| (*suspect, incarnation, k))
-    }
-
-    /// Whether an exit under a suspect is cleared.
-    pub(crate) fn is_cleared(&self, suspect: S) -> bool {
-        self.cleared().any(|(s, ..)| s == suspect)
-    }
-
     /// Engine incarnations whose exits are not cleared.
     pub(crate) fn incarnations(&self) -> impl Iterator<Item = &EngineIncarnation> {
         let exits = self.exits.iter().filter(|(_, k)| !k.cleared);
--- a/crates/policy/src/exit_record.rs
+++ b/crates/policy/src/exit_record.rs
@@ -10,12 +10,15 @@
 
 use heathpitch_core::Millis;
 
-use crate::{EngineIncarnation, Suspect};
+use crate::{EngineIncarnation, PartAnswer, Suspect};
 
 /// Most exits in a record, some hundred bytes each.
 const MAX_RECORDED: usize = 256;
 /// Most of them under one suspect: more than any verdict needs.
 const MAX_PER_SUSPECT: usize = 8;
+/// Most answers in a record, and what their lines begin with.
+const MAX_RECORDED_ANSWERS: usize = 128;
+const ANSWER: &str = "answer";
 /// Least interval between writes that add exits.
 const ADD_INTERVAL_MS: Millis = 500;
 /// The same for writes that only drop exits.
@@ -37,12 +40,21 @@
     pub position: u8,
     /// Whether a node knew answers to other requests of the account and service.
     pub others_answered: bool,
-    /// Whether it stands for an answer ([`PartExit::answered_for_another`](crate::PartExit::answered_for_another)).
+    /// Whether it no longer counts; older nodes record some of these.
     pub cleared: bool,
     /// Age when the record was made.
     pub age: Millis,
 }
 
+/// An answer in a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RecordedAnswer {
+    /// The answer.
+    pub answer: PartAnswer,
+    /// Age when the record was made.
+    pub age: Millis,
+}
+
 impl RecordedExit {
     /// What the stored format tells of it, other than its age and details.
     fn content(&self) -> (Suspect, EngineIncarnation, &'static str) {
@@ -85,6 +97,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ExitRecord {
     exits: Vec<RecordedExit>,
+    answers: Vec<RecordedAnswer>,
 }
 
 /// Values in the stored format for whether others were answered, or the part for another account.
@@ -105,19 +118,29 @@
         let mut groups: Vec<_> = by_suspect.into_values().collect();
         groups.sort_by_key(|exits| std::cmp::Reverse(exits.len()));
         let kept = groups.into_iter().flat_map(|of| of.into_values().take(MAX_PER_SUSPECT));
-        Self { exits: kept.take(MAX_RECORDED).collect() }
+        Self { exits: kept.take(MAX_RECORDED).collect(), answers: Vec::new() }
+    }
+
+    /// Adds answers to parts of prompts; where there are too many, the oldest ones are left out.
+    #[must_use]
+    pub fn with_answers(mut self, mut answers: Vec<RecordedAnswer>) -> Self {
+        answers.sort_by_key(|answer| answer.age);
+        answers.truncate(MAX_RECORDED_ANSWERS);
+        self.answers = answers;
+        self
     }
 
     /// Parses a record; also returns the number of unreadable lines.
     pub fn read(text: &str) -> (Self, usize) {
-        let lines = text.lines().take(MAX_RECORDED);
-        let exits: Vec<_> = lines.filter_map(read_line).collect();
-        let unreadable = text.lines().count() - exits.len();
-        (Self { exits }, unreadable)
+        let lines = || text.lines().take(MAX_RECORDED + MAX_RECORDED_ANSWERS);
+        let exits: Vec<_> = lines().filter_map(read_line).collect();
+        let answers: Vec<_> = lines().filter_map(read_answer).collect();
+        let unreadable = text.lines().count() - exits.len() - answers.len();
+        (Self { exits, answers }, unreadable)
     }
 
     /// Formats the record, one line per exit: suspect, engine, its start time (0 if unknown),
-    /// events, position, state, and age in milliseconds.
+    /// events, position, state, and age in milliseconds; then one per answer, with the part, the engine, its id and its age.
     pub fn text(&self) -> String {
         let mut text = String::new();
         for exit in &self.exits {
@@ -129,9 +152,18 @@
             let _ =
                 writeln!(text, "{suspect} {engine} {started_at} {events} {position} {state} {age}");
         }
+        for RecordedAnswer { answer: PartAnswer { key, engine, id }, age } in &self.answers {
+            let part = Suspect::Part(*key);
+            let _ = writeln!(text, "{ANSWER} {part} {engine:016x} {id:016x} {age}");
+        }
         text
     }
 
+    /// The answers.
+    pub fn answers(&self) -> &[RecordedAnswer] {
+        &self.answers
+    }
+
     /// The exits.
     pub fn exits(&self) -> &[RecordedExit] {
         &self.exits
@@ -156,6 +188,16 @@
     Some(RecordedExit { suspect, incarnation, events, position, others_answered, cleared, age })
 }
 
+fn read_answer(line: &str) -> Option<RecordedAnswer> {
+    let mut fields = line.strip_prefix(ANSWER)?.strip_prefix(' ')?.split(' ');
+    let mut next = || fields.next();
+    let Suspect::Part(key) = next()?.parse().ok()? else { return None };
+    let engine = u64::from_str_radix(next()?, 16).ok()?;
+    let id = u64::from_str_radix(next()?, 16).ok()?;
+    let age = next()?.parse().ok()?;
+    Some(RecordedAnswer { answer: PartAnswer { key, engine, id }, age })
+}
+
 /// Schedules the writes of the record, which all planners share.
 ///
 /// # Examples
--- a/crates/policy/src/part_exits.rs
+++ b/crates/policy/src/part_exits.rs
@@ -21,11 +21,6 @@
         found
     }
 
-    /// Parts and the engines that exited under each.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (PartKey, &BTreeSet<&'a EngineIncarnation>)> {
-        self.by_part.iter().map(|(key, exits)| (*key, exits))
-    }
-
     /// Whether a part was running at all these exits and at others, so that it explains them better
     /// than what was running at these only.
     pub(crate) fn explain(&self, exits: &BTreeSet<&EngineIncarnation>) -> bool {
--- a/crates/policy/src/part_quarantine.rs
+++ b/crates/policy/src/part_quarantine.rs
@@ -1,38 +1,42 @@
 //! Quarantine of parts of prompts that crash engines, in requests of which no two are alike.
 //!
-//! Each request that is lost with its engine blames all parts of its prompt but the last, which
-//! belongs to the request itself. What distinguishes the faulty part is that it was never answered:
-//! nodes clear every other part that they know an answer to (`AnsweredParts`), and tell each other.
-//! A verdict therefore waits until the exits are settled, and needs further signs that the part is
-//! the cause: exits at several moments, since engines of one host exit together, and answers to
-//! other requests of the same account, since without any nothing distinguishes a part.
+//! Each request that is lost with its engine blames all parts of its prompt. What distinguishes the
+//! faulty part is a rate: of the requests with it that engines began since it began to crash them,
+//! most ended their engine; of those with a sound part, which share these engines, few did. Nodes
+//! tell each other the exits under each part, and the answers to parts with exits, and each node
+//! judges by the sequential test of `exit_rate`. An exit counts once answers that were on the way
+//! with it must have been reported. Where a service answers nobody, nothing is held back.
 //!
-//! Of several parts one that is held back already is blamed first and explains its exits, then the
-//! one under which most engines exited; among equals the one for which they had delivered fewer
-//! events, then the last in the prompt, which occurs in the fewest requests.
+//! Of several parts one that is held back already is blamed first and explains its exits, unless
+//! others with more weight were running at all of them; then the one with the most weight; among
+//! equals the one for which engines had delivered fewer events, then the last in the prompt, which
+//! occurs in the fewest requests. The weight is the score, less for a part that was answered in the
+//! minutes before: parts that many sound requests share were.
 //!
 //! Callers name the parts, so that exits under the requests of one account hold back requests of
-//! that account only. Those under several accounts hold back all, unless the part was answered for
-//! another one: a cleared exit of any account ([`PartExit::answered_for_another`]) tells this.
+//! that account only. Those under several accounts hold back all, except an account that engines
+//! answered the part for and that has no exit under it.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use heathpitch_core::{Millis, PromptPart};
 
-use crate::exit_book::{Exit, ExitBook, ExitDetails, ExitState, ExitTime};
+use crate::exit_book::{Exit, ExitBook, ExitDetails, ExitState, ExitTime, time_before};
+use crate::exit_rate::{SUSPICION_SCORE, VERDICT_SCORE};
+use crate::part_answers::PartAnswers;
 use crate::part_exits::PartExits;
-use crate::{EngineIncarnation, PartKey, RecordedExit, Suspect};
-
-/// Engines that must have exited under a part before it is held back: one fewer than agreed, as an
-/// exit may go unnoticed.
-const MIN_ENGINES: usize = 4;
-/// Engines that must have exited under a part before calls with it are not retried.
-const MIN_SUSPECT_ENGINES: usize = 2;
-/// Different moments at which they must have exited.
-const MIN_MOMENTS: usize = 3;
-/// Time within which exits count as one moment: those of one host are detected within it.
-const MOMENT_MS: Millis = 100;
+use crate::part_scope::{PartScope, is_dominated, unexplained_score};
+use crate::{
+    AnsweredParts, EngineIncarnation, PartAnswer, PartKey, RecordedAnswer, RecordedExit, Suspect,
+};
+
+/// Score down to which a part stays held back: answers that were on the way do not release it.
+const RELEASE_SCORE: u32 = 1;
+/// Engines that must have exited under a part before what is known of it is logged.
+const MIN_LOGGED_ENGINES: usize = 4;
+/// Most accounts whose answers a node reports when it learns of an exit.
+const MAX_REPORTED_ACCOUNTS: usize = 8;
 /// Age from which an exit counts: nodes that know an answer to the part have reported it by then.
 const SETTLE_MS: Millis = 1_000;
 
@@ -49,20 +53,14 @@
     pub position: u8,
     /// Whether a node knew answers to other requests of the account and service.
     pub others_answered: bool,
+    /// Whether a node knew an answer to the part from the minutes before.
+    pub answered_before: bool,
     /// How often the part came again late in its quarantine, which extends it.
     pub renewed: u32,
-    /// Whether it no longer counts: the part was answered, or the engine is alive.
+    /// Whether it no longer counts: its store entry was deleted, or the engine is alive.
     pub cleared: bool,
 }
 
-impl PartExit {
-    /// What nodes exchange in addition once they know an answer to the part for another account.
-    #[must_use]
-    pub fn answered_for_another(&self) -> Self {
-        Self { key: self.key.any_account(), cleared: true, ..self.clone() }
-    }
-}
-
 /// Requests that are held back for a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct HeldPart {
@@ -75,39 +73,28 @@
 }
 
 impl HeldPart {
-    /// Whether requests with this part are held back.
+    /// Whether requests with this part are held back, unless their account is exempt.
     pub fn covers(&self, key: &PartKey) -> bool {
         (self.service, self.part) == (key.service, key.part)
             && self.account.is_none_or(|account| account == key.account)
     }
 }
 
-/// What is known of a part under which several engines exited and which is not held back.
+/// What is known of a part that may be the cause of exits and is not held back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PartEvidence {
-    /// The part.
-    pub key: PartKey,
+    /// The part and the only client account concerned.
+    pub scope: HeldPart,
     /// Engines that exited under it.
     pub engines: usize,
-    /// Those whose exits do not count, as the part was answered or the engine responds.
-    pub cleared: usize,
-    /// Moments of the exits that count.
-    pub moments: usize,
-    /// Whether a node knew answers to other requests of the account and service.
+    /// Known answers to it.
+    pub answers: usize,
+    /// Score by the sequential test of exits and answers.
+    pub score: u32,
+    /// Whether a node knew answers to other requests of the service.
     pub others_answered: bool,
 }
 
-/// A part under which enough engines exited.
-struct Candidate<'a> {
-    held: HeldPart,
-    incarnations: BTreeSet<&'a EngineIncarnation>,
-    /// Whether the part is held back already, for whatever account.
-    was_held: bool,
-    /// Events delivered, summed over these engines.
-    events: u32,
-    position: u8,
-}
-
 /// Known exits by part, and the parts that are held back for them.
 ///
 /// # Examples
@@ -126,6 +113,7 @@
 ///         events: 0,
 ///         position: 1,
 ///         others_answered: true,
+///         answered_before: false,
 ///         renewed: 0,
 ///         cleared: false,
 ///     };
@@ -140,6 +128,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PartQuarantine {
     exits: ExitBook<PartKey>,
+    answers: PartAnswers,
     held: BTreeSet<HeldPart>,
     /// Parts with exits that `held` covers.
     evidence: BTreeSet<PartKey>,
@@ -151,14 +140,58 @@
 impl PartQuarantine {
     /// Merges an exit that has been known for `age`; returns whether it changes anything.
     pub fn learn(&mut self, exit: PartExit, age: Millis, now: Millis) -> bool {
-        let PartExit { key, incarnation, events, position, others_answered, renewed, cleared } =
-            exit;
-        let details = ExitDetails { events, position, others_answered };
+        let PartExit { key, incarnation, renewed, cleared, .. } = exit;
+        let PartExit { events, position, others_answered, answered_before, .. } = exit;
+        let details = ExitDetails { events, position, others_answered, answered_before };
         let exit = Exit { suspect: key, incarnation, details, renewed, cleared };
         self.exits.learn(exit, age, now, &self.evidence)
     }
 
-    /// Clears the exits of parts that were answered; returns whether there were any.
+    /// Merges an exit, and what a node knows of answers to the part; returns whether that changes anything. `node` is the
+    /// random id of the node's incarnation.
+    pub fn learn_beside(
+        &mut self,
+        exit: PartExit,
+        age: Millis,
+        now: Millis,
+        answered: &mut AnsweredParts,
+        node: u64,
+    ) -> bool {
+        let (key, exit_at) = (exit.key, time_before(now, age));
+        let others_answered = exit.others_answered || answered.contains(&key.any(), now);
+        let answered_before = exit.answered_before || answered.contains(&key, now);
+        if !self.learn(PartExit { others_answered, answered_before, ..exit }, age, now) {
+            return false;
+        }
+        let known = answered.accounts(&key, now).into_iter();
+        let relevant = known.filter(|(k, (at, _))| *k != key || *at as ExitTime > exit_at);
+        for (k, (at, engine)) in relevant.take(MAX_REPORTED_ACCOUNTS) {
+            let answer = PartAnswer::new(k, engine, node, at);
+            self.learn_answer(answer, now.saturating_sub(at), now);
+        }
+        true
+    }
+
+    /// Adds an answer that was given `age` ago; returns whether it changes anything.
+    ///
+    /// It does if it changes the score of the part, or if it is the first one for an account without exits, which is exempt
+    /// from a verdict on others.
+    pub fn learn_answer(&mut self, answer: PartAnswer, age: Millis, now: Millis) -> bool {
+        let PartAnswer { key, engine, .. } = answer;
+        let mut scopes = self.scopes_of(key.service, key.part);
+        let has_exits = scopes.iter().any(|s| s.held.account == Some(key.account));
+        let is_first = !self.answers.of(key.service, key.part).any(|(a, _)| a.key == key);
+        let trial = (time_before(now, age), engine);
+        let counts = scopes.iter_mut().any(|s| {
+            let before = s.total_score();
+            s.answers.push(trial);
+            s.held.covers(&key) && s.total_score() != before
+        });
+        let useful = counts || is_first && !has_exits && !scopes.is_empty();
+        useful && self.answers.learn(answer, age, now)
+    }
+
+    /// Clears the exits of parts; returns whether there were any.
     pub fn clear(&mut self, keys: &[PartKey]) -> bool {
         self.exits.clear(|key, _| keys.contains(key))
     }
@@ -180,8 +213,9 @@
         covered.into_iter().fold(false, |renewed, key| self.exits.renew(key, now) | renewed)
     }
 
-    /// Drops expired exits; returns whether there were any.
+    /// Drops expired exits and answers; returns whether there were any exits.
     pub fn expire(&mut self, now: Millis) -> bool {
+        self.answers.expire(now);
         self.exits.expire(now)
     }
 }
@@ -211,77 +245,105 @@
             .any(|(.., exit)| exit.is_settled(now) && !exit.is_settled(self.decided_at))
     }
 
+    /// The part that best explains the exits is blamed first and explains its exits; each further one must have enough
+    /// exits that no part blamed before explains.
     fn verdict(&self, now: Millis) -> BTreeSet<HeldPart> {
         let candidates = self.candidates(now);
         let mut explained: BTreeSet<&EngineIncarnation> = BTreeSet::new();
         let mut blamed = BTreeSet::new();
         loop {
-            let unexplained = |s: &Candidate<'_>| s.incarnations.difference(&explained).count();
-            let left = candidates.iter().filter(|s| unexplained(s) >= MIN_ENGINES);
+            let score = |s: &PartScope<'_>| s.score(|i, _| !explained.contains(i));
+            let left = candidates.iter().filter(|s| score(s) >= self.required_score(s));
             // One that holds back a single account comes after the same part for all.
-            let order = |s: &&Candidate<'_>| {
+            let order = |s: &&PartScope<'_>| {
                 let all = s.held.account.is_none();
-                (s.was_held, unexplained(s), Reverse(s.events), s.position, all)
+                let keeps = self.was_held(s) && !is_dominated(s, &candidates);
+                (keeps, s.weight(score(s)), Reverse(s.events()), s.position(), all)
             };
             let Some(worst) = left.max_by_key(order) else { return blamed };
             blamed.insert(worst.held);
-            explained.extend(&worst.incarnations);
+            explained.extend(worst.incarnations());
+        }
+    }
+
+    /// Score that a part needs to be held back, or to stay so.
+    fn required_score(&self, scope: &PartScope<'_>) -> u32 {
+        match self.held.contains(&scope.held) || scope.judged_at().is_some() {
+            true => RELEASE_SCORE,
+            false => VERDICT_SCORE,
         }
     }
 
-    /// Parts under which enough engines exited, for each account and for all together.
-    fn candidates(&self, now: Millis) -> Vec<Candidate<'_>> {
+    /// Whether the part is held back already, for whatever account.
+    fn was_held(&self, scope: &PartScope<'_>) -> bool {
+        let PartScope { held, .. } = scope;
+        scope.judged_at().is_some()
+            || self.held.iter().any(|h| (h.service, h.part) == (held.service, held.part))
+    }
+
+    /// Parts with enough settled exits, for each account and for all together.
+    fn candidates(&self, now: Millis) -> Vec<PartScope<'_>> {
+        let mut scopes = self.scopes();
+        for scope in &mut scopes {
+            scope.exits.retain(|(_, exit)| exit.renewed > 0 || exit.is_settled(now));
+        }
+        scopes.retain(|s| {
+            s.others_answered()
+                && s.exits_score() >= VERDICT_SCORE
+                && s.total_score() >= self.required_score(s)
+        });
+        // Parts whose exits have not settled yet may explain those of one that has enough of them.
+        let suspects = self.suspects_at(now);
+        scopes.retain(|s| {
+            self.held.contains(&s.held) || unexplained_score(s, &suspects) >= self.required_score(s)
+        });
+        scopes
+    }
+
+    /// Exits and answers of each part, for each account with exits and for all together.
+    fn scopes(&self) -> Vec<PartScope<'_>> {
         let mut by_part: BTreeMap<_, BTreeMap<u64, Vec<_>>> = BTreeMap::new();
         for (key, incarnation, exit) in self.exits.counting() {
-            if exit.renewed > 0 || exit.is_settled(now) {
-                let accounts = by_part.entry((key.service, key.part)).or_default();
-                accounts.entry(key.account).or_default().push((incarnation, exit));
-            }
+            let accounts = by_part.entry((key.service, key.part)).or_default();
+            accounts.entry(key.account).or_default().push((incarnation, exit));
         }
-        let mut candidates = Vec::new();
-        for (&(service, part), accounts) in &by_part {
-            let single = accounts.iter().map(|(account, exits)| (Some(*account), exits.clone()));
-            let shared = accounts.len() > 1 && !self.is_answered_for_another(service, part);
-            let all = shared.then(|| (None, accounts.values().flatten().copied()));
-            let all = all.map(|(account, exits)| (account, exits.collect()));
-            for (account, exits) in single.chain(all) {
-                let held = HeldPart { service, part, account };
-                let was_held = self.held.iter().any(|h| (h.service, h.part) == (service, part));
-                candidates.extend(candidate(held, &exits, was_held));
+        let scopes = by_part.into_iter();
+        scopes.flat_map(|((service, part), of)| self.scopes_with(service, part, of)).collect()
+    }
+
+    /// The same of one part.
+    fn scopes_of(&self, service: u64, part: PromptPart) -> Vec<PartScope<'_>> {
+        let mut accounts: BTreeMap<u64, Vec<_>> = BTreeMap::new();
+        for (key, incarnation, exit) in self.exits.counting() {
+            if (key.service, key.part) == (service, part) {
+                accounts.entry(key.account).or_default().push((incarnation, exit));
             }
         }
-        candidates
+        self.scopes_with(service, part, accounts)
     }
-}
 
-/// # Answers for other accounts
-impl PartQuarantine {
-    /// Whether a node knew an answer to a part for an account without exits under it.
-    fn is_answered_for_another(&self, service: u64, part: PromptPart) -> bool {
-        let key = PartKey { service, part, account: 0 }.any_account();
-        self.exits.is_cleared(key)
+    fn scopes_with<'a>(
+        &self,
+        service: u64,
+        part: PromptPart,
+        accounts: BTreeMap<u64, Vec<(&'a EngineIncarnation, &'a ExitState)>>,
+    ) -> Vec<PartScope<'a>> {
+        let answers: Vec<_> = self.answers.of(service, part).collect();
+        let shared = (accounts.len() > 1).then(|| {
+            let exits = accounts.values().flatten().copied().collect();
+            let answers = answers.iter().map(|(answer, at)| (*at, answer.engine)).collect();
+            PartScope { held: HeldPart { service, part, account: None }, exits, answers }
+        });
+        let single = accounts.into_iter().map(|(account, exits)| {
+            let of = answers.iter().filter(|(answer, _)| answer.key.account == account);
+            let held = HeldPart { service, part, account: Some(account) };
+            let answers = of.map(|(answer, at)| (*at, answer.engine)).collect();
+            PartScope { held, exits, answers }
+        });
+        single.chain(shared).collect()
     }
 }
 
-/// Whether these exits suffice to hold back a part.
-fn candidate<'a>(
-    held: HeldPart,
-    exits: &[(&'a EngineIncarnation, &ExitState)],
-    was_held: bool,
-) -> Option<Candidate<'a>> {
-    let incarnations: BTreeSet<_> = exits.iter().map(|(incarnation, _)| *incarnation).collect();
-    // What was held back before has been judged, and its exits have the times of its renewal.
-    let was_judged = exits.iter().any(|(_, exit)| exit.renewed > 0);
-    let others_answered = exits.iter().any(|(_, exit)| exit.details.others_answered);
-    let enough = incarnations.len() >= MIN_ENGINES
-        && others_answered
-        && (was_judged || moments(exits) >= MIN_MOMENTS);
-    let position = exits.iter().map(|(_, exit)| exit.details.position).max()?;
-    let events = exits.iter().map(|(_, exit)| exit.details.events).sum();
-    let was_held = was_held || was_judged;
-    enough.then_some(Candidate { held, incarnations, was_held, events, position })
-}
-
 impl ExitState {
     /// Whether nodes that know an answer have reported it.
     fn is_settled(&self, now: Millis) -> bool {
@@ -289,24 +351,77 @@
     }
 }
 
-/// Number of moments at which these exits happened.
-fn moments(exits: &[(&EngineIncarnation, &ExitState)]) -> usize {
-    let mut times: Vec<ExitTime> = exits.iter().map(|(_, exit)| exit.at).collect();
-    times.sort_unstable();
-    let (mut count, mut end) = (0, 0);
-    for at in times {
-        if count == 0 || at >= end {
-            (count, end) = (count + 1, at + MOMENT_MS as ExitTime);
-        }
+/// # Suspicion
+impl PartQuarantine {
+    /// Parts that may be the cause of exits, without those whose exits another one explains better.
+    ///
+    /// One that was answered in the minutes before is not suspected until its exits have settled: sound parts that many
+    /// requests share are lost with every engine.
+    fn suspects(&self) -> Vec<PartScope<'_>> {
+        self.suspects_at(self.decided_at)
+    }
+
+    fn suspects_at(&self, now: Millis) -> Vec<PartScope<'_>> {
+        let mut suspects = self.scopes();
+        suspects.retain(|s| {
+            let settled = s.score(|_, exit| exit.renewed > 0 || exit.is_settled(now));
+            settled >= SUSPICION_SCORE || s.total_score() >= SUSPICION_SCORE && !s.answered_before()
+        });
+        let dominated: Vec<_> = suspects.iter().map(|s| is_dominated(s, &suspects)).collect();
+        let mut dominated = dominated.into_iter();
+        suspects.retain(|_| !dominated.next().unwrap_or(false));
+        suspects
+    }
+
+    /// Parts that may be the cause of several exits: calls with one are not retried.
+    pub fn suspected(&self) -> HashSet<PartKey> {
+        let suspects = self.suspects();
+        let keys = self.exits.counting().map(|(key, ..)| key);
+        keys.filter(|key| suspects.iter().any(|s| s.held.covers(key))).collect()
+    }
+
+    /// Exits under parts that may be their cause.
+    pub(crate) fn part_exits(&self) -> PartExits<'_> {
+        let suspects = self.suspects();
+        let exits =
+            self.exits.counting().filter(|(key, ..)| suspects.iter().any(|s| s.held.covers(key)));
+        PartExits::new(exits.map(|(key, incarnation, _)| (key, incarnation)))
+    }
+
+    /// What is known of parts that may be the cause of as many exits as a verdict needs and are not held back.
+    pub fn undecided_parts(&self) -> Vec<PartEvidence> {
+        let evidence = |s: &PartScope<'_>| PartEvidence {
+            scope: s.held,
+            engines: s.incarnations().len(),
+            answers: s.answers.len(),
+            score: s.total_score(),
+            others_answered: s.others_answered(),
+        };
+        let is_held = |s: &PartScope<'_>| self.held.contains(&s.held);
+        let suspects = self.suspects();
+        let undecided = suspects.iter().filter(|s| !is_held(s)).map(evidence);
+        undecided.filter(|e| e.engines >= MIN_LOGGED_ENGINES).collect()
     }
-    count
 }
 
 /// # Queries
 impl PartQuarantine {
     /// Whether requests with this part are held back.
     pub fn holds(&self, key: &PartKey) -> bool {
-        self.held.iter().any(|h| h.covers(key))
+        self.held.iter().any(|h| h.covers(key) && (h.account.is_some() || !self.is_exempt(key)))
+    }
+
+    /// Whether engines answered a part for an account without exits under it.
+    fn is_exempt(&self, key: &PartKey) -> bool {
+        self.answers.of(key.service, key.part).any(|(answer, _)| answer.key == *key)
+            && !self.exits.counting().any(|(k, ..)| k == *key)
+    }
+
+    /// Accounts that what is held back for all does not concern.
+    pub fn exempt(&self) -> HashSet<PartKey> {
+        let for_all = self.held.iter().filter(|held| held.account.is_none());
+        let answers = for_all.flat_map(|held| self.answers.of(held.service, held.part));
+        answers.map(|(answer, _)| answer.key).filter(|key| self.is_exempt(key)).collect()
     }
 
     /// What is held back.
@@ -328,57 +443,34 @@
         self.exits.evidence(key, now)
     }
 
-    /// Exits that count against parts which are not held back, and what is known of answers for other
-    /// accounts.
-    pub fn undecided(&self, now: Millis) -> impl Iterator<Item = RecordedExit> {
-        let undecided = self.exits.counting().filter(|(key, ..)| !self.evidence.contains(key));
-        let answers = self.exits.cleared().filter(|(key, ..)| *key == key.any_account());
-        undecided.chain(answers).map(move |(key, incarnation, exit)| {
-            exit.recorded(Suspect::Part(key), incarnation, now)
-        })
-    }
-
-    /// Parts that are not held back although as many engines exited under them as a verdict needs.
-    pub fn not_blamed(&self) -> Vec<PartEvidence> {
-        let mut by_part: BTreeMap<PartKey, Vec<_>> = BTreeMap::new();
-        for (key, incarnation, exit) in self.exits.all() {
-            by_part.entry(key).or_default().push((incarnation, exit));
-        }
-        let evidence = |(key, mut exits): (PartKey, Vec<(_, &ExitState)>)| {
-            let engines = exits.len();
-            let others_answered = exits.iter().any(|(_, exit)| exit.details.others_answered);
-            exits.retain(|(_, exit)| !exit.cleared);
-            let (cleared, moments) = (engines - exits.len(), moments(&exits));
-            PartEvidence { key, engines, cleared, moments, others_answered }
-        };
-        let undecided = by_part
-            .into_iter()
-            .filter(|(key, exits)| exits.len() >= MIN_ENGINES && !self.holds(key));
-        undecided.map(evidence).collect()
+    /// Exits and answers of parts that are not held back and have a score.
+    pub fn undecided(&self, now: Millis) -> (Vec<RecordedExit>, Vec<RecordedAnswer>) {
+        let open = self.open_parts();
+        let is_open =
+            |key: &PartKey| open.contains(&key.any_account()) && !self.evidence.contains(key);
+        let exits = self.exits.counting().filter(|(key, ..)| is_open(key));
+        let exits = exits
+            .map(|(key, incarnation, exit)| exit.recorded(Suspect::Part(key), incarnation, now));
+        let age = |at: ExitTime| (now as ExitTime).saturating_sub(at).max(0) as Millis;
+        let answers = self.answers.all().filter(|(answer, _)| is_open(&answer.key));
+        let answers = answers.map(|(answer, at)| RecordedAnswer { answer, age: age(at) });
+        (exits.collect(), answers.collect())
     }
 
-    /// Serial of the last change.
-    pub fn serial(&self) -> u64 {
-        self.exits.serial()
+    /// Parts to which answers count, each for any account.
+    pub fn open_parts(&self) -> HashSet<PartKey> {
+        let open = self.scopes().into_iter().filter(|s| s.total_score() > 0);
+        open.map(|PartScope { held, .. }| {
+            PartKey { service: held.service, part: held.part, account: 0 }.any_account()
+        })
+        .collect()
     }
 
-    /// Parts with exits that count.
-    pub fn known(&self) -> HashSet<PartKey> {
+    /// Keys of parts with exits that count.
+    pub fn exited_keys(&self) -> HashSet<PartKey> {
         self.exits.counting().map(|(key, ..)| key).collect()
     }
 
-    /// Parts that may be the cause of several exits: no other part is there at these and at more.
-    pub fn suspected(&self) -> HashSet<PartKey> {
-        let all = self.part_exits();
-        let several = all.iter().filter(|(_, exits)| exits.len() >= MIN_SUSPECT_ENGINES);
-        several.filter(|(_, exits)| !all.explain(exits)).map(|(key, _)| key).collect()
-    }
-
-    /// Exits that count, by part.
-    pub(crate) fn part_exits(&self) -> PartExits<'_> {
-        PartExits::new(self.exits.counting().map(|(key, incarnation, _)| (key, incarnation)))
-    }
-
     /// Remaining quarantine of a part if it does not come again.
     pub fn remaining(&self, key: PartKey, now: Millis) -> Millis {
         self.exits.remaining(key, now)
@@ -401,11 +493,29 @@
         let (exits, last) = self.exits.since(serial, most, now);
         let exit = |(exit, age): (Exit<PartKey>, Millis)| {
             let Exit { suspect: key, incarnation, details, renewed, cleared } = exit;
-            let ExitDetails { events, position, others_answered } = details;
-            let exit =
-                PartExit { key, incarnation, events, position, others_answered, renewed, cleared };
+            let ExitDetails { events, position, others_answered, answered_before } = details;
+            let exit = PartExit {
+                key,
+                incarnation,
+                events,
+                position,
+                others_answered,
+                answered_before,
+                renewed,
+                cleared,
+            };
             (exit, age)
         };
         (exits.into_iter().map(exit).collect(), last)
     }
+
+    /// Answers learned after `serial`, in order, with their ages, and the serial to continue from; at most `most`.
+    pub fn answers_since(
+        &self,
+        serial: u64,
+        most: usize,
+        now: Millis,
+    ) -> (Vec<(PartAnswer, Millis)>, u64) {
+        self.answers.since(serial, most, now)
+    }
 }
--- /dev/null
+++ b/crates/policy/src/part_scope.rs
@@ -0,0 +1,123 @@
+//! Exits and answers of a part of prompts, for one client account or for all together.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::exit_book::{ExitState, ExitTime};
+use crate::exit_rate::{AnswerTrial, score, score_after_verdict};
+use crate::{EngineIncarnation, HeldPart};
+
+/// Engines that a verdict which was made before must rest on, beside those that other parts explain.
+const MIN_JUDGED_ENGINES: usize = 4;
+
+/// What a part that was answered in the minutes before yields to one that was not, where both may be the cause of the
+/// same exits: two exits.
+const ANSWERED_BEFORE_YIELD: u32 = 6;
+
+/// What is known of a part.
+#[derive(Clone, Debug)]
+pub(crate) struct PartScope<'a> {
+    /// What a verdict would hold back.
+    pub(crate) held: HeldPart,
+    /// Exits that count; an engine may have exited under requests of several accounts.
+    pub(crate) exits: Vec<(&'a EngineIncarnation, &'a ExitState)>,
+    /// Answers.
+    pub(crate) answers: Vec<AnswerTrial>,
+}
+
+impl<'a> PartScope<'a> {
+    /// Score by the exits that match.
+    pub(crate) fn score(&self, counts: impl Fn(&EngineIncarnation, &ExitState) -> bool) -> u32 {
+        self.score_with(&self.answers, counts)
+    }
+
+    /// Score by all exits.
+    pub(crate) fn total_score(&self) -> u32 {
+        self.score(|_, _| true)
+    }
+
+    /// Score by all exits, without answers.
+    pub(crate) fn exits_score(&self) -> u32 {
+        self.score_with(&[], |_, _| true)
+    }
+
+    fn score_with(
+        &self,
+        answers: &[AnswerTrial],
+        counts: impl Fn(&EngineIncarnation, &ExitState) -> bool,
+    ) -> u32 {
+        let mut times: BTreeMap<&EngineIncarnation, ExitTime> = BTreeMap::new();
+        for (incarnation, exit) in self.exits.iter().filter(|(i, exit)| counts(i, exit)) {
+            let at = times.entry(incarnation).or_insert(exit.at);
+            *at = exit.at.min(*at);
+        }
+        match self.judged_at() {
+            Some(_) if times.len() < MIN_JUDGED_ENGINES => 0,
+            // The exits have the time of the verdict's renewal.
+            Some(at) => score_after_verdict(at, answers),
+            None => score(times.into_values(), answers),
+        }
+    }
+
+    /// Weight of a score against those of other parts with the same exits.
+    pub(crate) fn weight(&self, score: u32) -> u32 {
+        match self.answered_before() {
+            true => score.saturating_sub(ANSWERED_BEFORE_YIELD),
+            false => score,
+        }
+    }
+
+    /// When a verdict that rests on these exits was last renewed or loaded, if there is one.
+    pub(crate) fn judged_at(&self) -> Option<ExitTime> {
+        let judged = self.exits.iter().filter(|(_, exit)| exit.renewed > 0);
+        judged.map(|(_, exit)| exit.at).max()
+    }
+
+    /// Engines that exited.
+    pub(crate) fn incarnations(&self) -> BTreeSet<&'a EngineIncarnation> {
+        self.exits.iter().map(|(incarnation, _)| *incarnation).collect()
+    }
+
+    /// Events delivered, summed over the exits.
+    pub(crate) fn events(&self) -> u32 {
+        self.exits.iter().map(|(_, exit)| exit.details.events).sum()
+    }
+
+    /// Position of the part in prompts, from 0.
+    pub(crate) fn position(&self) -> u8 {
+        self.exits.iter().map(|(_, exit)| exit.details.position).max().unwrap_or(0)
+    }
+
+    /// Whether a node knew answers to other requests.
+    pub(crate) fn others_answered(&self) -> bool {
+        self.exits.iter().any(|(_, exit)| exit.details.others_answered)
+    }
+
+    /// Whether a node knew an answer to the part from the minutes before.
+    pub(crate) fn answered_before(&self) -> bool {
+        self.exits.iter().any(|(_, exit)| exit.details.answered_before)
+    }
+}
+
+/// Whether parts with more weight were running at all exits of this one, so that they explain these better.
+pub(crate) fn is_dominated(scope: &PartScope<'_>, others: &[PartScope<'_>]) -> bool {
+    scope.incarnations().is_subset(&explained_by(scope, others))
+}
+
+/// Score of a part by the exits that parts with more weight do not explain.
+pub(crate) fn unexplained_score(scope: &PartScope<'_>, others: &[PartScope<'_>]) -> u32 {
+    let explained = explained_by(scope, others);
+    scope.score(|incarnation, _| !explained.contains(incarnation))
+}
+
+/// Exits under other parts that have more weight than this one.
+fn explained_by<'a>(
+    scope: &PartScope<'a>,
+    others: &[PartScope<'a>],
+) -> BTreeSet<&'a EngineIncarnation> {
+    let weight = scope.weight(scope.total_score());
+    let stronger = others.iter().filter(|other| {
+        (other.held.service, other.held.part) != (scope.held.service, scope.held.part)
+            && other.weight(other.total_score()) > weight
+    });
+    stronger.flat_map(PartScope::incarnations).collect()
+}
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -13,7 +13,7 @@
 use heathpitch_core::{Millis, Name, RequestFingerprint};
 
 use crate::exit_book::{Exit, ExitBook, ExitDetails};
-use crate::{PartQuarantine, RecordedExit, Suspect};
+use crate::{Demand, PartQuarantine, RecordedExit, Suspect};
 
 /// Engines that must have terminated under a request before it is quarantined. Two also happen to
 /// harmless requests that are rerouted along with the faulty one. Three keeps the cost within the
@@ -46,6 +46,13 @@
     pub started_at: Option<Millis>,
 }
 
+impl EngineIncarnation {
+    /// Digest that nodes exchange in its place.
+    pub fn digest(&self) -> u64 {
+        Demand::key(&self.engine) ^ self.started_at.unwrap_or(0)
+    }
+}
+
 /// The termination of an engine while a request was running there.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineExit {
--- a/crates/policy/tests/exit_record.rs
+++ b/crates/policy/tests/exit_record.rs
@@ -37,6 +37,7 @@
         events: 0,
         position: 1,
         others_answered: true,
+        answered_before: false,
         renewed: 0,
         cleared: false,
     }
@@ -49,12 +50,12 @@
         parts.learn(part_exit(engine), 0, 500 * engine);
     }
     parts.decide(5_000);
-    let record = ExitRecord::new(parts.undecided(5_000));
+    let record = ExitRecord::new(parts.undecided(5_000).0);
     assert_eq!(record.exits().len(), 3);
     assert_eq!(ExitRecord::read(&record.text()), (record, 0));
     parts.learn(part_exit(3), 0, 5_000);
     parts.decide(6_000);
-    assert!(parts.holds(&PART) && parts.undecided(6_000).next().is_none());
+    assert!(parts.holds(&PART) && parts.undecided(6_000).0.is_empty());
 
     let mut requests = Quarantine::default();
     for engine in 0..2 {
@@ -72,14 +73,22 @@
     for engine in 0..3 {
         before.learn(part_exit(engine), 0, 500 * engine);
     }
-    let text = ExitRecord::new(before.undecided(2_000)).text();
+    let text = ExitRecord::new(before.undecided(2_000).0).text();
     let mut after = PartQuarantine::default();
     for exit in ExitRecord::read(&text).0.exits() {
         let Suspect::Part(key) = exit.suspect else { continue };
         let RecordedExit { incarnation, events, position, others_answered, age, .. } = exit.clone();
         let (renewed, cleared) = (0, false);
-        let exit =
-            PartExit { key, incarnation, events, position, others_answered, renewed, cleared };
+        let exit = PartExit {
+            key,
+            incarnation,
+            events,
+            position,
+            others_answered,
+            answered_before: false,
+            renewed,
+            cleared,
+        };
         after.learn(exit, age, 10_000);
     }
     after.decide(10_000);
--- a/crates/policy/tests/part_model/mod.rs
+++ b/crates/policy/tests/part_model/mod.rs
@@ -2,12 +2,10 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails its test")]
 
-use std::collections::HashSet;
-
 use heathpitch_core::{Millis, PromptPart};
 use heathpitch_policy::{
-    AnsweredParts, EngineIncarnation, ExitRecord, ExitRecorder, PartExit, PartKey, PartQuarantine,
-    RecordedExit, Suspect,
+    AnsweredParts, EngineIncarnation, ExitRecord, ExitRecorder, PartAnswer, PartExit, PartKey,
+    PartQuarantine, RecordedExit, Suspect,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -88,10 +86,23 @@
 
 #[derive(Default)]
 struct Node {
+    id: u64,
     quarantine: PartQuarantine,
     answered: AnsweredParts,
-    sent: u64,
-    received: u64,
+    /// Serials of the last exit and the last answer sent to the planner, and received from it.
+    sent: (u64, u64),
+    received: (u64, u64),
+}
+
+impl Node {
+    fn new(id: usize) -> Self {
+        Self { id: id as u64, ..Self::default() }
+    }
+
+    /// Learns of an exit that another node knows, or that it has detected itself.
+    fn learn(&mut self, exit: PartExit, age: Millis, now: Millis) -> bool {
+        self.quarantine.learn_beside(exit, age, now, &mut self.answered, self.id)
+    }
 }
 
 #[derive(Clone)]
@@ -139,8 +150,8 @@
         Self {
             scene,
             rng: SmallRng::seed_from_u64(seed),
-            nodes: (0..scene.nodes).map(|_| Node::default()).collect(),
-            planners: (0..DOMAINS).map(|_| Node::default()).collect(),
+            nodes: (0..scene.nodes).map(Node::new).collect(),
+            planners: (scene.nodes..scene.nodes + DOMAINS).map(Node::new).collect(),
             stored: Stored::default(),
             running: vec![Vec::new(); engines],
             up_at: vec![0; engines],
@@ -185,12 +196,14 @@
                 events,
                 position: quarantine.position(key),
                 others_answered: true,
+                answered_before: false,
                 renewed: 1,
                 cleared: false,
             };
             self.stored.verdicts.extend(quarantine.evidence(key, now).map(verdict));
         }
-        let record = ExitRecord::new(quarantine.undecided(now));
+        let (exits, answers) = quarantine.undecided(now);
+        let record = ExitRecord::new(exits).with_answers(answers);
         if self.scene.records && self.stored.recorder.is_due(&record, true, now) {
             self.stored.recorder.stored(&record, now);
             self.stored.record = record;
@@ -200,7 +213,7 @@
     /// All nodes start anew and read the store.
     fn restart(&mut self, now: Millis) {
         for node in self.nodes.iter_mut().chain(&mut self.planners) {
-            *node = Node::default();
+            *node = Node { id: node.id, ..Node::default() };
             for exit in &self.stored.verdicts {
                 node.quarantine.learn(exit.clone(), 0, now);
             }
@@ -215,11 +228,15 @@
                     events,
                     position,
                     others_answered,
+                    answered_before: false,
                     renewed,
                     cleared,
                 };
                 node.quarantine.learn(exit, age, now);
             }
+            for answer in self.stored.record.answers() {
+                node.quarantine.learn_answer(answer.answer, answer.age, now);
+            }
             node.quarantine.decide(now);
         }
     }
@@ -275,16 +292,23 @@
     }
 
     fn answer(&mut self, now: Millis) {
-        for run in self.running.iter_mut().flatten() {
+        let running = self.running.iter_mut().zip(&self.incarnations);
+        for (run, engine) in running.flat_map(|(of, i)| of.iter_mut().map(move |r| (r, *i))) {
             if run.fatal || run.past_start || now < run.started + START_MS {
                 continue;
             }
             run.past_start = true;
             let node = &mut self.nodes[run.node];
             if self.scene.remembers {
-                node.answered.record(&run.parts, now);
-                node.answered.record(&[key(FIRST).any()], now);
-                node.quarantine.clear(&run.parts);
+                node.answered.record(&run.parts, engine, now);
+                node.answered.record(&[key(FIRST).any()], engine, now);
+                for part in &run.parts {
+                    node.quarantine.learn_answer(
+                        PartAnswer::new(*part, engine, node.id, now),
+                        0,
+                        now,
+                    );
+                }
             }
         }
         for running in &mut self.running {
@@ -339,21 +363,18 @@
         let due: Vec<_> = self.lost.extract_if(.., |(at, ..)| *at <= now).collect();
         for (_, incarnation, run, events) in due {
             let node = &mut self.nodes[run.node];
-            let others_answered =
-                node.answered.contains(&key(FIRST).any(), now) || !self.scene.remembers;
             for (position, key) in run.parts.iter().enumerate() {
-                if !node.answered.contains(key, now) {
-                    let exit = PartExit {
-                        key: *key,
-                        incarnation: incarnation.clone(),
-                        events,
-                        position: position as u8,
-                        others_answered,
-                        renewed: 0,
-                        cleared: false,
-                    };
-                    node.quarantine.learn(exit, 0, now);
-                }
+                let exit = PartExit {
+                    key: *key,
+                    incarnation: incarnation.clone(),
+                    events,
+                    position: position as u8,
+                    others_answered: !self.scene.remembers,
+                    answered_before: false,
+                    renewed: 0,
+                    cleared: false,
+                };
+                node.learn(exit, 0, now);
             }
             node.quarantine.decide(now);
         }
@@ -378,26 +399,25 @@
 
 /// Exchanges what is new between a node and its planner.
 fn swap(node: &mut Node, planner: &mut Node, now: Millis) {
-    let (own, sent) = node.quarantine.since(node.sent, usize::MAX, now);
-    node.sent = sent;
-    for (exit, age) in own {
-        planner.quarantine.learn(exit, age, now);
-    }
-    let (new, received) = planner.quarantine.since(node.received, usize::MAX, now);
-    node.received = received;
+    node.sent = tell(node, planner, node.sent, now);
+    node.received = tell(planner, node, node.received, now);
+}
+
+/// Tells a node the exits and answers that another one knows after these serials; returns the next serials.
+fn tell(from: &Node, to: &mut Node, after: (u64, u64), now: Millis) -> (u64, u64) {
+    let (exits, last_exit) = from.quarantine.since(after.0, usize::MAX, now);
+    let (answers, last_answer) = from.quarantine.answers_since(after.1, usize::MAX, now);
     let mut changed = false;
-    let mut answered = HashSet::new();
-    for (exit, age) in new {
-        if node.answered.contains(&exit.key, now) {
-            answered.insert(exit.key);
-        }
-        let others_answered = exit.others_answered || node.answered.contains(&exit.key.any(), now);
-        changed |= node.quarantine.learn(PartExit { others_answered, ..exit }, age, now);
+    for (exit, age) in exits {
+        changed |= to.learn(exit, age, now);
+    }
+    for (answer, age) in answers {
+        changed |= to.quarantine.learn_answer(answer, age, now);
     }
-    changed |= node.quarantine.clear(&answered.into_iter().collect::<Vec<_>>());
-    if changed || node.quarantine.is_decision_due(now) {
-        node.quarantine.decide(now);
+    if changed || to.quarantine.is_decision_due(now) {
+        to.quarantine.decide(now);
     }
+    (last_exit, last_answer)
 }
 
 /// Plays a scene with several seeds; the sums, and the late requests of the worst seed.
--- a/crates/policy/tests/part_quarantine.rs
+++ b/crates/policy/tests/part_quarantine.rs
@@ -7,7 +7,7 @@
 
 use heathpitch_core::{Millis, PromptPart, RequestFingerprint};
 use heathpitch_policy::{
-    EngineIncarnation, HeldPart, PartExit, PartKey, PartQuarantine, Quarantine,
+    EngineIncarnation, HeldPart, PartAnswer, PartExit, PartKey, PartQuarantine, Quarantine,
 };
 
 const ACCOUNT: u64 = 7;
@@ -28,6 +28,7 @@
         events: 0,
         position,
         others_answered: true,
+        answered_before: false,
         renewed: 0,
         cleared: false,
     }
@@ -122,18 +123,18 @@
     unanswered.decide(SETTLED_MS);
     assert!(unanswered.holds(&part(9)), "no answer is known");
 
-    let answered = exit(part(ACCOUNT), 0, 1).answered_for_another();
-    assert!(quarantine.learn(answered.clone(), 0, SETTLED_MS));
+    let answered = PartAnswer::new(part(9), 1, 1, 0);
+    assert!(quarantine.learn_answer(answered, 0, SETTLED_MS));
     quarantine.decide(SETTLED_MS);
     assert!(!quarantine.holds(&part(9)));
     assert!(quarantine.holds(&part(ACCOUNT)) && quarantine.holds(&part(OTHER_ACCOUNT)));
-    let reported = quarantine.since(0, usize::MAX, SETTLED_MS).0;
-    assert!(reported.iter().any(|(exit, _)| *exit == answered), "other nodes learn of it");
-    assert!(quarantine.undecided(SETTLED_MS).any(|e| e.cleared), "nodes that start learn of it");
+    assert!(quarantine.holds(&part(10)), "no answer is known for this one");
+    let reported = quarantine.answers_since(0, usize::MAX, SETTLED_MS).0;
+    assert_eq!(reported, [(answered, 0)], "other nodes learn of it");
 }
 
 #[test]
-fn an_answer_clears_a_part_and_an_engine_that_answers_clears_its_exit() {
+fn a_cleared_part_is_let_through_and_an_engine_that_answers_clears_its_exit() {
     let (fatal, mut quarantine) = (key(FATAL, ACCOUNT), PartQuarantine::default());
     record(&mut quarantine, fatal, 1, &[1, 2, 3, 4]);
     quarantine.decide(SETTLED_MS);
@@ -146,6 +147,85 @@
     assert!(!alive.holds(&fatal));
 }
 
+/// Learns answers, one of each engine; returns how many of them count.
+fn answer(quarantine: &mut PartQuarantine, key: PartKey, answers: &[(u64, Millis)]) -> usize {
+    let learn = |(engine, at): &(u64, Millis)| {
+        let answer = PartAnswer::new(key, *engine, 1, *at);
+        quarantine.learn_answer(answer, SETTLED_MS - at, SETTLED_MS)
+    };
+    answers.iter().map(learn).filter(|counts| *counts).count()
+}
+
+/// Guards against answers from before engines began to exit that keep a part from being blamed.
+#[test]
+fn answers_from_before_the_first_exit_do_not_count() {
+    let (fatal, mut quarantine) = (key(FATAL, ACCOUNT), PartQuarantine::default());
+    for engine in 1..=4 {
+        let at = 1_000 + 500 * u64::from(engine);
+        quarantine.learn(exit(fatal, engine, 1), SETTLED_MS - at, SETTLED_MS);
+    }
+    assert_eq!(answer(&mut quarantine, fatal, &[(11, 200), (12, 400), (13, 600)]), 0);
+    quarantine.decide(SETTLED_MS);
+    assert!(quarantine.holds(&fatal));
+}
+
+/// Guards against an answer that clears a part although other engines do not bear it.
+#[test]
+fn an_answer_between_exits_takes_less_than_an_exit_to_make_up_for() {
+    let (fatal, mut quarantine) = (key(FATAL, ACCOUNT), PartQuarantine::default());
+    record(&mut quarantine, fatal, 1, &[1, 2, 3, 4]);
+    assert_eq!(answer(&mut quarantine, fatal, &[(11, 700)]), 1);
+    quarantine.decide(SETTLED_MS);
+    assert!(!quarantine.holds(&fatal), "four exits and an answer");
+    quarantine.learn(exit(fatal, 5, 1), SETTLED_MS - 2_000, SETTLED_MS);
+    quarantine.decide(SETTLED_MS);
+    assert!(quarantine.holds(&fatal), "five exits and an answer");
+}
+
+/// Guards against engines that bear a part and get most requests with it once others have exited.
+#[test]
+fn answers_of_one_engine_count_once_in_three_seconds() {
+    let (fatal, mut quarantine) = (key(FATAL, ACCOUNT), PartQuarantine::default());
+    record(&mut quarantine, fatal, 1, &[1, 2, 3, 4]);
+    let answers = [(11, 1_600), (11, 1_700), (11, 2_500), (11, 4_700), (12, 4_800)];
+    assert_eq!(answer(&mut quarantine, fatal, &answers), 3);
+}
+
+/// Guards against a sound part that answers no longer release, because it was held back.
+#[test]
+fn answers_of_requests_that_were_under_way_release_a_part() {
+    let (part, mut quarantine) = (key(SESSION, ACCOUNT), PartQuarantine::default());
+    record(&mut quarantine, part, 1, &[1, 2, 3, 4]);
+    quarantine.decide(4_000);
+    assert!(quarantine.holds(&part));
+    let answers: Vec<_> = (0..6).map(|engine| (engine, 5_000 + engine)).collect();
+    assert_eq!(answer(&mut quarantine, part, &answers[..5]), 5);
+    quarantine.decide(SETTLED_MS);
+    assert!(quarantine.holds(&part), "some engines may bear it");
+    assert_eq!(answer(&mut quarantine, part, &answers[5..]), 1);
+    quarantine.decide(SETTLED_MS);
+    assert!(!quarantine.holds(&part));
+}
+
+/// Guards against holding back all requests of an account where so many engines exit that nothing is answered between: the
+/// part that all prompts begin with has one exit more than the faulty one.
+#[test]
+fn a_part_is_not_blamed_for_exits_that_a_part_with_unsettled_ones_explains() {
+    let (first, fatal) = (key(FIRST, ACCOUNT), key(FATAL, ACCOUNT));
+    let mut quarantine = PartQuarantine::default();
+    for engine in 1..=5 {
+        let exit = PartExit { answered_before: true, ..exit(first, engine, 0) };
+        quarantine.learn(exit, 0, 200 * u64::from(engine));
+    }
+    for engine in 2..=5 {
+        quarantine.learn(exit(fatal, engine, 1), 0, 200 * u64::from(engine) + 90);
+    }
+    quarantine.decide(2_050);
+    assert!(!quarantine.holds(&first) && !quarantine.holds(&fatal), "one exit is not settled");
+    quarantine.decide(3_000);
+    assert!(!quarantine.holds(&first) && quarantine.holds(&fatal));
+}
+
 /// Guards against a sound part that takes the place of the faulty one, as it was on most of the
 /// engines that this one crashed and on one that exited for another reason.
 #[test]
