Quarantine: exits are kept by suspect, so that a part is judged without looking at all

Exits of one suspect are together, parts with too few exits for a verdict are not collected, and engines of one account are not compared with each other. No change of what is decided.

--- a/crates/policy/src/exit_book.rs
+++ b/crates/policy/src/exit_book.rs
@@ -4,7 +4,8 @@
 //! agree whether updates arrive out of order, twice or late.
 
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeBounds;
 
 use heathpitch_core::Millis;
 
@@ -61,17 +62,19 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ExitBook<S> {
     serial: u64,
-    exits: BTreeMap<(S, EngineIncarnation), ExitState>,
+    exits: BTreeMap<S, BTreeMap<EngineIncarnation, ExitState>>,
+    /// Number of exits.
+    len: usize,
 }
 
 impl<S> Default for ExitBook<S> {
     fn default() -> Self {
-        Self { serial: 0, exits: BTreeMap::new() }
+        Self { serial: 0, exits: BTreeMap::new(), len: 0 }
     }
 }
 
 /// # Updates
-impl<S: Copy + Ord + std::hash::Hash> ExitBook<S> {
+impl<S: Copy + Ord> ExitBook<S> {
     /// Merges an exit that has been known for `age`; returns whether it changes anything. The exits
     /// of suspects in `held` are evicted last.
     pub(crate) fn learn(
@@ -90,9 +93,11 @@
         let serial = self.serial + 1;
         let Exit { suspect, incarnation, details, renewed, cleared } = exit;
         let update = ExitState { details, renewed, cleared, at, serial };
-        let new = match self.exits.get_mut(&(suspect, incarnation.clone())) {
+        let of = self.exits.entry(suspect).or_default();
+        let new = match of.get_mut(&incarnation) {
             None => {
-                self.exits.insert((suspect, incarnation), update);
+                of.insert(incarnation, update);
+                self.len += 1;
                 true
             }
             Some(known) => known.join(update),
@@ -108,9 +113,11 @@
     pub(crate) fn clear(&mut self, of: impl Fn(&S, &EngineIncarnation) -> bool) -> bool {
         let serial = self.serial + 1;
         let mut new = false;
-        for (_, known) in self.exits.iter_mut().filter(|((s, i), k)| !k.cleared && of(s, i)) {
-            (known.cleared, known.serial) = (true, serial);
-            new = true;
+        for (suspect, exits) in &mut self.exits {
+            for (_, known) in exits.iter_mut().filter(|(i, k)| !k.cleared && of(suspect, i)) {
+                (known.cleared, known.serial) = (true, serial);
+                new = true;
+            }
         }
         if new {
             self.serial = serial;
@@ -123,9 +130,8 @@
         let due = Self::is_renewal_due(self.remaining(suspect, now));
         if due {
             self.serial += 1;
-            for (_, known) in
-                self.exits.iter_mut().filter(|((s, _), k)| *s == suspect && !k.cleared)
-            {
+            let of = self.exits.get_mut(&suspect).into_iter().flat_map(BTreeMap::values_mut);
+            for known in of.filter(|k| !k.cleared) {
                 (known.renewed, known.at, known.serial) =
                     (known.renewed + 1, time_before(now, 0), self.serial);
             }
@@ -135,37 +141,35 @@
 
     /// Drops expired exits, all exits of a suspect together; returns whether there were any.
     pub(crate) fn expire(&mut self, now: Millis) -> bool {
-        let before = self.exits.len();
-        let mut last: HashMap<S, ExitTime> = HashMap::new();
-        for ((suspect, _), known) in &self.exits {
-            let at = last.entry(*suspect).or_insert(known.at);
-            *at = known.at.max(*at);
-        }
+        let before = self.len;
         let oldest = time_before(now, EXIT_TTL_MS);
-        self.exits.retain(|(suspect, _), _| last[suspect] > oldest);
-        self.exits.len() < before
+        self.exits.retain(|_, exits| exits.values().any(|k| k.at > oldest));
+        self.len = self.exits.values().map(BTreeMap::len).sum();
+        self.len < before
     }
 
     /// Evicts an eighth of the exits if there are too many: cleared ones first, then those of suspects with one exit, those
     /// of held suspects last, and the oldest of each kind first.
     fn make_room(&mut self, held: &BTreeSet<S>) {
-        if self.exits.len() <= MAX_EXITS {
+        if self.len <= MAX_EXITS {
             return;
         }
-        let mut counts: HashMap<S, usize> = HashMap::new();
-        for (suspect, _) in self.exits.keys() {
-            *counts.entry(*suspect).or_default() += 1;
-        }
-        let worth = |((suspect, _), k): &(&(S, EngineIncarnation), &ExitState)| {
-            (!k.cleared, held.contains(suspect), counts[suspect] > 1, k.at)
+        let of_suspect = |(suspect, exits): (&S, &BTreeMap<EngineIncarnation, ExitState>)| {
+            let (held, several) = (held.contains(suspect), exits.len() > 1);
+            let worth = |(i, k): (&EngineIncarnation, &ExitState)| {
+                ((!k.cleared, held, several, k.at), *suspect, i.clone())
+            };
+            exits.iter().map(worth).collect::<Vec<_>>()
         };
-        let mut all: Vec<_> = self.exits.iter().collect();
-        all.sort_by_key(worth);
-        let least: Vec<_> =
-            all.into_iter().take(MAX_EXITS / 8).map(|(key, _)| key.clone()).collect();
-        for key in least {
-            self.exits.remove(&key);
+        let mut all: Vec<_> = self.exits.iter().flat_map(of_suspect).collect();
+        all.sort_by_key(|(worth, ..)| *worth);
+        for (_, suspect, incarnation) in all.into_iter().take(MAX_EXITS / 8) {
+            if let Some(of) = self.exits.get_mut(&suspect) {
+                of.remove(&incarnation);
+            }
         }
+        self.exits.retain(|_, of| !of.is_empty());
+        self.len = self.exits.values().map(BTreeMap::len).sum();
     }
 }
 
@@ -225,17 +229,33 @@
 }
 
 /// # Queries
-impl<S: Copy + Ord + std::hash::Hash> ExitBook<S> {
+impl<S: Copy + Ord> ExitBook<S> {
     /// Exits that count against their suspects.
     pub(crate) fn counting(&self) -> impl Iterator<Item = (S, &EngineIncarnation, &ExitState)> {
-        let counting = self.exits.iter().filter(|(_, k)| k.counts());
-        counting.map(|((suspect, incarnation), k)| (*suspect, incarnation, k))
+        self.exits.iter().flat_map(|(suspect, exits)| {
+            let counting = exits.iter().filter(|(_, k)| k.counts());
+            counting.map(|(incarnation, k)| (*suspect, incarnation, k))
+        })
+    }
+
+    /// Exits that count, by suspect, of the suspects in a range.
+    pub(crate) fn by_suspect(
+        &self,
+        range: impl RangeBounds<S>,
+    ) -> impl Iterator<Item = (S, Vec<(&EngineIncarnation, &ExitState)>)> {
+        let of = self.exits.range(range).map(|(suspect, exits)| (*suspect, counting_of(exits)));
+        of.filter(|(_, exits)| !exits.is_empty())
+    }
+
+    /// Suspects and the numbers of their exits, whether these count or not.
+    pub(crate) fn counts(&self) -> impl Iterator<Item = (S, usize)> {
+        self.exits.iter().map(|(suspect, exits)| (*suspect, exits.len()))
     }
 
     /// Engine incarnations whose exits are not cleared.
     pub(crate) fn incarnations(&self) -> impl Iterator<Item = &EngineIncarnation> {
-        let exits = self.exits.iter().filter(|(_, k)| !k.cleared);
-        exits.map(|((_, incarnation), _)| incarnation)
+        let exits = self.exits.values().flatten().filter(|(_, k)| !k.cleared);
+        exits.map(|(incarnation, _)| incarnation)
     }
 
     /// Exits that count against a suspect: incarnation, events delivered and age.
@@ -244,8 +264,8 @@
         suspect: S,
         now: Millis,
     ) -> impl Iterator<Item = (&EngineIncarnation, u32, Millis)> {
-        let of = self.counting().filter(move |(s, ..)| *s == suspect);
-        of.map(move |(_, incarnation, k)| (incarnation, k.details.events, k.age(now)))
+        let of = self.exits.get(&suspect).into_iter().flatten().filter(|(_, k)| k.counts());
+        of.map(move |(incarnation, k)| (incarnation, k.details.events, k.age(now)))
     }
 
     /// Time until the exits of a suspect expire if it is not seen again.
@@ -256,8 +276,8 @@
 
     /// How often the time of a suspect's exits was extended.
     pub(crate) fn renewed(&self, suspect: S) -> u32 {
-        let of = self.exits.iter().filter(|((s, _), _)| *s == suspect);
-        of.map(|(_, k)| k.renewed).max().unwrap_or(0)
+        let of = self.exits.get(&suspect).into_iter().flat_map(BTreeMap::values);
+        of.map(|k| k.renewed).max().unwrap_or(0)
     }
 
     /// Whether a suspect with this much time remaining is extended if it is seen again.
@@ -278,16 +298,24 @@
         most: usize,
         now: Millis,
     ) -> (Vec<(Exit<S>, Millis)>, u64) {
-        let mut new: Vec<_> = self.exits.iter().filter(|(_, k)| k.serial > serial).collect();
-        new.sort_by_key(|(_, k)| k.serial);
-        let last = new.get(most.saturating_sub(1)).map_or(self.serial, |(_, k)| k.serial);
-        let exit = |((suspect, incarnation), k): &(&(S, EngineIncarnation), &ExitState)| {
-            let (suspect, incarnation) = (*suspect, incarnation.clone());
+        let all =
+            self.exits.iter().flat_map(|(s, exits)| exits.iter().map(move |(i, k)| (s, i, k)));
+        let mut new: Vec<_> = all.filter(|(.., k)| k.serial > serial).collect();
+        new.sort_by_key(|(.., k)| k.serial);
+        let last = new.get(most.saturating_sub(1)).map_or(self.serial, |(.., k)| k.serial);
+        let exit = |(suspect, incarnation, k): &(&S, &EngineIncarnation, &ExitState)| {
+            let (suspect, incarnation) = (**suspect, (*incarnation).clone());
             let ExitState { details, renewed, cleared, .. } = **k;
             let exit = Exit { suspect, incarnation, details, renewed, cleared };
             (exit, k.age(now))
         };
-        let changed = new.iter().take_while(|(_, k)| k.serial <= last);
+        let changed = new.iter().take_while(|(.., k)| k.serial <= last);
         (changed.map(exit).collect(), last)
     }
 }
+
+fn counting_of(
+    exits: &BTreeMap<EngineIncarnation, ExitState>,
+) -> Vec<(&EngineIncarnation, &ExitState)> {
+    exits.iter().filter(|(_, k)| k.counts()).collect()
+}
--- a/crates/policy/src/part_quarantine.rs
+++ b/crates/policy/src/part_quarantine.rs
@@ -18,7 +18,7 @@
 //! answered the part for and that has no exit under it.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeSet, HashSet};
 
 use heathpitch_core::{Millis, PromptPart};
 
@@ -33,8 +33,10 @@
 
 /// Score down to which a part stays held back: answers that were on the way do not release it.
 const RELEASE_SCORE: u32 = 1;
-/// Engines that must have exited under a part before what is known of it is logged.
-const MIN_LOGGED_ENGINES: usize = 4;
+/// Engines that must have exited under a part before it may be held back.
+const MIN_ENGINES: usize = 4;
+/// Engines that must have exited under a part before it is suspected.
+const MIN_SUSPECT_ENGINES: usize = 2;
 /// Most accounts whose answers a node reports when it learns of an exit.
 const MAX_REPORTED_ACCOUNTS: usize = 8;
 /// Age from which an exit counts: nodes that know an answer to the part have reported it by then.
@@ -178,16 +180,14 @@
     /// from a verdict on others.
     pub fn learn_answer(&mut self, answer: PartAnswer, age: Millis, now: Millis) -> bool {
         let PartAnswer { key, engine, .. } = answer;
-        let mut scopes = self.scopes_of(key.service, key.part);
+        let scopes = self.scopes_of(key.service, key.part);
         let has_exits = scopes.iter().any(|s| s.held.account == Some(key.account));
-        let is_first = !self.answers.of(key.service, key.part).any(|(a, _)| a.key == key);
+        let is_first = || !self.answers.of(key.service, key.part).any(|(a, _)| a.key == key);
         let trial = (time_before(now, age), engine);
-        let counts = scopes.iter_mut().any(|s| {
-            let before = s.total_score();
-            s.answers.push(trial);
-            s.held.covers(&key) && s.total_score() != before
-        });
-        let useful = counts || is_first && !has_exits && !scopes.is_empty();
+        let counts = |s: &PartScope<'_>| {
+            s.held.covers(&key) && s.total_score() > 0 && s.score_after(trial) != s.total_score()
+        };
+        let useful = scopes.iter().any(counts) || !scopes.is_empty() && !has_exits && is_first();
         useful && self.answers.learn(answer, age, now)
     }
 
@@ -252,7 +252,7 @@
         let mut explained: BTreeSet<&EngineIncarnation> = BTreeSet::new();
         let mut blamed = BTreeSet::new();
         loop {
-            let score = |s: &PartScope<'_>| s.score(|i, _| !explained.contains(i));
+            let score = |s: &PartScope<'_>| s.score(|i| !explained.contains(i));
             let left = candidates.iter().filter(|s| score(s) >= self.required_score(s));
             // One that holds back a single account comes after the same part for all.
             let order = |s: &&PartScope<'_>| {
@@ -283,15 +283,17 @@
 
     /// Parts with enough settled exits, for each account and for all together.
     fn candidates(&self, now: Millis) -> Vec<PartScope<'_>> {
-        let mut scopes = self.scopes();
-        for scope in &mut scopes {
-            scope.exits.retain(|(_, exit)| exit.renewed > 0 || exit.is_settled(now));
-        }
+        let is_settled = |exit: &ExitState| exit.renewed > 0 || exit.is_settled(now);
+        let mut scopes: Vec<_> =
+            self.scopes(MIN_ENGINES).iter().map(|s| s.settled(is_settled)).collect();
         scopes.retain(|s| {
-            s.others_answered()
-                && s.exits_score() >= VERDICT_SCORE
+            s.exits_score() >= VERDICT_SCORE
                 && s.total_score() >= self.required_score(s)
+                && s.others_answered()
         });
+        if scopes.is_empty() {
+            return scopes;
+        }
         // Parts whose exits have not settled yet may explain those of one that has enough of them.
         let suspects = self.suspects_at(now);
         scopes.retain(|s| {
@@ -300,25 +302,25 @@
         scopes
     }
 
-    /// Exits and answers of each part, for each account with exits and for all together.
-    fn scopes(&self) -> Vec<PartScope<'_>> {
-        let mut by_part: BTreeMap<_, BTreeMap<u64, Vec<_>>> = BTreeMap::new();
-        for (key, incarnation, exit) in self.exits.counting() {
-            let accounts = by_part.entry((key.service, key.part)).or_default();
-            accounts.entry(key.account).or_default().push((incarnation, exit));
+    /// Exits of each part under which at least so many engines exited, and the answers to it, for each account with exits and
+    /// for all together.
+    fn scopes(&self, engines: usize) -> Vec<PartScope<'_>> {
+        let mut parts: Vec<((u64, PromptPart), usize)> = Vec::new();
+        for (PartKey { service, part, .. }, exits) in self.exits.counts() {
+            match parts.last_mut() {
+                Some((last, sum)) if *last == (service, part) => *sum += exits,
+                _ => parts.push(((service, part), exits)),
+            }
         }
-        let scopes = by_part.into_iter();
-        scopes.flat_map(|((service, part), of)| self.scopes_with(service, part, of)).collect()
+        let several = parts.into_iter().filter(|(_, exits)| *exits >= engines);
+        several.flat_map(|((service, part), _)| self.scopes_of(service, part)).collect()
     }
 
     /// The same of one part.
     fn scopes_of(&self, service: u64, part: PromptPart) -> Vec<PartScope<'_>> {
-        let mut accounts: BTreeMap<u64, Vec<_>> = BTreeMap::new();
-        for (key, incarnation, exit) in self.exits.counting() {
-            if (key.service, key.part) == (service, part) {
-                accounts.entry(key.account).or_default().push((incarnation, exit));
-            }
-        }
+        let key = |account| PartKey { service, part, account };
+        let accounts = self.exits.by_suspect(key(0)..=key(u64::MAX));
+        let accounts = accounts.map(|(key, exits)| (key.account, exits)).collect();
         self.scopes_with(service, part, accounts)
     }
 
@@ -326,20 +328,19 @@
         &self,
         service: u64,
         part: PromptPart,
-        accounts: BTreeMap<u64, Vec<(&'a EngineIncarnation, &'a ExitState)>>,
+        accounts: Vec<(u64, Vec<(&'a EngineIncarnation, &'a ExitState)>)>,
     ) -> Vec<PartScope<'a>> {
         let answers: Vec<_> = self.answers.of(service, part).collect();
-        let shared = (accounts.len() > 1).then(|| {
-            let exits = accounts.values().flatten().copied().collect();
-            let answers = answers.iter().map(|(answer, at)| (*at, answer.engine)).collect();
-            PartScope { held: HeldPart { service, part, account: None }, exits, answers }
-        });
-        let single = accounts.into_iter().map(|(account, exits)| {
-            let of = answers.iter().filter(|(answer, _)| answer.key.account == account);
-            let held = HeldPart { service, part, account: Some(account) };
-            let answers = of.map(|(answer, at)| (*at, answer.engine)).collect();
-            PartScope { held, exits, answers }
-        });
+        let answers_of = |account: Option<u64>| {
+            let of = answers.iter().filter(|(a, _)| account.is_none_or(|n| n == a.key.account));
+            of.map(|(answer, at)| (*at, answer.engine)).collect()
+        };
+        let scope = |account, exits| {
+            PartScope::new(HeldPart { service, part, account }, exits, answers_of(account))
+        };
+        let shared = (accounts.len() > 1)
+            .then(|| scope(None, accounts.iter().flat_map(|(_, exits)| exits).copied().collect()));
+        let single = accounts.into_iter().map(|(account, exits)| scope(Some(account), exits));
         single.chain(shared).collect()
     }
 }
@@ -362,10 +363,11 @@
     }
 
     fn suspects_at(&self, now: Millis) -> Vec<PartScope<'_>> {
-        let mut suspects = self.scopes();
+        let is_settled = |exit: &ExitState| exit.renewed > 0 || exit.is_settled(now);
+        let mut suspects = self.scopes(MIN_SUSPECT_ENGINES);
         suspects.retain(|s| {
-            let settled = s.score(|_, exit| exit.renewed > 0 || exit.is_settled(now));
-            settled >= SUSPICION_SCORE || s.total_score() >= SUSPICION_SCORE && !s.answered_before()
+            s.total_score() >= SUSPICION_SCORE && !s.answered_before()
+                || s.settled(is_settled).total_score() >= SUSPICION_SCORE
         });
         let dominated: Vec<_> = suspects.iter().map(|s| is_dominated(s, &suspects)).collect();
         let mut dominated = dominated.into_iter();
@@ -393,14 +395,14 @@
         let evidence = |s: &PartScope<'_>| PartEvidence {
             scope: s.held,
             engines: s.incarnations().len(),
-            answers: s.answers.len(),
+            answers: s.answer_count(),
             score: s.total_score(),
             others_answered: s.others_answered(),
         };
         let is_held = |s: &PartScope<'_>| self.held.contains(&s.held);
         let suspects = self.suspects();
         let undecided = suspects.iter().filter(|s| !is_held(s)).map(evidence);
-        undecided.filter(|e| e.engines >= MIN_LOGGED_ENGINES).collect()
+        undecided.filter(|e| e.engines >= MIN_ENGINES).collect()
     }
 }
 
@@ -414,7 +416,7 @@
     /// Whether engines answered a part for an account without exits under it.
     fn is_exempt(&self, key: &PartKey) -> bool {
         self.answers.of(key.service, key.part).any(|(answer, _)| answer.key == *key)
-            && !self.exits.counting().any(|(k, ..)| k == *key)
+            && self.exits.by_suspect(*key..=*key).next().is_none()
     }
 
     /// Accounts that what is held back for all does not concern.
@@ -459,9 +461,9 @@
 
     /// Parts to which answers count, each for any account.
     pub fn open_parts(&self) -> HashSet<PartKey> {
-        let open = self.scopes().into_iter().filter(|s| s.total_score() > 0);
-        open.map(|PartScope { held, .. }| {
-            PartKey { service: held.service, part: held.part, account: 0 }.any_account()
+        let open = self.scopes(1).into_iter().filter(|s| s.total_score() > 0);
+        open.map(|s| {
+            PartKey { service: s.held.service, part: s.held.part, account: 0 }.any_account()
         })
         .collect()
     }
--- a/crates/policy/src/part_scope.rs
+++ b/crates/policy/src/part_scope.rs
@@ -1,6 +1,6 @@
 //! Exits and answers of a part of prompts, for one client account or for all together.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use crate::exit_book::{ExitState, ExitTime};
 use crate::exit_rate::{AnswerTrial, score, score_after_verdict};
@@ -19,45 +19,72 @@
     /// What a verdict would hold back.
     pub(crate) held: HeldPart,
     /// Exits that count; an engine may have exited under requests of several accounts.
-    pub(crate) exits: Vec<(&'a EngineIncarnation, &'a ExitState)>,
-    /// Answers.
-    pub(crate) answers: Vec<AnswerTrial>,
+    exits: Vec<(&'a EngineIncarnation, &'a ExitState)>,
+    answers: Vec<AnswerTrial>,
+    /// First exit of each engine, in order of engines.
+    times: Vec<(&'a EngineIncarnation, ExitTime)>,
+    /// Score by all exits.
+    total: u32,
 }
 
 impl<'a> PartScope<'a> {
-    /// Score by the exits that match.
-    pub(crate) fn score(&self, counts: impl Fn(&EngineIncarnation, &ExitState) -> bool) -> u32 {
+    /// Collects exits of a part and answers to it.
+    pub(crate) fn new(
+        held: HeldPart,
+        exits: Vec<(&'a EngineIncarnation, &'a ExitState)>,
+        answers: Vec<AnswerTrial>,
+    ) -> Self {
+        let mut times: Vec<_> = exits.iter().map(|(i, exit)| (*i, exit.at)).collect();
+        if held.account.is_none() {
+            times.sort_unstable();
+            times.dedup_by_key(|(incarnation, _)| *incarnation);
+        }
+        let mut scope = Self { held, exits, answers, times, total: 0 };
+        scope.total = scope.score(|_| true);
+        scope
+    }
+
+    /// Score by the exits of the engines that match.
+    pub(crate) fn score(&self, counts: impl Fn(&EngineIncarnation) -> bool) -> u32 {
         self.score_with(&self.answers, counts)
     }
 
     /// Score by all exits.
     pub(crate) fn total_score(&self) -> u32 {
-        self.score(|_, _| true)
+        self.total
     }
 
     /// Score by all exits, without answers.
     pub(crate) fn exits_score(&self) -> u32 {
-        self.score_with(&[], |_, _| true)
+        self.score_with(&[], |_| true)
+    }
+
+    /// Score by all exits with one more answer.
+    pub(crate) fn score_after(&self, answer: AnswerTrial) -> u32 {
+        let answers: Vec<_> = self.answers.iter().copied().chain([answer]).collect();
+        self.score_with(&answers, |_| true)
     }
 
     fn score_with(
         &self,
         answers: &[AnswerTrial],
-        counts: impl Fn(&EngineIncarnation, &ExitState) -> bool,
+        counts: impl Fn(&EngineIncarnation) -> bool,
     ) -> u32 {
-        let mut times: BTreeMap<&EngineIncarnation, ExitTime> = BTreeMap::new();
-        for (incarnation, exit) in self.exits.iter().filter(|(i, exit)| counts(i, exit)) {
-            let at = times.entry(incarnation).or_insert(exit.at);
-            *at = exit.at.min(*at);
-        }
+        let times = || self.times.iter().filter(|(i, _)| counts(i)).map(|(_, at)| *at);
         match self.judged_at() {
-            Some(_) if times.len() < MIN_JUDGED_ENGINES => 0,
+            Some(_) if times().count() < MIN_JUDGED_ENGINES => 0,
             // The exits have the time of the verdict's renewal.
             Some(at) => score_after_verdict(at, answers),
-            None => score(times.into_values(), answers),
+            None => score(times(), answers),
         }
     }
 
+    /// The same by exits that have settled.
+    pub(crate) fn settled(&self, is_settled: impl Fn(&ExitState) -> bool) -> Self {
+        let exits = self.exits.iter().filter(|(_, exit)| is_settled(exit)).copied().collect();
+        Self::new(self.held, exits, self.answers.clone())
+    }
+
     /// Weight of a score against those of other parts with the same exits.
     pub(crate) fn weight(&self, score: u32) -> u32 {
         match self.answered_before() {
@@ -73,8 +100,13 @@
     }
 
     /// Engines that exited.
-    pub(crate) fn incarnations(&self) -> BTreeSet<&'a EngineIncarnation> {
-        self.exits.iter().map(|(incarnation, _)| *incarnation).collect()
+    pub(crate) fn incarnations(&self) -> impl ExactSizeIterator<Item = &'a EngineIncarnation> {
+        self.times.iter().map(|(incarnation, _)| *incarnation)
+    }
+
+    /// Number of known answers.
+    pub(crate) fn answer_count(&self) -> usize {
+        self.answers.len()
     }
 
     /// Events delivered, summed over the exits.
@@ -100,13 +132,14 @@
 
 /// Whether parts with more weight were running at all exits of this one, so that they explain these better.
 pub(crate) fn is_dominated(scope: &PartScope<'_>, others: &[PartScope<'_>]) -> bool {
-    scope.incarnations().is_subset(&explained_by(scope, others))
+    let explained = explained_by(scope, others);
+    scope.incarnations().all(|incarnation| explained.contains(incarnation))
 }
 
 /// Score of a part by the exits that parts with more weight do not explain.
 pub(crate) fn unexplained_score(scope: &PartScope<'_>, others: &[PartScope<'_>]) -> u32 {
     let explained = explained_by(scope, others);
-    scope.score(|incarnation, _| !explained.contains(incarnation))
+    scope.score(|incarnation| !explained.contains(incarnation))
 }
 
 /// Exits under other parts that have more weight than this one.
