Quarantine: the last part of a prompt is judged like the others

Callers had engine after engine crashed by a session whose context ends engines: 30 of 30 exited. The last part of a prompt was never reported, as that of the request itself; it may also belong to a session, whose requests share it and are unlike each other otherwise.

All parts are reported. An exit names its request, in a field of the message that was not used, so that exits under one request alone blame that request as a whole and not its own part, which had the same exits as the faulty one where a caller sends it again: without that, `a_part_stays_held_back_after_all_nodes_start_again_…` and `nodes_that_start_while_the_store_is_away_…` failed, as they send each request at both nodes.

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -63,12 +63,10 @@
         })
     }
 
-    /// Parts of its prompt that other requests may share: all that its caller names but the last.
+    /// Parts of its prompt. The last one may belong to a session, whose requests share it.
     pub(crate) fn parts(&self) -> &Arc<[PartKey]> {
-        self.parts.get_or_init(|| {
-            let ids = self.head.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
-            ids.iter().map(|id| self.part_key(PromptPart::new(id))).collect()
-        })
+        let key = |id: &Arc<str>| self.part_key(PromptPart::new(id));
+        self.parts.get_or_init(|| self.head.prompt_parts.iter().map(key).collect())
     }
 
     /// A part of the prompts that its account sends to its service.
--- a/crates/heathpitchd/src/gateway/control/exit_records.rs
+++ b/crates/heathpitchd/src/gateway/control/exit_records.rs
@@ -120,6 +120,7 @@
                 position,
                 others_answered,
                 answered_before: false,
+                request: None,
                 renewed,
                 cleared,
             };
--- a/crates/heathpitchd/src/gateway/control/part_quarantine.rs
+++ b/crates/heathpitchd/src/gateway/control/part_quarantine.rs
@@ -50,6 +50,7 @@
                 position: position.min(u8::MAX.into()) as u8,
                 others_answered: false,
                 answered_before: false,
+                request: Some(call.fingerprint),
                 renewed: 0,
                 cleared: false,
             };
@@ -154,6 +155,7 @@
             position: exit.position,
             others_answered: exit.others_answered,
             answered_before: exit.answered_before,
+            request: exit.request,
             renewed: exit.renewed,
             cleared: exit.cleared,
             age_ms,
@@ -211,6 +213,7 @@
         position,
         others_answered: exit.others_answered,
         answered_before: exit.answered_before,
+        request: exit.request,
         renewed: exit.renewed,
         cleared: exit.cleared,
     }
--- a/crates/heathpitchd/src/gateway/control/quarantine_store.rs
+++ b/crates/heathpitchd/src/gateway/control/quarantine_store.rs
@@ -191,6 +191,7 @@
                 position,
                 others_answered: true,
                 answered_before: false,
+                request: None,
                 renewed: 1,
                 cleared,
             };
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -125,7 +125,7 @@
 pub(crate) struct LostAttempt {
     pub(crate) engine: Arc<EngineEntry>,
     pub(crate) fingerprint: RequestFingerprint,
-    /// Parts of its prompt that other requests may share.
+    /// Parts of its prompt.
     pub(crate) parts: Arc<[PartKey]>,
     /// Events received in this attempt.
     pub(crate) events: u32,
--- a/crates/net/schema/feed.capnp
+++ b/crates/net/schema/feed.capnp
@@ -156,7 +156,7 @@
   account @2 :UInt64;
   # Digest of the client account; 0 for none.
   end @3 :End;
-  # The engine; its fingerprint is not used.
+  # The engine, and the fingerprint of the request; 0 if it is not known.
   position @4 :UInt8;
   # Position of the part in the prompt, from 0.
   answered @5 :Bool;
--- a/crates/net/src/feed_message.rs
+++ b/crates/net/src/feed_message.rs
@@ -238,6 +238,8 @@
     pub others_answered: bool,
     /// Whether the part itself was answered in the minutes before.
     pub answered_before: bool,
+    /// The request, if known.
+    pub request: Option<RequestFingerprint>,
     /// How often the part was seen again much later.
     pub renewed: u32,
     /// Whether it no longer counts as evidence against the part.
--- a/crates/net/src/feed_notice_codec.rs
+++ b/crates/net/src/feed_notice_codec.rs
@@ -48,6 +48,7 @@
         to.set_answered(e.others_answered);
         to.set_seen(e.answered_before);
         let mut end = to.init_end();
+        end.set_print(e.request.map_or(0, |request| request.0));
         end.set_engine(e.engine.as_str());
         end.set_born(e.started_at.unwrap_or(0));
         end.set_events(e.events);
@@ -58,7 +59,7 @@
 }
 
 fn read_part_exit(from: part_end::Reader<'_>) -> capnp::Result<FeedPartExit> {
-    let FeedExit { engine, started_at, events, renewed, cleared, age_ms, .. } =
+    let FeedExit { fingerprint, engine, started_at, events, renewed, cleared, age_ms } =
         read_exit(from.get_end()?)?;
     Ok(FeedPartExit {
         service: from.get_service(),
@@ -70,6 +71,7 @@
         position: from.get_position(),
         others_answered: from.get_answered(),
         answered_before: from.get_seen(),
+        request: Some(fingerprint).filter(|request| request.0 != 0),
         renewed,
         cleared,
         age_ms,
--- a/crates/policy/src/exit_book.rs
+++ b/crates/policy/src/exit_book.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeBounds;
 
-use heathpitch_core::Millis;
+use heathpitch_core::{Millis, RequestFingerprint};
 
 use crate::{EngineIncarnation, RecordedExit, Suspect, just_started};
 
@@ -37,6 +37,8 @@
     pub(crate) others_answered: bool,
     /// Whether the suspect itself was answered in the minutes before.
     pub(crate) answered_before: bool,
+    /// The request, if the suspect is a part of its prompt and it is known.
+    pub(crate) request: Option<RequestFingerprint>,
 }
 
 /// An exit as nodes exchange it; `S` is what is suspected.
@@ -216,6 +218,7 @@
             position: self.details.position.max(update.details.position),
             others_answered,
             answered_before,
+            request: self.details.request.into_iter().chain(update.details.request).min(),
         };
         *self = Self {
             details,
--- a/crates/policy/src/part_quarantine.rs
+++ b/crates/policy/src/part_quarantine.rs
@@ -5,7 +5,8 @@
 //! most ended their engine; of those with a sound part, which share these engines, few did. Nodes
 //! tell each other the exits under each part, and the answers to parts with exits, and each node
 //! judges by the sequential test of `exit_rate`. An exit counts once answers that were on the way
-//! with it must have been reported. Where a service answers nobody, nothing is held back.
+//! with it must have been reported. Where a service answers nobody, nothing is held back. Exits
+//! under a single request blame that request (`Quarantine`), not the parts of its prompt.
 //!
 //! Of several parts one that is held back already is blamed first and explains its exits, unless
 //! others with more weight were running at all of them; then the one with the most weight; among
@@ -20,7 +21,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashSet};
 
-use heathpitch_core::{Millis, PromptPart};
+use heathpitch_core::{Millis, PromptPart, RequestFingerprint};
 
 use crate::exit_book::{Exit, ExitBook, ExitDetails, ExitState, ExitTime, time_before};
 use crate::exit_rate::{SUSPICION_SCORE, VERDICT_SCORE};
@@ -57,6 +58,8 @@
     pub others_answered: bool,
     /// Whether a node knew an answer to the part from the minutes before.
     pub answered_before: bool,
+    /// The request, if known.
+    pub request: Option<RequestFingerprint>,
     /// How often the part came again late in its quarantine, which extends it.
     pub renewed: u32,
     /// Whether it no longer counts: its store entry was deleted, or the engine is alive.
@@ -116,6 +119,7 @@
 ///         position: 1,
 ///         others_answered: true,
 ///         answered_before: false,
+///         request: None,
 ///         renewed: 0,
 ///         cleared: false,
 ///     };
@@ -143,8 +147,8 @@
     /// Merges an exit that has been known for `age`; returns whether it changes anything.
     pub fn learn(&mut self, exit: PartExit, age: Millis, now: Millis) -> bool {
         let PartExit { key, incarnation, renewed, cleared, .. } = exit;
-        let PartExit { events, position, others_answered, answered_before, .. } = exit;
-        let details = ExitDetails { events, position, others_answered, answered_before };
+        let PartExit { events, position, others_answered, answered_before, request, .. } = exit;
+        let details = ExitDetails { events, position, others_answered, answered_before, request };
         let exit = Exit { suspect: key, incarnation, details, renewed, cleared };
         self.exits.learn(exit, age, now, &self.evidence)
     }
@@ -290,6 +294,7 @@
             s.exits_score() >= VERDICT_SCORE
                 && s.total_score() >= self.required_score(s)
                 && s.others_answered()
+                && s.has_several_requests()
         });
         if scopes.is_empty() {
             return scopes;
@@ -495,7 +500,8 @@
         let (exits, last) = self.exits.since(serial, most, now);
         let exit = |(exit, age): (Exit<PartKey>, Millis)| {
             let Exit { suspect: key, incarnation, details, renewed, cleared } = exit;
-            let ExitDetails { events, position, others_answered, answered_before } = details;
+            let ExitDetails { events, position, others_answered, answered_before, request } =
+                details;
             let exit = PartExit {
                 key,
                 incarnation,
@@ -503,6 +509,7 @@
                 position,
                 others_answered,
                 answered_before,
+                request,
                 renewed,
                 cleared,
             };
--- a/crates/policy/src/part_scope.rs
+++ b/crates/policy/src/part_scope.rs
@@ -124,6 +124,13 @@
         self.exits.iter().any(|(_, exit)| exit.details.others_answered)
     }
 
+    /// Whether the exits are those of several requests, as far as these are known.
+    pub(crate) fn has_several_requests(&self) -> bool {
+        let requests: Vec<_> = self.exits.iter().map(|(_, exit)| exit.details.request).collect();
+        let first = requests.first().copied().flatten();
+        first.is_none() || requests.iter().any(|request| *request != first)
+    }
+
     /// Whether a node knew an answer to the part from the minutes before.
     pub(crate) fn answered_before(&self) -> bool {
         self.exits.iter().any(|(_, exit)| exit.details.answered_before)
--- a/crates/policy/tests/exit_record.rs
+++ b/crates/policy/tests/exit_record.rs
@@ -38,6 +38,7 @@
         position: 1,
         others_answered: true,
         answered_before: false,
+        request: None,
         renewed: 0,
         cleared: false,
     }
@@ -86,6 +87,7 @@
             position,
             others_answered,
             answered_before: false,
+            request: None,
             renewed,
             cleared,
         };
--- a/crates/policy/tests/part_model/mod.rs
+++ b/crates/policy/tests/part_model/mod.rs
@@ -197,6 +197,7 @@
                 position: quarantine.position(key),
                 others_answered: true,
                 answered_before: false,
+                request: None,
                 renewed: 1,
                 cleared: false,
             };
@@ -229,6 +230,7 @@
                     position,
                     others_answered,
                     answered_before: false,
+                    request: None,
                     renewed,
                     cleared,
                 };
@@ -371,6 +373,7 @@
                     position: position as u8,
                     others_answered: !self.scene.remembers,
                     answered_before: false,
+                    request: None,
                     renewed: 0,
                     cleared: false,
                 };
--- a/crates/policy/tests/part_quarantine.rs
+++ b/crates/policy/tests/part_quarantine.rs
@@ -29,6 +29,7 @@
         position,
         others_answered: true,
         answered_before: false,
+        request: None,
         renewed: 0,
         cleared: false,
     }
@@ -260,6 +261,28 @@
     assert!(quarantine.holds(&fatal) && !quarantine.holds(&session));
 }
 
+/// Guards against holding back a request's own part in place of the faulty one, which has the same exits as long as
+/// callers send that request again.
+#[test]
+fn exits_under_one_request_blame_no_part_of_its_prompt() {
+    let (fatal, own) = (key(FATAL, ACCOUNT), key(SESSION, ACCOUNT));
+    let mut quarantine = PartQuarantine::default();
+    let mut crash = |part, position, engine, request| {
+        let request = Some(RequestFingerprint(request));
+        let exit = PartExit { request, ..exit(part, engine, position) };
+        quarantine.learn(exit, 0, 500 * u64::from(engine));
+    };
+    for engine in 1..=4 {
+        crash(fatal, 1, engine, 5);
+        crash(own, 2, engine, 5);
+    }
+    crash(fatal, 1, 5, 6);
+    quarantine.decide(4_000 - 1_000);
+    assert!(!quarantine.holds(&fatal) && !quarantine.holds(&own), "the fifth is not settled");
+    quarantine.decide(4_000);
+    assert!(quarantine.holds(&fatal) && !quarantine.holds(&own));
+}
+
 /// Guards against holding back all requests of an account for the part that all their prompts begin
 /// with: it has the same exits as the faulty one.
 #[test]
