Quarantine: answers to any request of a service tell that its engines work

Callers had engine after engine crashed by an account of which every request has the faulty part: 17 of 30 exited. A verdict needs a sign that the engines of a service answer at all; only answers to other requests of the same account were one, so that this account never got a verdict. Five accounts that are in that state in turn were not held back for the same reason, once an earlier answer for a sixth no longer exempts them.

Any answer of the service counts.

--- a/crates/heathpitchd/src/gateway/call/record.rs
+++ b/crates/heathpitchd/src/gateway/call/record.rs
@@ -70,7 +70,7 @@
     {
         let mut answered = shared.answered_parts.lock();
         answered.record(parts, incarnation.digest(), now);
-        answered.record(&[call.part_key(PromptPart::ANY)], incarnation.digest(), now);
+        answered.record(&[call.part_key(PromptPart::ANY).any()], incarnation.digest(), now);
     }
     if shared.quarantine.load().parts.counts_answers(parts) {
         shared.notify_control(ControlMessage::PartsAnswered(parts.clone(), incarnation));
--- a/crates/policy/src/answered_parts.rs
+++ b/crates/policy/src/answered_parts.rs
@@ -33,9 +33,9 @@
         Self { account: ANY_ACCOUNT, ..self }
     }
 
-    /// Stands for all prompts of the account and service.
+    /// Stands for all prompts of the service.
     pub fn any(self) -> Self {
-        Self { part: PromptPart::ANY, ..self }
+        Self { part: PromptPart::ANY, account: ANY_ACCOUNT, ..self }
     }
 }
 
--- a/crates/policy/src/part_quarantine.rs
+++ b/crates/policy/src/part_quarantine.rs
@@ -54,7 +54,7 @@
     pub events: u32,
     /// Position of the part in the prompt, from 0.
     pub position: u8,
-    /// Whether a node knew answers to other requests of the account and service.
+    /// Whether a node knew answers to other requests of the service.
     pub others_answered: bool,
     /// Whether a node knew an answer to the part from the minutes before.
     pub answered_before: bool,
