--- a/crates/heathpitchd/tests/gateway_soak.rs
+++ b/crates/heathpitchd/tests/gateway_soak.rs
@@ -86,6 +86,23 @@
     .await;
 }
 
+/// A call that was refused where it had been forwarded to counted for that node, as one within an engine's pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_under_all_kinds_of_faults() {
+    let schedule = FaultSchedule::generate(56_019, Duration::from_secs(8));
+    run_schedule(
+        &schedule
+            .with_restarts()
+            .with_crashes()
+            .with_part_crashes()
+            .with_backpressure()
+            .with_store_restores()
+            .with_limits()
+            .with_cuts(),
+    )
+    .await;
+}
+
 async fn run_schedule(schedule: &FaultSchedule) {
     println!("seed {}: {:?}", schedule.seed, schedule.faults);
     let binary = PathBuf::from(env!("CARGO_BIN_EXE_heathpitchd"));
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -176,11 +176,13 @@
     CallRecord { id, node, kind, body, key, sent_at, elapsed: sent_at.elapsed(), reply }
 }
 
-/// Parts of a prompt: one that all share, the fatal one or that of one of sixteen sessions, and its own.
+/// Parts of a prompt: one that all share, the fatal one or that of one of sixteen sessions, and its own; the fatal one is the
+/// last of half of its prompts.
 fn prompt_parts(id: &str, body: &str) -> String {
     let own = id.bytes().map(|byte| format!("{byte:02x}")).collect::<String>();
     let session = own.get(own.len().saturating_sub(1)..).unwrap_or_default();
     match body.starts_with(FATAL_PART_BODY) {
+        true if session < "5" => format!("{FIRST_PART}:40,{own}:60,{FATAL_PART}:9"),
         true => format!("{FIRST_PART}:40,{FATAL_PART}:60,{own}:9"),
         false => format!("{FIRST_PART}:40,5e{session}:60,{own}:9"),
     }
