Quarantine: exits under parts that are not held back expire one by one

Since all parts are judged by rates, exits under parts that all prompts share are kept, too. Exits of a suspect expired together, ten minutes after the youngest one; where engines exit now and then for other reasons, the part that all prompts begin with would have kept them for ever, filled the memory of 2 048, and had new parts evicted before their second exit. Found by reading; nothing of it was seen.

Exits of a part expire one by one, and together only while it is held back, as its verdict rests on them. With an engine exiting each five seconds the new test found more than 121 kept before, and passes now.

--- a/crates/policy/src/exit_book.rs
+++ b/crates/policy/src/exit_book.rs
@@ -150,11 +150,17 @@
         due
     }
 
-    /// Drops expired exits, all exits of a suspect together; returns whether there were any.
-    pub(crate) fn expire(&mut self, now: Millis) -> bool {
+    /// Drops expired exits, those of suspects in `together` only once all of them have expired; returns whether there were
+    /// any.
+    pub(crate) fn expire(&mut self, now: Millis, together: impl Fn(&S) -> bool) -> bool {
         let before = self.len;
         let oldest = time_before(now, EXIT_TTL_MS);
-        self.exits.retain(|_, exits| exits.values().any(|k| k.at > oldest));
+        self.exits.retain(|suspect, exits| {
+            if !together(suspect) {
+                exits.retain(|_, k| k.at > oldest);
+            }
+            exits.values().any(|k| k.at > oldest)
+        });
         self.len = self.exits.values().map(BTreeMap::len).sum();
         self.len < before
     }
--- a/crates/policy/src/part_quarantine.rs
+++ b/crates/policy/src/part_quarantine.rs
@@ -245,10 +245,12 @@
         covered.into_iter().fold(false, |renewed, key| self.exits.renew(key, now) | renewed)
     }
 
-    /// Drops expired exits and answers; returns whether there were any exits.
+    /// Drops expired exits and answers; returns whether there were any exits. Those of a part that is held back expire
+    /// together, while parts that all prompts share have exits at any time.
     pub fn expire(&mut self, now: Millis) -> bool {
         self.answers.expire(now);
-        self.exits.expire(now)
+        let held = &self.evidence;
+        self.exits.expire(now, |key| held.contains(key))
     }
 }
 
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -147,7 +147,7 @@
 
     /// Drops expired exits, all exits of a request together; returns whether there were any.
     pub fn expire(&mut self, now: Millis) -> bool {
-        self.exits.expire(now)
+        self.exits.expire(now, |_| true)
     }
 }
 
--- a/crates/policy/tests/part_quarantine.rs
+++ b/crates/policy/tests/part_quarantine.rs
@@ -371,6 +371,19 @@
     assert!(!quarantine.holds(&fatal));
 }
 
+/// Guards against a memory that fills with exits under a part that all prompts share: engines exit now and then for other
+/// reasons, and its youngest exit would keep all of them.
+#[test]
+fn exits_under_a_part_that_is_not_held_back_expire_one_by_one() {
+    let (first, mut quarantine) = (key(FIRST, ACCOUNT), PartQuarantine::default());
+    for engine in 0..4_000 {
+        let now = u64::from(engine) * 5_000;
+        quarantine.learn(exit(first, engine, 0), 0, now);
+        quarantine.expire(now);
+    }
+    assert!(quarantine.since(0, usize::MAX, 20_000_000).0.len() <= 121);
+}
+
 #[test]
 fn memory_is_bounded_and_held_parts_are_evicted_last() {
     let (fatal, mut quarantine) = (key(FATAL, ACCOUNT), PartQuarantine::default());
