--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -126,6 +126,9 @@
         }
         thread::sleep(Duration::from_millis(200));
     }
+    for node in &nodes {
+        record.add(format!("{} calls itself ready: {}", node.name, node.is_ready()));
+    }
     let runs = runs.lock().unwrap();
     let ran = late.iter().filter(|id| runs.contains(id)).count();
     record.add(format!(
