--- a/review/standin.rs
+++ b/review/standin.rs
@@ -652,7 +652,7 @@
 }
 
 impl Gateway {
-    /// Starts a node with the command of the deploy file; `seeds` are control addresses.
+    /// Starts a node for the first time, at free ports; `seeds` are control addresses.
     pub fn start(
         dir: &Path,
         name: &str,
@@ -661,14 +661,31 @@
         store: SocketAddr,
         control: u16,
         seeds: &[u16],
+    ) -> Gateway {
+        let ports = [(); 4].map(|()| free_port());
+        Self::start_at(dir, name, zone, zones, store, control, seeds, ports, true)
+    }
+
+    /// Starts a node with the command of the deploy file, at the ports for clients, checks, metrics and other nodes.
+    #[allow(clippy::too_many_arguments)]
+    pub fn start_at(
+        dir: &Path,
+        name: &str,
+        zone: &str,
+        zones: &[&str],
+        store: SocketAddr,
+        control: u16,
+        seeds: &[u16],
+        ports: [u16; 4],
+        first_start: bool,
     ) -> Gateway {
         let zones: Vec<String> = zones.iter().map(|z| format!("\"{z}\"")).collect();
         let seeds: Vec<String> = seeds.iter().map(|p| format!("\"127.0.0.1:{p}\"")).collect();
-        let [front, ready, metrics, forward] = [(); 4].map(|()| free_port());
+        let [front, ready, metrics, forward] = ports;
         let settings = format!(
             "{{\"node\":\"{name}\",\"domain\":\"{zone}\",\"domains\":[{}],\"listen\":\"127.0.0.1:{front}\",\
              \"ready\":\"127.0.0.1:{ready}\",\"metrics\":\"127.0.0.1:{metrics}\",\"peer\":\"127.0.0.1:{control}\",\
-             \"forward\":\"127.0.0.1:{forward}\",\"seeds\":[{}],\"store\":\"{store}\",\"first_start\":true,\
+             \"forward\":\"127.0.0.1:{forward}\",\"seeds\":[{}],\"store\":\"{store}\",\"first_start\":{first_start},\
              \"vm\":{{\"link_mbps\":1000.0,\"cpu_share\":0.25}},\"bounds\":{{{}}}}}",
             zones.join(","),
             seeds.join(","),
