--- a/review/standin.rs
+++ b/review/standin.rs
@@ -10,6 +10,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -640,9 +641,17 @@
     fn prctl(option: i32, value: u64) -> i32;
 }
 
-/// A free loopback port.
+/// A free loopback port below those that the kernel gives to outgoing channels, so that none of these takes it before
+/// the process that it is meant for, or while that is started again.
 pub fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port").port()
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let n = std::process::id().wrapping_mul(97).wrapping_add(TAKEN.fetch_add(1, SeqCst));
+        let port = 12_000 + (n % 18_000) as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// Figures of a small deployment, as the template of the deploy file fills them in.
