Log and metric of the configuration's age, by what it was adopted, failed polls

Change: call_routed has proof_ms, config_adopted has by and proof_ms, poll_failed is an event with the ages of both proofs, and heathpitch_config_age_seconds is a metric. No logic is changed.

--- a/crates/heathpitchd/src/gateway/call/record.rs
+++ b/crates/heathpitchd/src/gateway/call/record.rs
@@ -38,6 +38,7 @@
             after,
             remaining_ms: self.call.remaining(now),
             config: self.call.catalog.version,
+            proof_ms: self.traffic.shared.config_freshness.load().age(now),
             list_ms: self.traffic.shared.list_freshness.load().age(now),
         })
         .log();
--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -62,7 +62,7 @@
     let key = control.clients.dialect.config_key();
     match control.call("get", control.clients.store.get(key)).await {
         Ok(GetResponse { item: Some(item), at }) => {
-            if adopt(control, &item) {
+            if adopt(control, &item, "read") {
                 record_proof(&control.shared.config_freshness, sent);
             }
             Some(at)
@@ -92,7 +92,7 @@
         for change in &watched.changes {
             match change {
                 ItemChange::Put(item) if &*item.key == key => {
-                    adopt(control, item);
+                    adopt(control, item, "watch");
                 }
                 ItemChange::Put(_) | ItemChange::Deleted(_) => {}
             }
@@ -115,7 +115,7 @@
     match control.call("prove", control.clients.store.write(write)).await {
         Ok(at) => engine_list::prove_at(control, at, sent),
         Err(StoreError::Conflict(items)) => match items.first() {
-            Some(item) if adopt(control, item) => {}
+            Some(item) if adopt(control, item, "proof") => {}
             Some(_) | None => return false,
         },
         // The revision in force belongs to the store's history before it was restored.
@@ -130,8 +130,9 @@
 /// era of the store and has a higher version.
 ///
 /// Within one era of the store the higher revision is newer. Across a restore from an older copy, the operator's
-/// own version decides: the configuration in force stays until it, or a newer one, is written again.
-pub(super) fn adopt(control: &Control, item: &Item) -> bool {
+/// own version decides: the configuration in force stays until it, or a newer one, is written again. `by` names
+/// in the log what delivered it.
+pub(super) fn adopt(control: &Control, item: &Item, by: &'static str) -> bool {
     let current = control.shared.catalog.load().as_ref().map(|c| (c.revision, c.version));
     let (revision, before) = (item.revision, current.map(|(revision, _)| revision));
     let same = before.is_some_and(|b| b.era() == revision.era());
@@ -165,6 +166,8 @@
         version: catalog.version,
         revision: catalog.revision,
         routes: catalog.routes().count(),
+        by,
+        proof_ms: control.shared.config_freshness.load().age(control.now()),
     }
     .log();
     control.shared.catalog.store(Some(Arc::new(catalog)));
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -21,6 +21,7 @@
 
 use super::state::{Control, Fleet};
 use super::{config, engines, nodes, reports};
+use crate::gateway::event::GatewayEvent;
 use crate::gateway::shared::record_proof;
 
 /// Time between polls: a small part of the time for which a draining engine may still be sent work, and
@@ -136,7 +137,7 @@
         Err(e) => {
             *state = FeedState::default();
             control.promises_unanswered();
-            log::info!("poll of node {} failed: {e}", source.node);
+            control.poll_failed(&source.node, start, &e);
             // A VM that refuses connections is starting or restarting, and will answer soon.
             match control.now().saturating_sub(start) {
                 took if took < POLL_TIMEOUT.as_millis() as Millis => PollOutcome::Declined,
@@ -255,7 +256,7 @@
 
 fn adopt(control: &Control, deflated: &Item) -> Result<(), RpcError> {
     let value = inflate_bytes(&deflated.value)?.into();
-    config::adopt(control, &Item { value, ..deflated.clone() });
+    config::adopt(control, &Item { value, ..deflated.clone() }, "node");
     Ok(())
 }
 
@@ -286,6 +287,19 @@
 
 /// # Feed
 impl Control {
+    /// Logs that a node did not answer a poll begun at `start`.
+    fn poll_failed(&self, node: &Name, start: Millis, error: &RpcError) {
+        let now = self.now();
+        GatewayEvent::PollFailed {
+            node: node.clone(),
+            ms: now.saturating_sub(start),
+            proof_ms: self.shared.config_freshness.load().age(now),
+            list_ms: self.shared.list_freshness.load().age(now),
+            error: error.to_string(),
+        }
+        .log();
+    }
+
     /// Builds a request to another node, and returns also the position up to which it sends notices.
     pub(super) fn feed_request(
         &self,
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -214,6 +214,9 @@
     if let Some(age) = shared.list_freshness.load().age(shared.now()) {
         shared.metrics.list_age.set(age as f64 / 1e3);
     }
+    if let Some(age) = shared.config_freshness.load().age(shared.now()) {
+        shared.metrics.config_age.set(age as f64 / 1e3);
+    }
     let mut response = Response::new(full(shared.metrics.text()));
     let media = HeaderValue::from_static("text/plain; version=0.0.4");
     response.headers_mut().insert(CONTENT_TYPE, media);
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -186,6 +186,10 @@
         revision: Revision,
         /// Number of its routes.
         routes: usize,
+        /// What delivered it: a read, a watch or a proof of the store's, or another node.
+        by: &'static str,
+        /// Time since the previous one was last confirmed as the newest.
+        proof_ms: Option<Millis>,
     },
     /// A configuration is invalid; the previous one stays in force.
     ConfigRejected {
@@ -194,6 +198,19 @@
         /// What is wrong.
         error: String,
     },
+    /// Another node did not answer a poll for the contents of the store.
+    PollFailed {
+        /// Node.
+        node: Name,
+        /// Time that the poll took.
+        ms: Millis,
+        /// Time since the configuration in force was last confirmed as the newest.
+        proof_ms: Option<Millis>,
+        /// Time since the known engines were last confirmed to match the store.
+        list_ms: Option<Millis>,
+        /// What failed.
+        error: String,
+    },
     /// A watch of the store got no response; its keys are read again.
     WatchLost {
         /// What is watched.
--- a/crates/heathpitchd/src/gateway/event/call_routed.rs
+++ b/crates/heathpitchd/src/gateway/event/call_routed.rs
@@ -25,6 +25,8 @@
     pub remaining_ms: Millis,
     /// Version of the configuration in force.
     pub config: u64,
+    /// Time since it was last confirmed as the newest.
+    pub proof_ms: Option<Millis>,
     /// Time since the known engines were last confirmed to match the store.
     pub list_ms: Option<Millis>,
 }
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Name and help of every metric of a gateway.
-pub const GATEWAY_METRICS: [(&str, &str); 32] = [
+pub const GATEWAY_METRICS: [(&str, &str); 33] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -52,6 +52,7 @@
         "heathpitch_parts_held_back",
         "Parts of prompts sent nowhere because engines ended under them",
     ),
+    ("heathpitch_config_age_seconds", "Age of the proof that the configuration is the newest"),
 ];
 
 /// Bucket bounds for the time to the head of an answer, seconds.
@@ -79,6 +80,7 @@
     pub(crate) nodes: IntGauge,
     pub(crate) feed: IntCounterVec,
     pub(crate) list_age: Gauge,
+    pub(crate) config_age: Gauge,
     pub(crate) held: IntGauge,
     pub(crate) held_parts: IntGauge,
     pub(crate) era: IntGauge,
@@ -143,6 +145,7 @@
             reach_probes: IntCounterVec::new(opts(29), &["result"])?,
             retries: IntCounterVec::new(opts(30), &["result"])?,
             held_parts: IntGauge::with_opts(opts(31))?,
+            config_age: Gauge::with_opts(opts(32))?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -169,6 +172,7 @@
             Box::new(self.nodes.clone()),
             Box::new(self.feed.clone()),
             Box::new(self.list_age.clone()),
+            Box::new(self.config_age.clone()),
             Box::new(self.held.clone()),
             Box::new(self.held_parts.clone()),
             Box::new(self.era.clone()),
