Bound the age of the configuration by time, whatever polls are pending

Cause: a follower polled one source after the other, and its feed counted as lost only when none was left. A silent source is passed over for 1 000 ms and polling the next takes as long, so that with two of them one is nearly always due, with three always: its log shows polls of n1 and n2 in turn, and neither a read of the store nor a proof. A node that was no standby then waited its turn to read, 700 ms and more. Class: a loop that ends when nobody answers, not when the time is over in which an answer was needed.

Change: policy::ProofSchedule states the bound as one sum, checked when it is compiled. A follower polls again when the next proof is due, the next source beside one that is silent for 100 ms, and counts the feed as lost after 300 ms; if no source has a young enough proof it asks the store by itself (config_proof_due), standbys first, so that other followers get theirs from them. Nodes that read the store prove each 1.0 s, not each 2.0 s. The node is told the agreed time (bounds.config_apply_ms) and warns if it is shorter than the sum. A proof by a node that does not read the store no longer counts for its list of engines.

Beside one or two silent nodes of twenty only standbys ask the store.

--- a/crates/core/src/gateway_settings.rs
+++ b/crates/core/src/gateway_settings.rs
@@ -121,6 +121,8 @@
 pub struct PlatformBounds {
     /// Time after the accepted removal of a key by which no node may accept it.
     pub revoke_ms: Millis,
+    /// Time after the acceptance of a configuration by which nodes in touch with the store serve by it.
+    pub config_apply_ms: Millis,
     /// Time for which a draining engine may still be sent requests.
     pub drain_ms: Millis,
     /// Time from SIGTERM to SIGKILL, seconds.
@@ -141,6 +143,7 @@
     fn default() -> Self {
         Self {
             revoke_ms: 5_000,
+            config_apply_ms: 2_000,
             drain_ms: 2_000,
             grace_s: 8.0,
             retry_ratio: 0.2,
@@ -162,6 +165,7 @@
         let settings: Self = parse::parse(text)?;
         let b = &settings.bounds;
         check_range("bounds.revoke_ms", b.revoke_ms, 500, 600_000)?;
+        check_range("bounds.config_apply_ms", b.config_apply_ms, 100, 600_000)?;
         check_range("bounds.drain_ms", b.drain_ms, 100, 600_000)?;
         check_range("bounds.grace_s", b.grace_s as u64, 1, 3_600)?;
         check_range("bounds.retry_window_s", b.retry_window_s as u64, 1, 3_600)?;
--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -9,6 +9,7 @@
 
 use heathpitch_core::{Invariant, Millis, Revision, check};
 use heathpitch_net::{GetResponse, Item, ItemChange, StoreError, Write};
+use heathpitch_policy::{MIN_APPLY_MS, ProofSchedule};
 
 use super::engine_list;
 use super::state::Control;
@@ -18,11 +19,6 @@
 /// Longest wait of a watch, below the store's limit of 30 s. A dead watch only delays a change, which the
 /// next proof delivers.
 const MAX_WATCH_MS: Millis = 25_000;
-/// Time between proofs; at least two fit into the shortest revocation time of a removed key.
-const PROOF_INTERVAL: Duration = Duration::from_millis(2_000);
-/// Time between proofs of a planner. Together with the answer's time and a follower's poll interval (400 ms)
-/// it stays below the maximum age of a proof on which calls may be denied.
-const PLANNER_PROOF_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Initial retry interval while the store does not answer; doubled after each failure.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 /// Upper bound of the retry interval, a fraction of the shortest revocation time of a removed key.
@@ -34,25 +30,50 @@
     control.read_and_watch(RETRY_INTERVAL, read, watch).await;
 }
 
-/// Proves periodically that the configuration in force is the newest.
+/// Proves that the configuration in force is the newest: periodically if this node reads the store, and otherwise
+/// when no source has a proof young enough.
 pub(super) async fn keep_proven(control: Rc<Control>) {
+    let apply_ms = control.shared.settings.load().bounds.config_apply_ms;
+    if apply_ms < MIN_APPLY_MS {
+        log::warn!(
+            "a configuration may take {MIN_APPLY_MS} ms to be in force, \
+             but bounds.config_apply_ms is {apply_ms}"
+        );
+    }
+    let mut schedule = ProofSchedule::default();
     let mut retry = RETRY_INTERVAL;
     loop {
-        if !control.reads_store() {
-            control.role_changed.notified().await;
+        let (reads, proven) = (control.reads_store(), control.shared.config_freshness.load().at());
+        let own_age = (!reads).then(|| ProofSchedule::own_proof_age(control.standby_rank()));
+        let pause = match control.shared.catalog.load().is_some() {
+            // A node without a configuration has nothing to prove until it reads one.
+            false => RETRY_INTERVAL.as_millis() as Millis,
+            true => schedule.due(proven, own_age).saturating_sub(control.now()),
+        };
+        if pause > 0 {
+            control.pause(Duration::from_millis(pause)).await;
             continue;
         }
+        if !reads {
+            let rank = control.standby_rank();
+            let proof_ms = control.shared.config_freshness.load().age(control.now());
+            GatewayEvent::ConfigProofDue { rank, proof_ms }.log();
+        }
         let sent = control.now();
-        let proven = prove_once(&control).await;
-        retry = if proven { RETRY_INTERVAL } else { (retry * 2).min(MAX_RETRY_INTERVAL) };
-        let pause = match proven {
-            true if control.is_planner() || control.stopping() => {
-                PLANNER_PROOF_INTERVAL.saturating_sub(Duration::from_millis(control.now() - sent))
+        match prove_once(&control).await {
+            true => {
+                schedule.answered(sent);
+                retry = RETRY_INTERVAL;
             }
-            true => PROOF_INTERVAL,
-            false => retry,
-        };
-        tokio::time::sleep(pause).await;
+            false if reads => {
+                retry = (retry * 2).min(MAX_RETRY_INTERVAL);
+                schedule.retry_after(control.now(), retry.as_millis() as Millis);
+            }
+            false => {
+                let (now, domain_size) = (control.now(), control.domain_size());
+                schedule.follower_failed(now, domain_size, &mut rand::rng());
+            }
+        }
     }
 }
 
@@ -113,7 +134,8 @@
     let conditions = vec![(key, revision)];
     let write = Write { conditions, ..Write::default() };
     match control.call("prove", control.clients.store.write(write)).await {
-        Ok(at) => engine_list::prove_at(control, at, sent),
+        Ok(at) if control.reads_store() => engine_list::prove_at(control, at, sent),
+        Ok(_) => {}
         Err(StoreError::Conflict(items)) => match items.first() {
             Some(item) if adopt(control, item, "proof") => {}
             Some(_) | None => return false,
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -11,12 +11,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use heathpitch_core::{Millis, Name};
 use heathpitch_net::{
     FeedClient, FeedCursor, FeedEngines, FeedNotices, FeedRequest, FeedResponse, Item,
     NoticeCursor, RpcError, inflate_bytes, unpack,
 };
-use heathpitch_policy::{DomainPlanner, PollOutcome, Source};
+use heathpitch_policy::{DomainPlanner, PollOutcome, REPOLL_AGE_MS, Source};
 use rand::seq::IndexedRandom;
 
 use super::state::{Control, Fleet};
@@ -29,6 +31,13 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
 /// Time between polls while no source answers, and when the last answer is about to become too old.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(60);
+/// Time between polls once the next proof of the configuration is due.
+const REPOLL_INTERVAL: Duration = Duration::from_millis(150);
+/// Time after which the next source is polled beside one that has not answered, many times the delay inside a failure
+/// domain.
+const NEXT_SOURCE_DELAY: Duration = Duration::from_millis(100);
+/// Time without fresh data after which the feed counts as lost.
+const FEED_TIMEOUT_MS: Millis = 300;
 /// Timeout of a connection and of an answer, many times the delay inside a failure domain.
 const POLL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout of an answer that may hold all engines and the configuration: 100 kB take 40 ms on a link of
@@ -59,7 +68,7 @@
     }
 }
 
-/// State of the exchange with the current source.
+/// State of the exchange with a source.
 #[derive(Default)]
 struct FeedState {
     node: Option<Name>,
@@ -71,19 +80,42 @@
 }
 
 impl FeedState {
-    /// Time to the next poll, which comes before the list becomes too old: a list received near its maximum age
-    /// must not be kept for another full interval.
+    /// State of the exchange with `node`: this one if it is its, a new one otherwise.
+    fn take_for(&mut self, node: &Name) -> Self {
+        match &self.node {
+            Some(known) if known == node => std::mem::take(self),
+            _ => Self { node: Some(node.clone()), ..Self::default() },
+        }
+    }
+
+    /// Time to the next poll, which comes before the list becomes too old, and as soon as the next proof of the
+    /// configuration is expected: data received near its maximum age must not be kept for another full interval.
     fn pause(&self, control: &Control) -> Duration {
-        let left = Duration::from_millis(self.fresh_until.saturating_sub(control.now()));
+        let now = control.now();
+        let left = Duration::from_millis(self.fresh_until.saturating_sub(now));
+        let proof = control.shared.config_freshness.load().age(now).unwrap_or_default();
+        let next = match REPOLL_AGE_MS.saturating_sub(proof) {
+            0 => REPOLL_INTERVAL,
+            wait => Duration::from_millis(wait),
+        };
         match () {
-            () if control.has_feed() => left.clamp(MIN_POLL_INTERVAL, POLL_INTERVAL),
+            () if control.has_feed() => left.min(next).clamp(MIN_POLL_INTERVAL, POLL_INTERVAL),
             () if control.is_planner() => POLL_INTERVAL,
             () => MIN_POLL_INTERVAL,
         }
     }
 }
 
-/// Periodically polls one source after the other until one answers with fresh data.
+/// A poll that has ended.
+struct EndedPoll {
+    source: Source,
+    state: FeedState,
+    start: Millis,
+    /// Time at which the request was sent, and its answer.
+    answer: Result<(Millis, FeedResponse), RpcError>,
+}
+
+/// Periodically polls sources until one answers with fresh data.
 pub(super) async fn follow(control: Rc<Control>) {
     let mut state = FeedState::default();
     loop {
@@ -96,18 +128,56 @@
     }
 }
 
+/// Polls sources until one sends fresh data or none is left.
+///
+/// A source that does not answer at once is polled beside the next one. After [`FEED_TIMEOUT_MS`] without fresh data
+/// the feed counts as lost, whatever polls are still pending.
 async fn poll_round(control: &Rc<Control>, state: &mut FeedState) {
     if control.sources.borrow().knows_no_planner() {
         poll_seed(control).await;
     }
-    while let Some(source) = control.next_source() {
-        let outcome = poll_source(control, state, &source).await;
-        control.record_poll(&source.node, outcome);
-        if outcome == PollOutcome::Fresh {
-            return;
+    let start = control.now();
+    let mut polls = FuturesUnordered::new();
+    let mut pending: Vec<(Name, Millis)> = Vec::new();
+    let mut lost = false;
+    loop {
+        let names: Vec<Name> = pending.iter().map(|(node, _)| node.clone()).collect();
+        match control.next_source(&names) {
+            Some(source) => {
+                if !pending.is_empty() {
+                    // Promised retries are part of one poll at a time.
+                    control.promises_unanswered();
+                }
+                pending.push((source.node.clone(), control.now()));
+                polls.push(poll_source(control, state.take_for(&source.node), source));
+            }
+            None if pending.is_empty() => return control.sources_exhausted(start),
+            None => {}
+        }
+        let ended = tokio::time::timeout(NEXT_SOURCE_DELAY, polls.next()).await.ok().flatten();
+        if let Some(ended) = ended {
+            let is_latest = pending.last().is_some_and(|(node, _)| *node == ended.source.node);
+            pending.retain(|(node, _)| *node != ended.source.node);
+            if finish_poll(control, state, ended, is_latest) == PollOutcome::Fresh {
+                return supersede(control, &pending);
+            }
+        }
+        if !lost && control.now() >= start + FEED_TIMEOUT_MS {
+            control.sources_exhausted(start);
+            lost = true;
         }
+        control.update_role();
+    }
+}
+
+/// Ends the polls that were pending when another source answered; those that are late are not repeated at once.
+fn supersede(control: &Control, pending: &[(Name, Millis)]) {
+    let error = RpcError::Lost("another node answered first".to_owned());
+    let delay = NEXT_SOURCE_DELAY.as_millis() as Millis;
+    for (node, start) in pending.iter().filter(|(_, start)| control.now() >= start + delay) {
+        control.poll_failed(node, *start, &error);
+        control.record_poll(node, PollOutcome::NoAnswer);
     }
-    control.sources_exhausted();
 }
 
 /// Polls a seed for the current planners only; planners serve the list and the configuration.
@@ -127,16 +197,29 @@
     }
 }
 
-async fn poll_source(control: &Rc<Control>, state: &mut FeedState, source: &Source) -> PollOutcome {
-    let start = control.now();
-    let answer = poll(control, state, source).await;
+/// Applies the answer of a poll, or records its failure. `is_latest` tells whether promised retries were part of it.
+fn finish_poll(
+    control: &Rc<Control>,
+    state: &mut FeedState,
+    ended: EndedPoll,
+    is_latest: bool,
+) -> PollOutcome {
+    let EndedPoll { source, state: mut polled, start, answer } = ended;
     let label = if answer.is_ok() { "ok" } else { "failed" };
     control.shared.metrics.feed.with_label_values(&[label]).inc();
-    match answer {
-        Ok((sent, response)) => apply(control, state, source, sent, response),
+    let outcome = match answer {
+        Ok((sent, response)) => {
+            if is_latest {
+                control.receive_promises(&source.node, &response, sent);
+            }
+            let outcome = apply(control, &mut polled, &source, sent, response);
+            *state = polled;
+            outcome
+        }
         Err(e) => {
-            *state = FeedState::default();
-            control.promises_unanswered();
+            if is_latest {
+                control.promises_unanswered();
+            }
             control.poll_failed(&source.node, start, &e);
             // A VM that refuses connections is starting or restarting, and will answer soon.
             match control.now().saturating_sub(start) {
@@ -144,7 +227,15 @@
                 _ => PollOutcome::NoAnswer,
             }
         }
-    }
+    };
+    control.record_poll(&source.node, outcome);
+    outcome
+}
+
+async fn poll_source(control: &Control, mut state: FeedState, source: Source) -> EndedPoll {
+    let start = control.now();
+    let answer = poll(control, &mut state, &source).await;
+    EndedPoll { source, state, start, answer }
 }
 
 /// Polls on the kept connection, or on a new one; also returns the time at which the request was sent.
@@ -153,9 +244,6 @@
     state: &mut FeedState,
     source: &Source,
 ) -> Result<(Millis, FeedResponse), RpcError> {
-    if state.node.as_ref() != Some(&source.node) {
-        *state = FeedState { node: Some(source.node.clone()), ..FeedState::default() };
-    }
     let (mut request, sent_to) = control.feed_request(state.cursor, &state.notices, false);
     let (demand, counted) = control.demand_for(&source.node);
     request.demand = demand;
@@ -197,7 +285,6 @@
     if let Some(shares) = &response.shares {
         control.receive_shares(&source.node, shares, sent);
     }
-    control.receive_promises(&source.node, &response, sent);
     let proven = sent.saturating_sub(response.entries_age_ms);
     let own = control.shared.list_freshness.load().at();
     // An empty delta means that the source has the same list.
--- a/crates/heathpitchd/src/gateway/control/sources.rs
+++ b/crates/heathpitchd/src/gateway/control/sources.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use heathpitch_core::{Name, Revision};
+use heathpitch_core::{Millis, Name, Revision};
 use heathpitch_policy::{PollOutcome, Source};
 
 use super::state::Control;
@@ -13,14 +13,17 @@
 
 /// # Sources
 impl Control {
-    /// Returns the node to poll now; none while this node is planner and reaches the store, or if
-    /// it has no feed address.
-    pub(super) fn next_source(&self) -> Option<Source> {
+    /// Returns the node to poll now besides those whose answers are pending; none while this node is planner and
+    /// reaches the store, or if it has no feed address.
+    pub(super) fn next_source(&self, pending: &[Name]) -> Option<Source> {
         self.shared.peer?;
         let reachable = self.reachable();
         match self.is_planner() && reachable {
             true => None,
-            false => self.sources.borrow().next(self.now(), reachable).cloned(),
+            false => {
+                let sources = self.sources.borrow();
+                sources.next_besides(pending, self.now(), reachable).cloned()
+            }
         }
     }
 
@@ -41,11 +44,11 @@
         self.feed_changed(before, "it answers polls");
     }
 
-    /// Records that no node is left to poll.
-    pub(super) fn sources_exhausted(&self) {
+    /// Records that no node polled since `since` has sent data, or that none is left to poll.
+    pub(super) fn sources_exhausted(&self, since: Millis) {
         let before = self.sources.borrow().active().cloned();
         let domain_size = self.domain_size();
-        self.sources.borrow_mut().sources_exhausted(self.now(), domain_size, &mut rand::rng());
+        self.sources.borrow_mut().sources_exhausted(since, domain_size, &mut rand::rng());
         let why = if self.is_planner() { "this node is the planner" } else { "no source answers" };
         self.feed_changed(before, why);
     }
@@ -165,6 +168,11 @@
         exempt || self.sources.borrow().may_claim(self.now())
     }
 
+    /// Rank of this node among the standbys of its failure domain's planner.
+    pub(super) fn standby_rank(&self) -> Option<usize> {
+        self.sources.borrow().standby_rank()
+    }
+
     /// Whether another node serves this one the contents of the store.
     pub(super) fn has_feed(&self) -> bool {
         self.sources.borrow().active().is_some()
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -191,6 +191,13 @@
         /// Time since the previous one was last confirmed as the newest.
         proof_ms: Option<Millis>,
     },
+    /// No other node has a young enough proof of the configuration, so that this one proves it by itself.
+    ConfigProofDue {
+        /// Rank of this node among the standbys.
+        rank: Option<usize>,
+        /// Time since the configuration was last confirmed as the newest.
+        proof_ms: Option<Millis>,
+    },
     /// A configuration is invalid; the previous one stays in force.
     ConfigRejected {
         /// Revision of the store.
--- a/crates/heathpitchd/tests/gateway_config_age.rs
+++ b/crates/heathpitchd/tests/gateway_config_age.rs
@@ -26,11 +26,10 @@
 /// A failure domain of `count` nodes, the first of which is its planner.
 async fn domain(cluster: &Cluster, count: usize) -> Vec<GatewayProcess> {
     let mut nodes = vec![cluster.node().await];
-    for i in 2..=count {
-        let node = cluster.start(&format!("n{i}"), &json!({}));
+    nodes.extend((2..=count).map(|i| cluster.start(&format!("n{i}"), &json!({}))));
+    for node in &nodes[1..] {
         node.wait_ready().await.unwrap();
-        wait_until("the node is fed", async || is_fed(&node) == Some(true)).await;
-        nodes.push(node);
+        wait_until("the node is fed", async || is_fed(node) == Some(true)).await;
     }
     // Until every follower knows the standbys.
     tokio::time::sleep(Duration::from_millis(2_500)).await;
@@ -90,3 +89,22 @@
         assert_eq!(outdated_beside_stopped(5, 4, pause).await, 0, "change {pause:?} later");
     }
 }
+
+/// Guards against a failure domain that goes to the store as a whole once its planner is silent: with hundreds of nodes
+/// that would exceed the rate agreed for the fleet.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_nodes_send_only_standbys_to_the_store() {
+    for silent in [1, 2] {
+        let cluster = Cluster::new();
+        let _engine = cluster.engine("a", "api");
+        let nodes = domain(&cluster, 20).await;
+        let due = || nodes.iter().map(|n| n.events("config_proof_due").len()).sum::<usize>();
+        assert_eq!(due(), 0, "no node proves by itself while the planner answers");
+        nodes[..silent].iter().for_each(|n| n.signal("STOP").unwrap());
+        tokio::time::sleep(APPLY_BOUND * 2).await;
+        let rank =
+            |n: &GatewayProcess| n.events("config_proof_due").iter().all(|e| !e["rank"].is_null());
+        assert!(nodes.iter().all(rank), "{silent} silent: {} proofs", due());
+        nodes[..silent].iter().for_each(|n| n.signal("CONT").unwrap());
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -66,6 +66,7 @@
 mod pressure;
 mod probe_repeat;
 mod probes;
+mod proof_schedule;
 mod quarantine;
 mod rank_mix;
 mod recent_demand;
@@ -156,6 +157,9 @@
 pub use pressure::Pressure;
 pub use probe_repeat::may_repeat_probe;
 pub use probes::{ProbeResult, suspects};
+pub use proof_schedule::{
+    MIN_APPLY_MS, PROOF_ANSWER_MS, PROOF_INTERVAL_MS, ProofSchedule, REPOLL_AGE_MS,
+};
 pub use quarantine::{EngineExit, EngineIncarnation, Quarantine, just_started};
 pub use rank_mix::RankMix;
 pub use recent_demand::{DemandCount, DemandKey, RecentDemand};
--- a/crates/policy/src/sources.rs
+++ b/crates/policy/src/sources.rs
@@ -230,8 +230,15 @@
     ///
     /// A standby that can reach the store reads it before it polls another domain.
     pub fn next(&self, now: Millis, reachable: bool) -> Option<&Source> {
+        self.next_besides(&[], now, reachable)
+    }
+
+    /// The same while polls of other nodes are pending.
+    pub fn next_besides(&self, pending: &[Name], now: Millis, reachable: bool) -> Option<&Source> {
         let available = |s: &&Source| {
-            s.node != self.own && self.backoffs.get(&s.node).is_none_or(|r| now >= r.until)
+            s.node != self.own
+                && !pending.contains(&s.node)
+                && self.backoffs.get(&s.node).is_none_or(|r| now >= r.until)
         };
         let overdue = self.silent_since.is_none_or(|since| now >= since + REMOTE_SOURCES_AFTER_MS);
         let remote = overdue && !(reachable && self.standby_rank().is_some());
@@ -271,7 +278,7 @@
         self.schedule(now, domain_size, rng);
     }
 
-    /// Records that no source is left to poll.
+    /// Records that no source has sent data since `now`, or that none is left to poll.
     pub fn sources_exhausted(&mut self, now: Millis, domain_size: u32, rng: &mut impl Rng) {
         self.active = None;
         self.silent_since.get_or_insert(now);
