Soak: the rule on configurations, beside several silent nodes of a domain

Cause: the soak added and removed a route in each run and looked at API keys alone, never at which version a call was run by, and it never stopped two nodes of a failure domain at once.

Their revocation bound is 5 s: with the soak's 2.5 s a node refuses calls before they could run by an outdated configuration.

--- a/crates/heathpitchd/tests/gateway_soak.rs
+++ b/crates/heathpitchd/tests/gateway_soak.rs
@@ -103,6 +103,12 @@
     .await;
 }
 
+/// A node in touch whose fellow nodes were stopped ran calls by a route that had been removed 3.6 s before.
+#[tokio::test(flavor = "multi_thread")]
+async fn configurations_are_in_force_in_time_beside_silent_nodes() {
+    run_schedule(&FaultSchedule::empty(101, Duration::from_secs(30)).with_config_changes()).await;
+}
+
 async fn run_schedule(schedule: &FaultSchedule) {
     println!("seed {}: {:?}", schedule.seed, schedule.faults);
     let binary = PathBuf::from(env!("CARGO_BIN_EXE_heathpitchd"));
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -37,6 +37,8 @@
     /// Time within which faults start, in seconds.
     #[options(default = "12")]
     length: u64,
+    /// Only configuration changes beside silent nodes, in a cluster of five nodes, without other faults.
+    configs: bool,
     /// Directory for the logs of runs that violate an invariant.
     logs: Option<PathBuf>,
 }
@@ -49,9 +51,10 @@
     let mut failed = 0;
     for batch in seeds.chunks(arguments.jobs.max(1)) {
         let runs = batch.iter().map(|seed| {
-            let (binary, schedule) = (
-                arguments.binary.clone(),
-                FaultSchedule::generate(*seed, length)
+            let binary = arguments.binary.clone();
+            let schedule = match arguments.configs {
+                true => FaultSchedule::empty(*seed, length).with_config_changes(),
+                false => FaultSchedule::generate(*seed, length)
                     .with_restarts()
                     .with_crashes()
                     .with_part_crashes()
@@ -59,7 +62,7 @@
                     .with_store_restores()
                     .with_limits()
                     .with_cuts(),
-            );
+            };
             tokio::spawn(async move { (schedule.seed, run(binary, &schedule).await) })
         });
         for run in runs.collect::<Vec<_>>() {
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use serde_json::json;
 
+use crate::config_history::ConfigVersion;
 use crate::error::SoakError;
 use crate::invariants::{DrainedEngine, EngineDisruption, History, NodeDisruption, RevokedKey};
 use crate::load::{self, CallKind, CallRecord, FATAL_PART};
@@ -49,6 +50,9 @@
 const NODE_TIMEOUT: Duration = Duration::from_secs(9);
 /// Bound on key revocation; short, so that a run reaches it.
 const REVOKE_MS: u64 = 2_500;
+/// The same in runs with configuration changes: with the short one, nodes refuse calls before an outdated
+/// configuration shows.
+const LONG_REVOKE_MS: u64 = 5_000;
 /// Agreed limit on retries.
 const RETRY_LIMIT: RetryLimit =
     RetryLimit { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) };
@@ -64,6 +68,7 @@
     binary: PathBuf,
     pub(crate) store: Store,
     config: Mutex<TestConfig>,
+    versions: Mutex<Vec<ConfigVersion>>,
     store_proxies: Vec<Proxy>,
     nodes: Vec<Mutex<Option<GatewayProcess>>>,
     /// Logs of all node processes, also of those that have exited.
@@ -87,17 +92,18 @@
 /// # Startup
 impl TestCluster {
     /// Starts the store, the engines and the nodes; does not wait until the nodes are ready.
-    pub(crate) async fn start(binary: PathBuf) -> Result<Self, SoakError> {
+    pub(crate) async fn start(binary: PathBuf, nodes: usize) -> Result<Self, SoakError> {
         SoakError::check_binary(&binary)?;
         let store = Store::spawn()?;
         let store_proxies =
-            (0..NODES).map(|_| Proxy::spawn(store.address())).collect::<Result<_, _>>()?;
+            (0..nodes).map(|_| Proxy::spawn(store.address())).collect::<Result<_, _>>()?;
         let cluster = Self {
             binary,
             store,
             config: Mutex::new(initial_config()),
             store_proxies,
-            nodes: (0..NODES).map(|_| Mutex::new(None)).collect(),
+            nodes: (0..nodes).map(|_| Mutex::new(None)).collect(),
+            versions: Mutex::default(),
             logs: Mutex::default(),
             engines: Mutex::default(),
             replaced: Mutex::default(),
@@ -114,7 +120,7 @@
             let engine = cluster.spawn_engine(index, 0)?;
             cluster.engines.lock().push(engine);
         }
-        for index in 0..NODES {
+        for index in 0..nodes {
             cluster.start_node(index)?;
         }
         Ok(cluster)
@@ -127,7 +133,7 @@
         let mut engine = Engine::spawn(&self.store, &id, service, "mem", kind)?;
         engine.deregister();
         let proxy = Proxy::spawn(engine.address)?;
-        (0..NODES).for_each(|node| self.apply_cut(node, &proxy));
+        (0..self.node_count()).for_each(|node| self.apply_cut(node, &proxy));
         engine.list_at(proxy.address());
         engine.set_behavior(default_behavior(index));
         engine.exit_on_body(FATAL_BODY);
@@ -140,11 +146,11 @@
         Ok(ProxiedEngine { engine, proxy })
     }
 
-    /// Starts a node; two of the three share a failure domain.
+    /// Starts a node.
     pub(crate) fn start_node(&self, index: usize) -> Result<(), SoakError> {
-        let domain = if index < 2 { "mem" } else { "atl" };
+        let domain = if self.is_first_domain(index) { "mem" } else { "atl" };
         let bounds = json!({
-            "revoke_ms": REVOKE_MS, "retry_ratio": RETRY_LIMIT.ratio,
+            "revoke_ms": self.revoke_ms(), "retry_ratio": RETRY_LIMIT.ratio,
             "retry_slack": RETRY_LIMIT.slack, "retry_window_s": RETRY_LIMIT.window.as_secs(),
         });
         let store = self.store_proxies[index].address();
@@ -177,6 +183,35 @@
 
 /// # Observations
 impl TestCluster {
+    /// Number of nodes.
+    pub(crate) fn node_count(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Bound on key revocation, milliseconds.
+    fn revoke_ms(&self) -> u64 {
+        if self.node_count() > NODES { LONG_REVOKE_MS } else { REVOKE_MS }
+    }
+
+    /// Number of [`KINDS`](load::KINDS) of calls: the toggled route is called only in runs whose failure domains have
+    /// nodes enough to stop several.
+    pub(crate) fn call_kinds(&self) -> usize {
+        load::KINDS.len() - usize::from(self.node_count() <= NODES)
+    }
+
+    /// Whether a node belongs to the first of the two failure domains, which has one node more.
+    fn is_first_domain(&self, index: usize) -> bool {
+        index < self.node_count().div_ceil(2)
+    }
+
+    /// Other nodes of a node's failure domain.
+    pub(crate) fn domain_peers(&self, index: usize) -> Vec<usize> {
+        let same = |other: &usize| {
+            *other != index && self.is_first_domain(*other) == self.is_first_domain(index)
+        };
+        (0..self.node_count()).filter(same).collect()
+    }
+
     /// Address where a node accepts calls, if it is running.
     pub(crate) fn listen_address(&self, index: usize) -> Option<std::net::SocketAddr> {
         self.nodes[index].lock().as_ref().map(|n| n.listen)
@@ -191,8 +226,9 @@
             calls,
             senders: self.senders(),
             received: engines.flat_map(Engine::requests).collect(),
+            versions: self.versions.lock().clone(),
             revoked_keys: self.revoked_keys.lock().clone(),
-            revocation_bound: Duration::from_millis(REVOKE_MS),
+            revocation_bound: Duration::from_millis(self.revoke_ms()),
             retry_limit: Some(RETRY_LIMIT),
             pauses: self.pauses.lock().clone(),
             drained: self.drained.lock().clone(),
@@ -426,7 +462,14 @@
         let mut config = self.config.lock();
         change(&mut config);
         config.version += 3;
+        let sent = Instant::now();
         self.store.put_config(&config.json());
+        self.versions.lock().push(ConfigVersion {
+            sent,
+            accepted: Instant::now(),
+            has_added: has_toggled(&config),
+            keys: config.tenants[0].1.clone(),
+        });
     }
 
     /// Revokes an API key and gives the account a new one with `serial` in its name.
@@ -446,13 +489,18 @@
 
     /// Adds the toggled route, or removes it if it is present.
     pub(crate) fn toggle_route(&self) {
-        self.update_config(|config| match config.routes.len() {
-            5.. => drop(config.routes.pop()),
-            _ => config.routes.push(RouteSpec::idempotent(TOGGLED_PREFIX, "api")),
+        self.update_config(|config| match has_toggled(config) {
+            true => drop(config.routes.pop()),
+            false => config.routes.push(RouteSpec::idempotent(TOGGLED_PREFIX, "api")),
         });
     }
 }
 
+/// Whether a configuration has the toggled route, which comes after those of the initial one.
+fn has_toggled(config: &TestConfig) -> bool {
+    config.routes.len() > initial_config().routes.len()
+}
+
 fn default_behavior(index: usize) -> Behavior {
     if index < PLAIN_ENGINES {
         Behavior::Echo
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -6,6 +6,7 @@
 use heathpitch_standin::{ReceivedRequest, Reply};
 
 use crate::cluster::{FATAL_BODY, STREAM_EVENTS};
+use crate::config_history::{ConfigVersion, outdated_handling};
 use crate::load::{CallKind, CallRecord, FATAL_PART, FATAL_PART_BODY};
 use crate::retry_limit::RetryLimit;
 use crate::senders::Senders;
@@ -18,6 +19,8 @@
 /// Time after a disruption, a crash of engines or a new limit until all nodes have to act on what
 /// they were told.
 const PROPAGATION_GRACE: Duration = Duration::from_millis(3_000);
+/// Time after a disruption from which a node counts as in touch.
+const CONTACT_BOUND: Duration = Duration::from_millis(3_000);
 /// Time after a Retry-After in which requests already in flight may arrive.
 const IN_FLIGHT_GRACE: Duration = Duration::from_millis(500);
 /// Further requests that may arrive until the pause is over.
@@ -95,6 +98,8 @@
     pub revoked_keys: Vec<RevokedKey>,
     /// Time after which a revoked key must not work.
     pub revocation_bound: Duration,
+    /// Versions of the configuration, in order of time.
+    pub versions: Vec<ConfigVersion>,
     /// Paused nodes and when each resumed.
     pub pauses: Vec<(usize, Instant)>,
     /// Engines that were drained.
@@ -123,6 +128,7 @@
                 corrupt_answer(call),
                 self.late_answer(call),
                 self.revoked_key_used(call, runs),
+                self.outdated_config(call, runs),
             ];
             let detail =
                 format!("{:?}, {runs} runs, {} ms", call.status(), call.elapsed.as_millis());
@@ -371,6 +377,21 @@
     }
 }
 
+/// # Configuration
+impl History {
+    /// A call that a node in touch took was not handled by a configuration that may be in force.
+    fn outdated_config(&self, call: &CallRecord, runs: usize) -> Option<&'static str> {
+        let end = call.sent_at + call.elapsed;
+        let disrupted = |d: &NodeDisruption| {
+            d.node.is_none_or(|node| node == call.node)
+                && d.from <= end
+                && d.until + CONTACT_BOUND >= call.sent_at
+        };
+        let in_touch = !self.node_disruptions.iter().any(disrupted);
+        outdated_handling(&self.versions, call, runs).filter(|_| in_touch)
+    }
+}
+
 /// Whether a call was refused because its request had crashed engines.
 fn is_held_back(reply: &Reply) -> bool {
     reply.status == 503 && String::from_utf8_lossy(&reply.body).contains("\"held_back\"")
@@ -395,7 +416,7 @@
     let reply = call.reply.as_ref().filter(|r| r.status == 200)?;
     let events = reply.events();
     let unmodified = match call.kind {
-        CallKind::Idempotent | CallKind::AtMostOnce => {
+        CallKind::Idempotent | CallKind::AtMostOnce | CallKind::Added => {
             !reply.complete || reply.body == call.body.as_bytes()
         }
         CallKind::Stream => events.iter().copied().eq(1..=events.len() as u64),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! calls and of requests that reached engines.
 
 mod cluster;
+mod config_history;
 mod error;
 mod invariants;
 mod load;
@@ -14,6 +15,7 @@
 mod schedule;
 mod senders;
 
+pub use config_history::ConfigVersion;
 pub use error::SoakError;
 pub use invariants::{
     DrainedEngine, EngineDisruption, History, NodeDisruption, RevokedKey, Violation,
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -10,10 +10,12 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::cluster::{API_KEY, CALL_TIMEOUT, STREAM_TIMEOUT, TestCluster};
-use crate::schedule::NODES;
+use crate::cluster::{API_KEY, CALL_TIMEOUT, STREAM_TIMEOUT, TOGGLED_PREFIX, TestCluster};
 
 const CALLERS_PER_NODE: usize = 3;
+/// Kinds of calls that callers make; the last one only if its route is added and removed.
+pub(crate) const KINDS: [CallKind; 4] =
+    [CallKind::Idempotent, CallKind::AtMostOnce, CallKind::Stream, CallKind::Added];
 /// Part of a prompt that crashes every engine which starts to run a request with it.
 pub(crate) const FATAL_PART: &str = "fa7a1";
 /// Start of the bodies of such requests.
@@ -32,13 +34,15 @@
     AtMostOnce,
     /// A stream of numbered events.
     Stream,
+    /// Like [`Self::Idempotent`], on the route that is added and removed.
+    Added,
 }
 
 impl CallKind {
     /// Timeout of the route for this kind.
     pub(crate) fn timeout(self) -> Duration {
         match self {
-            Self::Idempotent | Self::AtMostOnce => CALL_TIMEOUT,
+            Self::Idempotent | Self::AtMostOnce | Self::Added => CALL_TIMEOUT,
             Self::Stream => STREAM_TIMEOUT,
         }
     }
@@ -93,7 +97,7 @@
     calls: Arc<Mutex<Vec<CallRecord>>>,
 ) {
     let mut callers = Vec::new();
-    for index in 0..NODES * CALLERS_PER_NODE {
+    for index in 0..cluster.node_count() * CALLERS_PER_NODE {
         let (cluster, stop, calls) = (cluster.clone(), stop.clone(), calls.clone());
         callers.push(tokio::spawn(run_caller(cluster, index, seed, stop, calls)));
     }
@@ -114,7 +118,7 @@
     let mut open: Option<Caller> = None;
     let mut serial = 0;
     while !stop.load(Relaxed) {
-        let node = index % NODES;
+        let node = index % cluster.node_count();
         let address = cluster.listen_address(node);
         let Some(address) = address.or(open.as_ref().map(Caller::address)) else {
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -125,8 +129,7 @@
             None => Caller::new(address).keep_alive(),
         };
         serial += 1;
-        let kind =
-            [CallKind::Idempotent, CallKind::AtMostOnce, CallKind::Stream][rng.random_range(0..3)];
+        let kind = KINDS[rng.random_range(0..cluster.call_kinds())];
         let key = if rng.random_bool(0.3) { cluster.revocable_key() } else { API_KEY.to_owned() };
         let id = format!("c{index}-{serial}");
         let record = send_default(caller.clone().key(&key), node, kind, id, key).await;
@@ -146,7 +149,10 @@
     id: String,
     key: String,
 ) -> CallRecord {
-    let body = if kind == CallKind::Idempotent { String::new() } else { format!("body of {id}") };
+    let body = match kind {
+        CallKind::Idempotent | CallKind::Added => String::new(),
+        CallKind::AtMostOnce | CallKind::Stream => format!("body of {id}"),
+    };
     send(caller, node, kind, id, key, body).await
 }
 
@@ -161,6 +167,7 @@
 ) -> CallRecord {
     let (method, target) = match kind {
         CallKind::Idempotent => (Method::GET, "/get/x"),
+        CallKind::Added => (Method::GET, TOGGLED_PREFIX),
         CallKind::AtMostOnce => (Method::POST, "/book/x"),
         // By the body, so that calls with the same body are the same request.
         CallKind::Stream if body.ends_with(['0', '2', '4']) => (Method::POST, "/urgent/x"),
@@ -169,7 +176,7 @@
     let sent_at = Instant::now();
     let caller = match kind {
         CallKind::Stream => caller.call_id(&id).prompt_parts(&prompt_parts(&id, &body)),
-        CallKind::Idempotent | CallKind::AtMostOnce => caller.call_id(&id),
+        CallKind::Idempotent | CallKind::AtMostOnce | CallKind::Added => caller.call_id(&id),
     };
     let result = tokio::time::timeout(ANSWER_TIMEOUT, caller.call(method, target, &body)).await;
     let reply = result.ok().and_then(Result::ok);
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -13,8 +13,8 @@
 use crate::cluster::{FATAL_BODY, TestCluster};
 use crate::error::SoakError;
 use crate::invariants::Violation;
-use crate::load::{self, CallRecord, FATAL_PART_BODY};
-use crate::schedule::{Fault, FaultSchedule, NODES};
+use crate::load::{self, CallKind, CallRecord, FATAL_PART_BODY};
+use crate::schedule::{Fault, FaultSchedule};
 
 /// Time after recovery in which the success rate is measured.
 const MEASUREMENT_TIME: Duration = Duration::from_millis(2_500);
@@ -52,7 +52,7 @@
 ///
 /// [`SoakError`] if a process cannot be started or signalled.
 pub async fn run(binary: PathBuf, schedule: &FaultSchedule) -> Result<SoakReport, SoakError> {
-    let cluster = Arc::new(TestCluster::start(binary).await?);
+    let cluster = Arc::new(TestCluster::start(binary, schedule.nodes).await?);
     let mut violations = Vec::new();
     if !cluster.wait_ready().await {
         violations.push(run_violation(
@@ -83,11 +83,13 @@
     // keep connecting to their store's address, which may belong to an engine of a later run.
     let _ = replacing.await;
     let calls = std::mem::take(&mut *calls.lock());
-    let recovered: Vec<&CallRecord> = calls.iter().filter(|c| c.sent_at >= from).collect();
+    // The route of the others may be absent.
+    let counts = |c: &&CallRecord| c.sent_at >= from && c.kind != CallKind::Added;
+    let recovered: Vec<&CallRecord> = calls.iter().filter(counts).collect();
     let good = recovered.iter().filter(|c| c.succeeded()).count();
     let recovery_rate = good as f64 / recovered.len().max(1) as f64;
     if recovery_rate < MIN_RECOVERY_RATE {
-        let failed = calls.iter().filter(|c| c.sent_at >= from && !c.succeeded());
+        let failed = recovered.iter().filter(|c| !c.succeeded());
         let mut failures: BTreeMap<String, usize> = BTreeMap::new();
         failed.for_each(|c| *failures.entry(c.failure()).or_default() += 1);
         let detail = format!("{recovery_rate:.2} of calls succeeded after recovery: {failures:?}");
@@ -118,7 +120,7 @@
         }
         if has_part {
             let body = format!("{FATAL_PART_BODY} of recovery {serial}");
-            let node = serial as usize % NODES;
+            let node = serial as usize % cluster.node_count();
             cluster.send_fatal_request(node, RECOVERY_SERIALS + serial, body).await;
         }
         tokio::time::sleep(left.min(FATAL_PART_INTERVAL)).await;
@@ -177,6 +179,10 @@
             | Fault::SuspendVm(node)
             | Fault::CutFromEngines(node, ..)
             | Fault::StoreBlackhole(node) => self.cluster.record_node_disruption(Some(node), from),
+            Fault::PausePeers(node, _) => {
+                let peers = self.cluster.domain_peers(node).into_iter();
+                peers.for_each(|peer| self.cluster.record_node_disruption(Some(peer), from));
+            }
             Fault::Store(..) | Fault::RestoreStore(..) => {
                 self.cluster.record_node_disruption(None, from)
             }
@@ -195,6 +201,11 @@
             Fault::Kill(node) => return self.restart_node(node, "KILL").await,
             Fault::Stop(node) => return self.restart_node(node, "TERM").await,
             Fault::Pause(node, duration) => cluster.pause_node(node, duration).await?,
+            Fault::PausePeers(node, duration) => {
+                let peers = cluster.domain_peers(node).into_iter();
+                let paused = peers.map(|peer| cluster.pause_node(peer, duration));
+                futures::future::try_join_all(paused).await?;
+            }
             Fault::Reload(node) => cluster.signal_node(node, "HUP")?,
             Fault::StoreLink(node, link, duration) => {
                 cluster.set_store_link(node, link);
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -7,8 +7,10 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-/// Nodes in a run.
+/// Nodes in a run without several configuration changes.
 pub(crate) const NODES: usize = 3;
+/// Nodes in a run with configuration changes: several nodes of a failure domain can be stopped beside one that runs.
+pub(crate) const CONFIG_NODES: usize = 5;
 /// Engines without layers in a run.
 pub(crate) const PLAIN_ENGINES: usize = 3;
 /// Engines that hold layers in a run: two copies of each half of the model.
@@ -23,6 +25,8 @@
     Stop(usize),
     /// Stops a node process with SIGSTOP for a time.
     Pause(usize, Duration),
+    /// Stops all other nodes of a node's failure domain with SIGSTOP for a time.
+    PausePeers(usize, Duration),
     /// Has a node reload its settings.
     Reload(usize),
     /// Disrupts a node's link to the store.
@@ -100,6 +104,12 @@
 /// Likewise for rate limits that engines set.
 const LIMIT_SALT: u64 = 0x11a7;
 
+/// Likewise for configuration changes.
+const CONFIG_SALT: u64 = 0xc0f1;
+
+/// Likewise for nodes that are silent beside configuration changes.
+const SILENCE_SALT: u64 = 0x51e7;
+
 /// Likewise for nodes that are cut off from all engines.
 const CUT_SALT: u64 = 0x0c07;
 
@@ -117,6 +127,8 @@
 pub struct FaultSchedule {
     /// Seed that it was generated from.
     pub seed: u64,
+    /// Nodes, in two failure domains.
+    pub nodes: usize,
     /// Time within which faults start.
     pub duration: Duration,
     /// Scheduled faults.
@@ -125,6 +137,11 @@
 
 /// # Construction
 impl FaultSchedule {
+    /// A schedule without faults.
+    pub fn empty(seed: u64, duration: Duration) -> Self {
+        Self { seed, nodes: NODES, duration, faults: Vec::new() }
+    }
+
     /// Generates a schedule; faults come in bursts, so that some overlap.
     pub fn generate(seed: u64, duration: Duration) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
@@ -138,7 +155,7 @@
             at += Duration::from_millis(rng.random_range(gap));
         }
         faults.sort_by_key(|s| s.at);
-        Self { seed, duration, faults }
+        Self { seed, nodes: NODES, duration, faults }
     }
 }
 
@@ -220,6 +237,31 @@
         })
     }
 
+    /// Adds configuration changes, most of them while other nodes of a failure domain are stopped or cut off from the
+    /// store, in a cluster of [`CONFIG_NODES`] nodes.
+    #[must_use]
+    pub fn with_config_changes(mut self) -> Self {
+        self.nodes = CONFIG_NODES;
+        let changes = self.with_faults(CONFIG_SALT, 300..1_500, |rng| {
+            let fault = if rng.random_bool(0.2) { Fault::RevokeKey } else { Fault::ToggleRoute };
+            (fault, random_millis(rng, 400..2_500))
+        });
+        changes.with_faults(SILENCE_SALT, 3_500..5_000, |rng| {
+            let (node, time) =
+                (rng.random_range(0..CONFIG_NODES), random_millis(rng, 3_500..9_000));
+            let fault = match rng.random_bool(0.7) {
+                true => Fault::PausePeers(node, time),
+                false => Fault::StoreLink(node, LinkMode::Blackhole, time),
+            };
+            // Most start when all nodes are in touch again.
+            let gap = match rng.random_bool(0.7) {
+                true => time + random_millis(rng, 3_100..4_500),
+                false => random_millis(rng, 300..3_000),
+            };
+            (fault, gap)
+        })
+    }
+
     /// Adds engines that restart under the same id, and entries of other writers.
     #[must_use]
     pub fn with_restarts(self) -> Self {
--- a/crates/soak/tests/invariants.rs
+++ b/crates/soak/tests/invariants.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use heathpitch_soak::{
-    CallKind, CallRecord, DrainedEngine, EngineDisruption, History, NodeDisruption, RetryLimit,
-    RevokedKey, Senders,
+    CallKind, CallRecord, ConfigVersion, DrainedEngine, EngineDisruption, History, NodeDisruption,
+    RetryLimit, RevokedKey, Senders,
 };
 use heathpitch_standin::{LogLine, ReceivedRequest, Reply};
 use serde_json::json;
@@ -106,6 +106,45 @@
     assert_eq!(evidence.check()[0].invariant, "revoked keys stop working");
 }
 
+#[test]
+fn calls_handled_by_an_outdated_configuration_are_found() {
+    let ago = |ms| Instant::now().checked_sub(Duration::from_millis(ms)).unwrap();
+    let version = |ms, added_key: Option<&str>, has_added| ConfigVersion {
+        sent: ago(ms + 5),
+        accepted: ago(ms),
+        has_added,
+        keys: added_key.into_iter().chain(["key"]).map(str::to_owned).collect(),
+    };
+    // A route was removed, and a key added, this long ago.
+    let violations = |call: CallRecord, runs, changed, disruptions: &[NodeDisruption]| {
+        let mut run = received("body", "desk");
+        run.ran = true;
+        let evidence = History {
+            calls: vec![CallRecord { body: "body".to_owned(), ..call }],
+            received: vec![run; runs],
+            versions: vec![version(9_000, None, true), version(changed, Some("new"), false)],
+            node_disruptions: disruptions.to_vec(),
+            ..History::default()
+        };
+        evidence.check().iter().map(|b| b.invariant).collect::<Vec<_>>()
+    };
+    let denied = ["calls that the configuration allows are not denied"];
+    let outdated = ["calls run only as a configuration in force allows"];
+    let with_new_key =
+        || CallRecord { key: "new".to_owned(), ..call(CallKind::Idempotent, 401, "") };
+    assert_eq!(violations(with_new_key(), 0, 2_500, &[]), denied);
+    assert_eq!(violations(with_new_key(), 0, 1_500, &[]), [""; 0], "in time");
+    let removed = call(CallKind::Added, 404, "");
+    assert_eq!(violations(removed, 0, 2_500, &[]), [""; 0], "its route was removed");
+    let added = || call(CallKind::Added, 502, "");
+    assert_eq!(violations(added(), 1, 2_500, &[]), outdated);
+    assert_eq!(violations(added(), 1, 1_500, &[]), [""; 0], "in time");
+    let by = |node, until| NodeDisruption { node, from: ago(8_000), until: ago(until) };
+    assert_eq!(violations(added(), 1, 2_500, &[by(Some(0), 2_000)]), [""; 0], "out of touch");
+    assert_eq!(violations(added(), 1, 2_500, &[by(Some(0), 4_000)]), outdated, "in touch again");
+    assert_eq!(violations(added(), 1, 2_500, &[by(Some(1), 0)]), outdated, "another node");
+}
+
 #[test]
 fn requests_at_drained_engines_are_found() {
     let late = received("body", "desk").with_engine("e1");
--- a/crates/soak/tests/schedule.rs
+++ b/crates/soak/tests/schedule.rs
@@ -4,7 +4,7 @@
 use std::mem::discriminant;
 use std::time::Duration;
 
-use heathpitch_soak::FaultSchedule;
+use heathpitch_soak::{Fault, FaultSchedule, ScheduledFault};
 
 const LENGTH: Duration = Duration::from_secs(20);
 
@@ -44,7 +44,13 @@
         kinds.extend(schedule.faults.iter().map(|s| discriminant(&s.fault)));
     }
     assert_eq!(kinds.len(), 15);
+    let changes = FaultSchedule::empty(1, LENGTH).with_config_changes();
+    assert_eq!(changes, FaultSchedule::empty(1, LENGTH).with_config_changes());
+    let silent =
+        |s: &ScheduledFault| matches!(s.fault, Fault::PausePeers(..) | Fault::StoreLink(..));
+    assert!(changes.faults.iter().any(silent));
+    assert!(changes.faults.iter().any(|s| s.fault == Fault::ToggleRoute));
     let limited = FaultSchedule::generate(1, LENGTH).with_limits();
     assert!(FaultSchedule::generate(1, LENGTH).faults.iter().all(|s| limited.faults.contains(s)));
-    assert!(limited.faults.iter().any(|s| matches!(s.fault, heathpitch_soak::Fault::Limit(..))));
+    assert!(limited.faults.iter().any(|s| matches!(s.fault, Fault::Limit(..))));
 }
