A configuration that a node rejects no longer counts as proven

Cause: adopt returned true for a configuration that it had rejected, and both the read and the proof that had delivered it were then recorded as proof that the one in force is the newest.

Change: adopt says what became of a configuration, and only InForce is a proof. The newest one, if rejected, is remembered by its revision: it is logged once, and later proofs ask whether it is still the newest. Keys end with the bound on their revocation, denials with that on proofs, and the node is then no longer ready; heathpitch_config_rejected shows it.

Before -> after: calls with the old key ran after the bound -> 503 at all three nodes, none ran; the next readable configuration is in force in time.

--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use heathpitch_core::{Invariant, Millis, Revision, check};
-use heathpitch_net::{GetResponse, Item, ItemChange, StoreError, Write};
+use heathpitch_net::{DocumentError, GetResponse, Item, ItemChange, StoreError, Write};
 use heathpitch_policy::{MIN_APPLY_MS, ProofSchedule};
 
 use super::engine_list;
@@ -83,7 +83,7 @@
     let key = control.clients.dialect.config_key();
     match control.call("get", control.clients.store.get(key)).await {
         Ok(GetResponse { item: Some(item), at }) => {
-            if adopt(control, &item, "read") {
+            if adopt(control, &item, "read") == Adoption::InForce {
                 record_proof(&control.shared.config_freshness, sent);
             }
             Some(at)
@@ -126,18 +126,21 @@
 }
 
 async fn prove_once(control: &Control) -> bool {
-    let Some(revision) = control.shared.catalog.load().as_ref().map(|c| c.revision) else {
+    let Some(in_force) = control.shared.catalog.load().as_ref().map(|c| c.revision) else {
         return false;
     };
+    let rejected = control.rejected_config.get();
     let sent = control.now();
     let key = control.clients.dialect.config_key().to_owned();
-    let conditions = vec![(key, revision)];
+    let conditions = vec![(key, rejected.unwrap_or(in_force))];
     let write = Write { conditions, ..Write::default() };
     match control.call("prove", control.clients.store.write(write)).await {
+        // The newest configuration is still the rejected one.
+        Ok(_) if rejected.is_some() => return false,
         Ok(at) if control.reads_store() => engine_list::prove_at(control, at, sent),
         Ok(_) => {}
         Err(StoreError::Conflict(items)) => match items.first() {
-            Some(item) if adopt(control, item, "proof") => {}
+            Some(item) if adopt(control, item, "proof") == Adoption::InForce => {}
             Some(_) | None => return false,
         },
         // The revision in force belongs to the store's history before it was restored.
@@ -148,42 +151,57 @@
     true
 }
 
-/// Adopts a configuration unless a newer one is in force. Returns false only if the one in force comes from another
-/// era of the store and has a higher version.
+/// What became of a configuration of the store's. Only [`Self::InForce`] lets its delivery prove that the one in force
+/// is the newest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Adoption {
+    /// It, or a newer one, is in force.
+    InForce,
+    /// It comes from another era of the store and has a lower version than the one in force.
+    Behind,
+    /// It cannot be used, and the one before stays in force.
+    Rejected,
+}
+
+/// Adopts a configuration unless a newer one is in force.
 ///
 /// Within one era of the store the higher revision is newer. Across a restore from an older copy, the operator's
 /// own version decides: the configuration in force stays until it, or a newer one, is written again. `by` names
 /// in the log what delivered it.
-pub(super) fn adopt(control: &Control, item: &Item, by: &'static str) -> bool {
+pub(super) fn adopt(control: &Control, item: &Item, by: &'static str) -> Adoption {
     let current = control.shared.catalog.load().as_ref().map(|c| (c.revision, c.version));
     let (revision, before) = (item.revision, current.map(|(revision, _)| revision));
     let same = before.is_some_and(|b| b.era() == revision.era());
     if same && before.is_some_and(|b| revision <= b) {
-        return true;
+        return Adoption::InForce;
+    }
+    if control.rejected_config.get() == Some(revision) {
+        return Adoption::Rejected;
     }
     let catalog = match control.clients.dialect.catalog(item) {
         Ok(catalog) => catalog,
         Err(e) => {
-            let error = e.to_string();
-            GatewayEvent::ConfigRejected { revision, error }.log();
-            return true;
+            reject(control, revision, &e);
+            return Adoption::Rejected;
         }
     };
     match current {
         Some((_, in_force)) if !same && catalog.version < in_force => {
             let version = catalog.version;
             GatewayEvent::ConfigBehind { version, revision, in_force }.log();
-            return false;
+            return Adoption::Behind;
         }
         // The configuration in force, as an older era had it.
         Some((before, in_force)) if before > revision && catalog.version == in_force => {
-            return true;
+            return Adoption::InForce;
         }
         Some(_) | None => {}
     }
     *control.document.borrow_mut() = Some(item.clone());
     check(Invariant::RevisionOrder, !same || before.is_none_or(|b| catalog.revision > b));
+    control.rejected_config.set(None);
     control.shared.metrics.config.set(catalog.version as i64);
+    control.shared.metrics.config_rejected.set(0);
     GatewayEvent::ConfigAdopted {
         version: catalog.version,
         revision: catalog.revision,
@@ -194,5 +212,13 @@
     .log();
     control.shared.catalog.store(Some(Arc::new(catalog)));
     control.publish();
-    true
+    Adoption::InForce
+}
+
+/// Records that a configuration cannot be used. The one before stays in force without further proofs, so that its keys
+/// end with the bound on their revocation.
+fn reject(control: &Control, revision: Revision, error: &DocumentError) {
+    control.rejected_config.set(Some(revision));
+    control.shared.metrics.config_rejected.set(1);
+    GatewayEvent::ConfigRejected { revision, error: error.to_string() }.log();
 }
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -65,6 +65,8 @@
     pub(super) mirror: RefCell<Mirror<Item>>,
     /// Stored item of the configuration in force.
     pub(super) document: RefCell<Option<Item>>,
+    /// Revision of the newest configuration if it cannot be used.
+    pub(super) rejected_config: Cell<Option<Revision>>,
     /// Random id of this run of the node; serials of `mirror` are valid within it.
     pub(super) incarnation: u64,
     /// Nodes polled for the current planner while none is known; empty if this node is a seed itself.
@@ -174,6 +176,7 @@
             incarnations: RefCell::default(),
             mirror: RefCell::default(),
             document: RefCell::default(),
+            rejected_config: Cell::new(None),
             seeds: seeds(&settings, shared.peer),
             incarnation: rand::random(),
             sources: RefCell::new(Sources::new(
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Name and help of every metric of a gateway.
-pub const GATEWAY_METRICS: [(&str, &str); 33] = [
+pub const GATEWAY_METRICS: [(&str, &str); 34] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -52,6 +52,7 @@
         "heathpitch_parts_held_back",
         "Parts of prompts sent nowhere because engines ended under them",
     ),
+    ("heathpitch_config_rejected", "1 while the newest configuration cannot be used as a whole"),
     ("heathpitch_config_age_seconds", "Age of the proof that the configuration is the newest"),
 ];
 
@@ -81,6 +82,7 @@
     pub(crate) feed: IntCounterVec,
     pub(crate) list_age: Gauge,
     pub(crate) config_age: Gauge,
+    pub(crate) config_rejected: IntGauge,
     pub(crate) held: IntGauge,
     pub(crate) held_parts: IntGauge,
     pub(crate) era: IntGauge,
@@ -145,7 +147,8 @@
             reach_probes: IntCounterVec::new(opts(29), &["result"])?,
             retries: IntCounterVec::new(opts(30), &["result"])?,
             held_parts: IntGauge::with_opts(opts(31))?,
-            config_age: Gauge::with_opts(opts(32))?,
+            config_rejected: IntGauge::with_opts(opts(32))?,
+            config_age: Gauge::with_opts(opts(33))?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -173,6 +176,7 @@
             Box::new(self.feed.clone()),
             Box::new(self.list_age.clone()),
             Box::new(self.config_age.clone()),
+            Box::new(self.config_rejected.clone()),
             Box::new(self.held.clone()),
             Box::new(self.held_parts.clone()),
             Box::new(self.era.clone()),
--- /dev/null
+++ b/crates/heathpitchd/tests/gateway_config_rejected.rs
@@ -0,0 +1,63 @@
+//! Configurations that a node cannot use, as a whole or in part.
+//!
+//! A configuration that a node had rejected counted as proven: its calls went on by the one before, with keys that had
+//! been taken away, for good, and it called itself ready. One name with a blank was enough.
+
+#![allow(clippy::unwrap_used, reason = "what fails here fails its test")]
+
+mod gateway;
+
+use std::time::Duration;
+
+use gateway::{Cluster, KEY, status, wait_until};
+use heathpitch_standin::{Caller, GatewayProcess};
+use serde_json::json;
+
+/// Bound on key revocation.
+const REVOKE_MS: u64 = 2_500;
+/// Time after the acceptance of a configuration by which its bounds are over.
+const SETTLED: Duration = Duration::from_millis(REVOKE_MS + 100);
+
+/// A planner and a follower of another failure domain's planner, both ready.
+async fn nodes(cluster: &Cluster) -> [GatewayProcess; 3] {
+    let bounds = json!({ "revoke_ms": REVOKE_MS });
+    let first = cluster.node_with(&bounds).await;
+    let nodes = [first, cluster.start("n2", &bounds), cluster.start_with("atl", "n3", &bounds)];
+    for node in &nodes {
+        node.wait_ready().await.unwrap();
+    }
+    nodes
+}
+
+/// Guards against a proof of a configuration that was not adopted: without a readable one, keys end with the bound on
+/// their revocation, and the node is no longer ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rejected_configuration_does_not_count_as_proven() {
+    let mut cluster = Cluster::new();
+    let engine = cluster.engine("a", "api");
+    let nodes = nodes(&cluster).await;
+    let mut document = cluster.config.json();
+    document["version"] = "seven".into();
+    cluster.store.put_config(&document);
+    tokio::time::sleep(SETTLED).await;
+    let before = engine.requests().len();
+    for node in &nodes {
+        let caller = Caller::new(node.listen).key(KEY);
+        for _ in 0..5 {
+            assert_eq!(status(&caller, "/get/x").await, 503);
+        }
+        wait_until("the node is not ready", async || !node.is_ready().await).await;
+        let text = node.metrics().await.unwrap();
+        assert!(text.contains("heathpitch_config_rejected 1"), "{text}");
+        assert_eq!(node.events("config_rejected").len(), 1, "one line for each revision");
+    }
+    assert_eq!(engine.requests().len(), before);
+    // The next readable configuration is in force in time.
+    cluster.config.version = 9;
+    cluster.configure();
+    tokio::time::sleep(SETTLED).await;
+    for node in &nodes {
+        assert_eq!(status(&Caller::new(node.listen).key(KEY), "/get/x").await, 200);
+        assert!(node.metrics().await.unwrap().contains("heathpitch_config_rejected 0"));
+    }
+}
