Names that the operator chose may hold any text but control characters

Cause: names in the platform's documents were held to the alphabet of this project's own documents; the platform sets none.

Own documents are as strict as before. Headers carry what is beyond ASCII.

--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -10,10 +10,13 @@
 
 /// Longest accepted name.
 const MAX_NAME_BYTES: usize = 128;
+/// Longest accepted name that others have chosen.
+const MAX_FOREIGN_BYTES: usize = 1_024;
 
 /// A validated name that is cheap to clone.
 ///
-/// One to 128 bytes of ASCII letters, digits and `._-:/[]`.
+/// One to 128 bytes of ASCII letters, digits and `._-:/[]`; what others have named is accepted more widely by
+/// [`Name::from_foreign`].
 ///
 /// # Examples
 ///
@@ -40,6 +43,12 @@
     /// The string contains a character outside the allowed set.
     #[error("a name holds ASCII letters, digits and ._-:/[] only, not {0:?}")]
     BadChar(char),
+    /// A name of somebody else's choice is longer than 1 024 bytes.
+    #[error("a name has at most {MAX_FOREIGN_BYTES} bytes, got {0}")]
+    ForeignTooLong(usize),
+    /// A name of somebody else's choice contains a control character.
+    #[error("a name holds no control characters, not {0:?}")]
+    Control(char),
 }
 
 impl Name {
@@ -48,6 +57,30 @@
         Self(s.into())
     }
 
+    /// Accepts a name of somebody else's choice: one to 1 024 bytes without control characters.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use heathpitch_core::Name;
+    ///
+    /// assert_eq!(Name::from_foreign("Büro Isar")?.as_str(), "Büro Isar");
+    /// assert!(Name::from_foreign("two\nlines").is_err());
+    /// # Ok::<(), heathpitch_core::NameError>(())
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// [`NameError`] if it is empty, too long or holds a control character.
+    pub fn from_foreign(text: &str) -> Result<Self, NameError> {
+        match text.chars().find(|c| c.is_control()) {
+            _ if text.is_empty() => Err(NameError::Empty),
+            _ if text.len() > MAX_FOREIGN_BYTES => Err(NameError::ForeignTooLong(text.len())),
+            Some(c) => Err(NameError::Control(c)),
+            None => Ok(Self(Arc::from(text))),
+        }
+    }
+
     /// The name as a string slice.
     pub fn as_str(&self) -> &str {
         &self.0
--- a/crates/heathpitchd/tests/gateway_config_rejected.rs
+++ b/crates/heathpitchd/tests/gateway_config_rejected.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use gateway::{Cluster, KEY, status, wait_until};
+use gateway::{Cluster, KEY, KEY_2, status, wait_until};
 use heathpitch_standin::{Caller, GatewayProcess};
 use serde_json::json;
 
@@ -61,3 +61,26 @@
         assert!(node.metrics().await.unwrap().contains("heathpitch_config_rejected 0"));
     }
 }
+
+/// Guards against names of client accounts that reject a whole configuration; the pages set no bound on them.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_account_may_have_any_name_that_a_header_can_carry() {
+    for name in ["Fehlerwacht Isar", "desk@isar.example", "Büro"] {
+        let mut cluster = Cluster::new();
+        let engine = cluster.engine("a", "api");
+        let nodes = nodes(&cluster).await;
+        cluster.config.version = 9;
+        cluster.config.tenants[0].1 = vec![KEY_2.to_owned()];
+        cluster.config.tenants.push((name.to_owned(), vec!["key-of-isar".to_owned()]));
+        cluster.configure();
+        tokio::time::sleep(SETTLED).await;
+        for node in &nodes {
+            let status_of = async |key| status(&Caller::new(node.listen).key(key), "/get/x").await;
+            assert_eq!(status_of(KEY).await, 401, "{name}");
+            assert_eq!(status_of(KEY_2).await, 200, "{name}");
+            assert_eq!(status_of("key-of-isar").await, 200, "{name}");
+            let sent = engine.requests().last().unwrap().headers["x-tenant"].as_bytes().to_vec();
+            assert_eq!(sent, name.as_bytes());
+        }
+    }
+}
--- a/crates/net/src/feed_codec.rs
+++ b/crates/net/src/feed_codec.rs
@@ -430,7 +430,8 @@
 }
 
 pub(crate) fn name(text: capnp::text::Reader<'_>) -> capnp::Result<Name> {
-    text.to_str()?.parse().map_err(|e| capnp::Error::failed(format!("name: {e}")))
+    let name = Name::from_foreign(text.to_str()?);
+    name.map_err(|e| capnp::Error::failed(format!("name: {e}")))
 }
 
 pub(crate) fn address(text: capnp::text::Reader<'_>) -> capnp::Result<SocketAddr> {
