A bad part of a configuration does not reject the rest

What callers saw: one route of an unknown kind, or one account with a priority of 300, kept a whole configuration out of force, with all keys that it takes away and all routes that it adds.

Cause: the document was decoded as a whole or not at all, and priorities had to fit eight bits.

Change: if the whole is invalid, routes, services and accounts are decoded one by one. What a rejected part would have allowed is unknown, so that calls for its host and prefix, also where a shorter prefix matches, and unknown keys beside a rejected account, get a 503 (unconfigured) and no denial. A route without readable host and prefix still rejects the whole. Each rejected part is logged (config_part_rejected); priorities beyond 255 are the least urgent.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
-use crate::{CallRoute, Millis, Name, Revision, ServiceSpec};
+use crate::{CallRoute, Millis, Name, RejectedParts, Revision, ServiceSpec};
 
 /// Limits on callers' requests and connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +56,7 @@
     stream_ranks: HashMap<Name, usize>,
     /// Names of all accounts, ascending.
     accounts: Vec<Name>,
+    rejected: RejectedParts,
 }
 
 /// Rank of an account and of a route.
@@ -72,6 +73,19 @@
     /// The key belongs to no client account, or no key was sent.
     #[error("missing or unknown key")]
     Key,
+    /// The route of the host and path cannot be used.
+    #[error("the route for this host and path cannot be used")]
+    RejectedRoute,
+    /// The key may belong to a client account that cannot be used.
+    #[error("missing or unknown key, and an account of the configuration cannot be used")]
+    RejectedAccount,
+}
+
+impl LookupError {
+    /// Whether the configuration denies the request, rather than that a part of it cannot be used.
+    pub fn is_denial(self) -> bool {
+        matches!(self, Self::Route | Self::Key)
+    }
 }
 
 /// # Construction
@@ -108,8 +122,15 @@
             ranks,
             stream_ranks,
             accounts,
+            rejected: RejectedParts::default(),
         }
     }
+
+    /// Adds the parts that cannot be used.
+    #[must_use]
+    pub fn with_rejected(self, rejected: RejectedParts) -> Self {
+        Self { rejected, ..self }
+    }
 }
 
 /// # Lookups
@@ -119,10 +140,17 @@
     ///
     /// # Errors
     ///
-    /// [`LookupError::Route`] if no route matches.
+    /// [`LookupError::Route`] if no route matches; [`LookupError::RejectedRoute`] if the longest prefix is that of a
+    /// route that cannot be used.
     pub fn route(&self, host: &str, path: &str) -> Result<&Arc<CallRoute>, LookupError> {
-        let host_routes = self.routes.get(host).ok_or(LookupError::Route)?;
-        host_routes.iter().find(|r| path.starts_with(&*r.prefix)).ok_or(LookupError::Route)
+        let host_routes = self.routes.get(host).map_or(&[][..], Vec::as_slice);
+        let found = host_routes.iter().find(|r| path.starts_with(&*r.prefix));
+        match (found, self.rejected.longest_prefix(host, path)) {
+            (Some(route), Some(rejected)) if route.prefix.len() >= rejected => Ok(route),
+            (_, Some(_)) => Err(LookupError::RejectedRoute),
+            (Some(route), None) => Ok(route),
+            (None, None) => Err(LookupError::Route),
+        }
     }
 
     /// Finds the account that a key belongs to.
@@ -132,7 +160,8 @@
     ///
     /// # Errors
     ///
-    /// [`LookupError::Key`] if a key is required and is missing or unknown.
+    /// [`LookupError::Key`] if a key is required and is missing or unknown; [`LookupError::RejectedAccount`] if it may
+    /// belong to an account that cannot be used.
     pub fn authenticate(
         &self,
         route: &CallRoute,
@@ -142,6 +171,7 @@
             (None, _) => Ok(None),
             (Some(keys), Some(key)) if keys.contains_key(key) => Ok(keys.get(key)),
             (Some(_), _) if route.public => Ok(None),
+            (Some(_), Some(_)) if self.rejected.accounts => Err(LookupError::RejectedAccount),
             (Some(_), _) => Err(LookupError::Key),
         }
     }
@@ -169,6 +199,11 @@
         &self.accounts
     }
 
+    /// Parts that cannot be used.
+    pub fn rejected(&self) -> &RejectedParts {
+        &self.rejected
+    }
+
     /// All routes, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<CallRoute>> {
         self.routes.values().flatten()
--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, OnceLock};
 
 use heathpitch_core::{
-    CallRoute, Catalog, KeyHolder, Millis, PromptPart, RequestFingerprint, ServiceSpec,
+    CallRoute, Catalog, KeyHolder, LookupError, Millis, PromptPart, RequestFingerprint, ServiceSpec,
 };
 use heathpitch_net::{BodyError, CallBody, CallHead, ForwardedCall, read};
 use heathpitch_policy::{Demand, PartKey, Quarantine};
@@ -104,17 +104,17 @@
         return Err(Refusal::unsent(RefusalKind::Unconfigured, &id, detail));
     }
     let current = shared.config_freshness.load().covers(received, MAX_DENIAL_AGE_MS);
-    let deny = |kind, detail: String| match current {
-        true => Refusal::unsent(kind, &id, detail),
-        false => Refusal::unsent(RefusalKind::Unconfigured, &id, detail),
+    let deny = |kind, error: LookupError| match current && error.is_denial() {
+        true => Refusal::unsent(kind, &id, error.to_string()),
+        false => Refusal::unsent(RefusalKind::Unconfigured, &id, error.to_string()),
     };
     let route = catalog
         .route(&head.host, parts.uri.path())
-        .map_err(|e| deny(RefusalKind::NoRoute, e.to_string()))?
+        .map_err(|e| deny(RefusalKind::NoRoute, e))?
         .clone();
     let holder = catalog
         .authenticate(&route, head.key.as_deref())
-        .map_err(|e| deny(RefusalKind::BadKey, e.to_string()))?
+        .map_err(|e| deny(RefusalKind::BadKey, e))?
         .cloned();
     let limit = head.deadline.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let deadline = received + limit;
--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -24,6 +24,9 @@
 /// Upper bound of the retry interval, a fraction of the shortest revocation time of a removed key.
 const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(1_200);
 
+/// Rejected parts of a configuration that are logged.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// Keeps the newest configuration in force.
 pub(super) async fn follow(control: Rc<Control>) {
     let (read, watch) = (async || read(&control).await, async |at| watch(&control, at).await);
@@ -201,7 +204,11 @@
     check(Invariant::RevisionOrder, !same || before.is_none_or(|b| catalog.revision > b));
     control.rejected_config.set(None);
     control.shared.metrics.config.set(catalog.version as i64);
-    control.shared.metrics.config_rejected.set(0);
+    let rejected = &catalog.rejected().errors;
+    control.shared.metrics.config_rejected.set(i64::from(!rejected.is_empty()));
+    for error in rejected.iter().take(MAX_LOGGED_PARTS) {
+        GatewayEvent::ConfigPartRejected { revision, error: error.clone() }.log();
+    }
     GatewayEvent::ConfigAdopted {
         version: catalog.version,
         revision: catalog.revision,
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -218,6 +218,13 @@
         /// What failed.
         error: String,
     },
+    /// A part of a configuration is invalid; the rest is in force.
+    ConfigPartRejected {
+        /// Revision of the store.
+        revision: Revision,
+        /// What is wrong, with the path of the part.
+        error: String,
+    },
     /// A watch of the store got no response; its keys are read again.
     WatchLost {
         /// What is watched.
--- a/crates/heathpitchd/tests/gateway_config_rejected.rs
+++ b/crates/heathpitchd/tests/gateway_config_rejected.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use gateway::{Cluster, KEY, KEY_2, status, wait_until};
-use heathpitch_standin::{Caller, GatewayProcess};
+use heathpitch_standin::{Caller, GatewayProcess, RouteSpec};
+use hyper::Method;
 use serde_json::json;
 
 /// Bound on key revocation.
@@ -84,3 +85,37 @@
         }
     }
 }
+
+/// Guards against one bad part that rejects the rest of a configuration: what it concerns is refused without a denial,
+/// since the operator's configuration may allow it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bad_part_of_a_configuration_does_not_reject_the_rest() {
+    let mut cluster = Cluster::new();
+    cluster.engine("a", "api");
+    let nodes = nodes(&cluster).await;
+    cluster.config.version = 9;
+    cluster.config.tenants[0].1 = vec![KEY_2.to_owned()];
+    cluster.config.routes.push(RouteSpec::idempotent("/added/", "api"));
+    cluster.config.routes.push(RouteSpec::idempotent("/bad/", "api"));
+    let mut document = cluster.config.json();
+    let bad = document["routes"].as_array_mut().unwrap().last_mut().unwrap();
+    bad["kind"] = "unheard_of".into();
+    let tenants = document["tenants"].as_array_mut().unwrap();
+    tenants.push(json!({ "name": "two\nlines", "apiKeys": ["key-of-lines"] }));
+    tenants.push(json!({ "name": "late", "apiKeys": ["key-of-late"], "priority": 300 }));
+    cluster.store.put_config(&document);
+    tokio::time::sleep(SETTLED).await;
+    for node in &nodes {
+        let status_of = async |key: &str, target: &str| {
+            let caller = Caller::new(node.listen).key(key);
+            caller.call(Method::GET, target, "").await.unwrap().status
+        };
+        assert_eq!(status_of(KEY_2, "/added/x").await, 200, "a good part is in force");
+        assert_eq!(status_of("key-of-late", "/get/x").await, 200, "the least urgent rank");
+        assert_eq!(status_of(KEY, "/get/x").await, 503, "it may belong to the bad account");
+        assert_eq!(status_of("key-of-lines", "/get/x").await, 503);
+        assert_eq!(status_of(KEY_2, "/bad/x").await, 503);
+        assert!(node.is_ready().await);
+        assert_eq!(node.events("config_part_rejected").len(), 2);
+    }
+}
