A planned stop waits until answers are written

Cause: a call that is no stream counts as ended once its answer is handed to the connection; nothing of it has been written then. With no call open, connections were closed after 300 ms, whatever was left of the grace period.

Change: the stop waits, within the grace period, until the listeners' tasks end, which they do once every connection has written its answer. This covers calls of other nodes as well.

--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -56,10 +56,6 @@
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
 /// Part of the grace period that is left unused, so that the process exits before it is killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
-/// Interval of checks whether calls are still open.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time for connections to close once no call is open.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval of checks of the settings file, which may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -71,7 +67,8 @@
     control: JoinHandle<io::Result<()>>,
     stop_traffic: watch::Sender<bool>,
     stop_control: watch::Sender<bool>,
-    served: tokio::task::JoinHandle<()>,
+    /// Listeners of callers and of other nodes; each ends once the answers on its connections are written.
+    served: Vec<tokio::task::JoinHandle<()>>,
     listen: SocketAddr,
 }
 
@@ -133,16 +130,14 @@
             max_head_bytes: MAX_HEAD_BYTES,
             head_timeout: HEAD_TIMEOUT,
         };
-        if let Some(forward) = forward {
-            runtime.spawn(forward_listener::serve_nodes(
-                forward,
-                traffic.clone(),
-                traffic_stopped.clone(),
-            ));
-        }
-        let served = runtime.spawn(serve(listener, bounds, traffic_stopped, move |request| {
+        let of_nodes = forward.map(|forward| {
+            let (traffic, stopped) = (traffic.clone(), traffic_stopped.clone());
+            runtime.spawn(forward_listener::serve_nodes(forward, traffic, stopped))
+        });
+        let of_callers = runtime.spawn(serve(listener, bounds, traffic_stopped, move |request| {
             call::handle(traffic.clone(), request, Origin::Caller)
         }));
+        let served = of_nodes.into_iter().chain([of_callers]).collect();
         Ok(Self { shared, runtime, control, stop_traffic, stop_control, served, listen })
     }
 
@@ -180,16 +175,11 @@
         let cut = self.runtime.block_on(async {
             tokio::time::sleep(DEREGISTRATION_DELAY).await;
             self.stop_traffic.send_replace(true);
-            let idle = async {
-                while shared.open_calls.load(Relaxed) > 0 {
-                    tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
-                }
-            };
+            // A call is no longer open once its answer is passed on, but its caller may still be reading.
+            let written = futures::future::join_all(self.served);
             let remaining = grace.saturating_sub(DEREGISTRATION_DELAY + GRACE_MARGIN);
-            let ended = tokio::time::timeout(remaining, idle).await.is_ok();
-            if ended {
-                // Connections that are still open after this carry no call.
-                let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.served).await;
+            if tokio::time::timeout(remaining, written).await.is_err() {
+                log::warn!("connections were still open at the end of the grace period");
             }
             shared.open_calls.load(Relaxed)
         });
--- a/crates/heathpitchd/tests/gateway_stop.rs
+++ b/crates/heathpitchd/tests/gateway_stop.rs
@@ -4,12 +4,14 @@
 
 mod gateway;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gateway::{Cluster, KEY, WAIT_TIMEOUT, wait_until};
-use heathpitch_standin::{Behavior, Caller};
+use heathpitch_standin::{Behavior, Caller, RawEngine};
 use http_body_util::BodyExt;
 use hyper::Method;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stopping_node_reports_it_at_once_and_cuts_off_no_call() {
@@ -44,3 +46,43 @@
     assert_eq!(node.events("gateway_reloaded")[0]["error"], serde_json::Value::Null);
     assert!(node.is_ready().await);
 }
+
+/// Guards against a stop that counts a call as ended before its answer has been written: callers that were still reading
+/// got part of an answer that had run and may not be repeated.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_node_writes_answers_to_their_end() {
+    const ANSWER_BYTES: usize = 12_000_000;
+    let cluster = Cluster::new();
+    let body = "x".repeat(ANSWER_BYTES);
+    let engine =
+        RawEngine::spawn(move |id| RawEngine::complete_response(id, &body).into_bytes()).await;
+    cluster.store.register_engine("a", "api", "mem", engine.unwrap().address);
+    let mut node = cluster.node().await;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(64 << 10).unwrap();
+    let mut stream = socket.connect(node.listen).await.unwrap();
+    let head = format!(
+        "POST /book/x HTTP/1.1\r\nhost: desk.example\r\nx-request-id: c1\r\n\
+         authorization: Bearer {KEY}\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut chunk = vec![0; 128 << 10];
+    let mut read = stream.read(&mut chunk).await.unwrap();
+    node.signal("TERM").unwrap();
+    // The whole answer is read in 5 s, well within the grace period of 8 s.
+    let start = Instant::now();
+    loop {
+        let due = ANSWER_BYTES.min((start.elapsed().as_millis() as usize) * ANSWER_BYTES / 5_000);
+        match read < due {
+            true => match stream.read(&mut chunk).await {
+                Ok(0) | Err(_) => break,
+                Ok(n) => read += n,
+            },
+            false if read >= ANSWER_BYTES => break,
+            false => tokio::time::sleep(Duration::from_millis(10)).await,
+        }
+    }
+    assert!(read >= ANSWER_BYTES, "{read} bytes, {} ms after SIGTERM", start.elapsed().as_millis());
+    drop(stream);
+    assert_eq!(node.wait_exit(WAIT_TIMEOUT), Some(0));
+}
