The idle timeout of a body counts from its last piece

Cause: the timeout was put around the whole body.

Change: each piece has the timeout of its own, and the body as a whole that of the call, after which nothing has run (503, expired). Bodies are gathered in one buffer of their declared size in place of a list of pieces that is copied at the end.

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -1,12 +1,16 @@
 //! Filter: reads a call, finds its route and client account, and admits or refuses it.
 
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
+use bytes::BytesMut;
 use heathpitch_core::{
-    CallRoute, Catalog, KeyHolder, LookupError, Millis, PromptPart, RequestFingerprint, ServiceSpec,
+    CallRoute, CallerLimits, Catalog, KeyHolder, LookupError, Millis, PromptPart,
+    RequestFingerprint, ServiceSpec,
 };
-use heathpitch_net::{BodyError, CallBody, CallHead, ForwardedCall, read};
+use heathpitch_net::{CallBody, CallHead, ForwardedCall};
 use heathpitch_policy::{Demand, PartKey, Quarantine};
+use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::{Body as _, Incoming};
 use rand::Rng;
@@ -133,7 +137,12 @@
         return Err(of_caller(Refusal::unsent(RefusalKind::StaleKeys, &id, detail)));
     }
     let service = pick_service(&catalog, &route, &id).map_err(of_caller)?;
-    let content = read_body(body, &catalog, &id).await.map_err(of_caller)?;
+    let reading = read_body(body, catalog.limits, &id);
+    let Some(content) = shared.run_until(deadline, reading).await else {
+        let detail = "the body did not arrive before the call's deadline";
+        return Err(of_caller(Refusal::unsent(RefusalKind::Expired, &id, detail)));
+    };
+    let content = content.map_err(of_caller)?;
     let target = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
     let body = CallBody { method: parts.method, target, headers: parts.headers, content };
     let (fingerprint, prompt_parts) = (OnceLock::new(), OnceLock::new());
@@ -209,24 +218,33 @@
 }
 
 /// Reads the whole body, so that it can be sent again.
-async fn read_body(body: Incoming, catalog: &Catalog, id: &str) -> Result<bytes::Bytes, Refusal> {
-    if body.is_end_stream() {
-        return Ok(bytes::Bytes::new());
+async fn read_body(
+    mut body: Incoming,
+    limits: CallerLimits,
+    id: &str,
+) -> Result<bytes::Bytes, Refusal> {
+    let cut = |detail: &str| Refusal::unsent(RefusalKind::CutBody, id, detail);
+    let too_large = || {
+        let detail = format!("the body is larger than {} bytes", limits.max_body_bytes);
+        Refusal::unsent(RefusalKind::TooLarge, id, detail)
+    };
+    let declared = body.size_hint().lower() as usize;
+    if declared > limits.max_body_bytes {
+        return Err(too_large());
     }
-    let limits = catalog.limits;
-    let timeout = std::time::Duration::from_millis(limits.idle_timeout_ms);
-    match tokio::time::timeout(timeout, read(body, limits.max_body_bytes)).await {
-        Ok(Ok(content)) => Ok(content),
-        Ok(Err(BodyError::TooLarge)) => {
-            let detail = format!("the body is larger than {} bytes", limits.max_body_bytes);
-            Err(Refusal::unsent(RefusalKind::TooLarge, id, detail))
-        }
-        Ok(Err(e @ BodyError::Truncated)) => {
-            Err(Refusal::unsent(RefusalKind::CutBody, id, e.to_string()))
-        }
-        Err(_) => {
-            let detail = "timed out reading the body";
-            Err(Refusal::unsent(RefusalKind::CutBody, id, detail))
+    let idle = Duration::from_millis(limits.idle_timeout_ms);
+    let mut content = BytesMut::with_capacity(declared);
+    loop {
+        let frame = match tokio::time::timeout(idle, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(_))) => return Err(cut("the body is truncated")),
+            Ok(None) => return Ok(content.freeze()),
+            Err(_) => return Err(cut("nothing of the body arrived within the idle timeout")),
+        };
+        let Ok(piece) = frame.into_data() else { continue };
+        if content.len() + piece.len() > limits.max_body_bytes {
+            return Err(too_large());
         }
+        content.extend_from_slice(&piece);
     }
 }
