Bodies and answers are held within a budget of memory

Cause: the only bounds were the number of connections and maxBodyBytes, 12 GB together; the memory of the VM did not reach the settings. Bodies and answers were copied once more when they were complete.

Change: vm.memory_mb; half of it is for large bodies, a tenth for small ones (below 64 KB), 15 % for large answers. Memory is taken before a body is read, in order of arrival, for a quarter of the route's latency target at most; then the call is refused (503, no_memory) and its body is not read. Answers wait for theirs until the call's deadline, as their calls have run, and are passed to the connection in pieces, so that their memory is free when they are written. Both are read into one buffer of their declared size.

Before -> after: a second body of 4.1 MB beside a first one at 16 MB of memory was read -> 503, a small one runs; the test failed before (the setting did not exist).

--- a/crates/core/src/gateway_settings.rs
+++ b/crates/core/src/gateway_settings.rs
@@ -107,11 +107,13 @@
     pub link_mbps: f64,
     /// CPU share, in cores.
     pub cpu_share: f64,
+    /// Memory that the process may use, MB.
+    pub memory_mb: f64,
 }
 
 impl Default for VmCapacity {
     fn default() -> Self {
-        Self { link_mbps: 1_000.0, cpu_share: 1.0 }
+        Self { link_mbps: 1_000.0, cpu_share: 1.0, memory_mb: 256.0 }
     }
 }
 
@@ -172,6 +174,7 @@
         check_range("bounds.lease_min_ms", b.lease_min_ms, 1, 600_000)?;
         check_range("bounds.contact_ms", b.contact_ms, 100, 600_000)?;
         check_range("vm.link_mbps", settings.vm.link_mbps as u64, 1, 1_000_000)?;
+        check_range("vm.memory_mb", settings.vm.memory_mb as u64, 16, 1_000_000)?;
         check_range(
             "vm.cpu_share (thousandths)",
             (settings.vm.cpu_share * 1e3) as u64,
--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use heathpitch_core::{
     CallRoute, CallerLimits, Catalog, KeyHolder, LookupError, Millis, PromptPart,
     RequestFingerprint, ServiceSpec,
@@ -14,9 +14,11 @@
 use hyper::Request;
 use hyper::body::{Body as _, Incoming};
 use rand::Rng;
+use tokio::time::error::Elapsed;
 
 use super::Traffic;
 use super::refusal::{Refusal, RefusalKind};
+use crate::gateway::content_budget::{ContentBudget, HeldBytes};
 use crate::gateway::quarantine_snapshot::HeldBack;
 use crate::gateway::shared::{ControlMessage, Shared};
 
@@ -27,6 +29,9 @@
 /// the moment from which the time is counted.
 const REVOKE_MARGIN_MS: Millis = 300;
 
+/// Part of a route's latency target for which a body waits for memory: one in this many.
+const MEMORY_WAIT_FRACTION: Millis = 4;
+
 /// An admitted call.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -44,6 +49,7 @@
     pub(crate) forwarded: Option<ForwardedCall>,
     fingerprint: OnceLock<RequestFingerprint>,
     parts: OnceLock<Arc<[PartKey]>>,
+    _held: HeldBytes,
 }
 
 impl Call {
@@ -137,12 +143,16 @@
         return Err(of_caller(Refusal::unsent(RefusalKind::StaleKeys, &id, detail)));
     }
     let service = pick_service(&catalog, &route, &id).map_err(of_caller)?;
-    let reading = read_body(body, catalog.limits, &id);
+    let memory = BodyMemory {
+        budget: &shared.contents,
+        wait: Duration::from_millis(route.latency_target_ms / MEMORY_WAIT_FRACTION),
+    };
+    let reading = read_body(body, catalog.limits, memory, &id);
     let Some(content) = shared.run_until(deadline, reading).await else {
         let detail = "the body did not arrive before the call's deadline";
         return Err(of_caller(Refusal::unsent(RefusalKind::Expired, &id, detail)));
     };
-    let content = content.map_err(of_caller)?;
+    let (content, held) = content.map_err(of_caller)?;
     let target = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
     let body = CallBody { method: parts.method, target, headers: parts.headers, content };
     let (fingerprint, prompt_parts) = (OnceLock::new(), OnceLock::new());
@@ -159,6 +169,7 @@
         forwarded,
         fingerprint,
         parts: prompt_parts,
+        _held: held,
     };
     let quarantine = shared.quarantine.load();
     if let Some(held) = quarantine.held_back(|| call.fingerprint()) {
@@ -217,12 +228,27 @@
     })
 }
 
-/// Reads the whole body, so that it can be sent again.
+/// Memory for a body, and how long it may be waited for.
+#[derive(Clone, Copy)]
+struct BodyMemory<'a> {
+    budget: &'a ContentBudget,
+    wait: Duration,
+}
+
+impl BodyMemory<'_> {
+    /// Waits until a body may hold `bytes`.
+    async fn grow(self, held: &mut HeldBytes, bytes: usize) -> Result<(), Elapsed> {
+        tokio::time::timeout(self.wait, self.budget.grow_body(held, bytes)).await
+    }
+}
+
+/// Reads the whole body, so that it can be sent again, into memory that is taken first.
 async fn read_body(
     mut body: Incoming,
     limits: CallerLimits,
+    memory: BodyMemory<'_>,
     id: &str,
-) -> Result<bytes::Bytes, Refusal> {
+) -> Result<(Bytes, HeldBytes), Refusal> {
     let cut = |detail: &str| Refusal::unsent(RefusalKind::CutBody, id, detail);
     let too_large = || {
         let detail = format!("the body is larger than {} bytes", limits.max_body_bytes);
@@ -232,19 +258,27 @@
     if declared > limits.max_body_bytes {
         return Err(too_large());
     }
+    let no_memory = || {
+        let detail = "this node has no memory left for the body";
+        Refusal::unsent(RefusalKind::NoMemory, id, detail)
+    };
+    let mut held = HeldBytes::default();
+    memory.grow(&mut held, declared).await.map_err(|_| no_memory())?;
     let idle = Duration::from_millis(limits.idle_timeout_ms);
     let mut content = BytesMut::with_capacity(declared);
     loop {
         let frame = match tokio::time::timeout(idle, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return Err(cut("the body is truncated")),
-            Ok(None) => return Ok(content.freeze()),
+            Ok(None) => return Ok((content.freeze(), held)),
             Err(_) => return Err(cut("nothing of the body arrived within the idle timeout")),
         };
         let Ok(piece) = frame.into_data() else { continue };
         if content.len() + piece.len() > limits.max_body_bytes {
             return Err(too_large());
         }
+        let length = content.len() + piece.len();
+        memory.grow(&mut held, length).await.map_err(|_| no_memory())?;
         content.extend_from_slice(&piece);
     }
 }
--- a/crates/heathpitchd/src/gateway/call/record.rs
+++ b/crates/heathpitchd/src/gateway/call/record.rs
@@ -1,14 +1,12 @@
 //! Log lines and counts that single calls and streams share.
 
-use bytes::Bytes;
 use heathpitch_core::{EngineEntry, Name, Path};
-use heathpitch_net::{Body, full, strip_hop_by_hop};
+use heathpitch_net::{Body, full_in_pieces, strip_hop_by_hop};
 use hyper::Response;
-use hyper::http::response::Parts;
 
 use super::Traffic;
 use super::admit::Call;
-use super::send::Failure;
+use super::send::{CompleteAnswer, Failure};
 use crate::gateway::event::{CallRouted, GatewayEvent, parts};
 use crate::gateway::quarantine_snapshot::incarnation_of;
 use crate::gateway::shared::ControlMessage;
@@ -86,9 +84,9 @@
     traffic: &Traffic,
     call: &Call,
     sends: u32,
-    mut parts: Parts,
-    content: Bytes,
+    answer: CompleteAnswer,
 ) -> Response<Body> {
+    let CompleteAnswer { mut parts, content, held } = answer;
     record_answered(traffic, call);
     let ms = traffic.shared.now().saturating_sub(call.received);
     traffic.shared.metrics.first.observe(ms as f64 / 1e3);
@@ -104,5 +102,5 @@
     }
     .log();
     strip_hop_by_hop(&mut parts.headers);
-    Response::from_parts(parts, full(content))
+    Response::from_parts(parts, full_in_pieces(content, held))
 }
--- a/crates/heathpitchd/src/gateway/call/refusal.rs
+++ b/crates/heathpitchd/src/gateway/call/refusal.rs
@@ -27,6 +27,8 @@
     TooLarge,
     /// The body was truncated.
     CutBody,
+    /// The body does not fit into the memory that this node has left for bodies.
+    NoMemory,
     /// No engine, or no complete path of engines, is available.
     NoEngine,
     /// Engines are at capacity, or its first event would come late because of others that wait.
@@ -49,7 +51,7 @@
 
 impl RefusalKind {
     /// All kinds.
-    const ALL: [Self; 16] = [
+    const ALL: [Self; 17] = [
         Self::Unconfigured,
         Self::NoRoute,
         Self::BadKey,
@@ -57,6 +59,7 @@
         Self::BadHead,
         Self::TooLarge,
         Self::CutBody,
+        Self::NoMemory,
         Self::NoEngine,
         Self::Overloaded,
         Self::Paused,
@@ -78,6 +81,7 @@
             Self::BadHead => "bad_head",
             Self::TooLarge => "too_large",
             Self::CutBody => "cut_body",
+            Self::NoMemory => "no_memory",
             Self::NoEngine => "no_engine",
             Self::Overloaded => "overloaded",
             Self::Paused => "resting",
@@ -105,6 +109,7 @@
             | Self::BadHead
             | Self::TooLarge
             | Self::CutBody
+            | Self::NoMemory
             | Self::NoEngine
             | Self::NoRetry => true,
             Self::Overloaded
@@ -123,7 +128,7 @@
         match self {
             Self::Unconfigured | Self::StaleKeys => Some(1_000),
             Self::NoEngine | Self::Overloaded => Some(1_500),
-            Self::EnginesRefused => Some(400),
+            Self::EnginesRefused | Self::NoMemory => Some(400),
             Self::Expired | Self::Broken => Some(300),
             _ => None,
         }
--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -3,14 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use heathpitch_core::{Millis, Name, Path};
 use heathpitch_net::{
-    BackpressureSignal, Connection, Dispatch, Pool, ResponseHead, Reuse, RpcError, SendFailure,
-    full, keep_alive_timeout, read,
+    BackpressureSignal, BodyError, Connection, Dispatch, Pool, ResponseHead, Reuse, RpcError,
+    SendFailure, full, keep_alive_timeout,
 };
 use heathpitch_policy::{Backpressure, Suspicion};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use hyper::http::response;
 use hyper::{Request, StatusCode};
 
@@ -18,6 +19,7 @@
 use super::admit::Call;
 use super::rights::{self, NoRight, SendRights};
 use crate::gateway::backpressure::ResponseInfo;
+use crate::gateway::content_budget::HeldBytes;
 use crate::gateway::engine_table::EngineView;
 use crate::gateway::quarantine_snapshot::incarnation_of;
 use crate::gateway::shared::{ControlMessage, Shared};
@@ -41,16 +43,35 @@
 }
 
 impl Answer {
-    /// Reads the complete answer, of at most `max_bytes`, and returns its connection to the pool.
+    /// Reads the complete answer, of at most `max_bytes`, and returns its connection to the pool. Waits for memory if
+    /// the answer is large.
     pub(crate) async fn read_all(
         self,
-        pool: &Pool,
+        shared: &Shared,
         max_bytes: usize,
-    ) -> Result<(response::Parts, Bytes), Failure> {
-        let Self { connection, parts, body, .. } = self;
-        let content = read(body, max_bytes).await.map_err(|e| Failure::Lost(e.to_string()))?;
-        release_connection(connection, &parts, pool);
-        Ok((parts, content))
+    ) -> Result<CompleteAnswer, Failure> {
+        let Self { connection, parts, mut body, .. } = self;
+        let lost = |e: &dyn std::fmt::Display| Failure::Lost(e.to_string());
+        let declared = body.size_hint().lower() as usize;
+        if declared > max_bytes {
+            return Err(lost(&BodyError::TooLarge));
+        }
+        let mut held = HeldBytes::default();
+        shared.contents.grow_answer(&mut held, declared).await;
+        let mut content = BytesMut::with_capacity(declared);
+        while let Some(frame) = body.frame().await {
+            let Ok(piece) = frame.map_err(|_| lost(&BodyError::Truncated))?.into_data() else {
+                continue;
+            };
+            let length = content.len() + piece.len();
+            if length > max_bytes {
+                return Err(lost(&BodyError::TooLarge));
+            }
+            shared.contents.grow_answer(&mut held, length).await;
+            content.extend_from_slice(&piece);
+        }
+        release_connection(connection, &parts, &shared.pool);
+        Ok(CompleteAnswer { parts, content: content.freeze(), held })
     }
 
     /// Returns the connection to the pool after the complete answer was read.
@@ -65,6 +86,15 @@
     }
 }
 
+/// A complete answer of an engine.
+#[derive(Debug)]
+pub(crate) struct CompleteAnswer {
+    pub(crate) parts: response::Parts,
+    pub(crate) content: Bytes,
+    /// Memory taken for it, until it is written to its caller.
+    pub(crate) held: HeldBytes,
+}
+
 /// Why an attempt got no usable answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Failure {
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -1,9 +1,7 @@
 //! Filter: runs a call whose answer is a single body.
 
-use bytes::Bytes;
 use heathpitch_core::{Evidence, Name};
 use heathpitch_net::Body;
-use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 
 use super::Traffic;
@@ -14,7 +12,7 @@
 use super::record::{AttemptLog, final_answer, record_parts_answered};
 use super::refusal::{Refusal, RefusalKind};
 use super::retry_schedules::backpressure_refusal;
-use super::send::{Failure, Target, send};
+use super::send::{CompleteAnswer, Failure, Target, send};
 use crate::gateway::engine_table::EngineView;
 use crate::gateway::shared::{ControlMessage, LostAttempt};
 
@@ -23,9 +21,6 @@
 /// Attempts in which nothing could be sent to the engine.
 const MAX_UNSENT: u32 = 4;
 
-/// A complete answer of an engine.
-type CompleteAnswer = (Parts, Bytes);
-
 /// Outcome of a call's attempts so far.
 #[derive(Default)]
 struct Progress {
@@ -49,14 +44,10 @@
     let work = traffic.shared.run_until(call.deadline, answer(traffic, call, &mut progress)).await;
     let id = &call.head.id;
     let kind = match work {
-        Some(Ok((parts, content))) => {
-            return Ok(final_answer(traffic, call, progress.attempts, parts, content));
-        }
+        Some(Ok(answer)) => return Ok(final_answer(traffic, call, progress.attempts, answer)),
         // An engine's error response is passed on unchanged if no attempt had a better outcome.
         Some(Err(_)) | None if progress.last.is_some() => match progress.last.take() {
-            Some((parts, content)) => {
-                return Ok(final_answer(traffic, call, progress.attempts, parts, content));
-            }
+            Some(answer) => return Ok(final_answer(traffic, call, progress.attempts, answer)),
             None => RefusalKind::Broken,
         },
         Some(Err(kind)) => kind,
@@ -134,7 +125,7 @@
     let Progress { forwarding, evidence, attempts, .. } = progress;
     let state = super::forward::Progress { attempts, evidence, after: None, events: 0 };
     match forwarding.send(traffic, call, state).await {
-        Ok((answer, _hop)) => match answer.read_all(&traffic.pool, MAX_ANSWER_BYTES).await {
+        Ok((answer, _hop)) => match answer.read_all(&traffic.shared, MAX_ANSWER_BYTES).await {
             Ok(answer) => {
                 progress.evidence.started();
                 Ok(answer)
@@ -215,12 +206,12 @@
         let _held = HeldTokens::new(traffic.shared.clone(), vec![view.stats.clone()], 0);
         progress.evidence.sent();
         match send_and_read(traffic, call, &view).await {
-            Ok(answer) if !answer.0.status.is_server_error() => {
+            Ok(answer) if !answer.parts.status.is_server_error() => {
                 progress.attempts += 1;
                 progress.evidence.started();
                 let done = traffic.shared.now();
                 view.stats.record_latency(done.saturating_sub(now), done);
-                if answer.0.status.is_success() {
+                if answer.parts.status.is_success() {
                     record_parts_answered(traffic, call, &view.entry);
                 }
                 return Ok(answer);
@@ -304,5 +295,5 @@
 ) -> Result<CompleteAnswer, Failure> {
     let target = Target { view, downstream: &[], path: None, after: None };
     let answer = send(traffic, call, &target).await?;
-    answer.read_all(&traffic.pool, MAX_ANSWER_BYTES).await
+    answer.read_all(&traffic.shared, MAX_ANSWER_BYTES).await
 }
--- a/crates/heathpitchd/src/gateway/call/stream.rs
+++ b/crates/heathpitchd/src/gateway/call/stream.rs
@@ -38,15 +38,9 @@
         Some(Ok(answer)) => return Ok(relay(flow, answer)),
         // An engine's error response is passed on unchanged.
         Some(Err(DispatchError::Failed(answer))) => {
-            match answer.read_all(&flow.traffic.pool, MAX_ANSWER_BYTES).await {
-                Ok((parts, content)) => {
-                    return Ok(final_answer(
-                        &flow.traffic,
-                        &flow.call,
-                        flow.attempts,
-                        parts,
-                        content,
-                    ));
+            match answer.read_all(&shared, MAX_ANSWER_BYTES).await {
+                Ok(answer) => {
+                    return Ok(final_answer(&flow.traffic, &flow.call, flow.attempts, answer));
                 }
                 Err(e) => (RefusalKind::Broken, e.to_string()),
             }
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod backpressure;
 mod balance;
 mod call;
+mod content_budget;
 mod control;
 mod engine_table;
 mod event;
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::balance::Balances;
+use super::content_budget::ContentBudget;
 use super::engine_table::EngineTable;
 use super::live::LiveStream;
 use super::metrics::GatewayMetrics;
@@ -171,6 +172,8 @@
     pub(crate) metrics: GatewayMetrics,
     /// Connections to engines.
     pub(crate) pool: Pool,
+    /// Memory for bodies and answers.
+    pub(crate) contents: ContentBudget,
     pub(crate) catalog: ArcSwapOption<Catalog>,
     pub(crate) table: ArcSwap<EngineTable>,
     /// When the configuration in force was last confirmed as the newest.
@@ -209,7 +212,6 @@
     ) -> (Arc<Self>, mpsc::Receiver<ControlMessage>) {
         let (control, inbox) = mpsc::channel(CONTROL_CAPACITY);
         let shared = Self {
-            settings: ArcSwap::from_pointee(settings),
             peer,
             forward: forward
                 .map(|address| ForwardAccess { address, token: ForwardToken::new(rand::random()) }),
@@ -218,6 +220,8 @@
             clock: Clock::start(),
             metrics,
             pool: Pool::new(),
+            contents: ContentBudget::new(settings.vm.memory_mb),
+            settings: ArcSwap::from_pointee(settings),
             catalog: ArcSwapOption::empty(),
             table: ArcSwap::default(),
             config_freshness: ArcSwap::default(),
--- a/crates/heathpitchd/tests/gateway_bodies.rs
+++ b/crates/heathpitchd/tests/gateway_bodies.rs
@@ -5,18 +5,18 @@
 mod gateway;
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 use gateway::{Cluster, KEY, wait_until};
+use heathpitch_standin::{Behavior, Caller, GatewayProcess};
+use hyper::Method;
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// Puts a configuration with other limits on callers into force.
-async fn limit(
-    cluster: &mut Cluster,
-    node: &heathpitch_standin::GatewayProcess,
-    limits: [(&str, u64); 2],
-) {
+async fn limit(cluster: &mut Cluster, node: &GatewayProcess, limits: [(&str, u64); 2]) {
     cluster.config.version += 4;
     let mut document = cluster.config.json();
     limits.iter().for_each(|(key, value)| document["limits"][key] = (*value).into());
@@ -63,3 +63,49 @@
     // The route's timeout is 5 s.
     assert_eq!(send_slowly(node.listen, 14, b"piece", pause).await, 503, "nothing ran");
 }
+
+/// Guards against bodies that are read without a bound on the memory of the node: one that got the callers of a lost
+/// failure domain went over its memory and was killed, again and again.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_beyond_the_memory_of_a_node_are_refused_before_they_are_read() {
+    let mut cluster = Cluster::new();
+    let engine = cluster.engine("a", "api");
+    let binary = Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
+    // Half of it are for large bodies: 8 MB.
+    let settings = json!({ "vm": { "memory_mb": 16 } });
+    let store = cluster.store.address();
+    let node = GatewayProcess::spawn_with(binary, store, "n1", "mem", settings).unwrap();
+    node.wait_ready().await.unwrap();
+    limit(&mut cluster, &node, [("idleTimeoutMs", 15_000), ("maxBodyBytes", 4 << 20)]).await;
+    engine.set_behavior(Behavior::Hang);
+    let large = "x".repeat(4_100_000);
+    let caller = || Caller::new(node.listen).key(KEY);
+    let open = caller();
+    let first = open.call(Method::POST, "/book/x", &large);
+    let others = async {
+        wait_until("the first body has reached the engine", async || {
+            engine.requests().iter().any(|r| r.body.len() == large.len())
+        })
+        .await;
+        engine.set_behavior(Behavior::Echo);
+        // Of a body that is not read, nothing more is sent than its head.
+        let mut stream = TcpStream::connect(node.listen).await.unwrap();
+        let head = format!(
+            "POST /book/x HTTP/1.1\r\nhost: desk.example\r\nx-request-id: c2\r\n\
+             authorization: Bearer {KEY}\r\ncontent-length: 4100000\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut answer = vec![0; 12];
+        stream.read_exact(&mut answer).await.unwrap();
+        assert_eq!(&answer[9..], b"503", "soon, and not run");
+        let small = caller().call(Method::POST, "/book/x", "small").await.unwrap();
+        assert_eq!((small.status, &small.body[..]), (200, &b"small"[..]));
+    };
+    let (first, ()) = tokio::join!(first, others);
+    assert_eq!(first.unwrap().status, 504, "the engine did not answer");
+    let refused = node.events("call_refused");
+    assert!(refused.iter().any(|e| e["kind"] == "no_memory"), "{refused:?}");
+    assert_eq!(engine.requests().len(), 2);
+    let again = caller().call(Method::POST, "/book/x", &large).await.unwrap();
+    assert_eq!((again.status, again.body.len()), (200, large.len()), "the memory is free again");
+}
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,13 +1,19 @@
 //! Request and response bodies, read with a size limit.
 
-use bytes::Bytes;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::{Bytes, BytesMut};
 use futures::stream;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Empty, Full, Limited, StreamBody};
-use hyper::body::Frame;
+use http_body_util::{BodyExt, Empty, Full, StreamBody};
+use hyper::body::{Frame, SizeHint};
 use serde::Serialize;
 use tokio::sync::mpsc;
 
+/// Size of the pieces in which a large body is passed to its connection.
+const PIECE_BYTES: usize = 64 << 10;
+
 /// Body of outgoing requests and responses.
 pub type Body = UnsyncBoxBody<Bytes, BodyError>;
 
@@ -32,6 +38,42 @@
     Full::new(bytes.into()).map_err(|e| match e {}).boxed_unsync()
 }
 
+/// A body with the given bytes that is passed to its connection piece by piece; `held` is dropped with the last one, by
+/// when all but a buffer of the connection has been written.
+pub fn full_in_pieces<T: Send + Unpin + 'static>(content: Bytes, held: T) -> Body {
+    Pieces { left: content, _held: held }.boxed_unsync()
+}
+
+/// Bytes of a known length that are taken in pieces.
+struct Pieces<T> {
+    left: Bytes,
+    _held: T,
+}
+
+impl<T: Unpin> hyper::body::Body for Pieces<T> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.left.is_empty() {
+            return Poll::Ready(None);
+        }
+        let piece = self.left.len().min(PIECE_BYTES);
+        Poll::Ready(Some(Ok(Frame::data(self.left.split_to(piece)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left.len() as u64)
+    }
+}
+
 /// A JSON body; empty if `value` cannot be serialized.
 pub fn json(value: &impl Serialize) -> Body {
     match serde_json::to_vec(value) {
@@ -58,11 +100,20 @@
 pub async fn read<B>(body: B, max_bytes: usize) -> Result<Bytes, BodyError>
 where
     B: hyper::body::Body<Data = Bytes>,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLarge),
-        Err(_) => Err(BodyError::Truncated),
+    let mut body = std::pin::pin!(body);
+    let declared = body.size_hint().lower() as usize;
+    if declared > max_bytes {
+        return Err(BodyError::TooLarge);
+    }
+    let mut content = BytesMut::with_capacity(declared);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Truncated)?;
+        let Ok(piece) = frame.into_data() else { continue };
+        if content.len() + piece.len() > max_bytes {
+            return Err(BodyError::TooLarge);
+        }
+        content.extend_from_slice(&piece);
     }
+    Ok(content.freeze())
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -34,7 +34,7 @@
 pub use backpressure::{
     AdvertisedLimit, BackpressureSignal, EngineResponse, RetryAfterError, retry_after,
 };
-pub use body::{Body, BodyError, channel, empty, full, json, read};
+pub use body::{Body, BodyError, channel, empty, full, full_in_pieces, json, read};
 pub use client::{Client, Response};
 pub use deflate::{deflate, deflate_bytes, inflate, inflate_bytes};
 pub use dialect::{
