An unfinished error answer of a stream ends with the call's deadline

Cause: that answer was read outside of the call's deadline.

Change: it is read until the deadline, after which the call gets a 504.

--- a/crates/heathpitchd/src/gateway/call/stream.rs
+++ b/crates/heathpitchd/src/gateway/call/stream.rs
@@ -38,11 +38,12 @@
         Some(Ok(answer)) => return Ok(relay(flow, answer)),
         // An engine's error response is passed on unchanged.
         Some(Err(DispatchError::Failed(answer))) => {
-            match answer.read_all(&shared, MAX_ANSWER_BYTES).await {
-                Ok(answer) => {
+            match shared.run_until(deadline, answer.read_all(&shared, MAX_ANSWER_BYTES)).await {
+                Some(Ok(answer)) => {
                     return Ok(final_answer(&flow.traffic, &flow.call, flow.attempts, answer));
                 }
-                Err(e) => (RefusalKind::Broken, e.to_string()),
+                Some(Err(e)) => (RefusalKind::Broken, e.to_string()),
+                None => (RefusalKind::Expired, "an engine's error answer did not end".to_owned()),
             }
         }
         Some(Err(DispatchError::Shed(shed))) => {
