--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -7,7 +7,6 @@
 //! The age of an answer counts from the time at which its request was sent, so that neither a slow link nor a
 //! stalled source makes it look newer than it is.
 
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,16 +14,15 @@
 use futures::stream::FuturesUnordered;
 use heathpitch_core::{Millis, Name};
 use heathpitch_net::{
-    FeedClient, FeedCursor, FeedEngines, FeedNotices, FeedRequest, FeedResponse, Item,
-    NoticeCursor, RpcError, inflate_bytes, unpack,
+    FeedClient, FeedCursor, FeedNotices, FeedRequest, FeedResponse, NoticeCursor, RpcError,
 };
-use heathpitch_policy::{DomainPlanner, PollOutcome, REPOLL_AGE_MS, Source};
+use heathpitch_policy::{PollOutcome, REPOLL_AGE_MS, Source};
 use rand::seq::IndexedRandom;
 
-use super::state::{Control, Fleet};
-use super::{config, engines, nodes, reports};
+use super::feed_answers::{apply, record_nodes};
+use super::nodes;
+use super::state::Control;
 use crate::gateway::event::GatewayEvent;
-use crate::gateway::shared::record_proof;
 
 /// Time between polls: a small part of the time for which a draining engine may still be sent work, and
 /// 175 polls a second for a planner with 70 followers.
@@ -70,13 +68,13 @@
 
 /// State of the exchange with a source.
 #[derive(Default)]
-struct FeedState {
+pub(super) struct FeedState {
     node: Option<Name>,
     client: Option<FeedClient>,
-    cursor: FeedCursor,
+    pub(super) cursor: FeedCursor,
     notices: NoticeCursors,
     /// Time at which the last received list of engines becomes too old.
-    fresh_until: Millis,
+    pub(super) fresh_until: Millis,
 }
 
 impl FeedState {
@@ -271,107 +269,6 @@
     Ok((sent, response))
 }
 
-/// Applies the answer to a request sent at `sent`.
-fn apply(
-    control: &Rc<Control>,
-    state: &mut FeedState,
-    source: &Source,
-    sent: Millis,
-    response: FeedResponse,
-) -> PollOutcome {
-    record_nodes(control, source, &response);
-    control.receive_forwarders(&response.forwarders);
-    control.record_notices(&response.notices, sent, &source.node);
-    if let Some(shares) = &response.shares {
-        control.receive_shares(&source.node, shares, sent);
-    }
-    let proven = sent.saturating_sub(response.entries_age_ms);
-    let own = control.shared.list_freshness.load().at();
-    // An empty delta means that the source has the same list.
-    let same = response.engines == FeedEngines::default();
-    // A newer configuration was acknowledged by the store, so it holds regardless of the rest of the answer.
-    if let Some(config) = &response.config
-        && let Err(e) = adopt(control, config)
-    {
-        log::warn!("invalid configuration from node {}: {e}", source.node);
-        return PollOutcome::Declined;
-    }
-    if !response.fresh || !control.sources.borrow().accepts(&source.node, proven, own, same) {
-        return PollOutcome::Declined;
-    }
-    if let Err(e) = apply_engines(control, &response.engines) {
-        log::warn!("invalid list of engines from node {}: {e}", source.node);
-        return PollOutcome::Declined;
-    }
-    state.cursor = response.cursor;
-    reports::receive(control, &response.reports, sent);
-    record_proof(&control.shared.list_freshness, proven);
-    state.fresh_until = proven + MAX_LIST_AGE_MS;
-    if control.revision() >= response.revision {
-        record_proof(&control.shared.config_freshness, sent.saturating_sub(response.config_age_ms));
-    }
-    PollOutcome::Fresh
-}
-
-/// Applies what an answer says of nodes, which its sender may know without access to the store.
-fn record_nodes(control: &Control, source: &Source, response: &FeedResponse) {
-    for p in &response.planners {
-        let source = Source { node: p.node.clone(), address: p.address };
-        nodes::record_planner(control, &p.domain, DomainPlanner { source, revision: p.revision });
-    }
-    let is_local = control.sources.borrow().is_local(&source.node);
-    if is_local {
-        let standbys = response.standbys.iter();
-        let standbys =
-            standbys.map(|(node, address)| Source { node: node.clone(), address: *address });
-        control.sources.borrow_mut().set_standbys(standbys.collect());
-    }
-    if is_local && response.planner_released {
-        control.planner_released_lease();
-    }
-    if response.fleet_size > 0 {
-        let known = control.fleet.get().map(|f| f.domain_size).filter(|_| !is_local);
-        let fleet = Fleet {
-            fleet_size: response.fleet_size,
-            domain_size: known.unwrap_or(response.domain_size),
-        };
-        if control.fleet.replace(Some(fleet)) != Some(fleet) {
-            control.publish();
-        }
-    }
-}
-
-fn adopt(control: &Control, deflated: &Item) -> Result<(), RpcError> {
-    let value = inflate_bytes(&deflated.value)?.into();
-    config::adopt(control, &Item { value, ..deflated.clone() }, "node");
-    Ok(())
-}
-
-fn apply_engines(control: &Control, response: &FeedEngines) -> Result<(), RpcError> {
-    let (items, removed) = match response {
-        FeedEngines::Full(packed) => {
-            let items = unpack(packed)?;
-            let kept: HashSet<Name> =
-                items.iter().filter_map(|i| engines::engine_id(control, &i.key)).collect();
-            let entries = control.entries.borrow();
-            let removed = entries.keys().filter(|id| !kept.contains(*id)).cloned().collect();
-            (items, removed)
-        }
-        FeedEngines::Changes { items, removed } => {
-            let removed: Vec<Name> =
-                removed.iter().filter_map(|key| engines::engine_id(control, key)).collect();
-            (items.clone(), removed)
-        }
-    };
-    if items.is_empty() && removed.is_empty() {
-        return Ok(());
-    }
-    engines::put_all(control, &items);
-    removed.iter().for_each(|id| engines::remove(control, id, "its source no longer lists it"));
-    control.publish();
-    Ok(())
-}
-
 /// # Feed
 impl Control {
     /// Logs that a node did not answer a poll begun at `start`.
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! - `config`: the newest configuration and the proof that it is current
 //! - `engine_list`, `engines`: the list of engines and the proof that it is current
-//! - `feed`, `sources`, `feed_server`: the same data received from other nodes, the choice of source, and
-//!   the answers to nodes that poll this one
+//! - `feed`, `feed_answers`, `sources`, `feed_server`: the same data received from other nodes, the choice of source,
+//!   and the answers to nodes that poll this one
 //! - `nodes`: the lease of the failure domain's planner and the size of the fleet
 //! - `planner`, `orders`: placement of layers and the orders that carry it out
 //! - `reports`, `neighbours`: load reports of engines of this failure domain and of the others
@@ -30,6 +30,7 @@
 mod engines;
 mod exit_records;
 mod feed;
+mod feed_answers;
 mod feed_server;
 mod forwarders;
 mod limit_records;
--- a/crates/heathpitchd/tests/gateway_unfinished_answers.rs
+++ b/crates/heathpitchd/tests/gateway_unfinished_answers.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use gateway::{Cluster, KEY};
-use heathpitch_standin::{CALL_ID, Caller, RawEngine, RouteSpec};
+use heathpitch_standin::{Caller, RawEngine, RouteSpec};
 use hyper::Method;
 
 /// Timeout of the routes.
@@ -49,7 +49,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unfinished_error_answer_ends_with_the_route_timeout() {
     let respond = |id: &str| {
-        let head = format!("HTTP/1.1 500 Failed\r\n{CALL_ID}: {id}\r\nx-response-stamp: s\r\n");
+        let head = RawEngine::response_head(id, "500 Failed");
         format!("{head}content-length: 10\r\n\r\nabc").into_bytes()
     };
     assert_eq!(statuses(respond).await, [504, 504]);
@@ -69,7 +69,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_without_end_is_given_up() {
     let respond = |id: &str| {
-        let head = format!("HTTP/1.1 200 OK\r\n{CALL_ID}: {id}\r\nx-response-stamp: s\r\n\r\n");
+        let head = RawEngine::response_head(id, "200 OK") + "\r\n";
         [head.into_bytes(), vec![b'x'; 40_000_000]].concat()
     };
     let [single, stream] = statuses(respond).await;
--- a/crates/policy/src/proof_schedule.rs
+++ b/crates/policy/src/proof_schedule.rs
@@ -25,7 +25,7 @@
 pub const PROOF_INTERVAL_MS: Millis = 1_000;
 /// Age of a proof from which a follower polls for the next one.
 pub const REPOLL_AGE_MS: Millis = PROOF_INTERVAL_MS + 50;
-/// Time within which the store answers a proof: a hundred times its usual latency.
+/// Time within which the store answers a proof.
 pub const PROOF_ANSWER_MS: Millis = 400;
 
 /// Age at which a standby proves the configuration by itself, by rank.
