A forwarded call is not handled by an older configuration

Cause: the node did not reach engines and forwarded the call to one that was stopped; when that one resumed, it handled the call by the configuration from before its pause. The hop did not carry the version by which the call had been admitted. Same class: what is told of a call is not what is in force where it runs.

Change: a forwarded call carries the revision by which it was admitted; a node whose own is older, in the same era of the store, refuses it as not run (unconfigured), and the sender tries another node.

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -109,6 +109,12 @@
         let detail = "no configuration has been loaded yet";
         return Err(Refusal::unsent(RefusalKind::Unconfigured, &id, detail));
     };
+    let is_older =
+        |f: &ForwardedCall| f.config.era() == catalog.revision.era() && f.config > catalog.revision;
+    if forwarded.as_ref().is_some_and(is_older) {
+        let detail = "the configuration here is older than that of the node that forwarded it";
+        return Err(Refusal::unsent(RefusalKind::Unconfigured, &id, detail));
+    }
     if !shared.is_informed() {
         let detail = "what is held back and the limits of engines have not been read yet";
         return Err(Refusal::unsent(RefusalKind::Unconfigured, &id, detail));
--- a/crates/heathpitchd/src/gateway/call/forward.rs
+++ b/crates/heathpitchd/src/gateway/call/forward.rs
@@ -281,6 +281,7 @@
         attempts: call.attempts().saturating_sub(attempts),
         is_retry: attempts > 0,
         age_ms: call.age_ms,
+        config: call.catalog.revision,
     };
     ForwardHead { token, call: Some(forwarded) }.write(request.headers_mut());
     let answer = tokio::select! {
--- a/crates/heathpitchd/tests/gateway_config_age.rs
+++ b/crates/heathpitchd/tests/gateway_config_age.rs
@@ -11,8 +11,9 @@
 
 use std::time::{Duration, Instant};
 
+use gateway::partition::{CallKind, PartitionedFleet};
 use gateway::{Cluster, KEY, is_fed, wait_until};
-use heathpitch_standin::{Caller, Engine, GatewayProcess, RouteSpec};
+use heathpitch_standin::{Caller, Engine, GatewayProcess, LinkMode, RouteSpec};
 use hyper::Method;
 use serde_json::json;
 
@@ -36,10 +37,10 @@
     nodes
 }
 
-/// Moves the first route to another service, and returns when the store had accepted that.
-fn move_route(cluster: &mut Cluster, service: &str) -> Instant {
+/// Replaces a route, and returns when the store had accepted that.
+fn replace_route(cluster: &mut Cluster, index: usize, route: RouteSpec) -> Instant {
     cluster.config.version += 4;
-    cluster.config.routes[0] = RouteSpec::idempotent("/get/", service);
+    cluster.config.routes[index] = route;
     cluster.configure();
     Instant::now()
 }
@@ -68,7 +69,7 @@
     let others = || nodes.iter().enumerate().filter(|(i, _)| *i != survivor).map(|(_, n)| n);
     others().for_each(|n| n.signal("STOP").unwrap());
     tokio::time::sleep(pause).await;
-    let accepted = move_route(&mut cluster, "new");
+    let accepted = replace_route(&mut cluster, 0, RouteSpec::idempotent("/get/", "new"));
     let late = count_outdated(&nodes[survivor], &new, accepted).await;
     others().for_each(|n| n.signal("CONT").unwrap());
     late
@@ -108,3 +109,39 @@
         nodes[..silent].iter().for_each(|n| n.signal("CONT").unwrap());
     }
 }
+
+/// Guards against a node that resumes and handles a call, which a node in touch forwarded to it meanwhile, by the
+/// configuration from before its pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forwarded_call_is_not_handled_by_an_older_configuration() {
+    let mut fleet = PartitionedFleet::start(&["mem", "atl"]).await;
+    let book = |service| RouteSpec::at_most_once("/book/", service);
+    replace_route(&mut fleet.cluster, 1, book("one"));
+    let version = fleet.cluster.config.version;
+    for node in &fleet.nodes {
+        wait_until("the route has moved", async || {
+            node.events("config_adopted").iter().any(|e| e["version"] == version)
+        })
+        .await;
+    }
+    fleet.cut_off(0, LinkMode::Blackhole);
+    wait_until("the first node forwards calls to the other service", async || {
+        fleet.call(0, CallKind::Idempotent).await.is_ok_and(|r| r.status == 200)
+            && !fleet.nodes[0].events("call_forwarded").is_empty()
+    })
+    .await;
+    fleet.nodes[1].signal("STOP").unwrap();
+    let accepted = replace_route(&mut fleet.cluster, 1, book("api"));
+    tokio::time::sleep_until((accepted + APPLY_BOUND).into()).await;
+    let runs = || {
+        let of_service = fleet.engines.iter().filter(|e| e.id.contains("one"));
+        of_service.flat_map(|e| e.requests()).filter(|r| r.target.starts_with("/book/")).count()
+    };
+    let resume = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.nodes[1].signal("CONT").unwrap();
+    };
+    let (reply, ()) = tokio::join!(fleet.call(0, CallKind::AtMostOnce), resume);
+    let status = reply.unwrap().status;
+    assert_eq!(runs(), 0, "status {status}: run by the service of the route before");
+}
--- a/crates/net/src/forward.rs
+++ b/crates/net/src/forward.rs
@@ -4,7 +4,7 @@
 //! It arrives on a listener of its own with the token of the node that takes it, and is never forwarded again.
 //! Headers of these names mean nothing anywhere else.
 
-use heathpitch_core::{ForwardToken, Millis, Outcome};
+use heathpitch_core::{ForwardToken, Millis, Outcome, Revision};
 use hyper::HeaderMap;
 use hyper::header::{HeaderName, HeaderValue};
 
@@ -16,12 +16,14 @@
 const RETRY: HeaderName = HeaderName::from_static("x-heathpitch-forward-retry");
 /// Time since the caller first asked, milliseconds.
 const AGE_MS: HeaderName = HeaderName::from_static("x-heathpitch-forward-age-ms");
+/// Revision of the configuration by which the call was admitted.
+const CONFIG: HeaderName = HeaderName::from_static("x-heathpitch-forward-config");
 /// Kind of a response that the node gave itself.
 const KIND: HeaderName = HeaderName::from_static("x-heathpitch-forward-kind");
 /// Outcome of the call according to such a response.
 const OUTCOME: HeaderName = HeaderName::from_static("x-heathpitch-forward-outcome");
 /// All of them.
-const ALL: [HeaderName; 6] = [TOKEN, ATTEMPTS, RETRY, AGE_MS, KIND, OUTCOME];
+const ALL: [HeaderName; 7] = [TOKEN, ATTEMPTS, RETRY, AGE_MS, CONFIG, KIND, OUTCOME];
 
 /// What a node adds to a request that it sends to another node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +44,8 @@
     pub is_retry: bool,
     /// Time since its caller first asked.
     pub age_ms: Millis,
+    /// Revision of the configuration by which it was admitted.
+    pub config: Revision,
 }
 
 /// A response that a node gave to a forwarded call itself, rather than an engine.
@@ -61,6 +65,7 @@
         if let Some(call) = self.call {
             set(headers, ATTEMPTS, &call.attempts.to_string());
             set(headers, AGE_MS, &call.age_ms.to_string());
+            set(headers, CONFIG, &call.config.0.to_string());
             if call.is_retry {
                 set(headers, RETRY, "1");
             }
@@ -70,14 +75,16 @@
     /// Takes it from the headers of a request; none if there is no valid one.
     pub fn take(headers: &mut HeaderMap) -> Option<Self> {
         let token = text(headers, &TOKEN).and_then(|t| t.parse().ok());
-        let number = |name| text(headers, name).and_then(|t| t.parse::<u64>().ok());
+        let number = |name: &HeaderName| text(headers, name).and_then(|t| t.parse::<u64>().ok());
         let (attempts, age_ms) = (number(&ATTEMPTS), number(&AGE_MS));
+        let config = Revision(number(&CONFIG).unwrap_or_default());
         let is_retry = headers.contains_key(RETRY);
         clear(headers);
         let call = attempts.zip(age_ms).map(|(attempts, age_ms)| ForwardedCall {
             attempts: attempts.min(u32::MAX.into()) as u32,
             is_retry,
             age_ms,
+            config,
         });
         Some(Self { token: token?, call })
     }
