An engine's 503, 429, 408 or 421 is no promise that it did not state

Cause: statuses of engines were passed on unchanged, also without the header by which an engine states that it did not run the call.

Change: for calls that may run at most once such an answer becomes a 502 (broken). Calls that may be repeated get it unchanged, as before.

Before -> after: 503 with the engine's digest -> 502 without one; the test failed before.

--- a/crates/heathpitchd/src/gateway/call/record.rs
+++ b/crates/heathpitchd/src/gateway/call/record.rs
@@ -2,7 +2,7 @@
 
 use heathpitch_core::{EngineEntry, Name, Path};
 use heathpitch_net::{Body, full_in_pieces, strip_hop_by_hop};
-use hyper::Response;
+use hyper::{Response, StatusCode};
 
 use super::Traffic;
 use super::admit::Call;
@@ -79,6 +79,18 @@
     }
 }
 
+/// Whether an engine's status would promise the caller that a call did not run, which the engine did not state.
+pub(crate) fn is_false_promise(call: &Call, status: StatusCode) -> bool {
+    let promises = matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    );
+    promises && !call.route.kind.retryable()
+}
+
 /// Turns an engine's complete answer into the answer to the caller, after so many attempts.
 pub(crate) fn final_answer(
     traffic: &Traffic,
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -9,7 +9,7 @@
 use super::forward::{Declined, ForwardError, Forwarding};
 use super::open::HeldTokens;
 use super::pick::{self, Avoid};
-use super::record::{AttemptLog, final_answer, record_parts_answered};
+use super::record::{AttemptLog, final_answer, is_false_promise, record_parts_answered};
 use super::refusal::{Refusal, RefusalKind};
 use super::retry_schedules::backpressure_refusal;
 use super::send::{CompleteAnswer, Failure, Target, send};
@@ -44,11 +44,17 @@
     let work = traffic.shared.run_until(call.deadline, answer(traffic, call, &mut progress)).await;
     let id = &call.head.id;
     let kind = match work {
+        Some(Ok(answer)) if is_false_promise(call, answer.parts.status) => {
+            progress.evidence.lost();
+            RefusalKind::Broken
+        }
         Some(Ok(answer)) => return Ok(final_answer(traffic, call, progress.attempts, answer)),
         // An engine's error response is passed on unchanged if no attempt had a better outcome.
         Some(Err(_)) | None if progress.last.is_some() => match progress.last.take() {
-            Some(answer) => return Ok(final_answer(traffic, call, progress.attempts, answer)),
-            None => RefusalKind::Broken,
+            Some(answer) if !is_false_promise(call, answer.parts.status) => {
+                return Ok(final_answer(traffic, call, progress.attempts, answer));
+            }
+            Some(_) | None => RefusalKind::Broken,
         },
         Some(Err(kind)) => kind,
         None => {
--- a/crates/heathpitchd/src/gateway/call/stream.rs
+++ b/crates/heathpitchd/src/gateway/call/stream.rs
@@ -15,7 +15,7 @@
 use super::flow::{DispatchError, Flow};
 use super::forward::Declined;
 use super::open::OpenCall;
-use super::record::final_answer;
+use super::record::{final_answer, is_false_promise};
 use super::refusal::{Refusal, RefusalKind};
 use super::relay::relay;
 use super::retry_schedules::{backpressure_refusal, promised_refusal};
@@ -39,6 +39,13 @@
         // An engine's error response is passed on unchanged.
         Some(Err(DispatchError::Failed(answer))) => {
             match shared.run_until(deadline, answer.read_all(&shared, MAX_ANSWER_BYTES)).await {
+                Some(Ok(answer)) if is_false_promise(&flow.call, answer.parts.status) => {
+                    let status = answer.parts.status;
+                    (
+                        RefusalKind::Broken,
+                        format!("an engine that may have run it answered {status}"),
+                    )
+                }
                 Some(Ok(answer)) => {
                     return Ok(final_answer(&flow.traffic, &flow.call, flow.attempts, answer));
                 }
--- a/crates/heathpitchd/tests/gateway_calls.rs
+++ b/crates/heathpitchd/tests/gateway_calls.rs
@@ -220,3 +220,23 @@
     assert!(text.contains("heathpitch_call_attempts_total{result=\"failed\"} 1"), "{text}");
     assert!(text.contains("heathpitch_engine_connections_total 1"), "{text}");
 }
+
+/// Guards against a status that promises that a call did not run, from an engine that does not state it: a call that
+/// may run at most once would be sent again by its caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_status_of_an_engine_is_no_promise_that_it_did_not_state() {
+    for status in ["503 Full", "429 Many", "408 Late"] {
+        let cluster = Cluster::new();
+        let engine = RawEngine::spawn(move |id| {
+            let head = RawEngine::response_head(id, status);
+            format!("{head}content-length: 0\r\n\r\n").into_bytes()
+        });
+        cluster.store.register_engine("e1", "api", "mem", engine.await.unwrap().address);
+        let node = cluster.node().await;
+        let caller = Caller::new(node.listen).key(KEY);
+        let reply = caller.call(Method::POST, "/book/x", "buy 100").await.unwrap();
+        assert_eq!((reply.status, reply.digest()), (502, None), "{status}");
+        let reply = caller.call(Method::GET, "/get/x", "").await.unwrap();
+        assert_eq!(reply.status.to_string(), status[..3], "it may be repeated anyway");
+    }
+}
