The size of a request's head is limited, not the number of its fields

What callers saw (review): a request with 105 header fields, well within maxHeaderBytes, got a 431, after which callers do not return.

Cause: the library's default of 100 fields.

Change: 512 fields, which with their values exceed usual limits on the size.

Before -> after, 300 fields: 431 -> 200; the test failed before.

--- a/crates/heathpitchd/tests/gateway_calls.rs
+++ b/crates/heathpitchd/tests/gateway_calls.rs
@@ -240,3 +240,21 @@
         assert_eq!(reply.status.to_string(), status[..3], "it may be repeated anyway");
     }
 }
+
+/// Guards against a limit on the number of header fields beside that on their size.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_may_have_many_fields() {
+    let cluster = Cluster::new();
+    cluster.engine("e1", "api");
+    let node = cluster.node().await;
+    let mut stream = tokio::net::TcpStream::connect(node.listen).await.unwrap();
+    let fields: String = (0..300).map(|i| format!("x-field-{i}: value\r\n")).collect();
+    let head = format!(
+        "GET /get/x HTTP/1.1\r\nhost: desk.example\r\n{CALL_ID}: c1\r\n\
+         authorization: Bearer {KEY}\r\n{fields}\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 12];
+    stream.read_exact(&mut answer).await.unwrap();
+    assert_eq!(&answer[9..], b"200");
+}
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -20,6 +20,9 @@
 /// Delay after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Header fields of a request: the size of its head is the limit, which a configuration sets, rather than their number.
+const MAX_HEADERS: usize = 512;
+
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 4_096;
 
@@ -132,7 +135,7 @@
         });
         let mut builder = hyper::server::conn::http1::Builder::new();
         builder.timer(TokioTimer::new()).header_read_timeout(bounds.head_timeout);
-        builder.max_buf_size(bounds.max_head_bytes);
+        builder.max_buf_size(bounds.max_head_bytes).max_headers(MAX_HEADERS);
         let watched = graceful.watch(builder.serve_connection(TokioIo::new(socket), service));
         tokio::spawn(async move {
             // An error ends the connection and its requests; nobody is left to report it to.
