Promised retries are sent again if an earlier poll is answered first

Cause: found by reading the diff: a poll beside a silent one carries the promised retries; if the silent one answers first, the later poll is dropped, and what it carried counted as on its way.

Change: it counts as unanswered, as after a failed poll. No test: the effect is a promise that the planner hears of one poll late.

--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -157,6 +157,9 @@
             let is_latest = pending.last().is_some_and(|(node, _)| *node == ended.source.node);
             pending.retain(|(node, _)| *node != ended.source.node);
             if finish_poll(control, state, ended, is_latest) == PollOutcome::Fresh {
+                if !is_latest {
+                    control.promises_unanswered();
+                }
                 return supersede(control, &pending);
             }
         }
