--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -238,7 +238,7 @@
     }
 
     /// Adds configuration changes, most of them while other nodes of a failure domain are stopped or cut off from the
-    /// store, in a cluster of [`CONFIG_NODES`] nodes.
+    /// store, in a cluster of five nodes.
     #[must_use]
     pub fn with_config_changes(mut self) -> Self {
         self.nodes = CONFIG_NODES;
