A body that is too large is read up to the limit again

What callers saw: a caller that was still sending got a broken connection in place of its 413.

Cause: refused by the declared size before any of the body was read; the connection was then closed while the caller wrote.

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -262,6 +262,7 @@
     };
     let declared = body.size_hint().lower() as usize;
     if declared > limits.max_body_bytes {
+        discard(&mut body, limits).await;
         return Err(too_large());
     }
     let no_memory = || {
@@ -288,3 +289,15 @@
         content.extend_from_slice(&piece);
     }
 }
+
+/// Reads a body that is too large up to the limit on its size: its caller may read no answer before.
+async fn discard(body: &mut Incoming, limits: CallerLimits) {
+    let idle = Duration::from_millis(limits.idle_timeout_ms);
+    let mut length = 0;
+    while length <= limits.max_body_bytes {
+        match tokio::time::timeout(idle, body.frame()).await {
+            Ok(Some(Ok(frame))) => length += frame.data_ref().map_or(0, Bytes::len),
+            Ok(Some(Err(_)) | None) | Err(_) => return,
+        }
+    }
+}
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -102,11 +102,9 @@
     B: hyper::body::Body<Data = Bytes>,
 {
     let mut body = std::pin::pin!(body);
+    // A body that is too large is read up to the limit: its sender may read no answer before.
     let declared = body.size_hint().lower() as usize;
-    if declared > max_bytes {
-        return Err(BodyError::TooLarge);
-    }
-    let mut content = BytesMut::with_capacity(declared);
+    let mut content = BytesMut::with_capacity(declared.min(max_bytes));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyError::Truncated)?;
         let Ok(piece) = frame.into_data() else { continue };
