--- a/crates/soak/src/config_history.rs
+++ b/crates/soak/src/config_history.rs
@@ -36,12 +36,12 @@
 ) -> Option<&'static str> {
     let in_force = versions.iter().rposition(|v| v.accepted + APPLY_BOUND < call.sent_at)?;
     let end = call.sent_at + call.elapsed;
-    let mut possible = versions[in_force..].iter().filter(|v| v.sent <= end);
+    let possible = || versions[in_force..].iter().filter(|v| v.sent <= end);
     match call.status() {
-        Some(401 | 403 | 404) if possible.all(|v| v.allows(call)) => {
+        Some(401 | 403 | 404) if possible().all(|v| v.allows(call)) => {
             Some("calls that the configuration allows are not denied")
         }
-        _ if runs > 0 && !possible.any(|v| v.allows(call)) => {
+        _ if runs > 0 && !possible().any(|v| v.allows(call)) => {
             Some("calls run only as a configuration in force allows")
         }
         _ => None,
