Stand-ins: a killed server refuses connections when kill returns

Cause: kill left it to the runtime's own thread to drop the listener.

The test and its check are unchanged.

--- a/crates/fakes/src/host.rs
+++ b/crates/fakes/src/host.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use heathpitch_net::{Body, Bounds, Listener, serve};
 use hyper::body::Incoming;
@@ -10,6 +11,9 @@
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
 
+/// Longest time for the server's tasks to end.
+const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Server that runs until it is killed or dropped.
 #[derive(Debug)]
 pub(crate) struct Host {
@@ -48,10 +52,11 @@
         self.address
     }
 
-    /// Stops the server at once, as on SIGKILL.
+    /// Stops the server at once, as on SIGKILL; afterwards its address refuses connections.
     pub(crate) fn kill(&self) {
         if let Some(runtime) = self.runtime.lock().take() {
-            runtime.shutdown_background();
+            // On a thread of its own, as a runtime's end may not be awaited within another one; it does not panic.
+            let _ = std::thread::spawn(move || runtime.shutdown_timeout(STOP_TIMEOUT)).join();
         }
     }
 }
