Log why the configuration of a call was not proven

A node that served by an older configuration left only the lines of single sends, which logs that are kept in part lose first, and none of what it had tried to prove its configuration: two hypotheses of docs/incidents/refused-calls.md could not be told apart.

No decision changes.

--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -68,23 +68,49 @@
             GatewayEvent::ConfigProofDue { rank, proof_ms }.log();
         }
         let sent = control.now();
-        match prove_once(&control).await {
-            true => {
+        let error = match prove_once(&control).await {
+            Ok(()) => {
                 schedule.answered(sent);
                 retry = RETRY_INTERVAL;
+                continue;
             }
-            false if reads => {
-                retry = (retry * 2).min(MAX_RETRY_INTERVAL);
-                schedule.retry_after(control.now(), retry.as_millis() as Millis);
-            }
-            false => {
-                let (now, domain_size) = (control.now(), control.domain_size());
-                schedule.follower_failed(now, domain_size, &mut rand::rng());
-            }
+            Err(error) => error,
+        };
+        let now = control.now();
+        if reads {
+            retry = (retry * 2).min(MAX_RETRY_INTERVAL);
+            schedule.retry_after(now, retry.as_millis() as Millis);
+        } else {
+            schedule.follower_failed(now, control.domain_size(), &mut rand::rng());
         }
+        GatewayEvent::ConfigProofFailed {
+            reads,
+            ms: now.saturating_sub(sent),
+            error: error.to_string(),
+            proof_ms: control.newest_freshness().age(now),
+            retry_ms: schedule.due(confirmed, own_age).saturating_sub(now),
+        }
+        .log();
     }
 }
 
+/// Why a proof of the configuration failed.
+#[derive(Debug, thiserror::Error)]
+enum ProofError {
+    /// The store gave no usable answer.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// The store has no configuration.
+    #[error("the store has no configuration")]
+    Absent,
+    /// The store holds an older configuration than the one in force.
+    #[error("the store holds an older configuration")]
+    Behind,
+    /// The configuration could not be read after the store was restored.
+    #[error("the configuration could not be read after a restore of the store")]
+    Unread,
+}
+
 /// Reads the configuration and returns the revision to watch from.
 pub(super) async fn read(control: &Control) -> Option<Revision> {
     let sent = control.now();
@@ -139,8 +165,8 @@
     }
 }
 
-/// Asks the store whether the newest configuration known is still the newest; returns whether it told.
-async fn prove_once(control: &Control) -> bool {
+/// Asks the store whether the newest configuration known is still the newest.
+async fn prove_once(control: &Control) -> Result<(), ProofError> {
     let rejected = control.rejected_config();
     let sent = control.now();
     let key = control.clients.dialect.config_key().to_owned();
@@ -154,24 +180,29 @@
             match rejected {
                 Some(RejectedConfig::Decoded(_)) => Adoption::Rejected,
                 // There is no configuration.
-                _ if control.shared.catalog.load().is_none() => return false,
+                _ if control.shared.catalog.load().is_none() => return Err(ProofError::Absent),
                 Some(RejectedConfig::TooLarge) | None => Adoption::InForce,
             }
         }
         Err(StoreError::Conflict(items)) => match items.first() {
             Some(item) => adopt(control, item, "proof"),
-            None => return false,
+            None => return Err(ProofError::Absent),
         },
         Err(StoreError::Rpc(e @ RpcError::TooLarge(_))) => {
             control.reject_config(RejectedConfig::TooLarge, &e);
             Adoption::Rejected
         }
         // The revision in force belongs to the store's history before it was restored.
-        Err(StoreError::Restored) => return read(control).await.is_some(),
-        Err(_) => return false,
+        Err(StoreError::Restored) => {
+            return read(control).await.map(drop).ok_or(ProofError::Unread);
+        }
+        Err(e) => return Err(e.into()),
     };
     record_newest(control, adoption, sent);
-    adoption != Adoption::Behind
+    match adoption {
+        Adoption::Behind => Err(ProofError::Behind),
+        Adoption::InForce | Adoption::Rejected => Ok(()),
+    }
 }
 
 /// Records what a call sent at `sent` showed of the newest configuration, by what became of it.
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -200,6 +200,30 @@
         /// Time since the configuration was last confirmed as the newest.
         proof_ms: Option<Millis>,
     },
+    /// A proof of the configuration failed.
+    ConfigProofFailed {
+        /// Whether this node reads the store, rather than follows other nodes.
+        reads: bool,
+        /// Time that it took.
+        ms: Millis,
+        /// What failed.
+        error: String,
+        /// Time since the configuration was last confirmed as the newest.
+        proof_ms: Option<Millis>,
+        /// Time until the next proof.
+        retry_ms: Millis,
+    },
+    /// Calls were admitted by a configuration whose proof is due for longer than other nodes or the store take.
+    CallsOnOldProof {
+        /// The last of them.
+        request: String,
+        /// Calls since the previous such line.
+        calls: u64,
+        /// Version of the configuration.
+        config: u64,
+        /// Time since it was last confirmed as the newest.
+        proof_ms: Option<Millis>,
+    },
     /// A configuration is invalid; the previous one stays in force.
     ConfigRejected {
         /// Revision of the store; unknown if it is too large to be read.
--- a/crates/heathpitchd/src/gateway/event_log.rs
+++ b/crates/heathpitchd/src/gateway/event_log.rs
@@ -4,7 +4,7 @@
 
 impl GatewayEvent {
     /// Names of all events; they do not change between versions.
-    pub const NAMES: [&'static str; 55] = [
+    pub const NAMES: [&'static str; 57] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -24,6 +24,8 @@
         "config_rejected",
         "config_part_rejected",
         "config_proof_due",
+        "config_proof_failed",
+        "calls_on_old_proof",
         "poll_failed",
         "watch_lost",
         "engines_heard",
@@ -71,6 +73,8 @@
             | Self::RequestHeldBack { .. }
             | Self::CallEnded { complete: false, .. }
             | Self::GatewayReloaded { error: Some(_) }
+            | Self::ConfigProofFailed { .. }
+            | Self::CallsOnOldProof { .. }
             | Self::ConfigRejected { .. }
             | Self::ConfigPartRejected { .. }
             | Self::EngineRejected { .. }
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod live;
 mod metrics;
 mod move_progress;
+mod old_proof_calls;
 mod part_snapshot;
 mod quarantine_snapshot;
 mod reach;
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -22,6 +22,7 @@
 use super::engine_table::EngineTable;
 use super::live::LiveStream;
 use super::metrics::GatewayMetrics;
+use super::old_proof_calls::OldProofCalls;
 use super::quarantine_snapshot::QuarantineSnapshot;
 use super::reach::Reach;
 use crate::clock::Clock;
@@ -178,6 +179,7 @@
     pub(crate) table: ArcSwap<EngineTable>,
     /// When the configuration in force was last confirmed as the newest.
     pub(crate) config_freshness: ArcSwap<Freshness>,
+    pub(crate) old_proof_calls: OldProofCalls,
     /// When the known engines were last confirmed to match the store.
     pub(crate) list_freshness: ArcSwap<Freshness>,
     /// Requests that were running on engines when these exited.
@@ -225,6 +227,7 @@
             catalog: ArcSwapOption::empty(),
             table: ArcSwap::default(),
             config_freshness: ArcSwap::default(),
+            old_proof_calls: OldProofCalls::default(),
             list_freshness: ArcSwap::default(),
             quarantine: ArcSwap::default(),
             answered_parts: Mutex::default(),
