A refused call on the store ends no watch

What callers saw: calls handled as only an older version of the configuration allows, at several nodes of all failure domains at once.

Cause: any call that the store refused counted as a store that is away. It ended the watch of the configuration, which the store would have answered, and the proofs that remained were refused in turn. A store refuses single calls without any trouble, when they exceed its rates.

Change: policy::StoreAccess decides by the outcomes of calls. A watch ends when a call is lost or when the store returns, not when calls are refused. A refused read ends the node's turn to read only once the store counts as away.

--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -10,7 +10,7 @@
 use heathpitch_net::{Item, LeaseId};
 use heathpitch_policy::{
     Backpressure, DrainNotices, EngineStats, Followers, Incarnations, Limits, Mirror, PartEvidence,
-    PartQuarantine, Quarantine, Rights, Source, Sources,
+    PartQuarantine, Quarantine, Rights, Source, Sources, StoreAccess,
 };
 use tokio::sync::Notify;
 
@@ -163,8 +163,8 @@
     pub(super) engines_outdated: Notify,
     /// Store revision at the last proof of the configuration.
     pub(super) store_revision: Cell<Revision>,
-    pub(super) reachable: Cell<bool>,
-    pub(super) reachable_since: Cell<Millis>,
+    /// Whether the store answers this node.
+    pub(super) access: Cell<StoreAccess>,
     /// Latest known era of the store.
     pub(super) era: Cell<u64>,
 }
@@ -236,8 +236,7 @@
             engines_revision: Cell::new(Revision(0)),
             engines_outdated: Notify::new(),
             store_revision: Cell::new(Revision(0)),
-            reachable: Cell::new(true),
-            reachable_since: Cell::new(0),
+            access: Cell::default(),
             era: Cell::new(0),
         }
     }
@@ -283,7 +282,7 @@
 
     /// Whether the store answers.
     pub(super) fn reachable(&self) -> bool {
-        self.reachable.get()
+        self.access.get().is_reachable()
     }
 
     /// A service of the configuration in force.
@@ -293,8 +292,9 @@
 
     /// Remaining time in which missing entries may still reappear after an outage of the store.
     pub(super) fn lapse_grace(&self) -> Millis {
-        match self.reachable.get() {
-            true => (self.reachable_since.get() + EXPECTED_RETURN_MS).saturating_sub(self.now()),
+        let access = self.access.get();
+        match access.is_reachable() {
+            true => (access.reachable_since() + EXPECTED_RETURN_MS).saturating_sub(self.now()),
             false => EXPECTED_RETURN_MS,
         }
     }
--- a/crates/heathpitchd/src/gateway/control/store.rs
+++ b/crates/heathpitchd/src/gateway/control/store.rs
@@ -5,7 +5,7 @@
 
 use heathpitch_core::{Millis, Name, Revision};
 use heathpitch_net::{RpcError, StoreError};
-use heathpitch_policy::EngineIncarnation;
+use heathpitch_policy::{CallOutcome, EngineIncarnation};
 
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
@@ -24,11 +24,17 @@
         }
     }
 
-    /// Waits until the store becomes unreachable, its era changes, or the feed of this node ends.
+    /// Waits until a call on the store is lost, it is reachable again, its era changes, or the feed of this node ends.
+    ///
+    /// A store that refuses calls may still answer a pending watch.
     async fn store_changed(&self) {
-        let (reachable, had_feed, era) = (self.reachable.get(), self.has_feed(), self.era.get());
-        let access_lost = || (reachable && !self.reachable.get()) || (had_feed && !self.has_feed());
-        let changed = || access_lost() || era != self.era.get();
+        let (access, had_feed, era) = (self.access.get(), self.has_feed(), self.era.get());
+        let watches_outdated = || {
+            let now = self.access.get();
+            now.losses() != access.losses() || now.reachable_since() != access.reachable_since()
+        };
+        let changed =
+            || watches_outdated() || (had_feed && !self.has_feed()) || era != self.era.get();
         while !changed() {
             self.role_changed.notified().await;
         }
@@ -100,7 +106,9 @@
         if from == 0 {
             return;
         }
-        self.reachable_since.set(self.now());
+        let mut access = self.access.get();
+        access.restored(self.now());
+        self.access.set(access);
         let gone: Vec<Name> = {
             let entries = self.entries.borrow();
             let departing = self.departing.borrow();
@@ -121,36 +129,31 @@
     }
 
     /// Counts a call sent at `sent`, and records whether the store is reachable.
-    ///
-    /// A call that was sent before the store became reachable again and is lost afterwards is
-    /// ignored: counted as a second outage, it would delay the adoption of a configuration, by 0.17
-    /// s in one case.
     fn record_call<T>(&self, call: &'static str, sent: Millis, result: &Result<T, StoreError>) {
-        let (label, reachable) = match result {
-            Ok(_) => ("ok", true),
-            Err(StoreError::Conflict(_)) => ("conflict", true),
-            Err(StoreError::Compacted) => ("forgotten", true),
-            Err(StoreError::LeaseExpired) => ("lease_over", true),
+        let (label, outcome) = match result {
+            Ok(_) => ("ok", CallOutcome::Answered),
+            Err(StoreError::Conflict(_)) => ("conflict", CallOutcome::Answered),
+            Err(StoreError::Compacted) => ("forgotten", CallOutcome::Answered),
+            Err(StoreError::LeaseExpired) => ("lease_over", CallOutcome::Answered),
             // No request was sent.
             Err(StoreError::Restored) => return,
-            Err(StoreError::Refused(_)) => ("refused", false),
-            Err(StoreError::Rpc(RpcError::TooLarge(_))) => ("too_large", true),
-            Err(StoreError::Rpc(_)) => ("lost", false),
+            Err(StoreError::Refused(_)) => ("refused", CallOutcome::Refused),
+            Err(StoreError::Rpc(RpcError::TooLarge(_))) => ("too_large", CallOutcome::Answered),
+            Err(StoreError::Rpc(_)) => ("lost", CallOutcome::Lost),
         };
         self.shared.metrics.store.with_label_values(&[call, label]).inc();
-        if !reachable {
-            let (now, domain_size) = (self.now(), self.domain_size());
+        let (now, mut access) = (self.now(), self.access.get());
+        let changed = access.record(outcome, sent, now);
+        self.access.set(access);
+        if outcome != CallOutcome::Answered && !access.is_reachable() {
+            let domain_size = self.domain_size();
             self.sources.borrow_mut().store_unavailable(now, domain_size, &mut rand::rng());
         }
-        if reachable == self.reachable.get() || (!reachable && sent < self.reachable_since.get()) {
-            return;
-        }
-        self.reachable.set(reachable);
-        if reachable {
-            self.reachable_since.set(self.now());
+        if changed {
+            self.role_changed.notify_waiters();
+            let reachable = access.is_reachable();
+            let error = result.as_ref().err().map(|e| format!("{call}: {e}"));
+            GatewayEvent::StoreReachable { reachable, error }.log();
         }
-        self.role_changed.notify_waiters();
-        let error = result.as_ref().err().map(|e| format!("{call}: {e}"));
-        GatewayEvent::StoreReachable { reachable, error }.log();
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -91,6 +91,7 @@
 mod split;
 mod stall_detector;
 mod start_forecast;
+mod store_access;
 mod suspect;
 mod switch;
 mod ticket;
@@ -182,6 +183,7 @@
 pub use split::{EngineCapacity, Split, split};
 pub use stall_detector::StallDetector;
 pub use start_forecast::start_ms;
+pub use store_access::{CallOutcome, StoreAccess};
 pub use suspect::Suspect;
 pub use switch::Mechanism;
 #[cfg(feature = "switches")]
