An isolated node does not wait for its whole failure domain's turns

What callers saw: a node in touch with the store again, which reaches no other node, handles calls by an older configuration for as long as half a second for each node of its failure domain.

Cause: the waits before a follower's next proof, and before it reads the store or claims the lease, spread the calls of a whole failure domain. They began in the disturbance and outlived it: 4.8 s with nine nodes, 8.3 s while their number is unknown after a start. That is right while others answer, since the first of them that the store answers serves the rest.

Change: a node that no other one has answered for 1.0 s counts three others in place of its failure domain, and a longer wait to read the store that had begun is drawn again.

--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -81,7 +81,7 @@
             let rank = control.standby_rank();
             let proof_ms = control.newest_freshness().age(sent);
             GatewayEvent::ConfigProofDue { rank, proof_ms }.log();
-            schedule.follower_sent(sent, control.domain_size(), &mut rand::rng());
+            schedule.follower_sent(sent, control.contenders(), &mut rand::rng());
         }
         if !attempts.is_empty() {
             control.clients.store.reconnect();
--- a/crates/heathpitchd/src/gateway/control/feed.rs
+++ b/crates/heathpitchd/src/gateway/control/feed.rs
@@ -210,6 +210,7 @@
     control.shared.metrics.feed.with_label_values(&[label]).inc();
     let outcome = match answer {
         Ok((sent, response)) => {
+            control.last_answer.set(control.now());
             if is_latest {
                 control.receive_promises(&source.node, &response, sent);
             }
--- a/crates/heathpitchd/src/gateway/control/sources.rs
+++ b/crates/heathpitchd/src/gateway/control/sources.rs
@@ -30,7 +30,7 @@
     /// Records the outcome of polling a node.
     pub(super) fn record_poll(&self, node: &Name, outcome: PollOutcome) {
         let before = self.sources.borrow().active().cloned();
-        let domain_size = self.domain_size();
+        let contenders = self.contenders();
         if outcome == PollOutcome::Fresh {
             self.shared.set_informed();
         }
@@ -38,7 +38,7 @@
             node,
             outcome,
             self.now(),
-            domain_size,
+            contenders,
             &mut rand::rng(),
         );
         self.feed_changed(before, "it answers polls");
@@ -47,16 +47,16 @@
     /// Records that no node polled since `since` has sent data, or that none is left to poll.
     pub(super) fn sources_exhausted(&self, since: Millis) {
         let before = self.sources.borrow().active().cloned();
-        let domain_size = self.domain_size();
-        self.sources.borrow_mut().sources_exhausted(since, domain_size, &mut rand::rng());
+        let contenders = self.contenders();
+        self.sources.borrow_mut().sources_exhausted(since, contenders, &mut rand::rng());
         let why = if self.is_planner() { "this node is the planner" } else { "no source answers" };
         self.feed_changed(before, why);
     }
 
     /// Records that the planner polled has released its lease.
     pub(super) fn planner_released_lease(&self) {
-        let domain_size = self.domain_size();
-        self.sources.borrow_mut().planner_released(self.now(), domain_size, &mut rand::rng());
+        let contenders = self.contenders();
+        self.sources.borrow_mut().planner_released(self.now(), contenders, &mut rand::rng());
     }
 
     /// Logs a change of the active source, and wakes waiting controllers if the feed began or ended.
@@ -130,8 +130,8 @@
 
     /// Gives a planner just found time to answer polls before this node may claim its lease again.
     pub(super) fn defer_claim(&self) {
-        let (now, domain_size) = (self.now(), self.domain_size());
-        self.sources.borrow_mut().defer_claim(now, domain_size, &mut rand::rng());
+        let (now, contenders) = (self.now(), self.contenders());
+        self.sources.borrow_mut().defer_claim(now, contenders, &mut rand::rng());
     }
 
     /// Repeatedly reads from the store and watches from the revision read, whenever this node has to read the
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -38,6 +38,10 @@
 /// Time after the store's return within which entries that lapsed during the outage may reappear. The
 /// platform restores them within about two seconds.
 const EXPECTED_RETURN_MS: Millis = 2_500;
+/// Time without an answer of another node after which this one is isolated: all its sources have been polled.
+const ISOLATION_MS: Millis = 1_000;
+/// Nodes that an isolated one takes turns with: its turn comes within 2.7 s, before it counts as in touch again.
+const ISOLATED_CONTENDERS: u32 = 4;
 /// Time without a new engine after which a failure domain counts as settled. Engines are listed over
 /// several seconds after a start.
 const SETTLE_MS: Millis = 1_300;
@@ -163,6 +167,8 @@
     pub(super) engines_outdated: Notify,
     /// Store revision at the last proof of the configuration.
     pub(super) store_revision: Cell<Revision>,
+    /// Time at which another node last answered a poll.
+    pub(super) last_answer: Cell<Millis>,
     /// Whether the store answers this node.
     pub(super) access: Cell<StoreAccess>,
     /// Latest known era of the store.
@@ -236,6 +242,7 @@
             engines_revision: Cell::new(Revision(0)),
             engines_outdated: Notify::new(),
             store_revision: Cell::new(Revision(0)),
+            last_answer: Cell::new(now),
             access: Cell::default(),
             era: Cell::new(0),
         }
@@ -280,6 +287,17 @@
         self.fleet.get().map_or(DEFAULT_DOMAIN_SIZE, |f| f.domain_size)
     }
 
+    /// Number of nodes of this failure domain that may need the store at the same time as this one.
+    ///
+    /// While other nodes answer, whichever of them gets an answer of the store first serves it to this one. A node that
+    /// none answers depends on its own calls, and must not wait as long as its whole failure domain would.
+    pub(super) fn contenders(&self) -> u32 {
+        match self.now() >= self.last_answer.get() + ISOLATION_MS {
+            true => self.domain_size().min(ISOLATED_CONTENDERS),
+            false => self.domain_size(),
+        }
+    }
+
     /// Whether the store answers.
     pub(super) fn reachable(&self) -> bool {
         self.access.get().is_reachable()
--- a/crates/heathpitchd/src/gateway/control/store.rs
+++ b/crates/heathpitchd/src/gateway/control/store.rs
@@ -147,8 +147,8 @@
         let changed = access.record(outcome, sent, now);
         self.access.set(access);
         if outcome != CallOutcome::Answered && !access.is_reachable() {
-            let domain_size = self.domain_size();
-            self.sources.borrow_mut().store_unavailable(now, domain_size, &mut rand::rng());
+            let contenders = self.contenders();
+            self.sources.borrow_mut().store_unavailable(now, contenders, &mut rand::rng());
         }
         // While the store is away, further losses must not end the waits between retries.
         if changed || (access.is_reachable() && losses != access.losses()) {
--- a/crates/policy/src/sources.rs
+++ b/crates/policy/src/sources.rs
@@ -375,7 +375,9 @@
     /// Schedules the store read and the lease lookup that this node needs and has not scheduled
     /// yet.
     fn schedule(&mut self, now: Millis, domain_size: u32, rng: &mut impl Rng) {
-        if self.active.is_none() && self.read_at.is_none() {
+        // The number of nodes that may read at the same time is smaller once this one is known to be isolated.
+        let latest = now + SOURCE_GRACE_MS + READ_SLOT_MS * u64::from(domain_size.max(1));
+        if self.active.is_none() && self.read_at.is_none_or(|at| at > latest) {
             self.read_at = Some(now + read_wait(domain_size, rng));
         }
         let local = self.active.as_ref().is_some_and(|t| self.is_local(t));
--- a/crates/policy/tests/sources.rs
+++ b/crates/policy/tests/sources.rs
@@ -176,3 +176,16 @@
     assert_eq!(names(&mut followers, 1_300), ["x", "b", "c"], "`a` no longer polls");
     assert_eq!(followers.count(1_300), 6);
 }
+
+/// Guards against a node that no other one answers, and that waits to read the store for as long as all nodes of its
+/// failure domain would.
+#[test]
+fn a_node_that_is_found_to_be_isolated_reads_within_seconds() {
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut sources = follower("n9");
+        sources.sources_exhausted(1_000, 60, &mut rng);
+        sources.sources_exhausted(2_000, 4, &mut rng);
+        assert!(sources.may_read(2_000 + 2_700), "seed {seed}");
+    }
+}
