A failed renewal of the planner's lease is repeated at once

What callers saw: a failure domain without a planner, and so without the proofs that its followers poll, while the store refused some calls.

Change: a failed renewal is repeated after 0.2 s.

--- a/crates/heathpitchd/src/gateway/control/nodes.rs
+++ b/crates/heathpitchd/src/gateway/control/nodes.rs
@@ -30,6 +30,8 @@
 pub(super) const PLANNER_TTL_MS: Millis = 2_400;
 /// Time between renewals of the planner's lease.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(700);
+/// Time until a renewal that failed is repeated.
+const RENEWAL_RETRY: Duration = Duration::from_millis(200);
 /// Longest random delay before a node contends for a free lease. It spreads the contenders apart by many times
 /// the response time of the store.
 const MAX_STAGGER_MS: Millis = 200;
@@ -177,9 +179,11 @@
 
 /// Renews the lease while this node is planner, and releases it when the node stops.
 pub(super) async fn renew(control: Rc<Control>) {
+    let mut wait = RENEWAL_INTERVAL;
     loop {
         control.wait_until_planner().await;
-        tokio::time::sleep(RENEWAL_INTERVAL).await;
+        tokio::time::sleep(wait).await;
+        wait = RENEWAL_INTERVAL;
         let Some(lease) = control.lease() else { continue };
         if control.stopping() {
             step_down(&control, "this node is stopping");
@@ -189,11 +193,10 @@
         }
         let sent = control.now();
         let result = control.call("renew", control.clients.store.renew(lease)).await;
-        if result.is_ok() {
-            control.lease_renewed(sent);
-        }
-        if matches!(result, Err(StoreError::LeaseExpired)) {
-            step_down(&control, "the lease expired");
+        match result {
+            Ok(()) => control.lease_renewed(sent),
+            Err(StoreError::LeaseExpired) => step_down(&control, "the lease expired"),
+            Err(_) => wait = RENEWAL_RETRY,
         }
     }
 }
--- a/crates/heathpitchd/tests/gateway_config_adoption.rs
+++ b/crates/heathpitchd/tests/gateway_config_adoption.rs
@@ -97,3 +97,24 @@
         assert_eq!(adopted, Some(change.0.into()), "round {round}");
     }
 }
+
+/// Guards against a planner that loses its lease because three renewals in a row were refused, and with it what its
+/// failure domain polls.
+#[tokio::test(flavor = "multi_thread")]
+async fn planners_keep_their_leases_while_the_store_refuses_some_calls() {
+    let cluster = Cluster::new();
+    let _engine = cluster.engine("a", "api");
+    let nodes: Vec<_> =
+        ["mem", "atl", "bhm"].iter().map(|d| cluster.start_in(d, &format!("n-{d}"))).collect();
+    for node in &nodes {
+        node.wait_ready().await.unwrap();
+        wait_until("it is the planner", async || !node.events("domain_planner").is_empty()).await;
+    }
+    cluster.store.set_mode(StoreMode::RefuseCalls(40));
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    let lost = |node: &GatewayProcess| {
+        node.events("domain_planner").iter().filter(|e| e["active"] == false).count()
+    };
+    let lost: usize = nodes.iter().map(lost).sum();
+    assert!(lost <= 1, "{lost} leases lost");
+}
