--- a/crates/heathpitchd/tests/gateway_soak.rs
+++ b/crates/heathpitchd/tests/gateway_soak.rs
@@ -109,6 +109,14 @@
     run_schedule(&FaultSchedule::empty(101, Duration::from_secs(30)).with_config_changes()).await;
 }
 
+/// A refused call on the store ended the watch of the configuration, so that nodes beside stopped ones served by an older
+/// one.
+#[tokio::test(flavor = "multi_thread")]
+async fn configurations_are_in_force_in_time_while_the_store_refuses_some_calls() {
+    let schedule = FaultSchedule::empty(74_001, Duration::from_secs(20));
+    run_schedule(&schedule.with_config_changes().with_refused_calls()).await;
+}
+
 /// One bad figure in the limits, or one unreadable route, kept a configuration out of force, and all nodes refused all
 /// calls.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -37,7 +37,7 @@
     /// Time within which faults start, in seconds.
     #[options(default = "12")]
     length: u64,
-    /// Only configuration changes and invalid parts beside silent nodes, in a cluster of five nodes, without other faults.
+    /// Only configuration changes, invalid parts and refused calls on the store beside silent nodes, in a cluster of five nodes, without other faults.
     configs: bool,
     /// Directory for the logs of runs that violate an invariant.
     logs: Option<PathBuf>,
@@ -53,9 +53,10 @@
         let runs = batch.iter().map(|seed| {
             let binary = arguments.binary.clone();
             let schedule = match arguments.configs {
-                true => {
-                    FaultSchedule::empty(*seed, length).with_config_changes().with_invalid_parts()
-                }
+                true => FaultSchedule::empty(*seed, length)
+                    .with_config_changes()
+                    .with_invalid_parts()
+                    .with_refused_calls(),
                 false => FaultSchedule::generate(*seed, length)
                     .with_restarts()
                     .with_crashes()
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -218,6 +218,11 @@
                 tokio::time::sleep(duration).await;
                 cluster.set_store_mode(StoreMode::Up);
             }
+            Fault::RefuseStoreCalls(percentage, duration) => {
+                cluster.set_store_mode(StoreMode::RefuseCalls(percentage));
+                tokio::time::sleep(duration).await;
+                cluster.set_store_mode(StoreMode::Up);
+            }
             Fault::CompactStore => cluster.store.compact(),
             Fault::EngineLink(engine, link, duration) => {
                 cluster.set_engine_link(engine, link);
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -35,6 +35,8 @@
     StoreBlackhole(usize),
     /// Makes the store fail for all nodes.
     Store(StoreMode, Duration),
+    /// Has the store refuse a percentage of the calls that are no watches, as it does beyond its rates.
+    RefuseStoreCalls(u8, Duration),
     /// Compacts the store's history.
     CompactStore,
     /// Disrupts the link to an engine.
@@ -72,6 +74,9 @@
     CutFromEngines(usize, LinkMode, Scope, Duration),
 }
 
+/// Largest percentage of calls that the store refuses.
+const MAX_REFUSED: u8 = 30;
+
 /// A part of a configuration that nodes cannot use: its section, and its JSON.
 pub type InvalidPart = (&'static str, &'static str);
 
@@ -129,6 +134,9 @@
 /// Likewise for nodes that are silent beside configuration changes.
 const SILENCE_SALT: u64 = 0x51e7;
 
+/// Likewise for calls that the store refuses beside configuration changes.
+const REFUSAL_SALT: u64 = 0x429a;
+
 /// Likewise for nodes that are cut off from all engines.
 const CUT_SALT: u64 = 0x0c07;
 
@@ -281,6 +289,16 @@
         })
     }
 
+    /// Adds times in which the store refuses some calls, which is no disturbance of any node.
+    #[must_use]
+    pub fn with_refused_calls(self) -> Self {
+        self.with_faults(REFUSAL_SALT, 300..3_000, |rng| {
+            let time = random_millis(rng, 2_000..8_000);
+            let fault = Fault::RefuseStoreCalls(rng.random_range(5..=MAX_REFUSED), time);
+            (fault, time + random_millis(rng, 200..2_000))
+        })
+    }
+
     /// Adds invalid parts of the configuration.
     #[must_use]
     pub fn with_invalid_parts(self) -> Self {
