--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -75,7 +75,7 @@
 }
 
 /// Largest percentage of calls that the store refuses.
-const MAX_REFUSED: u8 = 30;
+const MAX_REFUSED: u8 = 60;
 
 /// A part of a configuration that nodes cannot use: its section, and its JSON.
 pub type InvalidPart = (&'static str, &'static str);
@@ -294,7 +294,7 @@
     pub fn with_refused_calls(self) -> Self {
         self.with_faults(REFUSAL_SALT, 300..3_000, |rng| {
             let time = random_millis(rng, 2_000..8_000);
-            let fault = Fault::RefuseStoreCalls(rng.random_range(5..=MAX_REFUSED), time);
+            let fault = Fault::RefuseStoreCalls(rng.random_range(10..=MAX_REFUSED), time);
             (fault, time + random_millis(rng, 200..2_000))
         })
     }
