A refused proof is repeated each 0.4 s while the store answers other calls

What callers saw: 503 stale_keys at a planner, and at its followers, while the store refused up to 60 % of the calls and answered the others.

Cause: the retry interval grew to 1.2 s, which is meant for a store that is away.

Change: ProofSchedule looks at the state of the store when it is asked for the next attempt, and waits 0.4 s at most while the store answers.

Evidence: a_reader_repeats_refused_proofs_while_the_store_answers_other_calls; the intervals before are those of a_reader_attempts_once_in_1200_ms_while_the_store_is_away.

--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -11,7 +11,7 @@
 use futures::stream::FuturesUnordered;
 use heathpitch_core::{Invariant, Millis, Revision, check};
 use heathpitch_net::{GetResponse, Item, ItemChange, RpcError, StoreError, Write};
-use heathpitch_policy::{MIN_APPLY_MS, ProofSchedule};
+use heathpitch_policy::{MIN_APPLY_MS, ProofRole, ProofSchedule};
 
 use super::engine_list;
 use super::rejected_config::RejectedConfig;
@@ -51,10 +51,15 @@
     let mut attempts = FuturesUnordered::new();
     loop {
         let reads = control.reads_store();
-        let own_age = (!reads).then(|| ProofSchedule::own_proof_age(control.standby_rank()));
         let due = |schedule: &ProofSchedule| {
+            let role = match reads {
+                true => ProofRole::Reader { reachable: control.reachable() },
+                false => ProofRole::Follower {
+                    own_age: ProofSchedule::own_proof_age(control.standby_rank()),
+                },
+            };
             let confirmed = control.newest_freshness().at();
-            schedule.due(confirmed, own_age).saturating_sub(control.now())
+            schedule.due(confirmed, role).saturating_sub(control.now())
         };
         // A node that has received no configuration has nothing to prove, unless another one feeds it: that one rejects
         // the newest configuration, which this node may be able to use.
--- a/crates/policy/src/proof_schedule.rs
+++ b/crates/policy/src/proof_schedule.rs
@@ -43,9 +43,10 @@
 const FAILED_PROOF_SLOT_MS: Millis = 500;
 /// Shortest wait after such a proof.
 const MIN_SPREAD_RETRY_MS: Millis = 300;
-/// Longest time between two attempts of a node that reads the store, a fraction of the shortest revocation time of a
-/// removed key.
-const MAX_RETRY_MS: Millis = 1_200;
+/// Longest time between two attempts of a node that reads the store while that answers other calls.
+const MAX_RETRY_MS: Millis = 400;
+/// The same while the store is away, a fraction of the shortest revocation time of a removed key.
+const MAX_OUTAGE_RETRY_MS: Millis = 1_200;
 
 const _: () = {
     assert!(REPOLL_AGE_MS < STANDBY_PROOF_AGE_MS[0]);
@@ -59,37 +60,48 @@
 /// # Examples
 ///
 /// ```
-/// use heathpitch_policy::{PROOF_INTERVAL_MS, ProofSchedule};
+/// use heathpitch_policy::{PROOF_INTERVAL_MS, ProofRole, ProofSchedule};
 ///
 /// let schedule = ProofSchedule::default();
-/// assert_eq!(schedule.due(Some(5_000), None), 5_000 + PROOF_INTERVAL_MS, "it reads the store");
-/// let follower = ProofSchedule::own_proof_age(None);
-/// assert_eq!(schedule.due(Some(5_000), Some(follower)), 5_000 + follower);
+/// let reader = ProofRole::Reader { reachable: true };
+/// assert_eq!(schedule.due(Some(5_000), reader), 5_000 + PROOF_INTERVAL_MS);
+/// let own_age = ProofSchedule::own_proof_age(None);
+/// assert_eq!(schedule.due(Some(5_000), ProofRole::Follower { own_age }), 5_000 + own_age);
 /// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ProofSchedule {
+    /// Earliest time of the next proof after an answer.
+    from: Millis,
     /// Attempts while the node reads the store.
     reader: Attempts,
     /// The same while it follows others, whose waits after a failure are longer.
     follower: Attempts,
 }
 
+/// Role in which a node proves its configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProofRole {
+    /// It reads the store.
+    Reader {
+        /// Whether the store answers its calls.
+        reachable: bool,
+    },
+    /// It follows other nodes.
+    Follower {
+        /// Age of the last proof at which it proves by itself, milliseconds.
+        own_age: Millis,
+    },
+}
+
 /// Attempts in one role since the last answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Attempts {
     /// Number of them.
     count: u32,
-    /// Earliest time of the next one.
-    from: Millis,
-}
-
-impl Attempts {
-    /// Records an attempt sent at `sent`; `later` is the time until the next one unless it is the first.
-    fn record(&mut self, sent: Millis, later: Millis) {
-        let retry = if self.count == 0 { FIRST_RETRY_MS } else { later };
-        self.count = self.count.saturating_add(1);
-        self.from = sent + retry;
-    }
+    /// Time of the last one.
+    sent: Millis,
+    /// A follower's wait after it.
+    wait: Millis,
 }
 
 impl ProofSchedule {
@@ -100,31 +112,41 @@
         standby.copied().unwrap_or(FOLLOWER_PROOF_AGE_MS)
     }
 
-    /// Time of the next attempt after the proof of `proven`; `own_age` is the age at which a follower proves by itself,
-    /// and `None` for a node that reads the store.
-    pub fn due(&self, proven: Option<Millis>, own_age: Option<Millis>) -> Millis {
-        let (age, from) = match own_age {
-            Some(age) => (age, self.follower.from),
-            None => (PROOF_INTERVAL_MS, self.reader.from),
+    /// Time of the next attempt after the proof of `proven`.
+    pub fn due(&self, proven: Option<Millis>, role: ProofRole) -> Millis {
+        let (age, attempts) = match role {
+            ProofRole::Reader { .. } => (PROOF_INTERVAL_MS, self.reader),
+            ProofRole::Follower { own_age } => (own_age, self.follower),
         };
-        from.max(proven.map_or(0, |proven| proven + age))
+        let retry = match role {
+            _ if attempts.count == 0 => 0,
+            ProofRole::Reader { reachable } => {
+                let doubled = FIRST_RETRY_MS << (attempts.count - 1).min(8);
+                let most = if reachable { MAX_RETRY_MS } else { MAX_OUTAGE_RETRY_MS };
+                attempts.sent + doubled.min(most)
+            }
+            ProofRole::Follower { .. } => attempts.sent + attempts.wait,
+        };
+        self.from.max(retry).max(proven.map_or(0, |proven| proven + age))
     }
 
     /// Records that a node that reads the store sends an attempt at `sent`.
     pub fn reader_sent(&mut self, sent: Millis) {
-        let doubled = FIRST_RETRY_MS << self.reader.count.min(8);
-        self.reader.record(sent, doubled.min(MAX_RETRY_MS));
+        self.reader = Attempts { count: self.reader.count.saturating_add(1), sent, wait: 0 };
     }
 
-    /// Records that a follower sends an attempt at `sent`; all `domain_size` nodes of its failure domain may do the same.
-    pub fn follower_sent(&mut self, sent: Millis, domain_size: u32, rng: &mut impl Rng) {
-        let spread = FAILED_PROOF_SLOT_MS * u64::from(domain_size.max(1));
-        self.follower.record(sent, MIN_SPREAD_RETRY_MS + rng.random_range(0..=spread));
+    /// Records that a follower sends an attempt at `sent`; `contenders` nodes may do the same.
+    pub fn follower_sent(&mut self, sent: Millis, contenders: u32, rng: &mut impl Rng) {
+        let spread = FAILED_PROOF_SLOT_MS * u64::from(contenders.max(1));
+        let wait = match self.follower.count {
+            0 => FIRST_RETRY_MS,
+            _ => MIN_SPREAD_RETRY_MS + rng.random_range(0..=spread),
+        };
+        self.follower = Attempts { count: self.follower.count.saturating_add(1), sent, wait };
     }
 
     /// Records an answer to an attempt sent at `sent`.
     pub fn answered(&mut self, sent: Millis) {
-        self.reader = Attempts { count: 0, from: sent + PROOF_INTERVAL_MS };
-        self.follower = self.reader;
+        *self = Self { from: sent + PROOF_INTERVAL_MS, ..Self::default() };
     }
 }
--- a/crates/policy/tests/proof_schedule.rs
+++ b/crates/policy/tests/proof_schedule.rs
@@ -1,10 +1,15 @@
 //! When a node proves its configuration.
 
 use heathpitch_core::Millis;
-use heathpitch_policy::{MIN_APPLY_MS, PROOF_ANSWER_MS, PROOF_INTERVAL_MS, ProofSchedule};
+use heathpitch_policy::{
+    MIN_APPLY_MS, PROOF_ANSWER_MS, PROOF_INTERVAL_MS, ProofRole, ProofSchedule,
+};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+/// A node that reads a store which answers.
+const READER: ProofRole = ProofRole::Reader { reachable: true };
+
 /// Guards against a planner that does not prove its configuration for seconds, and refuses all calls with keys, because
 /// the store did not answer its last proof as a follower.
 #[test]
@@ -14,8 +19,11 @@
         let mut schedule = ProofSchedule::default();
         schedule.follower_sent(4_800, 16, &mut rng);
         schedule.follower_sent(5_000, 16, &mut rng);
-        assert_eq!(schedule.due(Some(4_500), None), 4_500 + PROOF_INTERVAL_MS);
-        assert!(schedule.due(Some(3_000), Some(1_550)) >= 5_300, "a follower still waits");
+        assert_eq!(schedule.due(Some(4_500), READER), 4_500 + PROOF_INTERVAL_MS);
+        assert!(
+            schedule.due(Some(3_000), ProofRole::Follower { own_age: 1_550 }) >= 5_300,
+            "a follower still waits"
+        );
     }
 }
 
@@ -24,15 +32,15 @@
 #[test]
 fn one_attempt_without_an_answer_keeps_the_agreed_time() {
     let mut rng = SmallRng::seed_from_u64(1);
-    for own_age in [None, Some(ProofSchedule::own_proof_age(None))] {
+    for role in [READER, ProofRole::Follower { own_age: ProofSchedule::own_proof_age(None) }] {
         let mut schedule = ProofSchedule::default();
-        let first = schedule.due(Some(5_000), own_age);
-        match own_age {
-            None => schedule.reader_sent(first),
-            Some(_) => schedule.follower_sent(first, 330, &mut rng),
+        let first = schedule.due(Some(5_000), role);
+        match role {
+            ProofRole::Reader { .. } => schedule.reader_sent(first),
+            ProofRole::Follower { .. } => schedule.follower_sent(first, 330, &mut rng),
         }
-        let second = schedule.due(Some(5_000), own_age);
-        assert!(second + PROOF_ANSWER_MS < 5_000 + MIN_APPLY_MS, "{own_age:?}: at {second}");
+        let second = schedule.due(Some(5_000), role);
+        assert!(second + PROOF_ANSWER_MS < 5_000 + MIN_APPLY_MS, "{role:?}: at {second}");
     }
 }
 
@@ -40,15 +48,29 @@
 /// is away.
 #[test]
 fn a_reader_attempts_once_in_1200_ms_while_the_store_is_away() {
+    let away = ProofRole::Reader { reachable: false };
+    let mut schedule = ProofSchedule::default();
+    assert_eq!(attempts(&mut schedule, away), [0, 200, 600, 1_400, 2_600, 3_800, 5_000]);
+    assert_eq!(schedule.due(Some(5_000), READER), 11_400, "at once when the store is back");
+    schedule.answered(11_400);
+    schedule.reader_sent(12_400);
+    assert_eq!(schedule.due(Some(11_400), away), 12_600, "the next outage starts anew");
+}
+
+/// Guards against keys that are too old at a node whose other calls the store answers: it refused six proofs in 4.8 s.
+#[test]
+fn a_reader_repeats_refused_proofs_while_the_store_answers_other_calls() {
     let mut schedule = ProofSchedule::default();
-    let mut at: Vec<Millis> = Vec::new();
-    for _ in 0..7 {
-        let due = schedule.due(Some(5_000), None);
+    let at = attempts(&mut schedule, READER);
+    assert_eq!(at, [0, 200, 600, 1_000, 1_400, 1_800, 2_200]);
+}
+
+/// Times of seven attempts without an answer, from the one that is due after the proof of 5 000.
+fn attempts(schedule: &mut ProofSchedule, role: ProofRole) -> Vec<Millis> {
+    let next = |_| {
+        let due = schedule.due(Some(5_000), role);
         schedule.reader_sent(due);
-        at.push(due - 6_000);
-    }
-    assert_eq!(at, [0, 200, 600, 1_400, 2_600, 3_800, 5_000]);
-    schedule.answered(11_000);
-    schedule.reader_sent(12_000);
-    assert_eq!(schedule.due(Some(11_000), None), 12_200, "the next outage starts anew");
+        due - 6_000
+    };
+    (0..7).map(next).collect()
 }
