The test of an isolated node waits until the others have a planner

The isolated node of the round before may hold the planner's lease when it is killed, and the node of the next round can then become the planner itself, which no other one feeds. A round begins once the others have one planner and are fed; bound and rounds are the same.

--- a/crates/heathpitchd/tests/gateway_config_adoption.rs
+++ b/crates/heathpitchd/tests/gateway_config_adoption.rs
@@ -80,7 +80,15 @@
     let _engine = cluster.engine("a", "api");
     let others = domain(&cluster, 24).await;
     for round in 0..3 {
-        // A node that was isolated may hold the planner's lease afterwards.
+        wait_until("the others have one planner", async || {
+            let plans = |n: &&GatewayProcess| {
+                n.events("domain_planner").last().is_some_and(|e| e["active"] == true)
+            };
+            let (planners, followers): (Vec<_>, Vec<_>) = others.iter().partition(plans);
+            planners.len() == 1 && followers.iter().all(|n| is_fed(n) == Some(true))
+        })
+        .await;
+        // The one of the round before may have held the planner's lease.
         let (node, link) = cluster.start_behind(&format!("last-{round}"), &json!({}));
         node.wait_ready().await.unwrap();
         wait_until("the node is fed", async || is_fed(&node) == Some(true)).await;
@@ -95,6 +103,9 @@
         let adopted = node.events("config_adopted").last().map(|e| e["version"].clone());
         others.iter().for_each(|n| n.signal("CONT").unwrap());
         assert_eq!(adopted, Some(change.0.into()), "round {round}");
+        drop(node);
+        // Until the others know that their leases and connections are gone.
+        tokio::time::sleep(CONTACT_TIME).await;
     }
 }
 
