Repeated proofs do not slow down large answers

What callers saw: 503 for keys that had been removed, in place of 401, after a configuration of 5 MB.

Cause, by reading: an attempt without an answer after 0.2 s was repeated beside the first one, and again, although the answer was on its way: it holds the whole configuration. Repeated answers slow each other down, up to the time-out of all.

Change: at most two attempts are pending, and one is repeated only once it takes twice as long as the last answer did.

--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -11,7 +11,7 @@
 use futures::stream::FuturesUnordered;
 use heathpitch_core::{Invariant, Millis, Revision, check};
 use heathpitch_net::{GetResponse, Item, ItemChange, RpcError, StoreError, Write};
-use heathpitch_policy::{MIN_APPLY_MS, ProofRole, ProofSchedule};
+use heathpitch_policy::{MAX_PENDING_PROOFS, MIN_APPLY_MS, ProofRole, ProofSchedule};
 
 use super::engine_list;
 use super::rejected_config::RejectedConfig;
@@ -66,14 +66,15 @@
         let has_received =
             control.shared.catalog.load().is_some() || control.rejected_config().is_some();
         let pause = match has_received || control.has_feed() {
-            false => RETRY_INTERVAL.as_millis() as Millis,
-            true => due(&schedule),
+            true if attempts.len() < MAX_PENDING_PROOFS => due(&schedule),
+            // The pause ends earlier if an attempt does.
+            true | false => RETRY_INTERVAL.as_millis() as Millis,
         };
         if pause > 0 {
             tokio::select! {
                 () = control.pause(Duration::from_millis(pause)) => {}
                 Some((sent, result)) = attempts.next() => match result {
-                    Ok(()) => schedule.answered(sent),
+                    Ok(()) => schedule.answered(sent, control.now()),
                     Err(error) => proof_failed(&control, reads, sent, &error, due(&schedule)),
                 }
             }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -159,8 +159,8 @@
 pub use probe_repeat::may_repeat_probe;
 pub use probes::{ProbeResult, suspects};
 pub use proof_schedule::{
-    FIRST_RETRY_MS, MIN_APPLY_MS, PROOF_ANSWER_MS, PROOF_INTERVAL_MS, ProofRole, ProofSchedule,
-    REPOLL_AGE_MS,
+    FIRST_RETRY_MS, MAX_PENDING_PROOFS, MIN_APPLY_MS, PROOF_ANSWER_MS, PROOF_INTERVAL_MS,
+    ProofRole, ProofSchedule, REPOLL_AGE_MS,
 };
 pub use quarantine::{EngineExit, EngineIncarnation, Quarantine, just_started};
 pub use rank_mix::RankMix;
--- a/crates/policy/src/proof_schedule.rs
+++ b/crates/policy/src/proof_schedule.rs
@@ -15,6 +15,9 @@
 //! although one attempt is refused or lost. Standbys prove theirs early enough for all followers to poll them before
 //! their own turn, so that the loss of a planner costs the store a few calls.
 //!
+//! An answer may be slow because it holds a large configuration. An attempt is therefore repeated only once it takes
+//! twice as long as the last answer did, and at most [`MAX_PENDING_PROOFS`] are pending.
+//!
 //! Retries follow the time at which an attempt was sent, not that at which it failed: a lost one fails only after a
 //! second and more.
 
@@ -33,6 +36,8 @@
 pub const PROOF_ANSWER_MS: Millis = 200;
 /// Time after which an attempt without a proof is repeated.
 pub const FIRST_RETRY_MS: Millis = 200;
+/// Attempts without an answer at one time.
+pub const MAX_PENDING_PROOFS: usize = 2;
 
 /// Age at which a standby proves the configuration by itself, by rank.
 const STANDBY_PROOF_AGE_MS: [Millis; STANDBYS] = [1_200, 1_300, 1_400];
@@ -76,6 +81,8 @@
     reader: Attempts,
     /// The same while it follows others, whose waits after a failure are longer.
     follower: Attempts,
+    /// Time that the last answer took.
+    latency: Millis,
 }
 
 /// Role in which a node proves its configuration.
@@ -123,7 +130,7 @@
             ProofRole::Reader { reachable } => {
                 let doubled = FIRST_RETRY_MS << (attempts.count - 1).min(8);
                 let most = if reachable { MAX_RETRY_MS } else { MAX_OUTAGE_RETRY_MS };
-                attempts.sent + doubled.min(most)
+                attempts.sent + doubled.min(most).max(self.first_retry())
             }
             ProofRole::Follower { .. } => attempts.sent + attempts.wait,
         };
@@ -139,14 +146,20 @@
     pub fn follower_sent(&mut self, sent: Millis, contenders: u32, rng: &mut impl Rng) {
         let spread = FAILED_PROOF_SLOT_MS * u64::from(contenders.max(1));
         let wait = match self.follower.count {
-            0 => FIRST_RETRY_MS,
+            0 => self.first_retry(),
             _ => MIN_SPREAD_RETRY_MS + rng.random_range(0..=spread),
         };
         self.follower = Attempts { count: self.follower.count.saturating_add(1), sent, wait };
     }
 
-    /// Records an answer to an attempt sent at `sent`.
-    pub fn answered(&mut self, sent: Millis) {
-        *self = Self { from: sent + PROOF_INTERVAL_MS, ..Self::default() };
+    /// Records an answer that arrived at `now` to an attempt sent at `sent`.
+    pub fn answered(&mut self, sent: Millis, now: Millis) {
+        let latency = now.saturating_sub(sent);
+        *self = Self { from: sent + PROOF_INTERVAL_MS, latency, ..Self::default() };
+    }
+
+    /// Time after which the first attempt is repeated.
+    fn first_retry(&self) -> Millis {
+        (2 * self.latency).clamp(FIRST_RETRY_MS, MAX_OUTAGE_RETRY_MS)
     }
 }
--- a/crates/policy/tests/proof_schedule.rs
+++ b/crates/policy/tests/proof_schedule.rs
@@ -52,7 +52,7 @@
     let mut schedule = ProofSchedule::default();
     assert_eq!(attempts(&mut schedule, away), [0, 200, 600, 1_400, 2_600, 3_800, 5_000]);
     assert_eq!(schedule.due(Some(5_000), READER), 11_400, "at once when the store is back");
-    schedule.answered(11_400);
+    schedule.answered(11_400, 11_404);
     schedule.reader_sent(12_400);
     assert_eq!(schedule.due(Some(11_400), away), 12_600, "the next outage starts anew");
 }
@@ -65,6 +65,18 @@
     assert_eq!(at, [0, 200, 600, 1_000, 1_400, 1_800, 2_200]);
 }
 
+/// Guards against a store that is slowed down further by repeated attempts, because its answers are large.
+#[test]
+fn slow_answers_are_awaited_before_an_attempt_is_repeated() {
+    let mut schedule = ProofSchedule::default();
+    schedule.answered(5_000, 5_450);
+    schedule.reader_sent(6_000);
+    assert_eq!(schedule.due(Some(5_000), READER), 6_900);
+    schedule.answered(6_000, 6_004);
+    schedule.reader_sent(7_000);
+    assert_eq!(schedule.due(Some(6_000), READER), 7_200, "the last answer was fast");
+}
+
 /// Times of seven attempts without an answer, from the one that is due after the proof of 5 000.
 fn attempts(schedule: &mut ProofSchedule, role: ProofRole) -> Vec<Millis> {
     let next = |_| {
