Log threads that were held up, attempts behind an old proof, and followers that return

The logs cannot tell three hypotheses of calls admitted on an old proof apart, and those of the late nodes are missing.

thread_delayed: a thread did not run for 0.3 s or more, the processor time used meanwhile, and the control task that ran longest. calls_on_old_proof: this node's own attempts since the store last answered one. followers_returned: a planner tells which follower had not polled it, for how long, and whether its configuration is outdated. No logic is changed.

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -149,8 +149,7 @@
         return Err(of_caller(Refusal::unsent(RefusalKind::StaleKeys, &id, detail)));
     }
     let service = pick_service(&catalog, &route, &id).map_err(of_caller)?;
-    let fresh = **shared.config_freshness.load();
-    shared.old_proof_calls.record(&id, &catalog, fresh, received);
+    shared.old_proof_calls.record(shared, &id, &catalog, received);
     let memory = BodyMemory {
         budget: &shared.contents,
         wait: Duration::from_millis(route.latency_target_ms / MEMORY_WAIT_FRACTION),
--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -74,7 +74,10 @@
             tokio::select! {
                 () = control.pause(Duration::from_millis(pause)) => {}
                 Some((sent, result)) = attempts.next() => match result {
-                    Ok(()) => schedule.answered(sent, control.now()),
+                    Ok(()) => {
+                        schedule.answered(sent, control.now());
+                        control.shared.config_proofs.attempt_answered();
+                    }
                     Err(error) => proof_failed(&control, reads, sent, &error, due(&schedule)),
                 }
             }
@@ -89,6 +92,7 @@
             GatewayEvent::ConfigProofDue { rank, proof_ms }.log();
             schedule.follower_sent(sent, control.contenders(), &mut rand::rng());
         }
+        control.shared.config_proofs.attempt_sent(sent);
         if !attempts.is_empty() {
             control.clients.store.reconnect();
         }
--- a/crates/heathpitchd/src/gateway/control/feed_server.rs
+++ b/crates/heathpitchd/src/gateway/control/feed_server.rs
@@ -17,9 +17,12 @@
 use super::feed::{MAX_LIST_AGE_MS, MAX_PROOF_AGE_MS};
 use super::reports;
 use super::state::Control;
+use crate::gateway::event::GatewayEvent;
 
 /// Share of the VM's link for full lists and configurations.
 const LINK_SHARE: f64 = 0.5;
+/// Longest time between two polls of a follower that reaches this node: three polls, with the timeout of an answer.
+const MAX_SILENCE_MS: Millis = 1_500;
 /// Bytes per second in one Mbit/s.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
@@ -77,7 +80,11 @@
         return local_reports(control, known);
     }
     let follower = Source { node: request.node.clone(), address: request.address };
-    control.followers.borrow_mut().record_poll(follower, request.can_plan, control.now());
+    let silent =
+        control.followers.borrow_mut().record_poll(follower, request.can_plan, control.now());
+    if let Some(silent_ms) = silent.filter(|ms| control.is_planner() && *ms > MAX_SILENCE_MS) {
+        log_return(control, &request, silent_ms);
+    }
     let shares = control.shares_for(&request.node);
     let mut response = FeedResponse { shares, ..nodes(control) };
     if let Err(e) = fill(control, &request, known, &mut response) {
@@ -86,6 +93,14 @@
     response
 }
 
+/// Logs that a follower of this planner polls again: its own log may be lost, and what it served by meanwhile with it.
+fn log_return(control: &Control, request: &FeedRequest, silent_ms: Millis) {
+    let Some(count) = control.returned.record(control.now()) else { return };
+    let outdated = control.has_newer_config(request);
+    GatewayEvent::FollowersReturned { node: request.node.clone(), count, silent_ms, outdated }
+        .log();
+}
+
 /// Reports of this failure domain's engines, for the planner of another failure domain.
 fn local_reports(control: &Control, known: FeedCursor) -> FeedResponse {
     let (reports, reported) =
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -63,6 +63,7 @@
 use std::sync::Arc;
 use std::{io, thread};
 
+use futures::FutureExt;
 use heathpitch_net::{Body, Bounds, FeedServer, Listener, full, json, serve};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
@@ -71,6 +72,7 @@
 use tokio::task::{LocalSet, spawn_local};
 
 use super::shared::{Clients, ControlMessage, Shared};
+use super::thread_monitor::ThreadMonitor;
 use state::Control;
 
 /// Concurrent connections for the load balancer's health checks and for metrics scrapes.
@@ -115,26 +117,32 @@
                 );
                 spawn_local(server.serve(peers.into_socket()));
             }
-            spawn_local(feed::follow(control.clone()));
-            spawn_local(config::follow(control.clone()));
-            spawn_local(config::keep_proven(control.clone()));
-            spawn_local(engine_list::follow(control.clone()));
-            spawn_local(nodes::follow(control.clone()));
-            spawn_local(nodes::count(control.clone()));
-            spawn_local(nodes::renew(control.clone()));
-            spawn_local(planner::run(control.clone()));
-            spawn_local(recovery::run(control.clone()));
-            spawn_local(reports::run(control.clone()));
-            spawn_local(neighbours::follow(control.clone()));
-            spawn_local(quarantine::run(control.clone()));
-            spawn_local(backpressure::run(control.clone()));
-            spawn_local(rights::run(control.clone()));
-            spawn_local(limit_records::run(control.clone()));
-            spawn_local(shares::run(control.clone()));
-            spawn_local(connectivity::run(control.clone()));
-            spawn_local(forwarders::run(control.clone()));
-            spawn_local(suspension::watch(control.clone()));
-            spawn_local(receive(control, inbox));
+            let monitor = Rc::new(ThreadMonitor::new("control"));
+            let tasks = [
+                ("feed", feed::follow(control.clone()).boxed_local()),
+                ("config", config::follow(control.clone()).boxed_local()),
+                ("config_proof", config::keep_proven(control.clone()).boxed_local()),
+                ("engine_list", engine_list::follow(control.clone()).boxed_local()),
+                ("planner_lease", nodes::follow(control.clone()).boxed_local()),
+                ("node_count", nodes::count(control.clone()).boxed_local()),
+                ("lease_renewal", nodes::renew(control.clone()).boxed_local()),
+                ("planner", planner::run(control.clone()).boxed_local()),
+                ("recovery", recovery::run(control.clone()).boxed_local()),
+                ("reports", reports::run(control.clone()).boxed_local()),
+                ("neighbours", neighbours::follow(control.clone()).boxed_local()),
+                ("quarantine", quarantine::run(control.clone()).boxed_local()),
+                ("backpressure", backpressure::run(control.clone()).boxed_local()),
+                ("rights", rights::run(control.clone()).boxed_local()),
+                ("limit_records", limit_records::run(control.clone()).boxed_local()),
+                ("shares", shares::run(control.clone()).boxed_local()),
+                ("connectivity", connectivity::run(control.clone()).boxed_local()),
+                ("forwarders", forwarders::run(control.clone()).boxed_local()),
+                ("suspension", suspension::watch(control.clone(), monitor.clone()).boxed_local()),
+                ("messages", receive(control, inbox).boxed_local()),
+            ];
+            for (name, task) in tasks {
+                spawn_local(monitor.monitor(name, task));
+            }
             let _ = stop.wait_for(|s| *s).await;
             Ok(())
         })
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -33,6 +33,7 @@
 use super::rights::RightsIssuer;
 use super::shares::Shares;
 use crate::gateway::event::GatewayEvent;
+use crate::gateway::line_limiter::LineLimiter;
 use crate::gateway::shared::{Clients, Shared};
 
 /// Time after the store's return within which entries that lapsed during the outage may reappear. The
@@ -83,6 +84,8 @@
     pub(super) sources: RefCell<Sources>,
     /// Nodes that poll this one.
     pub(super) followers: RefCell<Followers>,
+    /// Bound on the log of those that poll again after a pause.
+    pub(super) returned: LineLimiter,
     /// Sizes of the other failure domains, as reported by their planners.
     pub(super) domain_sizes: RefCell<HashMap<Name, u32>>,
     /// Full answers to followers, and their share of the link.
@@ -196,6 +199,7 @@
                 now,
             )),
             followers: RefCell::default(),
+            returned: LineLimiter::default(),
             domain_sizes: RefCell::default(),
             full_transfers: FullTransfers::new(settings.vm, now),
             planner_released: Cell::new(false),
--- a/crates/heathpitchd/src/gateway/control/suspension.rs
+++ b/crates/heathpitchd/src/gateway/control/suspension.rs
@@ -10,16 +10,18 @@
 
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
+use crate::gateway::thread_monitor::ThreadMonitor;
 
 /// Interval between polls of the clocks; timers are late by no more than this once the VM resumes.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Polls the clocks periodically.
-pub(super) async fn watch(control: Rc<Control>) {
+/// Polls the clocks periodically, and checks whether the thread was held up meanwhile.
+pub(super) async fn watch(control: Rc<Control>, monitor: Rc<ThreadMonitor>) {
     let shared = &control.shared;
     let mut detector = SuspensionDetector::new(shared.clock.clocks());
     loop {
         tokio::time::sleep(POLL_INTERVAL).await;
+        monitor.check(POLL_INTERVAL);
         let Some(ms) = detector.poll(shared.clock.clocks()) else { continue };
         let now = control.now();
         let (proof_ms, list_ms) =
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -223,6 +223,34 @@
         config: u64,
         /// Time since it was last confirmed as the newest.
         proof_ms: Option<Millis>,
+        /// Own attempts to confirm it since the store last answered one.
+        attempts: u64,
+        /// Time since the last of them was sent.
+        attempt_ms: Option<Millis>,
+    },
+    /// A thread of this node did not run for some time.
+    ThreadDelayed {
+        /// Thread: `control`, or `calls` for the one that serves them.
+        thread: &'static str,
+        /// Time for which it did not run its tasks.
+        ms: Millis,
+        /// Processor time that it used meanwhile: about as much if a task kept it busy, little if it had no processor.
+        cpu_ms: Millis,
+        /// The task that ran longest without yielding, if tasks of the thread are told apart.
+        task: Option<&'static str>,
+        /// Time for which it ran.
+        task_ms: Option<Millis>,
+    },
+    /// Nodes that poll this planner do so again after a pause in which they may have had an old configuration.
+    FollowersReturned {
+        /// The last of them.
+        node: Name,
+        /// Returns since the previous such line.
+        count: u64,
+        /// Time for which that node did not poll.
+        silent_ms: Millis,
+        /// Whether its configuration is older than the one in force here.
+        outdated: bool,
     },
     /// A configuration is invalid; the previous one stays in force.
     ConfigRejected {
--- a/crates/heathpitchd/src/gateway/event_log.rs
+++ b/crates/heathpitchd/src/gateway/event_log.rs
@@ -4,7 +4,7 @@
 
 impl GatewayEvent {
     /// Names of all events; they do not change between versions.
-    pub const NAMES: [&'static str; 57] = [
+    pub const NAMES: [&'static str; 59] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -26,6 +26,8 @@
         "config_proof_due",
         "config_proof_failed",
         "calls_on_old_proof",
+        "thread_delayed",
+        "followers_returned",
         "poll_failed",
         "watch_lost",
         "engines_heard",
@@ -75,6 +77,8 @@
             | Self::GatewayReloaded { error: Some(_) }
             | Self::ConfigProofFailed { .. }
             | Self::CallsOnOldProof { .. }
+            | Self::ThreadDelayed { .. }
+            | Self::FollowersReturned { .. }
             | Self::ConfigRejected { .. }
             | Self::ConfigPartRejected { .. }
             | Self::EngineRejected { .. }
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod backpressure;
 mod balance;
 mod call;
+mod config_proofs;
 mod content_budget;
 mod control;
 mod engine_table;
@@ -14,6 +15,7 @@
 mod event_log;
 mod forecast;
 mod forward_listener;
+mod line_limiter;
 mod live;
 mod metrics;
 mod move_progress;
@@ -22,6 +24,7 @@
 mod quarantine_snapshot;
 mod reach;
 mod shared;
+mod thread_monitor;
 
 use std::io;
 use std::net::SocketAddr;
@@ -156,6 +159,7 @@
             let hup = signal(SignalKind::hangup())?;
             let shared = self.shared.clone();
             tokio::spawn(reload(shared, path, hup));
+            tokio::spawn(thread_monitor::watch("calls"));
             #[cfg(feature = "seams")]
             tokio::spawn(suspend(signal(SignalKind::user_defined2())?));
             tokio::select! {
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::balance::Balances;
+use super::config_proofs::ConfigProofs;
 use super::content_budget::ContentBudget;
 use super::engine_table::EngineTable;
 use super::live::LiveStream;
@@ -179,6 +180,8 @@
     pub(crate) table: ArcSwap<EngineTable>,
     /// When the configuration in force was last confirmed as the newest.
     pub(crate) config_freshness: ArcSwap<Freshness>,
+    /// Own attempts to prove it.
+    pub(crate) config_proofs: ConfigProofs,
     pub(crate) old_proof_calls: OldProofCalls,
     /// When the known engines were last confirmed to match the store.
     pub(crate) list_freshness: ArcSwap<Freshness>,
@@ -227,6 +230,7 @@
             catalog: ArcSwapOption::empty(),
             table: ArcSwap::default(),
             config_freshness: ArcSwap::default(),
+            config_proofs: ConfigProofs::default(),
             old_proof_calls: OldProofCalls::default(),
             list_freshness: ArcSwap::default(),
             quarantine: ArcSwap::default(),
--- /dev/null
+++ b/crates/heathpitchd/src/gateway/thread_monitor.rs
@@ -0,0 +1,114 @@
+//! Detects that a thread of the node was held up.
+//!
+//! A thread that did not run for some time had no processor, or one of its own tasks kept it busy. The processor time used
+//! meanwhile and the task that ran longest tell which.
+
+use std::cell::Cell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use futures::future::LocalBoxFuture;
+use heathpitch_core::Millis;
+use nix::time::{ClockId, clock_gettime};
+
+use super::event::GatewayEvent;
+
+/// Shortest delay that is logged.
+const MIN_DELAY: Duration = Duration::from_millis(300);
+/// Interval of checks of a thread that has no other periodic work.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Delays of one thread.
+#[derive(Debug)]
+pub(crate) struct ThreadMonitor {
+    thread: &'static str,
+    checked: Cell<Instant>,
+    /// Processor time of the thread at that time.
+    cpu: Cell<Duration>,
+    /// The task that ran longest since then without yielding.
+    longest: Cell<Option<(&'static str, Duration)>>,
+}
+
+/// A task whose running time is measured.
+pub(crate) struct Monitored {
+    name: &'static str,
+    task: LocalBoxFuture<'static, ()>,
+    monitor: Rc<ThreadMonitor>,
+}
+
+impl ThreadMonitor {
+    /// A monitor of the current thread.
+    pub(crate) fn new(thread: &'static str) -> Self {
+        Self {
+            thread,
+            checked: Cell::new(Instant::now()),
+            cpu: Cell::new(thread_cpu()),
+            longest: Cell::new(None),
+        }
+    }
+
+    /// Measures how long a task of this thread runs.
+    pub(crate) fn monitor(
+        self: &Rc<Self>,
+        name: &'static str,
+        task: LocalBoxFuture<'static, ()>,
+    ) -> Monitored {
+        Monitored { name, task, monitor: self.clone() }
+    }
+
+    /// Checks at the end of an interval whether the thread was held up.
+    pub(crate) fn check(&self, interval: Duration) {
+        let (now, cpu) = (Instant::now(), thread_cpu());
+        let delay = (now - self.checked.replace(now)).saturating_sub(interval);
+        let used = cpu.saturating_sub(self.cpu.replace(cpu));
+        let longest = self.longest.take();
+        if delay < MIN_DELAY {
+            return;
+        }
+        GatewayEvent::ThreadDelayed {
+            thread: self.thread,
+            ms: millis(delay),
+            cpu_ms: millis(used),
+            task: longest.map(|(name, _)| name),
+            task_ms: longest.map(|(_, time)| millis(time)),
+        }
+        .log();
+    }
+
+    fn record(&self, task: &'static str, time: Duration) {
+        if self.longest.get().is_none_or(|(_, longest)| time > longest) {
+            self.longest.set(Some((task, time)));
+        }
+    }
+}
+
+impl Future for Monitored {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        let start = Instant::now();
+        let polled = self.task.as_mut().poll(cx);
+        self.monitor.record(self.name, start.elapsed());
+        polled
+    }
+}
+
+/// Checks the current thread periodically.
+pub(crate) async fn watch(thread: &'static str) {
+    let monitor = ThreadMonitor::new(thread);
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        monitor.check(CHECK_INTERVAL);
+    }
+}
+
+/// Processor time of the current thread; zero if the system does not tell it.
+fn thread_cpu() -> Duration {
+    clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).map_or(Duration::ZERO, Duration::from)
+}
+
+fn millis(time: Duration) -> Millis {
+    time.as_millis() as Millis
+}
--- a/crates/policy/src/followers.rs
+++ b/crates/policy/src/followers.rs
@@ -55,11 +55,15 @@
 
 /// # Updates
 impl Followers {
-    /// Records a poll by a node; `can_plan` says whether its VM can run a planner.
-    pub fn record_poll(&mut self, source: Source, can_plan: bool, now: Millis) {
-        let forwarder = self.seen.remove(&source.node).and_then(|f| f.forwarder);
+    /// Records a poll by a node, and returns the time since its last one; `can_plan` says whether its VM can run a
+    /// planner.
+    pub fn record_poll(&mut self, source: Source, can_plan: bool, now: Millis) -> Option<Millis> {
+        let last = self.seen.remove(&source.node);
+        let silent = last.as_ref().map(|f| now.saturating_sub(f.at));
+        let forwarder = last.and_then(|f| f.forwarder);
         let node = source.node.clone();
         self.seen.insert(node, Follower { source, can_plan, at: now, forwarder });
+        silent
     }
 
     /// Records how a node that polled takes calls of other nodes; none if it does not.
