Tests of calls admitted on an old proof, known to fail

followers_admit_calls_by_the_newest_configuration_after_two_refused_proofs: nine nodes of one failure domain; the planner and its standbys answer polls and do not reach the store, which refuses two proofs of each of the other five.

a_node_that_stood_still_proves_its_configuration_before_it_admits_calls: a node is stopped for 4.0 s, and a route is moved at once.

--- a/crates/heathpitchd/tests/gateway_old_proofs.rs
+++ b/crates/heathpitchd/tests/gateway_old_proofs.rs
@@ -7,16 +7,42 @@
 
 mod gateway;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use gateway::{Cluster, is_fed, wait_until};
-use heathpitch_standin::GatewayProcess;
+use gateway::{Cluster, KEY, is_fed, wait_until};
+use heathpitch_standin::{Caller, Engine, GatewayProcess, LinkMode, Proxy, RouteSpec, StoreMode};
+use hyper::Method;
 use serde_json::json;
 
+/// Agreed time from the acceptance of a configuration until nodes in touch serve by it.
+const APPLY_BOUND: Duration = Duration::from_millis(2_000);
+/// Time in which calls are checked.
+const CHECK_TIME: Duration = Duration::from_millis(3_000);
+/// Time between two calls.
+const CALL_INTERVAL: Duration = Duration::from_millis(25);
 /// Time for which a node is stopped.
 const STOP_TIME: Duration = Duration::from_millis(4_000);
 /// Longest time until lines of the log are written, with margin.
 const LOG_DELAY: Duration = Duration::from_millis(600);
+/// Call on the store by which a node proves its configuration.
+const PROOF_CALL: &str = "kv-txn";
+
+/// A cluster with one engine of service `api` and one of service `new`.
+fn two_services() -> (Cluster, Engine, Engine) {
+    let mut cluster = Cluster::new();
+    cluster.config.services.push("new".to_owned());
+    cluster.configure();
+    let (old, new) = (cluster.engine("a", "api"), cluster.engine("b", "new"));
+    (cluster, old, new)
+}
+
+/// Moves the route of `/get/` to a service, and returns when the store had accepted that.
+fn move_route(cluster: &mut Cluster, service: &str) -> Instant {
+    cluster.config.version += 4;
+    cluster.config.routes[0] = RouteSpec::idempotent("/get/", service);
+    cluster.configure();
+    Instant::now()
+}
 
 /// Waits until nodes are fed by others, and know the standbys of their failure domain.
 async fn wait_until_fed(nodes: &[GatewayProcess]) {
@@ -27,6 +53,74 @@
     tokio::time::sleep(Duration::from_millis(2_500)).await;
 }
 
+/// Guards against a follower that ceases to ask the store for seconds once two of its proofs have failed within 0.2 s, and
+/// admits calls by an older configuration meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn followers_admit_calls_by_the_newest_configuration_after_two_refused_proofs() {
+    for round in 0..3 {
+        let (mut cluster, _old, new) = two_services();
+        // The planner and its standbys answer polls throughout, but will have no young proof themselves.
+        let link = Proxy::spawn(cluster.store.address()).unwrap();
+        let mut sources = vec![cluster.start_at(link.address(), "n1")];
+        wait_until("the first node is the planner", async || {
+            !sources[0].events("domain_planner").is_empty()
+        })
+        .await;
+        sources.extend((2..=4).map(|i| cluster.start_at(link.address(), &format!("n{i}"))));
+        wait_until_fed(&sources[1..]).await;
+        let followers: Vec<_> =
+            (5..=9).map(|i| cluster.start(&format!("n{i}"), &json!({}))).collect();
+        wait_until_fed(&followers).await;
+        let before = cluster.store.call_count(PROOF_CALL);
+        link.set_mode(LinkMode::Blackhole);
+        cluster.store.set_mode(StoreMode::RefuseCalls(100));
+        let proofs = before + 2 * followers.len() as u64;
+        wait_until("two proofs of each follower were refused", async || {
+            cluster.store.call_count(PROOF_CALL) >= proofs
+        })
+        .await;
+        cluster.store.set_mode(StoreMode::Up);
+        let accepted = move_route(&mut cluster, "new");
+        let callers: Vec<_> =
+            followers.iter().map(|n| Caller::new(n.listen).key(KEY).keep_alive()).collect();
+        tokio::time::sleep_until((accepted + APPLY_BOUND).into()).await;
+        let mut calls = 0;
+        while accepted.elapsed() < APPLY_BOUND + CHECK_TIME {
+            for caller in &callers {
+                caller.call(Method::GET, "/get/x", "").await.unwrap();
+                calls += 1;
+            }
+            tokio::time::sleep(CALL_INTERVAL).await;
+        }
+        assert_eq!(new.requests().len(), calls, "round {round}");
+    }
+}
+
+/// Guards against a node that stood still and then admits what had queued by the configuration from before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_stood_still_proves_its_configuration_before_it_admits_calls() {
+    let (mut cluster, old, new) = two_services();
+    let node = cluster.node().await;
+    let caller = Caller::new(node.listen).key(KEY).keep_alive();
+    assert_eq!(caller.call(Method::GET, "/get/x", "").await.unwrap().status, 200);
+    assert_eq!(old.requests().len(), 1);
+    node.signal("STOP").unwrap();
+    let accepted = move_route(&mut cluster, "new");
+    tokio::time::sleep_until((accepted + APPLY_BOUND).into()).await;
+    let kept = async { caller.call(Method::GET, "/get/x", "").await.unwrap().status };
+    let opened = futures::future::join_all((0..8).map(async |_| {
+        let caller = Caller::new(node.listen).key(KEY);
+        caller.call(Method::GET, "/get/x", "").await.unwrap().status
+    }));
+    let resume = async {
+        tokio::time::sleep_until((accepted + STOP_TIME).into()).await;
+        node.signal("CONT").unwrap();
+    };
+    let (kept, opened, ()) = tokio::join!(kept, opened, resume);
+    assert!(opened.iter().chain([&kept]).all(|status| *status == 200), "{kept} {opened:?}");
+    assert_eq!((old.requests().len(), new.requests().len()), (1, 9), "by the old and new route");
+}
+
 /// Guards against a late node whose own log is the only one that could tell why: its threads did not run, which it and
 /// the planner that it polls tell.
 #[tokio::test(flavor = "multi_thread")]
