A call that finds an old proof of the configuration demands another one

What callers saw: a call on a route that had been removed was run, later than the agreed time after the store had accepted that.

Cause: calls were admitted on a proof of any age. The schedule of proofs bounds that age only while the node's threads run and at most one attempt fails: two refused proofs within 0.2 s ended a follower's attempts for up to half a second a node of its failure domain, and a node that stood still admitted what had queued before its control thread ran.

Change: on a proof of 1.9 s and more a call is admitted only if the store has been asked since and does not answer this node (policy::ProofState, ProofAttempts): a repeated attempt without an answer for 0.3 s in which the node ran, or three failures over 0.6 s, for 2.4 s. Otherwise the call demands an attempt, one for all that wait, and waits at most 0.3 s and half of its latency target; attempts are repeated each 60 ms meanwhile. If the control thread sends none, the call is refused as unconfigured. A node cut off from the store knows that after 0.3 s, and its calls do not wait. calls_awaited_proof logs it. The age by which a call is denied is read before the configuration, so that one that is replaced meanwhile does not look younger. The controller of the proof has a file of its own.

Evidence: gateway_old_proofs.rs.

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -9,7 +9,7 @@
     RequestFingerprint, ServiceSpec,
 };
 use heathpitch_net::{CallBody, CallHead, ForwardedCall};
-use heathpitch_policy::{Demand, PartKey, Quarantine};
+use heathpitch_policy::{ADMISSION_AGE_MS, Demand, PartKey, Quarantine};
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::{Body as _, Incoming};
@@ -18,13 +18,11 @@
 
 use super::Traffic;
 use super::refusal::{Refusal, RefusalKind};
+use crate::gateway::config_proofs::ProofWait;
 use crate::gateway::content_budget::{ContentBudget, HeldBytes};
 use crate::gateway::quarantine_snapshot::HeldBack;
 use crate::gateway::shared::{ControlMessage, Shared};
 
-/// Time since the configuration was last confirmed after which it may be outdated, so that a call
-/// that it does not allow gets a 503 rather than a denial.
-const MAX_DENIAL_AGE_MS: Millis = 1_900;
 /// Part of the agreed time for revoking keys that is not used: the store may have answered before
 /// the moment from which the time is counted.
 const REVOKE_MARGIN_MS: Millis = 300;
@@ -105,6 +103,10 @@
     };
     let id = head.id.clone();
     let shared = &traffic.shared;
+    let path = parts.uri.path();
+    await_proof(shared, &head, path, received).await?;
+    // Before the configuration: one that is replaced meanwhile must not look younger than it is.
+    let fresh = **shared.config_freshness.load();
     let Some(catalog) = shared.catalog.load_full() else {
         let detail = "no configuration has been loaded yet";
         return Err(Refusal::unsent(RefusalKind::Unconfigured, &id, detail));
@@ -119,15 +121,13 @@
         let detail = "what is held back and the limits of engines have not been read yet";
         return Err(Refusal::unsent(RefusalKind::Unconfigured, &id, detail));
     }
-    let current = shared.config_freshness.load().covers(received, MAX_DENIAL_AGE_MS);
+    // A configuration that may be outdated does not deny calls.
+    let current = fresh.covers(received, ADMISSION_AGE_MS);
     let deny = |kind, error: LookupError| match current && error.is_denial() {
         true => Refusal::unsent(kind, &id, error.to_string()),
         false => Refusal::unsent(RefusalKind::Unconfigured, &id, error.to_string()),
     };
-    let route = catalog
-        .route(&head.host, parts.uri.path())
-        .map_err(|e| deny(RefusalKind::NoRoute, e))?
-        .clone();
+    let route = catalog.route(&head.host, path).map_err(|e| deny(RefusalKind::NoRoute, e))?.clone();
     let holder = catalog
         .authenticate(&route, head.key.as_deref())
         .map_err(|e| deny(RefusalKind::BadKey, e))?
@@ -144,7 +144,7 @@
         refusal.of_caller(holder.as_ref(), rank, age_ms)
     };
     let revoke_ms = shared.settings.load().bounds.revoke_ms.saturating_sub(REVOKE_MARGIN_MS);
-    if holder.is_some() && !shared.config_freshness.load().covers(received, revoke_ms) {
+    if holder.is_some() && !fresh.covers(received, revoke_ms) {
         let detail = "the known keys are too old to tell whether this one is still valid";
         return Err(of_caller(Refusal::unsent(RefusalKind::StaleKeys, &id, detail)));
     }
@@ -192,6 +192,28 @@
     }
 }
 
+/// Waits until a call may be admitted by the configuration in force, if the last proof of that is old.
+async fn await_proof(
+    shared: &Shared,
+    head: &CallHead,
+    path: &str,
+    received: Millis,
+) -> Result<(), Refusal> {
+    if shared.config_proofs.admits(received) {
+        return Ok(());
+    }
+    // There is nothing to prove.
+    let Some(catalog) = shared.catalog.load_full() else { return Ok(()) };
+    let target = catalog.route(&head.host, path).ok().map(|route| route.latency_target_ms);
+    match shared.config_proofs.wait(shared, &head.id, target, received).await {
+        ProofWait::Admitted | ProofWait::Unanswered => Ok(()),
+        ProofWait::Unattempted => {
+            let detail = "this node could not ask whether its configuration is the newest";
+            Err(Refusal::unsent(RefusalKind::Unconfigured, &head.id, detail))
+        }
+    }
+}
+
 /// Refuses a call whose request crashed engines, until that request is let through again.
 ///
 /// The status says that this call did not run, and `Retry-After` when it may: a permanent denial
--- a/crates/heathpitchd/src/gateway/config_proofs.rs
+++ b/crates/heathpitchd/src/gateway/config_proofs.rs
@@ -1,23 +1,100 @@
-//! Attempts of this node to prove its configuration, as the threads that serve calls see them.
+//! Proofs of the configuration as the threads that serve calls see them, and their demand for further ones.
+//!
+//! [`ProofState`](heathpitch_policy::ProofState) decides whether a call may be admitted. The control thread makes the
+//! attempts; a call that finds none recent enough wakes it, and waits for a bounded time.
 
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{
+    AtomicBool, AtomicU64,
+    Ordering::{Acquire, Relaxed, Release},
+};
+use std::time::Duration;
 
 use heathpitch_core::Millis;
+use heathpitch_policy::ProofState;
+use tokio::sync::{Notify, watch};
 
-/// Own attempts to prove the configuration since the store last answered one.
-#[derive(Debug, Default)]
+use super::event::GatewayEvent;
+use super::line_limiter::LineLimiter;
+use super::shared::Shared;
+
+/// Longest time for which a call waits for a proof.
+const MAX_WAIT_MS: Millis = 300;
+/// Part of a route's latency target for which it does: one in this many.
+const WAIT_FRACTION: Millis = 2;
+
+/// Delay of the end of that wait from which the thread counts as not having run.
+const STALL_MS: Millis = 100;
+
+/// Outcome of waiting for a proof.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProofWait {
+    /// The configuration is proven, or the store is known not to answer.
+    Admitted,
+    /// Attempts were sent and got no answer in time.
+    Unanswered,
+    /// No attempt was sent: the control thread does not run.
+    Unattempted,
+}
+
+impl ProofWait {
+    /// Name in the log.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Admitted => "admitted",
+            Self::Unanswered => "unanswered",
+            Self::Unattempted => "unattempted",
+        }
+    }
+}
+
+/// Proofs of the configuration, shared between the threads.
+#[derive(Debug)]
 pub(crate) struct ConfigProofs {
-    /// Number of them.
+    /// When the newest configuration was last confirmed; 0 if it never was.
+    confirmed: AtomicU64,
+    /// Until when the store is known not to answer.
+    excused_until: AtomicU64,
+    /// Own attempts since the store last answered one.
     attempts: AtomicU64,
-    /// When the last one was sent.
+    /// When the last attempt was sent.
     sent: AtomicU64,
+    /// Whether calls have demanded an attempt since the last one was sent.
+    is_demanded: AtomicBool,
+    demanded: Notify,
+    changed: watch::Sender<()>,
+    lines: LineLimiter,
+}
+
+impl Default for ConfigProofs {
+    fn default() -> Self {
+        Self {
+            confirmed: AtomicU64::new(0),
+            excused_until: AtomicU64::new(0),
+            attempts: AtomicU64::new(0),
+            sent: AtomicU64::new(0),
+            is_demanded: AtomicBool::new(false),
+            demanded: Notify::new(),
+            changed: watch::Sender::new(()),
+            lines: LineLimiter::default(),
+        }
+    }
 }
 
+/// # Control thread
 impl ConfigProofs {
+    /// Records that the newest configuration was confirmed by a call sent at `sent`.
+    pub(crate) fn confirm(&self, sent: Millis) {
+        // A thread that sees this proof also sees the configuration that it is of.
+        if self.confirmed.fetch_max(sent, Release) < sent {
+            self.changed.send_replace(());
+        }
+    }
+
     /// Records that an attempt is sent at `now`.
     pub(crate) fn attempt_sent(&self, now: Millis) {
         self.attempts.fetch_add(1, Relaxed);
         self.sent.store(now, Relaxed);
+        self.is_demanded.store(false, Relaxed);
     }
 
     /// Records that the store answered an attempt.
@@ -25,7 +102,31 @@
         self.attempts.store(0, Relaxed);
     }
 
-    /// Number of attempts since the store last answered one.
+    /// Records until when the store is known not to answer.
+    pub(crate) fn excuse(&self, until: Millis) {
+        if self.excused_until.swap(until, Relaxed) != until {
+            self.changed.send_replace(());
+        }
+    }
+
+    /// Waits until calls demand an attempt.
+    pub(crate) async fn demanded(&self) {
+        self.demanded.notified().await;
+    }
+}
+
+/// # Calls
+impl ConfigProofs {
+    /// What is known of the proofs.
+    pub(crate) fn state(&self) -> ProofState {
+        let confirmed = self.confirmed.load(Acquire);
+        ProofState {
+            confirmed: (confirmed > 0).then_some(confirmed),
+            excused_until: self.excused_until.load(Relaxed),
+        }
+    }
+
+    /// Number of own attempts since the store last answered one.
     pub(crate) fn attempts(&self) -> u64 {
         self.attempts.load(Relaxed)
     }
@@ -34,4 +135,59 @@
     pub(crate) fn attempt_age(&self, now: Millis) -> Option<Millis> {
         (self.attempts() > 0).then(|| now.saturating_sub(self.sent.load(Relaxed)))
     }
+
+    /// Whether a call at `now` may be admitted; demands an attempt if one is needed.
+    pub(crate) fn admits(&self, now: Millis) -> bool {
+        let state = self.state();
+        if state.needs_attempt(now) && !self.is_demanded.swap(true, Relaxed) {
+            self.demanded.notify_one();
+        }
+        state.admits(now)
+    }
+
+    /// Waits until a call received at `received` may be admitted, as far as the latency target of its route allows.
+    pub(crate) async fn wait(
+        &self,
+        shared: &Shared,
+        request: &str,
+        target: Option<Millis>,
+        received: Millis,
+    ) -> ProofWait {
+        let limit = match target {
+            Some(target) if target > 0 => MAX_WAIT_MS.min(target / WAIT_FRACTION),
+            Some(_) | None => MAX_WAIT_MS,
+        };
+        let outcome = loop {
+            let begin = shared.now();
+            let admitted = self.admitted(shared);
+            match tokio::time::timeout(Duration::from_millis(limit), admitted).await {
+                Ok(()) => break ProofWait::Admitted,
+                // The thread did not run meanwhile.
+                Err(_) if shared.now() > begin + limit + STALL_MS => {}
+                Err(_) if self.sent.load(Relaxed) + limit >= begin => break ProofWait::Unanswered,
+                Err(_) => break ProofWait::Unattempted,
+            }
+        };
+        let now = shared.now();
+        if let Some(calls) = self.lines.record(now) {
+            GatewayEvent::CallsAwaitedProof {
+                request: request.to_owned(),
+                calls,
+                ms: now.saturating_sub(received),
+                outcome: outcome.as_str(),
+                proof_ms: self.state().confirmed.map(|at| now.saturating_sub(at)),
+                attempts: self.attempts(),
+            }
+            .log();
+        }
+        outcome
+    }
+
+    async fn admitted(&self, shared: &Shared) {
+        let mut changed = self.changed.subscribe();
+        while !self.admits(shared.now()) {
+            // The sender lives as long as this node.
+            let _ = changed.changed().await;
+        }
+    }
 }
--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -1,23 +1,17 @@
-//! Controller of the configuration and of the proof that it is current.
+//! Controller of the configuration.
 //!
-//! A watch delivers changes quickly but proves nothing while it is pending. The proof is an empty write
-//! conditional on the revision in force: it is small, and the store answers it from its current state only.
+//! A watch delivers changes quickly but proves nothing while it is pending; `config_proof` does.
 
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
 use heathpitch_core::{Invariant, Millis, Revision, check};
-use heathpitch_net::{GetResponse, Item, ItemChange, RpcError, StoreError, Write};
-use heathpitch_policy::{MAX_PENDING_PROOFS, MIN_APPLY_MS, ProofRole, ProofSchedule};
+use heathpitch_net::{GetResponse, Item, ItemChange, RpcError, StoreError};
 
-use super::engine_list;
 use super::rejected_config::RejectedConfig;
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
-use crate::gateway::shared::record_proof;
 
 /// Longest wait of a watch, below the store's limit of 30 s. A dead watch only delays a change, which the
 /// next proof delivers.
@@ -37,104 +31,6 @@
     control.read_and_watch(RETRY_INTERVAL, read, watch).await;
 }
 
-/// Proves that the configuration in force is the newest: periodically if this node reads the store, and otherwise
-/// when no source has a proof young enough.
-pub(super) async fn keep_proven(control: Rc<Control>) {
-    let apply_ms = control.shared.settings.load().bounds.config_apply_ms;
-    if apply_ms < MIN_APPLY_MS {
-        log::warn!(
-            "a configuration may take {MIN_APPLY_MS} ms to be in force, \
-             but bounds.config_apply_ms is {apply_ms}"
-        );
-    }
-    let mut schedule = ProofSchedule::default();
-    let mut attempts = FuturesUnordered::new();
-    loop {
-        let reads = control.reads_store();
-        let due = |schedule: &ProofSchedule| {
-            let role = match reads {
-                true => ProofRole::Reader { reachable: control.reachable() },
-                false => ProofRole::Follower {
-                    own_age: ProofSchedule::own_proof_age(control.standby_rank()),
-                },
-            };
-            let confirmed = control.newest_freshness().at();
-            schedule.due(confirmed, role).saturating_sub(control.now())
-        };
-        // A node that has received no configuration has nothing to prove, unless another one feeds it: that one rejects
-        // the newest configuration, which this node may be able to use.
-        let has_received =
-            control.shared.catalog.load().is_some() || control.rejected_config().is_some();
-        let pause = match has_received || control.has_feed() {
-            true if attempts.len() < MAX_PENDING_PROOFS => due(&schedule),
-            // The pause ends earlier if an attempt does.
-            true | false => RETRY_INTERVAL.as_millis() as Millis,
-        };
-        if pause > 0 {
-            tokio::select! {
-                () = control.pause(Duration::from_millis(pause)) => {}
-                Some((sent, result)) = attempts.next() => match result {
-                    Ok(()) => {
-                        schedule.answered(sent, control.now());
-                        control.shared.config_proofs.attempt_answered();
-                    }
-                    Err(error) => proof_failed(&control, reads, sent, &error, due(&schedule)),
-                }
-            }
-            continue;
-        }
-        let sent = control.now();
-        if reads {
-            schedule.reader_sent(sent);
-        } else {
-            let rank = control.standby_rank();
-            let proof_ms = control.newest_freshness().age(sent);
-            GatewayEvent::ConfigProofDue { rank, proof_ms }.log();
-            schedule.follower_sent(sent, control.contenders(), &mut rand::rng());
-        }
-        control.shared.config_proofs.attempt_sent(sent);
-        if !attempts.is_empty() {
-            control.clients.store.reconnect();
-        }
-        attempts.push(prove(&control));
-    }
-}
-
-fn proof_failed(
-    control: &Control,
-    reads: bool,
-    sent: Millis,
-    error: &ProofError,
-    retry_ms: Millis,
-) {
-    let now = control.now();
-    GatewayEvent::ConfigProofFailed {
-        reads,
-        ms: now.saturating_sub(sent),
-        error: error.to_string(),
-        proof_ms: control.newest_freshness().age(now),
-        retry_ms,
-    }
-    .log();
-}
-
-/// Why a proof of the configuration failed.
-#[derive(Debug, thiserror::Error)]
-enum ProofError {
-    /// The store gave no usable answer.
-    #[error(transparent)]
-    Store(#[from] StoreError),
-    /// The store has no configuration.
-    #[error("the store has no configuration")]
-    Absent,
-    /// The store holds an older configuration than the one in force.
-    #[error("the store holds an older configuration")]
-    Behind,
-    /// The configuration could not be read after the store was restored.
-    #[error("the configuration could not be read after a restore of the store")]
-    Unread,
-}
-
 /// Reads the configuration and returns the revision to watch from.
 pub(super) async fn read(control: &Control) -> Option<Revision> {
     let sent = control.now();
@@ -188,56 +84,11 @@
     }
 }
 
-/// Makes one attempt to prove the configuration, and returns also when it was sent.
-async fn prove(control: &Control) -> (Millis, Result<(), ProofError>) {
-    let sent = control.now();
-    (sent, prove_once(control, sent).await)
-}
-
-/// Asks the store at `sent` whether the newest configuration known is still the newest.
-async fn prove_once(control: &Control, sent: Millis) -> Result<(), ProofError> {
-    let rejected = control.rejected_config();
-    let key = control.clients.dialect.config_key().to_owned();
-    let conditions = vec![(key, control.received_revision())];
-    let write = Write { conditions, ..Write::default() };
-    let adoption = match control.call("prove", control.clients.store.write(write)).await {
-        Ok(at) => {
-            if control.reads_store() {
-                engine_list::prove_at(control, at, sent);
-            }
-            match rejected {
-                Some(RejectedConfig::Decoded(_)) => Adoption::Rejected,
-                // There is no configuration.
-                _ if control.shared.catalog.load().is_none() => return Err(ProofError::Absent),
-                Some(RejectedConfig::TooLarge) | None => Adoption::InForce,
-            }
-        }
-        Err(StoreError::Conflict(items)) => match items.first() {
-            Some(item) => adopt(control, item, "proof"),
-            None => return Err(ProofError::Absent),
-        },
-        Err(StoreError::Rpc(e @ RpcError::TooLarge(_))) => {
-            control.reject_config(RejectedConfig::TooLarge, &e);
-            Adoption::Rejected
-        }
-        // The revision in force belongs to the store's history before it was restored.
-        Err(StoreError::Restored) => {
-            return read(control).await.map(drop).ok_or(ProofError::Unread);
-        }
-        Err(e) => return Err(e.into()),
-    };
-    record_newest(control, adoption, sent);
-    match adoption {
-        Adoption::Behind => Err(ProofError::Behind),
-        Adoption::InForce | Adoption::Rejected => Ok(()),
-    }
-}
-
 /// Records what a call sent at `sent` showed of the newest configuration, by what became of it.
-fn record_newest(control: &Control, adoption: Adoption, sent: Millis) {
+pub(super) fn record_newest(control: &Control, adoption: Adoption, sent: Millis) {
     match adoption {
         Adoption::InForce => {
-            record_proof(&control.shared.config_freshness, sent);
+            control.shared.record_config_proof(sent);
             if let Some(catalog) = &*control.shared.catalog.load() {
                 control.clear_rejected_config(catalog);
             }
--- a/crates/heathpitchd/src/gateway/control/feed_answers.rs
+++ b/crates/heathpitchd/src/gateway/control/feed_answers.rs
@@ -50,7 +50,7 @@
     match control.newest_revision() == response.revision {
         true if control.rejected_config().is_some() => control.confirm_rejected_config(confirmed),
         _ if control.revision() >= response.revision => {
-            record_proof(&control.shared.config_freshness, confirmed);
+            control.shared.record_config_proof(confirmed);
         }
         // This node has not received the newest configuration yet.
         _ => {}
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -1,6 +1,7 @@
 //! Control thread of a gateway: a set of controllers on one current-thread runtime.
 //!
-//! - `config`, `rejected_config`: the newest configuration, the proof that it is current, and one that cannot be used
+//! - `config`, `config_proof`, `rejected_config`: the newest configuration, the proof that it is current, and one that
+//!   cannot be used
 //! - `engine_list`, `engines`, `rejected_entries`: the list of engines, the proof that it is current, and entries that
 //!   cannot be used
 //! - `feed`, `feed_answers`, `sources`, `feed_server`: the same data received from other nodes, the choice of source,
@@ -24,6 +25,7 @@
 
 mod backpressure;
 mod config;
+mod config_proof;
 mod connectivity;
 mod detour;
 mod engine_exits;
@@ -121,7 +123,7 @@
             let tasks = [
                 ("feed", feed::follow(control.clone()).boxed_local()),
                 ("config", config::follow(control.clone()).boxed_local()),
-                ("config_proof", config::keep_proven(control.clone()).boxed_local()),
+                ("config_proof", config_proof::keep_proven(control.clone()).boxed_local()),
                 ("engine_list", engine_list::follow(control.clone()).boxed_local()),
                 ("planner_lease", nodes::follow(control.clone()).boxed_local()),
                 ("node_count", nodes::count(control.clone()).boxed_local()),
--- a/crates/heathpitchd/src/gateway/control/rejected_config.rs
+++ b/crates/heathpitchd/src/gateway/control/rejected_config.rs
@@ -75,6 +75,7 @@
     pub(super) fn confirm_rejected_config(&self, sent: Millis) {
         if let Some(mut rejection) = self.rejection.get() {
             rejection.confirmed.prove(sent);
+            self.shared.config_proofs.confirm(sent);
             self.rejection.set(Some(rejection));
         }
     }
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -228,6 +228,22 @@
         /// Time since the last of them was sent.
         attempt_ms: Option<Millis>,
     },
+    /// Calls waited for a proof of the configuration, as the last one was old and no attempt since had failed.
+    CallsAwaitedProof {
+        /// The last of them.
+        request: String,
+        /// Calls since the previous such line.
+        calls: u64,
+        /// Time for which it waited.
+        ms: Millis,
+        /// Whether it was `admitted` by a proof or because the store is known not to answer, or by the end of its wait,
+        /// in which attempts were `unanswered`; refused if they were `unattempted`.
+        outcome: &'static str,
+        /// Time since the newest configuration was last confirmed.
+        proof_ms: Option<Millis>,
+        /// Own attempts to confirm it since the store last answered one.
+        attempts: u64,
+    },
     /// A thread of this node did not run for some time.
     ThreadDelayed {
         /// Thread: `control`, or `calls` for the one that serves them.
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -180,7 +180,7 @@
     pub(crate) table: ArcSwap<EngineTable>,
     /// When the configuration in force was last confirmed as the newest.
     pub(crate) config_freshness: ArcSwap<Freshness>,
-    /// Own attempts to prove it.
+    /// Proofs of the newest configuration, for the admission of calls.
     pub(crate) config_proofs: ConfigProofs,
     pub(crate) old_proof_calls: OldProofCalls,
     /// When the known engines were last confirmed to match the store.
@@ -257,6 +257,12 @@
         }
     }
 
+    /// Records that the configuration in force was confirmed as the newest by a call sent at `sent`.
+    pub(crate) fn record_config_proof(&self, sent: Millis) {
+        record_proof(&self.config_freshness, sent);
+        self.config_proofs.confirm(sent);
+    }
+
     /// Current time of the node's clock.
     pub(crate) fn now(&self) -> Millis {
         self.clock.now()
--- a/crates/heathpitchd/tests/gateway_old_proofs.rs
+++ b/crates/heathpitchd/tests/gateway_old_proofs.rs
@@ -143,3 +143,29 @@
     assert_eq!(returned.last().unwrap()["node"], "n2");
     assert!(returned.last().unwrap()["silent_ms"].as_u64().unwrap() >= 3_500, "{returned:?}");
 }
+
+/// Guards against calls that wait for a proof again and again, or are refused, while a node is cut off from the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_of_a_node_that_is_cut_off_from_the_store_do_not_wait() {
+    for mode in [LinkMode::Blackhole, LinkMode::Reset] {
+        let (cluster, _old, _new) = two_services();
+        let (node, link) = cluster.start_behind("n1", &json!({}));
+        node.wait_ready().await.unwrap();
+        let caller = Caller::new(node.listen).keep_alive();
+        link.set_mode(mode);
+        let cut = Instant::now();
+        let (mut waits, mut longest) = (Duration::ZERO, Duration::ZERO);
+        while cut.elapsed() < STOP_TIME * 2 {
+            let sent = Instant::now();
+            assert_eq!(caller.call(Method::GET, "/open/x", "").await.unwrap().status, 200);
+            let took = sent.elapsed();
+            longest = longest.max(took);
+            if took > Duration::from_millis(50) {
+                waits += took;
+            }
+            tokio::time::sleep(CALL_INTERVAL).await;
+        }
+        assert!(longest < Duration::from_millis(500), "{mode:?}: {longest:?}");
+        assert!(waits < Duration::from_millis(1_000), "{mode:?}: {waits:?} in all");
+    }
+}
--- a/crates/policy/src/proof_schedule.rs
+++ b/crates/policy/src/proof_schedule.rs
@@ -18,13 +18,16 @@
 //! An answer may be slow because it holds a large configuration. An attempt is therefore repeated only once it takes
 //! twice as long as the last answer did, and at most [`MAX_PENDING_PROOFS`] are pending.
 //!
+//! The sum holds as long as no more attempts fail. Calls that find an older proof therefore demand further attempts
+//! ([`crate::ProofState`]), which do not wait for the schedule.
+//!
 //! Retries follow the time at which an attempt was sent, not that at which it failed: a lost one fails only after a
 //! second and more.
 
 use heathpitch_core::Millis;
 use rand::Rng;
 
-use crate::STANDBYS;
+use crate::{ADMISSION_AGE_MS, EXCUSE_TTL_MS, STANDBYS};
 
 /// Shortest agreed time from the acceptance of a configuration until nodes in touch serve by it.
 pub const MIN_APPLY_MS: Millis = 2_000;
@@ -48,6 +51,8 @@
 const FAILED_PROOF_SLOT_MS: Millis = 500;
 /// Shortest wait after such a proof.
 const MIN_SPREAD_RETRY_MS: Millis = 300;
+/// Time between two attempts that calls demand: many times the usual latency of the store.
+const DEMAND_INTERVAL_MS: Millis = 60;
 /// Longest time between two attempts of a node that reads the store while that answers other calls.
 const MAX_RETRY_MS: Millis = 400;
 /// The same while the store is away, a fraction of the shortest revocation time of a removed key.
@@ -58,6 +63,8 @@
     assert!(STANDBY_PROOF_AGE_MS[STANDBYS - 1] < FOLLOWER_PROOF_AGE_MS);
     assert!(PROOF_INTERVAL_MS + FIRST_RETRY_MS + PROOF_ANSWER_MS < MIN_APPLY_MS);
     assert!(FOLLOWER_PROOF_AGE_MS + FIRST_RETRY_MS + PROOF_ANSWER_MS < MIN_APPLY_MS);
+    assert!(FOLLOWER_PROOF_AGE_MS + FIRST_RETRY_MS < ADMISSION_AGE_MS);
+    assert!(MAX_OUTAGE_RETRY_MS < EXCUSE_TTL_MS);
 };
 
 /// Schedule of a node's own proofs.
@@ -137,6 +144,15 @@
         self.from.max(retry).max(proven.map_or(0, |proven| proven + age))
     }
 
+    /// Time of the next attempt if calls wait for one, beside so many that are `pending`.
+    pub fn demanded(&self, pending: usize) -> Millis {
+        let interval = match pending {
+            0 => DEMAND_INTERVAL_MS,
+            _ => DEMAND_INTERVAL_MS.max((2 * self.latency).min(MAX_OUTAGE_RETRY_MS)),
+        };
+        self.reader.sent.max(self.follower.sent) + interval
+    }
+
     /// Records that a node that reads the store sends an attempt at `sent`.
     pub fn reader_sent(&mut self, sent: Millis) {
         self.reader = Attempts { count: self.reader.count.saturating_add(1), sent, wait: 0 };
