Lost proofs of a configuration do not end a node's attempts for seconds

What callers would see: nothing while they call, since a call on an old proof demands an attempt; without calls, a node that serves an old configuration to others and adopts the newest one late.

Cause: at most two attempts were pending, and a lost one ends only after 1.2 s, so that the third came past the agreed time. After two failures a follower waited for up to half a second a node of its failure domain, 8.3 s at 16.

Change: three attempts may be pending; the wait after a failure is at most 2.3 s, below the time for which a failed attempt excuses an old proof. At 985 nodes that hear of no store this is 760 calls a second, of which none reaches a store that is cut off, and two a second and failure domain no longer bound it; while other nodes have a proof, followers poll these.

Evidence: two_lost_attempts_of_a_reader_keep_the_agreed_time and a_follower_tries_again_before_its_failed_attempts_are_out_of_date fail on the schedule before, and pass now.

--- a/crates/policy/src/proof_schedule.rs
+++ b/crates/policy/src/proof_schedule.rs
@@ -40,17 +40,19 @@
 /// Time after which an attempt without a proof is repeated.
 pub const FIRST_RETRY_MS: Millis = 200;
 /// Attempts without an answer at one time.
-pub const MAX_PENDING_PROOFS: usize = 2;
+pub const MAX_PENDING_PROOFS: usize = 3;
 
 /// Age at which a standby proves the configuration by itself, by rank.
 const STANDBY_PROOF_AGE_MS: [Millis; STANDBYS] = [1_200, 1_300, 1_400];
 /// The same for the other followers.
 const FOLLOWER_PROOF_AGE_MS: Millis = 1_550;
-/// Time between two proofs of a failure domain's followers that the store did not answer: two calls a second,
-/// whatever the number of nodes.
+/// Time between two proofs of a failure domain's followers that the store did not answer: two calls a second, up to
+/// [`MAX_SPREAD_MS`].
 const FAILED_PROOF_SLOT_MS: Millis = 500;
 /// Shortest wait after such a proof.
 const MIN_SPREAD_RETRY_MS: Millis = 300;
+/// Longest random part of that wait. A node tries again before its last attempt ceases to excuse an old proof.
+const MAX_SPREAD_MS: Millis = 2_000;
 /// Time between two attempts that calls demand: many times the usual latency of the store.
 const DEMAND_INTERVAL_MS: Millis = 60;
 /// Longest time between two attempts of a node that reads the store while that answers other calls.
@@ -64,6 +66,7 @@
     assert!(PROOF_INTERVAL_MS + FIRST_RETRY_MS + PROOF_ANSWER_MS < MIN_APPLY_MS);
     assert!(FOLLOWER_PROOF_AGE_MS + FIRST_RETRY_MS + PROOF_ANSWER_MS < MIN_APPLY_MS);
     assert!(FOLLOWER_PROOF_AGE_MS + FIRST_RETRY_MS < ADMISSION_AGE_MS);
+    assert!(MIN_SPREAD_RETRY_MS + MAX_SPREAD_MS < EXCUSE_TTL_MS);
     assert!(MAX_OUTAGE_RETRY_MS < EXCUSE_TTL_MS);
 };
 
@@ -160,7 +163,7 @@
 
     /// Records that a follower sends an attempt at `sent`; `contenders` nodes may do the same.
     pub fn follower_sent(&mut self, sent: Millis, contenders: u32, rng: &mut impl Rng) {
-        let spread = FAILED_PROOF_SLOT_MS * u64::from(contenders.max(1));
+        let spread = (FAILED_PROOF_SLOT_MS * u64::from(contenders.max(1))).min(MAX_SPREAD_MS);
         let wait = match self.follower.count {
             0 => self.first_retry(),
             _ => MIN_SPREAD_RETRY_MS + rng.random_range(0..=spread),
--- a/crates/policy/tests/proof_schedule.rs
+++ b/crates/policy/tests/proof_schedule.rs
@@ -2,7 +2,8 @@
 
 use heathpitch_core::Millis;
 use heathpitch_policy::{
-    MIN_APPLY_MS, PROOF_ANSWER_MS, PROOF_INTERVAL_MS, ProofRole, ProofSchedule,
+    EXCUSE_TTL_MS, MAX_PENDING_PROOFS, MIN_APPLY_MS, PROOF_ANSWER_MS, PROOF_INTERVAL_MS, ProofRole,
+    ProofSchedule,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -44,6 +45,36 @@
     }
 }
 
+/// Guards against a node that cannot send a third attempt within the agreed time because two lost ones, which end only
+/// after 1.2 s, count as pending.
+#[test]
+fn two_lost_attempts_of_a_reader_keep_the_agreed_time() {
+    let mut schedule = ProofSchedule::default();
+    for _ in 0..2 {
+        schedule.reader_sent(schedule.due(Some(5_000), READER));
+    }
+    let third = schedule.due(Some(5_000), READER);
+    assert!(third + PROOF_ANSWER_MS < 5_000 + MIN_APPLY_MS, "at {third}");
+    const { assert!(MAX_PENDING_PROOFS > 2) };
+}
+
+/// Guards against a follower of a large failure domain whose way to the store returns and that does not ask it before it
+/// counts as in touch again, although no call demands it.
+#[test]
+fn a_follower_tries_again_before_its_failed_attempts_are_out_of_date() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let follower = ProofRole::Follower { own_age: ProofSchedule::own_proof_age(None) };
+    for contenders in [1, 4, 9, 330] {
+        for _ in 0..100 {
+            let mut schedule = ProofSchedule::default();
+            schedule.follower_sent(6_550, contenders, &mut rng);
+            schedule.follower_sent(6_750, contenders, &mut rng);
+            let due = schedule.due(Some(5_000), follower);
+            assert!((7_050..6_750 + EXCUSE_TTL_MS).contains(&due), "{contenders}: at {due}");
+        }
+    }
+}
+
 /// Guards against a store that returns and is not asked for seconds, and against one that is asked all the time while it
 /// is away.
 #[test]
