An answer that ends with its connection before its body is not whole

What callers saw: a 200 with an empty body, framed as whole, from an engine that had stopped right after the head of an answer without a length.

Cause: an answer without a length or chunks ends with its connection, and an orderly close of an engine that stops looks the same. Behind the first bytes the two cannot be told apart; an answer with none of them was passed on all the same.

Change: a single answer that ends so before its body, and a stream that ends so before its first event, count as lost: they are sent again where the route allows it, and otherwise not passed on as whole. An empty body with a length, in chunks or to a HEAD is whole as before.

--- a/crates/heathpitchd/src/gateway/call/relay.rs
+++ b/crates/heathpitchd/src/gateway/call/relay.rs
@@ -8,10 +8,11 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
+use hyper::header::CONTENT_LENGTH;
 
 use super::flow::Flow;
 use super::record::record_answered;
-use super::send::{Answer, SLOW_ANSWER_MS, until_way_lost};
+use super::send::{Answer, SLOW_ANSWER_MS, is_framed, until_way_lost};
 use crate::gateway::event::GatewayEvent;
 
 /// Time between two attempts to move a stream.
@@ -24,7 +25,7 @@
     flow.traffic.shared.metrics.first.observe(first_ms as f64 / 1e3);
     let mut head = answer.parts.clone();
     heathpitch_net::strip_hop_by_hop(&mut head.headers);
-    head.headers.remove(hyper::header::CONTENT_LENGTH);
+    head.headers.remove(CONTENT_LENGTH);
     let relay = Relay {
         flow,
         source: Some(answer),
@@ -133,6 +134,9 @@
             None if self.flow.events.has_partial() => {
                 ReadOutcome::Failed("the answer ended in the middle of an event".to_owned())
             }
+            None if self.flow.events.last().is_none() && !is_framed(&source.parts.headers) => {
+                ReadOutcome::Failed("the connection ended before the first event".to_owned())
+            }
             None => ReadOutcome::End,
         }
     }
--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -12,8 +12,9 @@
 use heathpitch_policy::{Backpressure, Suspicion};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response;
-use hyper::{Request, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode};
 
 use super::Traffic;
 use super::admit::Call;
@@ -56,6 +57,8 @@
         if declared > max_bytes {
             return Err(lost(&BodyError::TooLarge));
         }
+        // A body without any bytes, as that of a HEAD, has ended already.
+        let ends_with_connection = !body.is_end_stream() && !is_framed(&parts.headers);
         let mut held = HeldBytes::default();
         shared.contents.grow_answer(&mut held, declared).await;
         let mut content = BytesMut::with_capacity(declared);
@@ -70,6 +73,9 @@
             shared.contents.grow_answer(&mut held, length).await;
             content.extend_from_slice(&piece);
         }
+        if content.is_empty() && ends_with_connection {
+            return Err(lost(&"the connection ended before the body"));
+        }
         release_connection(connection, &parts, &shared.pool);
         Ok(CompleteAnswer { parts, content: content.freeze(), held })
     }
@@ -80,6 +86,11 @@
     }
 }
 
+/// Whether a body has an end of its own, rather than that of its connection, which an engine that stops ends too.
+pub(super) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 fn release_connection(connection: Connection, parts: &response::Parts, pool: &Pool) {
     if let Some(keep) = keep_alive_timeout(&parts.headers) {
         pool.release(connection, keep);
