--- a/crates/heathpitchd/tests/gateway_soak.rs
+++ b/crates/heathpitchd/tests/gateway_soak.rs
@@ -117,6 +117,15 @@
     run_schedule(&schedule.with_config_changes().with_refused_calls()).await;
 }
 
+/// Followers whose sources answered polls and did not reach the store served by an older configuration, once two of their
+/// own proofs had been refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn configurations_are_in_force_in_time_beside_sources_without_the_store() {
+    let schedule = FaultSchedule::empty(77_101, Duration::from_secs(20));
+    let schedule = schedule.with_config_changes().with_refused_calls();
+    run_schedule(&schedule.with_cut_sources()).await;
+}
+
 /// One bad figure in the limits, or one unreadable route, kept a configuration out of force, and all nodes refused all
 /// calls.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -37,7 +37,7 @@
     /// Time within which faults start, in seconds.
     #[options(default = "12")]
     length: u64,
-    /// Only configuration changes, invalid parts and refused calls on the store beside silent nodes, in a cluster of five nodes, without other faults.
+    /// Only configuration changes, invalid parts, refused calls on the store and sources cut off from it beside silent nodes, in a cluster of five nodes, without other faults.
     configs: bool,
     /// Directory for the logs of runs that violate an invariant.
     logs: Option<PathBuf>,
@@ -56,7 +56,8 @@
                 true => FaultSchedule::empty(*seed, length)
                     .with_config_changes()
                     .with_invalid_parts()
-                    .with_refused_calls(),
+                    .with_refused_calls()
+                    .with_cut_sources(),
                 false => FaultSchedule::generate(*seed, length)
                     .with_restarts()
                     .with_crashes()
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -14,10 +14,11 @@
 
 use crate::config_history::ConfigVersion;
 use crate::error::SoakError;
+use crate::fault::InvalidPart;
 use crate::invariants::{DrainedEngine, EngineDisruption, History, NodeDisruption, RevokedKey};
 use crate::load::{self, CallKind, CallRecord, FATAL_PART};
 use crate::retry_limit::RetryLimit;
-use crate::schedule::{InvalidPart, LAYERED_ENGINES, NODES, PLAIN_ENGINES};
+use crate::schedule::{LAYERED_ENGINES, NODES, PLAIN_ENGINES};
 use crate::senders::Senders;
 
 /// API key that is never revoked.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod cluster;
 mod config_history;
 mod error;
+mod fault;
 mod invariants;
 mod load;
 mod retry_limit;
@@ -17,11 +18,12 @@
 
 pub use config_history::ConfigVersion;
 pub use error::SoakError;
+pub use fault::{Fault, InvalidPart};
 pub use invariants::{
     DrainedEngine, EngineDisruption, History, NodeDisruption, RevokedKey, Violation,
 };
 pub use load::{CallKind, CallRecord};
 pub use retry_limit::RetryLimit;
 pub use runner::{SoakReport, run};
-pub use schedule::{Fault, FaultSchedule, InvalidPart, ScheduledFault};
+pub use schedule::{FaultSchedule, ScheduledFault};
 pub use senders::Senders;
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -12,9 +12,10 @@
 
 use crate::cluster::{FATAL_BODY, TestCluster};
 use crate::error::SoakError;
+use crate::fault::Fault;
 use crate::invariants::Violation;
 use crate::load::{self, CallKind, CallRecord, FATAL_PART_BODY};
-use crate::schedule::{Fault, FaultSchedule};
+use crate::schedule::FaultSchedule;
 
 /// Time after recovery in which the success rate is measured.
 const MEASUREMENT_TIME: Duration = Duration::from_millis(2_500);
@@ -179,7 +180,7 @@
             | Fault::SuspendVm(node)
             | Fault::CutFromEngines(node, ..)
             | Fault::StoreBlackhole(node) => self.cluster.record_node_disruption(Some(node), from),
-            Fault::PausePeers(node, _) => {
+            Fault::PausePeers(node, _) | Fault::CutPeers(node, _) => {
                 let peers = self.cluster.domain_peers(node).into_iter();
                 peers.for_each(|peer| self.cluster.record_node_disruption(Some(peer), from));
             }
@@ -206,6 +207,15 @@
                 let paused = peers.map(|peer| cluster.pause_node(peer, duration));
                 futures::future::try_join_all(paused).await?;
             }
+            Fault::CutPeers(node, duration) => {
+                let set = |mode| {
+                    let peers = cluster.domain_peers(node).into_iter();
+                    peers.for_each(|peer| cluster.set_store_link(peer, mode));
+                };
+                set(LinkMode::Blackhole);
+                tokio::time::sleep(duration).await;
+                set(LinkMode::Pass);
+            }
             Fault::Reload(node) => cluster.signal_node(node, "HUP")?,
             Fault::StoreLink(node, link, duration) => {
                 cluster.set_store_link(node, link);
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -7,6 +7,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use crate::fault::{Fault, InvalidPart};
+
 /// Nodes in a run without several configuration changes.
 pub(crate) const NODES: usize = 3;
 /// Nodes in a run with configuration changes: several nodes of a failure domain can be stopped beside one that runs.
@@ -16,70 +18,9 @@
 /// Engines that hold layers in a run: two copies of each half of the model.
 pub(crate) const LAYERED_ENGINES: usize = 4;
 
-/// A fault or an operator action.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Fault {
-    /// Kills a node and starts it again.
-    Kill(usize),
-    /// Shuts a node down while calls are open and starts it again.
-    Stop(usize),
-    /// Stops a node process with SIGSTOP for a time.
-    Pause(usize, Duration),
-    /// Stops all other nodes of a node's failure domain with SIGSTOP for a time.
-    PausePeers(usize, Duration),
-    /// Has a node reload its settings.
-    Reload(usize),
-    /// Disrupts a node's link to the store.
-    StoreLink(usize, LinkMode, Duration),
-    /// Drops all traffic on a node's open connections to the store; new connections work.
-    StoreBlackhole(usize),
-    /// Makes the store fail for all nodes.
-    Store(StoreMode, Duration),
-    /// Has the store refuse a percentage of the calls that are no watches, as it does beyond its rates.
-    RefuseStoreCalls(u8, Duration),
-    /// Compacts the store's history.
-    CompactStore,
-    /// Disrupts the link to an engine.
-    EngineLink(usize, LinkMode, Duration),
-    /// Changes how an engine answers requests.
-    EngineBehavior(usize, Behavior, Duration),
-    /// Drains a plain engine and starts another one.
-    ReplaceEngine(usize),
-    /// Adds or removes a route.
-    ToggleRoute,
-    /// Revokes an API key.
-    RevokeKey,
-    /// Keeps an invalid part in the configuration for a time.
-    InvalidPart(InvalidPart, Duration),
-    /// Restarts an engine under the same id, without any layers.
-    RestartEngine(usize),
-    /// Writes this value of another writer as an engine entry.
-    ForeignEntry(&'static str),
-    /// Makes a node's clocks show that its VM was suspended for ten seconds.
-    SuspendVm(usize),
-    /// Sends a node the request that crashes every engine which starts to run it.
-    FatalRequest(usize),
-    /// Sends a node a new request with the part of a prompt that crashes every engine which starts to run it.
-    FatalPart(usize),
-    /// Restores the store from a snapshot of this age, with this many later changes by others.
-    RestoreStore(Duration, u64),
-    /// Has an engine refuse all requests with this Retry-After value.
-    RetryAfter(usize, &'static str, Duration),
-    /// Has a plain engine announce draining in its answers, this long before its entry does and another
-    /// engine replaces it.
-    DrainNotice(usize, Duration),
-    /// Has an engine set this rate limit in requests per second.
-    Limit(usize, &'static str, Duration),
-    /// Disrupts the links of a node to all engines, for all its connections or for new ones.
-    CutFromEngines(usize, LinkMode, Scope, Duration),
-}
-
 /// Largest percentage of calls that the store refuses.
 const MAX_REFUSED: u8 = 60;
 
-/// A part of a configuration that nodes cannot use: its section, and its JSON.
-pub type InvalidPart = (&'static str, &'static str);
-
 /// Invalid parts that concern none of the calls.
 const INVALID_PARTS: [InvalidPart; 7] = [
     ("routes", "null"),
@@ -137,6 +78,9 @@
 /// Likewise for calls that the store refuses beside configuration changes.
 const REFUSAL_SALT: u64 = 0x429a;
 
+/// Likewise for sources that are cut off from the store.
+const SOURCES_SALT: u64 = 0x50c3;
+
 /// Likewise for nodes that are cut off from all engines.
 const CUT_SALT: u64 = 0x0c07;
 
@@ -299,6 +243,16 @@
         })
     }
 
+    /// Adds times in which all other nodes of a failure domain answer polls and do not reach the store.
+    #[must_use]
+    pub fn with_cut_sources(self) -> Self {
+        self.with_faults(SOURCES_SALT, 300..3_000, |rng| {
+            let time = random_millis(rng, 2_000..9_000);
+            let fault = Fault::CutPeers(rng.random_range(0..CONFIG_NODES), time);
+            (fault, time + random_millis(rng, 500..5_000))
+        })
+    }
+
     /// Adds invalid parts of the configuration.
     #[must_use]
     pub fn with_invalid_parts(self) -> Self {
