A call that waits for a proof is not refused while an attempt is pending

What callers would see: 503 unconfigured beside a store that answers slowly, on routes with a latency target below 0.6 s; and, once three attempts were pending, waits of calls that demanded none.

Cause, by reading of the change before: an attempt counted as sent only if it was sent within the call's own wait, although one is pending for up to 1.2 s; and a demand was taken back by the next attempt, which is not sent while three are pending, so that later calls could not demand one.

Change: an attempt counts for 1.5 s, and the control thread takes a demand back as it notices it. A call whose thread did not run waits at most three times.

gateway_old_proofs.rs passes, 2 of 2; neither fault has a test of its own.

--- a/crates/heathpitchd/src/gateway/config_proofs.rs
+++ b/crates/heathpitchd/src/gateway/config_proofs.rs
@@ -25,6 +25,11 @@
 /// Delay of the end of that wait from which the thread counts as not having run.
 const STALL_MS: Millis = 100;
 
+/// Most waits of a call whose thread did not run meanwhile.
+const MAX_WAITS: u32 = 3;
+/// Time for which an attempt may be pending, with margin: calls on the store are given up after 1.2 s.
+const ATTEMPT_TTL_MS: Millis = 1_500;
+
 /// Outcome of waiting for a proof.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ProofWait {
@@ -58,7 +63,7 @@
     attempts: AtomicU64,
     /// When the last attempt was sent.
     sent: AtomicU64,
-    /// Whether calls have demanded an attempt since the last one was sent.
+    /// Whether calls have demanded an attempt that the control thread has not noticed yet.
     is_demanded: AtomicBool,
     demanded: Notify,
     changed: watch::Sender<()>,
@@ -94,7 +99,6 @@
     pub(crate) fn attempt_sent(&self, now: Millis) {
         self.attempts.fetch_add(1, Relaxed);
         self.sent.store(now, Relaxed);
-        self.is_demanded.store(false, Relaxed);
     }
 
     /// Records that the store answered an attempt.
@@ -112,6 +116,7 @@
     /// Waits until calls demand an attempt.
     pub(crate) async fn demanded(&self) {
         self.demanded.notified().await;
+        self.is_demanded.store(false, Relaxed);
     }
 }
 
@@ -157,17 +162,20 @@
             Some(target) if target > 0 => MAX_WAIT_MS.min(target / WAIT_FRACTION),
             Some(_) | None => MAX_WAIT_MS,
         };
-        let outcome = loop {
+        let mut outcome = ProofWait::Unattempted;
+        for _ in 0..MAX_WAITS {
             let begin = shared.now();
             let admitted = self.admitted(shared);
-            match tokio::time::timeout(Duration::from_millis(limit), admitted).await {
-                Ok(()) => break ProofWait::Admitted,
-                // The thread did not run meanwhile.
-                Err(_) if shared.now() > begin + limit + STALL_MS => {}
-                Err(_) if self.sent.load(Relaxed) + limit >= begin => break ProofWait::Unanswered,
-                Err(_) => break ProofWait::Unattempted,
+            outcome = match tokio::time::timeout(Duration::from_millis(limit), admitted).await {
+                Ok(()) => ProofWait::Admitted,
+                Err(_) if self.is_attempted(shared.now()) => ProofWait::Unanswered,
+                Err(_) => ProofWait::Unattempted,
+            };
+            let has_run = shared.now() <= begin + limit + STALL_MS;
+            if outcome == ProofWait::Admitted || has_run {
+                break;
             }
-        };
+        }
         let now = shared.now();
         if let Some(calls) = self.lines.record(now) {
             GatewayEvent::CallsAwaitedProof {
@@ -183,6 +191,11 @@
         outcome
     }
 
+    /// Whether an attempt may still be pending at `now`, or has just failed.
+    fn is_attempted(&self, now: Millis) -> bool {
+        self.attempt_age(now).is_some_and(|age| age <= ATTEMPT_TTL_MS)
+    }
+
     async fn admitted(&self, shared: &Shared) {
         let mut changed = self.changed.subscribe();
         while !self.admits(shared.now()) {
