A node that cannot serve any call yet refuses it without waiting for a proof

What is already known to be refused is refused first. Two comments of thread_monitor.rs in plainer words.

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -103,6 +103,10 @@
     };
     let id = head.id.clone();
     let shared = &traffic.shared;
+    if !shared.is_informed() {
+        let detail = "what is held back and the limits of engines have not been read yet";
+        return Err(Refusal::unsent(RefusalKind::Unconfigured, &id, detail));
+    }
     let path = parts.uri.path();
     await_proof(shared, &head, path, received).await?;
     // Before the configuration: one that is replaced meanwhile must not look younger than it is.
@@ -117,10 +121,6 @@
         let detail = "the configuration here is older than that of the node that forwarded it";
         return Err(Refusal::unsent(RefusalKind::Unconfigured, &id, detail));
     }
-    if !shared.is_informed() {
-        let detail = "what is held back and the limits of engines have not been read yet";
-        return Err(Refusal::unsent(RefusalKind::Unconfigured, &id, detail));
-    }
     // A configuration that may be outdated does not deny calls.
     let current = fresh.covers(received, ADMISSION_AGE_MS);
     let deny = |kind, error: LookupError| match current && error.is_denial() {
--- a/crates/heathpitchd/src/gateway/thread_monitor.rs
+++ b/crates/heathpitchd/src/gateway/thread_monitor.rs
@@ -31,7 +31,7 @@
     longest: Cell<Option<(&'static str, Duration)>>,
 }
 
-/// A task whose running time is measured.
+/// A task whose running time is recorded.
 pub(crate) struct Monitored {
     name: &'static str,
     task: LocalBoxFuture<'static, ()>,
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Measures how long a task of this thread runs.
+    /// Records how long a task of this thread runs.
     pub(crate) fn monitor(
         self: &Rc<Self>,
         name: &'static str,
