Tests name no words of the platform

Entries, reports and calls of the platform that three new tests had spelled out come from its stand-in: odd_entries, register_layers, RawEngine::report, write_count. The head of a soak test says what it plays.

--- a/crates/heathpitchd/tests/gateway_cut_answers.rs
+++ b/crates/heathpitchd/tests/gateway_cut_answers.rs
@@ -16,8 +16,9 @@
     Caller, Engine, GatewayProcess, LinkMode, Proxy, RawEngine, Reply, Scope,
 };
 use hyper::Method;
-use serde_json::json;
 
+/// Layers that the engine holds.
+const LAYERS: (u32, u32) = (0, 4);
 /// Events of a whole stream.
 const EVENTS: [&str; 3] =
     ["id: 1\ndata: one\n\n", "id: 2\ndata: two\n\n", "id: 3\ndata: three\n\n"];
@@ -51,7 +52,7 @@
         let limit = sent.clone();
         let respond = move |id: &str| {
             if id.is_empty() {
-                return report();
+                return RawEngine::report(LAYERS);
             }
             let mut whole = response(id, framing);
             whole.truncate(limit.load(Relaxed));
@@ -68,16 +69,6 @@
     }
 }
 
-/// Response to a question about the engine's state, which carries no id.
-fn report() -> Vec<u8> {
-    let report = json!({
-        "stage": "both", "models": [], "busy": false, "seqNo": 0, "queued": 0, "running": 0, "kvUsed": 0,
-        "kvTotal": 800_000, "handles": 0, "layers": { "from": 0, "targetVersion": 4, "version": 1 },
-    });
-    let body = report.to_string();
-    format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len()).into_bytes()
-}
-
 /// A whole response to the call with this id.
 fn response(id: &str, framing: Framing) -> Vec<u8> {
     let head = RawEngine::response_head(id, "200 OK");
@@ -108,15 +99,7 @@
 /// Lists an engine for a service; one of `llm` holds the first half of the layers.
 fn list(cluster: &Cluster, id: &str, service: &str, address: std::net::SocketAddr) {
     match service {
-        "llm" => {
-            let layers = json!({ "from": 0, "targetVersion": 4, "version": 1 });
-            let entry = json!({
-                "service": service, "address": address.to_string(), "zone": "mem", "version": "v1",
-                "slots": 8, "state": "ready", "coldLeftMs": 0, "seqNo": 1, "kind": "small",
-                "layers": layers,
-            });
-            cluster.store.put(&format!("servers/{id}"), &entry);
-        }
+        "llm" => cluster.store.register_layers(id, service, "mem", address, LAYERS),
         _ => cluster.store.register_engine(id, service, "mem", address),
     }
 }
--- a/crates/heathpitchd/tests/gateway_odd_items.rs
+++ b/crates/heathpitchd/tests/gateway_odd_items.rs
@@ -10,12 +10,12 @@
 use std::time::Duration;
 
 use gateway::{Cluster, KEY, is_fed, status, wait_until};
-use heathpitch_standin::{Caller, GatewayProcess, RawEngine, Store};
+use heathpitch_standin::{Caller, GatewayProcess, NESTING, RawEngine, Store, odd_entries};
 use hyper::Method;
 use serde_json::json;
 
-/// Depth of a nested value, beyond the limit of any parser and of a thread's stack.
-const DEPTH: usize = 100_000;
+/// Layers that the odd engine holds.
+const LAYERS: (u32, u32) = (0, 4);
 /// Prefixes and keys that several writers share.
 const SHARED: [&str; 6] = [
     "heathpitch/limits/",
@@ -26,56 +26,11 @@
     "heathpitch/",
 ];
 
-/// Entries of engines, most of which are invalid, as another writer may leave them.
-fn entries() -> Vec<Vec<u8>> {
-    let entry = |field: &str, value: &str| {
-        let mut fields = vec![
-            ("service", r#""api""#),
-            ("address", r#""127.0.0.1:9""#),
-            ("zone", r#""mem""#),
-            ("slots", "8"),
-            ("state", r#""draining""#),
-            ("coldLeftMs", "0"),
-            ("seqNo", "1"),
-        ];
-        fields.retain(|(name, _)| *name != field);
-        fields.push((field, value));
-        let fields: Vec<String> =
-            fields.iter().map(|(name, value)| format!(r#""{name}":{value}"#)).collect();
-        format!("{{{}}}", fields.join(",")).into_bytes()
-    };
-    let (open, close) = ("[".repeat(DEPTH), "]".repeat(DEPTH));
-    let nested = format!("{open}{close}");
-    let objects = format!("{}1{}", r#"{"a":"#.repeat(DEPTH), "}".repeat(DEPTH));
-    let mut entries = vec![
-        open.clone().into_bytes(),
-        nested.clone().into_bytes(),
-        objects.clone().into_bytes(),
-        b"\xff\xfe".to_vec(),
-        Vec::new(),
-    ];
-    for field in ["slots", "more", "layers", "models", "service"] {
-        entries.extend([&open, &nested, &objects].map(|value| entry(field, value)));
-    }
-    for number in ["18446744073709551615", "99999999999999999999999999", "1e400", "-1e400", "-1"] {
-        entries.extend(["slots", "seqNo", "coldLeftMs", "born"].map(|f| entry(f, number)));
-        let layers = format!(r#"{{"from":0,"targetVersion":{number},"version":1}}"#);
-        entries.push(entry("layers", &layers));
-    }
-    let host = "h".repeat(100_000);
-    for port in ["99999", "-1", "0", "123456789012345678901", ""] {
-        entries.push(entry("address", &format!(r#""127.0.0.1:{port}""#)));
-    }
-    entries.push(entry("address", &format!(r#""{host}:80""#)));
-    entries.push(entry("address", r#""127.0.0.1""#));
-    entries
-}
-
 /// Writes each value under a key of its own among the engines', and some among those that nodes share.
 fn put_all(store: &Store, round: usize) {
-    for (number, value) in entries().iter().enumerate() {
+    for (number, value) in odd_entries().iter().enumerate() {
         store.put_bytes(&format!("servers/odd-{round}-{number}"), value);
-        if number % 3 == round % 3 && value.len() < 2 * DEPTH {
+        if number % 3 == round % 3 && value.len() < 2 * NESTING {
             for prefix in SHARED {
                 store.put_bytes(&format!("{prefix}odd-{round}-{number}"), value);
             }
@@ -142,10 +97,9 @@
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
         [head.as_bytes(), body].concat()
     };
-    let report =
-        br#"{"busy":false,"seqNo":0,"queued":0,"running":0,"kvUsed":0,"kvTotal":1,"handles":0}"#;
-    let cut = (0..whole(report).len()).step_by(7).map(|sent| whole(report)[..sent].to_vec());
-    entries().iter().map(|entry| whole(entry)).chain(cut).collect()
+    let report = RawEngine::report(LAYERS);
+    let cut = (0..report.len()).step_by(7).map(|sent| report[..sent].to_vec());
+    odd_entries().iter().map(|entry| whole(entry)).chain(cut).collect()
 }
 
 /// Guards against nodes that end, or cease to serve, because of what an engine answers to a question about its state, or
@@ -163,12 +117,7 @@
     })
     .await
     .unwrap();
-    let entry = json!({
-        "service": "llm", "address": odd.address.to_string(), "zone": "mem", "version": "v1", "slots": 8,
-        "state": "ready", "coldLeftMs": 0, "seqNo": 1, "kind": "small",
-        "layers": { "from": 0, "targetVersion": 4, "version": 1 },
-    });
-    cluster.store.put("servers/odd", &entry);
+    cluster.store.register_layers("odd", "llm", "mem", odd.address, LAYERS);
     let mut node = cluster.node().await;
     let caller = Caller::new(node.listen).key(KEY);
     wait_until("it is asked often, and other calls are served", async || {
--- a/crates/heathpitchd/tests/gateway_old_proofs.rs
+++ b/crates/heathpitchd/tests/gateway_old_proofs.rs
@@ -24,8 +24,6 @@
 const STOP_TIME: Duration = Duration::from_millis(4_000);
 /// Longest time until lines of the log are written, with margin.
 const LOG_DELAY: Duration = Duration::from_millis(600);
-/// Call on the store by which a node proves its configuration.
-const PROOF_CALL: &str = "kv-txn";
 
 /// A cluster with one engine of service `api` and one of service `new`.
 fn two_services() -> (Cluster, Engine, Engine) {
@@ -71,12 +69,12 @@
         let followers: Vec<_> =
             (5..=9).map(|i| cluster.start(&format!("n{i}"), &json!({}))).collect();
         wait_until_fed(&followers).await;
-        let before = cluster.store.call_count(PROOF_CALL);
+        let before = cluster.store.write_count();
         link.set_mode(LinkMode::Blackhole);
         cluster.store.set_mode(StoreMode::RefuseCalls(100));
         let proofs = before + 2 * followers.len() as u64;
         wait_until("two proofs of each follower were refused", async || {
-            cluster.store.call_count(PROOF_CALL) >= proofs
+            cluster.store.write_count() >= proofs
         })
         .await;
         cluster.store.set_mode(StoreMode::Up);
--- a/crates/heathpitchd/tests/gateway_soak.rs
+++ b/crates/heathpitchd/tests/gateway_soak.rs
@@ -117,8 +117,7 @@
     run_schedule(&schedule.with_config_changes().with_refused_calls()).await;
 }
 
-/// Followers whose sources answered polls and did not reach the store served by an older configuration, once two of their
-/// own proofs had been refused.
+/// A node whose sources answer polls and do not reach the store depends on its own calls, of which some are refused.
 #[tokio::test(flavor = "multi_thread")]
 async fn configurations_are_in_force_in_time_beside_sources_without_the_store() {
     let schedule = FaultSchedule::empty(77_101, Duration::from_secs(20));
