Odd answers about an engine's state are given to questions about it

The test counted calls among the questions: they used up most of the odd answers, so that few of these were read as reports, and it passed without showing what it says. Answers to health checks and orders are not shown by it.

--- a/crates/heathpitchd/tests/gateway_odd_items.rs
+++ b/crates/heathpitchd/tests/gateway_odd_items.rs
@@ -14,7 +14,9 @@
 use hyper::Method;
 use serde_json::json;
 
-/// Layers that the odd engine holds.
+/// Engines with odd answers, which are asked about their state together.
+const ODD_ENGINES: usize = 8;
+/// Layers that each of them holds.
 const LAYERS: (u32, u32) = (0, 4);
 /// Prefixes and keys that several writers share.
 const SHARED: [&str; 6] = [
@@ -91,7 +93,7 @@
     assert!(!exited, "a node has ended by itself");
 }
 
-/// Answers to questions about an engine's state, to its health check and to orders: odd values, and cuts in the head.
+/// Answers to questions about an engine's state: odd values, and a report that is cut off anywhere.
 fn state_answers() -> Vec<Vec<u8>> {
     let whole = |body: &[u8]| {
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
@@ -111,19 +113,22 @@
     let rest = cluster.engine("rest", "llm");
     rest.set_layers(4, 8);
     let (answers, asked) = (Arc::new(state_answers()), Arc::new(AtomicUsize::new(0)));
-    let count = asked.clone();
-    let odd = RawEngine::spawn_closing(move |_| {
-        answers[count.fetch_add(1, Relaxed) % answers.len()].clone()
-    })
-    .await
-    .unwrap();
-    cluster.store.register_layers("odd", "llm", "mem", odd.address, LAYERS);
+    for number in 0..ODD_ENGINES {
+        let (answers, count) = (answers.clone(), asked.clone());
+        // It closes the connections of calls, which carry an id.
+        let odd = RawEngine::spawn_closing(move |id| match id {
+            "" => answers[count.fetch_add(1, Relaxed) % answers.len()].clone(),
+            _ => Vec::new(),
+        });
+        let (id, address) = (format!("odd-{number}"), odd.await.unwrap().address);
+        cluster.store.register_layers(&id, "llm", "mem", address, LAYERS);
+    }
     let mut node = cluster.node().await;
     let caller = Caller::new(node.listen).key(KEY);
     wait_until("it is asked often, and other calls are served", async || {
-        // The engine does not answer it.
+        // The engines do not answer it.
         let _ = caller.call(Method::POST, "/tell/x", "prompt").await;
-        status(&caller, "/get/x").await == 200 && asked.load(Relaxed) > state_answers().len()
+        status(&caller, "/get/x").await == 200 && asked.load(Relaxed) > answers.len()
     })
     .await;
     assert!(node.wait_exit(Duration::ZERO).is_none(), "the node has ended by itself");
