--- a/crates/heathpitchd/tests/gateway_old_proofs.rs
+++ b/crates/heathpitchd/tests/gateway_old_proofs.rs
@@ -7,6 +7,7 @@
 
 mod gateway;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use gateway::{Cluster, KEY, is_fed, wait_until};
@@ -22,6 +23,10 @@
 const CALL_INTERVAL: Duration = Duration::from_millis(25);
 /// Time for which a node is stopped.
 const STOP_TIME: Duration = Duration::from_millis(4_000);
+/// Time for which all nodes and the store are stopped: longer than the agreed time.
+const STANDSTILL: Duration = Duration::from_millis(2_200);
+/// Time after a standstill in which calls are sent to each node.
+const RETURN_TIME: Duration = Duration::from_millis(500);
 /// Longest time until lines of the log are written, with margin.
 const LOG_DELAY: Duration = Duration::from_millis(600);
 
@@ -119,6 +124,56 @@
     assert_eq!((old.requests().len(), new.requests().len()), (1, 9), "by the old and new route");
 }
 
+/// Guards against calls that are admitted by an older configuration because a store that stood still with all nodes did
+/// not answer within the time for which a call waits.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_stood_still_with_the_store_admit_no_calls_before_it_answers() {
+    let (mut cluster, old, new) = two_services();
+    let link = Proxy::spawn(cluster.store.address()).unwrap();
+    let nodes: Vec<_> =
+        (1..=7).map(|i| cluster.start_at(link.address(), &format!("n{i}"))).collect();
+    for node in &nodes {
+        node.wait_ready().await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let mut service = "new";
+    for delay in [100, 200, 300, 600].map(Duration::from_millis) {
+        let (before, after) = if service == "new" { (&old, &new) } else { (&new, &old) };
+        link.set_mode(LinkMode::Blackhole);
+        nodes.iter().for_each(|n| n.signal("STOP").unwrap());
+        let accepted = move_route(&mut cluster, service);
+        let late = before.requests().len();
+        tokio::time::sleep_until((accepted + STANDSTILL).into()).await;
+        let queued: Vec<_> = nodes.iter().map(|n| tokio::spawn(get(n.listen))).collect();
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        nodes.iter().for_each(|n| n.signal("CONT").unwrap());
+        let resumed = Instant::now();
+        let store = async {
+            tokio::time::sleep(delay).await;
+            link.set_mode(LinkMode::Pass);
+        };
+        let callers = futures::future::join_all(nodes.iter().map(async |n| {
+            while resumed.elapsed() < RETURN_TIME {
+                get(n.listen).await;
+            }
+        }));
+        tokio::join!(store, callers);
+        futures::future::join_all(queued).await;
+        assert_eq!(before.requests().len() - late, 0, "the store answers {delay:?} later");
+        assert!(!after.requests().is_empty());
+        for node in &nodes {
+            wait_until("the node serves again", async || get(node.listen).await == 200).await;
+        }
+        service = if service == "new" { "api" } else { "new" };
+        tokio::time::sleep(APPLY_BOUND).await;
+    }
+}
+
+/// Status of a call on the route that is moved.
+async fn get(node: SocketAddr) -> u16 {
+    Caller::new(node).key(KEY).call(Method::GET, "/get/x", "").await.unwrap().status
+}
+
 /// Guards against a late node whose own log is the only one that could tell why: its threads did not run, which it and
 /// the planner that it polls tell.
 #[tokio::test(flavor = "multi_thread")]
