Log when the store counts as away, and the time that tasks of a held-up thread took

The log could not tell why calls were admitted on an old proof without a wait: old_proofs_excused tells when and on what evidence. A thread that used its processor for half of a second named only its longest poll; thread_delayed now names the tasks that took most in all.

--- a/crates/heathpitchd/src/gateway/control/config_proof.rs
+++ b/crates/heathpitchd/src/gateway/control/config_proof.rs
@@ -184,7 +184,21 @@
             self.attempts.resumed(now);
         }
         self.attempts.check(now);
-        self.control.shared.config_proofs.excuse(self.attempts.excused_until());
+        let proofs = &self.control.shared.config_proofs;
+        let was_excused = now < proofs.state().excused_until;
+        proofs.excuse(self.attempts.excused_until());
+        match self.attempts.evidence() {
+            Some(evidence) if !was_excused && now < self.attempts.excused_until() => {
+                GatewayEvent::OldProofsExcused {
+                    evidence: evidence.as_str(),
+                    ms: self.attempts.first().map_or(0, |first| now.saturating_sub(first)),
+                    proof_ms: self.control.newest_freshness().age(now),
+                    attempts: proofs.attempts(),
+                }
+                .log();
+            }
+            Some(_) | None => {}
+        }
     }
 }
 
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -228,6 +228,17 @@
         /// Time since the last of them was sent.
         attempt_ms: Option<Millis>,
     },
+    /// The store counts as away, so that calls are admitted on old proofs of the configuration.
+    OldProofsExcused {
+        /// What shows it.
+        evidence: &'static str,
+        /// Time since the first attempt that the store did not answer was sent.
+        ms: Millis,
+        /// Time since the newest configuration was last confirmed.
+        proof_ms: Option<Millis>,
+        /// Own attempts to confirm it since the store last answered one.
+        attempts: u64,
+    },
     /// Calls waited for a proof of the configuration, as the last one was old and no attempt since had failed.
     CallsAwaitedProof {
         /// The last of them.
@@ -256,6 +267,8 @@
         task: Option<&'static str>,
         /// Time for which it ran.
         task_ms: Option<Millis>,
+        /// Tasks that ran longest in all, each with that time; what they lack to `cpu_ms` went to connections.
+        tasks: Vec<(&'static str, Millis)>,
     },
     /// Nodes that poll this planner do so again after a pause in which they may have had an old configuration.
     FollowersReturned {
--- a/crates/heathpitchd/src/gateway/event_log.rs
+++ b/crates/heathpitchd/src/gateway/event_log.rs
@@ -4,7 +4,7 @@
 
 impl GatewayEvent {
     /// Names of all events; they do not change between versions.
-    pub const NAMES: [&'static str; 60] = [
+    pub const NAMES: [&'static str; 61] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -26,6 +26,7 @@
         "config_proof_due",
         "config_proof_failed",
         "calls_on_old_proof",
+        "old_proofs_excused",
         "calls_awaited_proof",
         "thread_delayed",
         "followers_returned",
@@ -78,6 +79,7 @@
             | Self::GatewayReloaded { error: Some(_) }
             | Self::ConfigProofFailed { .. }
             | Self::CallsOnOldProof { .. }
+            | Self::OldProofsExcused { .. }
             | Self::CallsAwaitedProof { .. }
             | Self::ThreadDelayed { .. }
             | Self::FollowersReturned { .. }
--- a/crates/heathpitchd/src/gateway/thread_monitor.rs
+++ b/crates/heathpitchd/src/gateway/thread_monitor.rs
@@ -1,9 +1,9 @@
 //! Detects that a thread of the node was held up.
 //!
-//! A thread that did not run for some time had no processor, or one of its own tasks kept it busy. The processor time used
-//! meanwhile and the task that ran longest tell which.
+//! A thread that did not run for some time had no processor, or its own tasks kept it busy. The processor time used
+//! meanwhile, the task that ran longest without yielding, and the time that each task took in all tell which.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -19,6 +19,8 @@
 const MIN_DELAY: Duration = Duration::from_millis(300);
 /// Interval of checks of a thread that has no other periodic work.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Tasks that are logged with the time that they took in all.
+const MAX_LOGGED_TASKS: usize = 4;
 
 /// Delays of one thread.
 #[derive(Debug)]
@@ -27,8 +29,18 @@
     checked: Cell<Instant>,
     /// Processor time of the thread at that time.
     cpu: Cell<Duration>,
-    /// The task that ran longest since then without yielding.
-    longest: Cell<Option<(&'static str, Duration)>>,
+    /// Tasks that ran since then.
+    tasks: RefCell<Vec<TaskTime>>,
+}
+
+/// Running time of a task between two checks.
+#[derive(Clone, Copy, Debug)]
+struct TaskTime {
+    name: &'static str,
+    /// In all.
+    total: Duration,
+    /// Longest time without yielding.
+    longest: Duration,
 }
 
 /// A task whose running time is recorded.
@@ -45,7 +57,7 @@
             thread,
             checked: Cell::new(Instant::now()),
             cpu: Cell::new(thread_cpu()),
-            longest: Cell::new(None),
+            tasks: RefCell::default(),
         }
     }
 
@@ -63,23 +75,32 @@
         let (now, cpu) = (Instant::now(), thread_cpu());
         let delay = (now - self.checked.replace(now)).saturating_sub(interval);
         let used = cpu.saturating_sub(self.cpu.replace(cpu));
-        let longest = self.longest.take();
+        let mut tasks = self.tasks.take();
         if delay < MIN_DELAY {
             return;
         }
+        let longest = tasks.iter().max_by_key(|t| t.longest).copied();
+        tasks.sort_by_key(|t| std::cmp::Reverse(t.total));
+        tasks.truncate(MAX_LOGGED_TASKS);
         GatewayEvent::ThreadDelayed {
             thread: self.thread,
             ms: millis(delay),
             cpu_ms: millis(used),
-            task: longest.map(|(name, _)| name),
-            task_ms: longest.map(|(_, time)| millis(time)),
+            task: longest.map(|t| t.name),
+            task_ms: longest.map(|t| millis(t.longest)),
+            tasks: tasks.iter().map(|t| (t.name, millis(t.total))).collect(),
         }
         .log();
     }
 
-    fn record(&self, task: &'static str, time: Duration) {
-        if self.longest.get().is_none_or(|(_, longest)| time > longest) {
-            self.longest.set(Some((task, time)));
+    fn record(&self, name: &'static str, time: Duration) {
+        let mut tasks = self.tasks.borrow_mut();
+        match tasks.iter_mut().find(|t| t.name == name) {
+            Some(task) => {
+                task.total += time;
+                task.longest = task.longest.max(time);
+            }
+            None => tasks.push(TaskTime { name, total: time, longest: time }),
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -160,8 +160,8 @@
 pub use probe_repeat::may_repeat_probe;
 pub use probes::{ProbeResult, suspects};
 pub use proof_attempts::{
-    ADMISSION_AGE_MS, EXCUSE_TTL_MS, FAILURE_SPAN_MS, MIN_FAILURES, ProofAttempts, ProofState,
-    SILENCE_MS,
+    ADMISSION_AGE_MS, EXCUSE_TTL_MS, FAILURE_SPAN_MS, MIN_FAILURES, ProofAttempts, ProofEvidence,
+    ProofState, SILENCE_MS,
 };
 pub use proof_schedule::{
     FIRST_RETRY_MS, MAX_PENDING_PROOFS, MIN_APPLY_MS, PROOF_ANSWER_MS, PROOF_INTERVAL_MS,
--- a/crates/policy/src/proof_attempts.rs
+++ b/crates/policy/src/proof_attempts.rs
@@ -65,6 +65,25 @@
     }
 }
 
+/// What shows that the store does not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProofEvidence {
+    /// A repeated attempt had no answer for a time.
+    Silent,
+    /// Attempts failed.
+    Failed,
+}
+
+impl ProofEvidence {
+    /// Name in the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// An attempt without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Attempt {
@@ -103,6 +122,7 @@
     /// Since when this node has run without a pause.
     running_since: Millis,
     excused_until: Millis,
+    evidence: Option<ProofEvidence>,
 }
 
 impl ProofAttempts {
@@ -128,7 +148,7 @@
         self.pending.swap_remove(position);
         let span = self.first.map_or(0, |first| now.saturating_sub(first));
         if self.count >= MIN_FAILURES && span >= FAILURE_SPAN_MS {
-            self.excuse(sent);
+            self.excuse(sent, ProofEvidence::Failed);
         }
     }
 
@@ -142,7 +162,7 @@
         let silent =
             self.pending.iter().filter(|a| self.silent_from(a).is_some_and(|at| now >= at));
         if let Some(sent) = silent.map(|a| a.sent).max() {
-            self.excuse(sent);
+            self.excuse(sent, ProofEvidence::Silent);
         }
     }
 
@@ -157,12 +177,25 @@
         self.excused_until
     }
 
+    /// What shows that, if anything does.
+    pub fn evidence(&self) -> Option<ProofEvidence> {
+        self.evidence
+    }
+
+    /// Time of the first of them.
+    pub fn first(&self) -> Option<Millis> {
+        self.first
+    }
+
     /// Time from which an attempt counts as unanswered.
     fn silent_from(&self, attempt: &Attempt) -> Option<Millis> {
         attempt.repeated.then(|| attempt.sent.max(self.running_since) + SILENCE_MS)
     }
 
-    fn excuse(&mut self, sent: Millis) {
-        self.excused_until = self.excused_until.max(sent + EXCUSE_TTL_MS);
+    fn excuse(&mut self, sent: Millis, evidence: ProofEvidence) {
+        if sent + EXCUSE_TTL_MS > self.excused_until {
+            self.excused_until = sent + EXCUSE_TTL_MS;
+            self.evidence = Some(evidence);
+        }
     }
 }
