A call whose wait for a proof ends without an answer is refused

Callers saw calls handled by an older configuration than agreed, right after nodes and store had stood still. A wait of at most half of a route's latency target ended with "go on" if an attempt had been sent in the 1.5 s before: an answer that took longer than 150 ms admitted calls by whatever configuration there was. That an answer takes longer than a call can wait does not show that the store is away, so the call is refused (not run, Retry-After 0.3 s).

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -27,6 +27,10 @@
 /// the moment from which the time is counted.
 const REVOKE_MARGIN_MS: Millis = 300;
 
+/// Time after which a call that found no proof may be sent again: another node may have one, and this one will have an
+/// answer, or know that the store is away.
+const UNPROVEN_RETRY_MS: Millis = 300;
+
 /// Part of a route's latency target for which a body waits for memory: one in this many.
 const MEMORY_WAIT_FRACTION: Millis = 4;
 
@@ -205,11 +209,19 @@
     // There is nothing to prove.
     let Some(catalog) = shared.catalog.load_full() else { return Ok(()) };
     let target = catalog.route(&head.host, path).ok().map(|route| route.latency_target_ms);
+    let refuse = |detail: &str| {
+        let refusal = Refusal::unsent(RefusalKind::Unconfigured, &head.id, detail);
+        refusal.with_retry_after(UNPROVEN_RETRY_MS)
+    };
     match shared.config_proofs.wait(shared, &head.id, target, received).await {
-        ProofWait::Admitted | ProofWait::Unanswered => Ok(()),
+        ProofWait::Admitted => Ok(()),
+        ProofWait::Unanswered => {
+            let detail =
+                "the store has not told in time whether this node's configuration is the newest";
+            Err(refuse(detail))
+        }
         ProofWait::Unattempted => {
-            let detail = "this node could not ask whether its configuration is the newest";
-            Err(Refusal::unsent(RefusalKind::Unconfigured, &head.id, detail))
+            Err(refuse("this node could not ask whether its configuration is the newest"))
         }
     }
 }
