A store that is late is not taken for one that is away

Callers saw calls handled by an older configuration without any wait: a node held the store for silent after 0.3 s of wall time, and admitted calls on proofs of any age for 2.4 s. Three attempts refused by the store's rates did the same. A store that stood still with the nodes, or a thread that has a processor for a part of the time, looks like that.

What shows now that the store is away: no answer over 0.45 of the agreed time in which this process ran, counted anew after each pause; a new connection that is not established within 0.25 s, which the system does for a process that stands still; three resets over 0.6 s, as before; or ten refusals in a row, if the store answers no other call either. Calls need another proof once the last one is as old as agreed for the deployment (less 50 ms) instead of 1.9 s, so that the evidence of an outage is complete before, where 3.0 s are agreed. Old proofs deny calls as long as they admit them.

Unit tests of the evidence are replaced by ones of the new rule: what excused after 0.3 s must not, and does so after the longer silence, for as long as before.

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -9,7 +9,7 @@
     RequestFingerprint, ServiceSpec,
 };
 use heathpitch_net::{CallBody, CallHead, ForwardedCall};
-use heathpitch_policy::{ADMISSION_AGE_MS, Demand, PartKey, Quarantine};
+use heathpitch_policy::{Demand, PartKey, Quarantine};
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::{Body as _, Incoming};
@@ -126,7 +126,7 @@
         return Err(Refusal::unsent(RefusalKind::Unconfigured, &id, detail));
     }
     // A configuration that may be outdated does not deny calls.
-    let current = fresh.covers(received, ADMISSION_AGE_MS);
+    let current = fresh.covers(received, shared.config_proofs.state().max_age);
     let deny = |kind, error: LookupError| match current && error.is_denial() {
         true => Refusal::unsent(kind, &id, error.to_string()),
         false => Refusal::unsent(RefusalKind::Unconfigured, &id, error.to_string()),
--- a/crates/heathpitchd/src/gateway/config_proofs.rs
+++ b/crates/heathpitchd/src/gateway/config_proofs.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use heathpitch_core::Millis;
-use heathpitch_policy::ProofState;
+use heathpitch_policy::{ProofState, admission_age};
 use tokio::sync::{Notify, watch};
 
 use super::event::GatewayEvent;
@@ -33,9 +33,9 @@
 /// Outcome of waiting for a proof.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ProofWait {
-    /// The configuration is proven, or the store is known not to answer.
+    /// The configuration is proven, or the store is known to be away.
     Admitted,
-    /// Attempts were sent and got no answer in time.
+    /// Attempts were sent and got no answer in time, which does not show that the store is away.
     Unanswered,
     /// No attempt was sent: the control thread does not run.
     Unattempted,
@@ -55,9 +55,11 @@
 /// Proofs of the configuration, shared between the threads.
 #[derive(Debug)]
 pub(crate) struct ConfigProofs {
+    /// Age of a proof from which a call needs another one.
+    max_age: AtomicU64,
     /// When the newest configuration was last confirmed; 0 if it never was.
     confirmed: AtomicU64,
-    /// Until when the store is known not to answer.
+    /// Until when the store is known to be away.
     excused_until: AtomicU64,
     /// Own attempts since the store last answered one.
     attempts: AtomicU64,
@@ -70,9 +72,12 @@
     lines: LineLimiter,
 }
 
-impl Default for ConfigProofs {
-    fn default() -> Self {
+/// # Construction
+impl ConfigProofs {
+    /// No proof yet, where `apply_ms` is the agreed time for configurations.
+    pub(crate) fn new(apply_ms: Millis) -> Self {
         Self {
+            max_age: AtomicU64::new(admission_age(apply_ms)),
             confirmed: AtomicU64::new(0),
             excused_until: AtomicU64::new(0),
             attempts: AtomicU64::new(0),
@@ -83,6 +88,11 @@
             lines: LineLimiter::default(),
         }
     }
+
+    /// Sets the agreed time for configurations.
+    pub(crate) fn set_apply_time(&self, apply_ms: Millis) {
+        self.max_age.store(admission_age(apply_ms), Relaxed);
+    }
 }
 
 /// # Control thread
@@ -106,7 +116,7 @@
         self.attempts.store(0, Relaxed);
     }
 
-    /// Records until when the store is known not to answer.
+    /// Records until when the store is known to be away.
     pub(crate) fn excuse(&self, until: Millis) {
         if self.excused_until.swap(until, Relaxed) != until {
             self.changed.send_replace(());
@@ -128,6 +138,7 @@
         ProofState {
             confirmed: (confirmed > 0).then_some(confirmed),
             excused_until: self.excused_until.load(Relaxed),
+            max_age: self.max_age.load(Relaxed),
         }
     }
 
--- a/crates/heathpitchd/src/gateway/control/config_proof.rs
+++ b/crates/heathpitchd/src/gateway/control/config_proof.rs
@@ -13,7 +13,7 @@
 use heathpitch_core::Millis;
 use heathpitch_net::{RpcError, StoreError, Write};
 use heathpitch_policy::{
-    MAX_PENDING_PROOFS, MIN_APPLY_MS, ProofAttempts, ProofRole, ProofSchedule,
+    MAX_PENDING_PROOFS, MIN_APPLY_MS, ProofAttempts, ProofFailure, ProofRole, ProofSchedule,
 };
 
 use super::config::{Adoption, adopt, read, record_newest};
@@ -27,8 +27,6 @@
 const CHECK_INTERVAL_MS: Millis = 300;
 /// Time for which a demand of calls lasts, which is how long they wait.
 const DEMAND_MS: Millis = 300;
-/// Delay of a timer from which this node counts as not having run.
-const STALL_MS: Millis = 100;
 
 /// Why a proof of the configuration failed.
 #[derive(Debug, thiserror::Error)]
@@ -47,6 +45,17 @@
     Unread,
 }
 
+impl ProofError {
+    /// What it says of the store.
+    fn failure(&self) -> ProofFailure {
+        match self {
+            Self::Store(StoreError::Refused(_)) => ProofFailure::Refused,
+            Self::Store(StoreError::Rpc(RpcError::Connect(_))) => ProofFailure::Unconnected,
+            Self::Store(_) | Self::Absent | Self::Behind | Self::Unread => ProofFailure::Failed,
+        }
+    }
+}
+
 /// Proves that the configuration in force is the newest: periodically if this node reads the store, and otherwise
 /// when no source has a proof young enough, or when calls demand it.
 pub(super) async fn keep_proven(control: Rc<Control>) {
@@ -57,7 +66,7 @@
              but bounds.config_apply_ms is {apply_ms}"
         );
     }
-    let mut prover = Prover::new(&control);
+    let mut prover = Prover::new(&control, apply_ms);
     let mut pending = FuturesUnordered::new();
     loop {
         let now = control.now();
@@ -77,7 +86,7 @@
             () = control.shared.config_proofs.demanded() => prover.demanded(),
             () = control.pause(Duration::from_millis(wake.saturating_sub(now))) => {}
         }
-        prover.check(wake);
+        prover.check();
     }
 }
 
@@ -92,11 +101,11 @@
 }
 
 impl<'a> Prover<'a> {
-    fn new(control: &'a Control) -> Self {
+    fn new(control: &'a Control, apply_ms: Millis) -> Self {
         Self {
             control,
             schedule: ProofSchedule::default(),
-            attempts: ProofAttempts::default(),
+            attempts: ProofAttempts::new(apply_ms.max(MIN_APPLY_MS)),
             demanded_until: 0,
             failures: LineLimiter::default(),
         }
@@ -159,7 +168,8 @@
             self.attempts.answered();
             return self.control.shared.config_proofs.attempt_answered();
         };
-        self.attempts.failed(sent, now);
+        let answered = self.control.access.get().answered();
+        self.attempts.failed(sent, error.failure(), answered, now);
         if self.failures.record(now).is_some() {
             GatewayEvent::ConfigProofFailed {
                 reads: self.control.reads_store(),
@@ -177,12 +187,9 @@
         self.demanded_until = self.control.now() + DEMAND_MS;
     }
 
-    /// Checks for attempts without an answer after a wait until `wake` at the latest.
-    fn check(&mut self, wake: Millis) {
+    /// Checks for attempts without an answer.
+    fn check(&mut self) {
         let now = self.control.now();
-        if now > wake + STALL_MS {
-            self.attempts.resumed(now);
-        }
         self.attempts.check(now);
         let proofs = &self.control.shared.config_proofs;
         let was_excused = now < proofs.state().excused_until;
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -247,8 +247,8 @@
         calls: u64,
         /// Time for which it waited.
         ms: Millis,
-        /// Whether it was `admitted` by a proof or because the store is known not to answer, or by the end of its wait,
-        /// in which attempts were `unanswered`; refused if they were `unattempted`.
+        /// Whether it was `admitted`, by a proof or because the store is known to be away, or refused, as attempts were
+        /// `unanswered` or `unattempted` by the end of its wait.
         outcome: &'static str,
         /// Time since the newest configuration was last confirmed.
         proof_ms: Option<Millis>,
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -226,11 +226,11 @@
             metrics,
             pool: Pool::new(),
             contents: ContentBudget::new(settings.vm.memory_mb),
+            config_proofs: ConfigProofs::new(settings.bounds.config_apply_ms),
             settings: ArcSwap::from_pointee(settings),
             catalog: ArcSwapOption::empty(),
             table: ArcSwap::default(),
             config_freshness: ArcSwap::default(),
-            config_proofs: ConfigProofs::default(),
             old_proof_calls: OldProofCalls::default(),
             list_freshness: ArcSwap::default(),
             quarantine: ArcSwap::default(),
@@ -251,6 +251,7 @@
     /// Puts reloaded settings into force, also in the published engine table.
     pub(crate) fn apply_settings(&self, settings: GatewaySettings) {
         let forecast = settings.load.forecast.is_on();
+        self.config_proofs.set_apply_time(settings.bounds.config_apply_ms);
         self.settings.store(Arc::new(settings));
         if self.table.load().forecast != forecast {
             self.table.rcu(|table| EngineTable { forecast, ..(**table).clone() });
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -17,7 +17,7 @@
 
 use crate::{Body, RpcError, body};
 
-/// Timeout of a connection attempt.
+/// Default timeout of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of idle connections per upstream.
 const MAX_IDLE: usize = 64;
@@ -39,6 +39,7 @@
 pub struct Client {
     pooled: Arc<Mutex<legacy::Client<HttpConnector, Body>>>,
     idle_timeout: Duration,
+    connect_timeout: Duration,
     unpooled: legacy::Client<HttpConnector, Body>,
     byte_count: Arc<AtomicU64>,
     max_bytes: usize,
@@ -64,11 +65,17 @@
 
     /// A client that closes idle connections after `idle_timeout`.
     pub fn with_idle_timeout(idle_timeout: Duration) -> Self {
-        let pooled = Arc::new(Mutex::new(build(MAX_IDLE, idle_timeout)));
+        Self::with_timeouts(idle_timeout, CONNECT_TIMEOUT)
+    }
+
+    /// The same with another timeout of connection attempts.
+    pub fn with_timeouts(idle_timeout: Duration, connect_timeout: Duration) -> Self {
+        let pooled = Arc::new(Mutex::new(build(MAX_IDLE, idle_timeout, connect_timeout)));
         Self {
             pooled,
             idle_timeout,
-            unpooled: build(0, idle_timeout),
+            connect_timeout,
+            unpooled: build(0, idle_timeout, connect_timeout),
             byte_count: Arc::default(),
             max_bytes: MAX_JSON_BYTES,
         }
@@ -85,13 +92,17 @@
     /// After a request on one of them got no response, others may be dead as well, and each would
     /// cost another call its whole timeout.
     pub fn close_idle(&self) {
-        *self.pooled.lock() = build(MAX_IDLE, self.idle_timeout);
+        *self.pooled.lock() = build(MAX_IDLE, self.idle_timeout, self.connect_timeout);
     }
 }
 
-fn build(max_idle: usize, idle_timeout: Duration) -> legacy::Client<HttpConnector, Body> {
+fn build(
+    max_idle: usize,
+    idle_timeout: Duration,
+    connect_timeout: Duration,
+) -> legacy::Client<HttpConnector, Body> {
     let mut connector = HttpConnector::new();
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_connect_timeout(Some(connect_timeout));
     connector.set_nodelay(true);
     legacy::Client::builder(TokioExecutor::new())
         .pool_max_idle_per_host(max_idle)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -68,6 +68,7 @@
 mod probes;
 mod proof_attempts;
 mod proof_schedule;
+mod proof_state;
 mod quarantine;
 mod rank_mix;
 mod recent_demand;
@@ -160,13 +161,14 @@
 pub use probe_repeat::may_repeat_probe;
 pub use probes::{ProbeResult, suspects};
 pub use proof_attempts::{
-    ADMISSION_AGE_MS, EXCUSE_TTL_MS, FAILURE_SPAN_MS, MIN_FAILURES, ProofAttempts, ProofEvidence,
-    ProofState, SILENCE_MS,
+    EXCUSE_TTL_MS, FAILURE_SPAN_MS, MIN_CONNECT_MS, MIN_FAILURES, MIN_REFUSALS, PAUSE_MS,
+    ProofAttempts, ProofEvidence, ProofFailure, REPEAT_SILENCE_MS, silence_ms,
 };
 pub use proof_schedule::{
     FIRST_RETRY_MS, MAX_PENDING_PROOFS, MIN_APPLY_MS, PROOF_ANSWER_MS, PROOF_INTERVAL_MS,
     ProofRole, ProofSchedule, REPOLL_AGE_MS,
 };
+pub use proof_state::{ProofState, admission_age};
 pub use quarantine::{EngineExit, EngineIncarnation, Quarantine, just_started};
 pub use rank_mix::RankMix;
 pub use recent_demand::{DemandCount, DemandKey, RecentDemand};
--- a/crates/policy/src/proof_schedule.rs
+++ b/crates/policy/src/proof_schedule.rs
@@ -27,7 +27,7 @@
 use heathpitch_core::Millis;
 use rand::Rng;
 
-use crate::{ADMISSION_AGE_MS, EXCUSE_TTL_MS, STANDBYS};
+use crate::{EXCUSE_TTL_MS, STANDBYS, admission_age};
 
 /// Shortest agreed time from the acceptance of a configuration until nodes in touch serve by it.
 pub const MIN_APPLY_MS: Millis = 2_000;
@@ -65,7 +65,7 @@
     assert!(STANDBY_PROOF_AGE_MS[STANDBYS - 1] < FOLLOWER_PROOF_AGE_MS);
     assert!(PROOF_INTERVAL_MS + FIRST_RETRY_MS + PROOF_ANSWER_MS < MIN_APPLY_MS);
     assert!(FOLLOWER_PROOF_AGE_MS + FIRST_RETRY_MS + PROOF_ANSWER_MS < MIN_APPLY_MS);
-    assert!(FOLLOWER_PROOF_AGE_MS + FIRST_RETRY_MS < ADMISSION_AGE_MS);
+    assert!(FOLLOWER_PROOF_AGE_MS + FIRST_RETRY_MS < admission_age(MIN_APPLY_MS));
     assert!(MIN_SPREAD_RETRY_MS + MAX_SPREAD_MS < EXCUSE_TTL_MS);
     assert!(MAX_OUTAGE_RETRY_MS < EXCUSE_TTL_MS);
 };
