A call on keys that may be revoked is refused as such, also after a wait for a proof

The refusal of a call that found no proof comes after that of keys that are too old, as before, and names the account and rank of its caller.

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -112,7 +112,7 @@
         return Err(Refusal::unsent(RefusalKind::Unconfigured, &id, detail));
     }
     let path = parts.uri.path();
-    await_proof(shared, &head, path, received).await?;
+    let waited = await_proof(shared, &head, path, received).await;
     // Before the configuration: one that is replaced meanwhile must not look younger than it is.
     let fresh = **shared.config_freshness.load();
     let Some(catalog) = shared.catalog.load_full() else {
@@ -152,6 +152,7 @@
         let detail = "the known keys are too old to tell whether this one is still valid";
         return Err(of_caller(Refusal::unsent(RefusalKind::StaleKeys, &id, detail)));
     }
+    refuse_unproven(&id, waited).map_err(of_caller)?;
     let service = pick_service(&catalog, &route, &id).map_err(of_caller)?;
     shared.old_proof_calls.record(shared, &id, &catalog, received);
     let memory = BodyMemory {
@@ -197,33 +198,27 @@
 }
 
 /// Waits until a call may be admitted by the configuration in force, if the last proof of that is old.
-async fn await_proof(
-    shared: &Shared,
-    head: &CallHead,
-    path: &str,
-    received: Millis,
-) -> Result<(), Refusal> {
+async fn await_proof(shared: &Shared, head: &CallHead, path: &str, received: Millis) -> ProofWait {
     if shared.config_proofs.admits(received) {
-        return Ok(());
+        return ProofWait::Admitted;
     }
     // There is nothing to prove.
-    let Some(catalog) = shared.catalog.load_full() else { return Ok(()) };
+    let Some(catalog) = shared.catalog.load_full() else { return ProofWait::Admitted };
     let target = catalog.route(&head.host, path).ok().map(|route| route.latency_target_ms);
-    let refuse = |detail: &str| {
-        let refusal = Refusal::unsent(RefusalKind::Unconfigured, &head.id, detail);
-        refusal.with_retry_after(UNPROVEN_RETRY_MS)
-    };
-    match shared.config_proofs.wait(shared, &head.id, target, received).await {
-        ProofWait::Admitted => Ok(()),
+    shared.config_proofs.wait(shared, &head.id, target, received).await
+}
+
+/// Refuses a call that found no proof.
+fn refuse_unproven(id: &str, waited: ProofWait) -> Result<(), Refusal> {
+    let detail = match waited {
+        ProofWait::Admitted => return Ok(()),
         ProofWait::Unanswered => {
-            let detail =
-                "the store has not told in time whether this node's configuration is the newest";
-            Err(refuse(detail))
+            "the store did not tell in time whether this node's configuration is the newest"
         }
-        ProofWait::Unattempted => {
-            Err(refuse("this node could not ask whether its configuration is the newest"))
-        }
-    }
+        ProofWait::Unattempted => "this node could not ask whether its configuration is the newest",
+    };
+    let refusal = Refusal::unsent(RefusalKind::Unconfigured, id, detail);
+    Err(refusal.with_retry_after(UNPROVEN_RETRY_MS))
 }
 
 /// Refuses a call whose request crashed engines, until that request is let through again.
