--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -63,6 +63,8 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+#[cfg(feature = "seams")]
+use std::time::Duration;
 use std::{io, thread};
 
 use futures::FutureExt;
@@ -70,6 +72,8 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::runtime::Builder;
+#[cfg(feature = "seams")]
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 
@@ -145,12 +149,22 @@
             for (name, task) in tasks {
                 spawn_local(monitor.monitor(name, task));
             }
+            #[cfg(feature = "seams")]
+            spawn_local(hold_up(signal(SignalKind::user_defined1())?));
             let _ = stop.wait_for(|s| *s).await;
             Ok(())
         })
     })
 }
 
+/// Holds up this thread on each SIGUSR1, as a long-running task does.
+#[cfg(feature = "seams")]
+async fn hold_up(mut usr: Signal) {
+    while usr.recv().await.is_some() {
+        thread::sleep(Duration::from_millis(2_800));
+    }
+}
+
 /// Dispatches messages from the traffic thread.
 async fn receive(control: Rc<Control>, mut inbox: mpsc::Receiver<ControlMessage>) {
     while let Some(message) = inbox.recv().await {
--- a/crates/heathpitchd/tests/gateway_old_proofs.rs
+++ b/crates/heathpitchd/tests/gateway_old_proofs.rs
@@ -25,6 +25,8 @@
 const STOP_TIME: Duration = Duration::from_millis(4_000);
 /// Time for which all nodes and the store are stopped: longer than the agreed time.
 const STANDSTILL: Duration = Duration::from_millis(2_200);
+/// Time for which a thread is held up, as SIGUSR1 does.
+const HOLD_TIME: Duration = Duration::from_millis(2_800);
 /// Time after a standstill in which calls are sent to each node.
 const RETURN_TIME: Duration = Duration::from_millis(500);
 /// Longest time until lines of the log are written, with margin.
@@ -169,6 +171,35 @@
     }
 }
 
+/// Guards against calls that are refused beside a store that answers, because the thread that is to ask it is held up, and
+/// against ones that are admitted by an older configuration meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_are_served_while_the_control_thread_is_held_up() {
+    let (mut cluster, old, new) = two_services();
+    let nodes = [cluster.node().await, cluster.start("n2", &json!({}))];
+    wait_until_fed(&nodes[1..]).await;
+    for node in &nodes {
+        node.signal("USR1").unwrap();
+        let held = Instant::now();
+        while held.elapsed() < HOLD_TIME {
+            assert_eq!(get(node.listen).await, 200, "after {:?}", held.elapsed());
+            tokio::time::sleep(CALL_INTERVAL).await;
+        }
+    }
+    tokio::time::sleep(APPLY_BOUND * 2).await;
+    nodes.iter().for_each(|n| n.signal("USR1").unwrap());
+    let accepted = move_route(&mut cluster, "new");
+    tokio::time::sleep_until((accepted + APPLY_BOUND).into()).await;
+    let late = old.requests().len();
+    while accepted.elapsed() < HOLD_TIME + APPLY_BOUND {
+        for node in &nodes {
+            get(node.listen).await;
+        }
+    }
+    assert_eq!(old.requests().len(), late);
+    assert!(!new.requests().is_empty());
+}
+
 /// Status of a call on the route that is moved.
 async fn get(node: SocketAddr) -> u16 {
     Caller::new(node).key(KEY).call(Method::GET, "/get/x", "").await.unwrap().status
