Proofs of the configuration have a thread and connections of their own

Callers were refused by nodes whose store answered: the control thread made all attempts to prove the configuration, and while a task of its own held it up, calls waited for attempts that it did not send. Attempts, their schedule and what they show of the store are moved to a thread that does nothing else, with its own connections to the store. The control thread publishes what there is to prove, and adopts what an answer holds instead; until it has, that answer proves nothing, and calls are refused rather than served by the older configuration.

--- a/crates/heathpitchd/src/gateway/config_proofs.rs
+++ b/crates/heathpitchd/src/gateway/config_proofs.rs
@@ -1,6 +1,6 @@
 //! Proofs of the configuration as the threads that serve calls see them, and their demand for further ones.
 //!
-//! [`ProofState`](heathpitch_policy::ProofState) decides whether a call may be admitted. The control thread makes the
+//! [`ProofState`](heathpitch_policy::ProofState) decides whether a call may be admitted. The thread of `prover` makes the
 //! attempts; a call that finds none recent enough wakes it, and waits for a bounded time.
 
 use std::sync::atomic::{
@@ -15,6 +15,7 @@
 
 use super::event::GatewayEvent;
 use super::line_limiter::LineLimiter;
+use super::prover::ProofBasis;
 use super::shared::Shared;
 
 /// Longest time for which a call waits for a proof.
@@ -37,7 +38,7 @@
     Admitted,
     /// Attempts were sent and got no answer in time, which does not show that the store is away.
     Unanswered,
-    /// No attempt was sent: the control thread does not run.
+    /// No attempt was sent: the thread that makes them does not run, or an answer has not been handled.
     Unattempted,
 }
 
@@ -65,10 +66,14 @@
     attempts: AtomicU64,
     /// When the last attempt was sent.
     sent: AtomicU64,
-    /// Whether calls have demanded an attempt that the control thread has not noticed yet.
+    /// Whether calls have demanded an attempt that its thread has not noticed yet.
     is_demanded: AtomicBool,
     demanded: Notify,
     changed: watch::Sender<()>,
+    /// What there is to prove.
+    basis: watch::Sender<ProofBasis>,
+    /// When the store last answered a call of this node.
+    store_answered: AtomicU64,
     lines: LineLimiter,
 }
 
@@ -85,6 +90,8 @@
             is_demanded: AtomicBool::new(false),
             demanded: Notify::new(),
             changed: watch::Sender::new(()),
+            basis: watch::Sender::new(ProofBasis::default()),
+            store_answered: AtomicU64::new(0),
             lines: LineLimiter::default(),
         }
     }
@@ -97,6 +104,39 @@
 
 /// # Control thread
 impl ConfigProofs {
+    /// Publishes what there is to prove.
+    pub(crate) fn set_basis(&self, basis: ProofBasis) {
+        self.basis.send_if_modified(|before| std::mem::replace(before, basis) != basis);
+    }
+
+    /// Makes the thread of the attempts check the time again, after the VM was suspended.
+    pub(crate) fn resume(&self) {
+        self.basis.send_modify(|_| {});
+    }
+
+    /// Records that the store answered a call by `now`.
+    pub(crate) fn set_store_answered(&self, now: Millis) {
+        self.store_answered.store(now, Relaxed);
+    }
+}
+
+/// # Attempts
+impl ConfigProofs {
+    /// What there is to prove.
+    pub(crate) fn basis(&self) -> ProofBasis {
+        *self.basis.borrow()
+    }
+
+    /// Changes of that.
+    pub(crate) fn basis_changes(&self) -> watch::Receiver<ProofBasis> {
+        self.basis.subscribe()
+    }
+
+    /// When the store last answered a call of this node; 0 if it never has.
+    pub(crate) fn store_answered(&self) -> Millis {
+        self.store_answered.load(Relaxed)
+    }
+
     /// Records that the newest configuration was confirmed by a call sent at `sent`.
     pub(crate) fn confirm(&self, sent: Millis) {
         // A thread that sees this proof also sees the configuration that it is of.
--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -165,6 +165,7 @@
     }
     .log();
     control.shared.catalog.store(Some(Arc::new(catalog)));
+    control.publish_proof_basis();
     control.publish();
     Adoption::InForce
 }
--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -77,6 +77,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 
+use super::prover::ProofAnswer;
 use super::shared::{Clients, ControlMessage, Shared};
 use super::thread_monitor::ThreadMonitor;
 use state::Control;
@@ -102,6 +103,7 @@
     clients: Clients,
     listeners: impl FnOnce() -> io::Result<Listeners> + Send + 'static,
     inbox: mpsc::Receiver<ControlMessage>,
+    proofs: mpsc::Receiver<ProofAnswer>,
     mut stop: watch::Receiver<bool>,
 ) -> io::Result<thread::JoinHandle<io::Result<()>>> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
@@ -127,7 +129,7 @@
             let tasks = [
                 ("feed", feed::follow(control.clone()).boxed_local()),
                 ("config", config::follow(control.clone()).boxed_local()),
-                ("config_proof", config_proof::keep_proven(control.clone()).boxed_local()),
+                ("config_proof", config_proof::follow(control.clone(), proofs).boxed_local()),
                 ("engine_list", engine_list::follow(control.clone()).boxed_local()),
                 ("planner_lease", nodes::follow(control.clone()).boxed_local()),
                 ("node_count", nodes::count(control.clone()).boxed_local()),
--- a/crates/heathpitchd/src/gateway/control/rejected_config.rs
+++ b/crates/heathpitchd/src/gateway/control/rejected_config.rs
@@ -56,6 +56,7 @@
         }
         self.rejection.set(Some(Rejection { config, confirmed: Freshness::default() }));
         self.shared.metrics.config_rejected.set(1);
+        self.publish_proof_basis();
         GatewayEvent::ConfigRejected { revision: config.revision(), error: error.to_string() }
             .log();
     }
@@ -67,6 +68,7 @@
             return;
         }
         self.rejection.set(None);
+        self.publish_proof_basis();
         let rejects_parts = !in_force.rejected().errors.is_empty();
         self.shared.metrics.config_rejected.set(rejects_parts.into());
     }
--- a/crates/heathpitchd/src/gateway/control/store.rs
+++ b/crates/heathpitchd/src/gateway/control/store.rs
@@ -54,11 +54,21 @@
     ) -> Result<T, StoreError> {
         let sent = self.now();
         let result = call.await;
-        self.record_call(name, sent, &result);
-        self.check_era();
+        self.record_answer(name, sent, &result);
         result
     }
 
+    /// Counts a call sent at `sent`, and records whether the store is reachable and its era.
+    pub(super) fn record_answer<T>(
+        &self,
+        name: &'static str,
+        sent: Millis,
+        result: &Result<T, StoreError>,
+    ) {
+        self.record_call(name, sent, result);
+        self.check_era();
+    }
+
     /// Waits up to `wait` for changes under a prefix after a revision; `of` names the watched data
     /// in the log.
     ///
@@ -143,6 +153,9 @@
         };
         self.shared.metrics.store.with_label_values(&[call, label]).inc();
         let (now, mut access) = (self.now(), self.access.get());
+        if outcome == CallOutcome::Answered {
+            self.shared.config_proofs.set_store_answered(now);
+        }
         let losses = access.losses();
         let changed = access.record(outcome, sent, now);
         self.access.set(access);
--- a/crates/heathpitchd/src/gateway/control/suspension.rs
+++ b/crates/heathpitchd/src/gateway/control/suspension.rs
@@ -29,6 +29,7 @@
         GatewayEvent::VmSuspended { ms, proof_ms, list_ms }.log();
         shared.pool.close_all_idle();
         shared.resume();
+        shared.config_proofs.resume();
         // Wakes tasks that wait for a role change, for the store, or for a retry.
         control.role_changed.notify_waiters();
     }
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -257,7 +257,7 @@
     },
     /// A thread of this node did not run for some time.
     ThreadDelayed {
-        /// Thread: `control`, or `calls` for the one that serves them.
+        /// Thread: `control`, `proofs` for the one that proves the configuration, or `calls` for the one that serves them.
         thread: &'static str,
         /// Time for which it did not run its tasks.
         ms: Millis,
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -1,7 +1,8 @@
 //! A gateway node: forwards calls to the engines of a platform.
 //!
 //! The control thread owns the state of configuration, engines and nodes and publishes it as
-//! snapshots; the traffic thread runs every call through a chain of filters. The platform is
+//! snapshots; the traffic thread runs every call through a chain of filters, and a third one proves that
+//! the configuration is the newest. The platform is
 //! reached only through the traits in [`Clients`].
 
 mod backpressure;
@@ -21,6 +22,7 @@
 mod move_progress;
 mod old_proof_calls;
 mod part_snapshot;
+mod prover;
 mod quarantine_snapshot;
 mod reach;
 mod shared;
@@ -38,7 +40,7 @@
 use heathpitch_net::{Bounds, Listener, serve};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::StartError;
 use call::{Origin, RankMixes, RetryBudgets, RetrySchedules, Traffic, UsualDeadlines};
@@ -46,6 +48,7 @@
 pub use event::{CallRefused, CallRouted, GatewayEvent, SharesChanged};
 pub use metrics::GATEWAY_METRICS;
 use metrics::GatewayMetrics;
+use prover::ProverClients;
 pub use shared::Clients;
 use shared::Shared;
 
@@ -70,6 +73,7 @@
     shared: Arc<Shared>,
     runtime: Runtime,
     control: JoinHandle<io::Result<()>>,
+    prover: JoinHandle<()>,
     stop_traffic: watch::Sender<bool>,
     stop_control: watch::Sender<bool>,
     /// Listeners of callers and of other nodes; each ends once the answers on its connections are written.
@@ -119,8 +123,15 @@
             let peers = peers.map(Listener::from_std).transpose()?;
             Ok(Listeners { ready, metrics, peers })
         };
-        let control =
-            control::spawn(shared.clone(), clients.clone(), listeners, inbox, control_stopped)?;
+        let (answers, proofs) = mpsc::channel(prover::ANSWER_CAPACITY);
+        let of_proofs = ProverClients {
+            store: clients.proofs.clone(),
+            dialect: clients.dialect.clone(),
+            answers,
+        };
+        let prover = prover::spawn(shared.clone(), of_proofs, control_stopped.clone())?;
+        let (s, c) = (shared.clone(), clients.clone());
+        let control = control::spawn(s, c, listeners, inbox, proofs, control_stopped)?;
         let traffic = Arc::new(Traffic {
             retry_budgets: RetryBudgets::new(shared.clone()),
             retry_schedules: RetrySchedules::new(shared.clone()),
@@ -143,7 +154,7 @@
             call::handle(traffic.clone(), request, Origin::Caller)
         }));
         let served = of_nodes.into_iter().chain([of_callers]).collect();
-        Ok(Self { shared, runtime, control, stop_traffic, stop_control, served, listen })
+        Ok(Self { shared, runtime, control, prover, stop_traffic, stop_control, served, listen })
     }
 
     /// Serves until SIGTERM or SIGINT; reloads `settings` when the file changes or on SIGHUP.
@@ -195,6 +206,9 @@
             Ok(Err(e)) => log::error!("control thread failed: {e}"),
             Err(_) => log::error!("control thread panicked"),
         }
+        if self.prover.join().is_err() {
+            log::error!("proof thread panicked");
+        }
         self.runtime.shutdown_background();
         GatewayEvent::GatewayStopped { cut }.log();
         cut
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -139,6 +139,8 @@
 pub struct Clients {
     /// The key-value store.
     pub store: Arc<dyn Store>,
+    /// The same on connections of its own, for proofs of the configuration.
+    pub proofs: Arc<dyn Store>,
     /// Formats of documents and request headers.
     pub dialect: Arc<dyn Dialect>,
     /// Control requests to engines.
@@ -153,9 +155,11 @@
 
 /// Records that data was confirmed as current by a call sent at `sent`.
 pub(crate) fn record_proof(freshness: &ArcSwap<Freshness>, sent: Millis) {
-    let mut newest = **freshness.load();
-    newest.prove(sent);
-    freshness.store(Arc::new(newest));
+    freshness.rcu(|newest| {
+        let mut newest = **newest;
+        newest.prove(sent);
+        newest
+    });
 }
 
 /// State shared by all threads of a gateway.
--- a/crates/heathpitchd/src/main.rs
+++ b/crates/heathpitchd/src/main.rs
@@ -86,6 +86,7 @@
     }
     let store = HttpStore::new(settings.store).with_response_limit(settings.vm.response_limit());
     let clients = Clients {
+        proofs: Arc::new(store.separate()),
         store: Arc::new(store),
         dialect: Arc::new(PlatformDialect),
         engines: Arc::new(HttpEngineControl::new(Client::new())),
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -81,6 +81,17 @@
         }
     }
 
+    /// A client with the same limits that shares no connections with this one, whose bytes it counts too.
+    #[must_use]
+    pub fn separate(&self) -> Self {
+        let (byte_count, max_bytes) = (self.byte_count.clone(), self.max_bytes);
+        Self {
+            byte_count,
+            max_bytes,
+            ..Self::with_timeouts(self.idle_timeout, self.connect_timeout)
+        }
+    }
+
     /// Limits JSON responses to `max_bytes`.
     #[must_use]
     pub fn with_response_limit(self, max_bytes: usize) -> Self {
--- a/crates/policy/src/proof_attempts.rs
+++ b/crates/policy/src/proof_attempts.rs
@@ -196,6 +196,12 @@
         self.state = State::default();
     }
 
+    /// Records that the store answered an attempt, and that it is not known yet what the answer proves.
+    pub fn heard(&mut self) {
+        self.state.first = None;
+        self.state.refused = Failures::default();
+    }
+
     /// Records that the attempt sent at `sent` had failed by `now`; `answered` is when the store last answered another call.
     pub fn failed(&mut self, sent: Millis, failure: ProofFailure, answered: Millis, now: Millis) {
         let Some(position) = self.state.pending.iter().position(|a| a.sent == sent) else { return };
--- a/crates/policy/src/store_access.rs
+++ b/crates/policy/src/store_access.rs
@@ -107,11 +107,6 @@
         self.reachable
     }
 
-    /// Time of its last answer; 0 before the first one.
-    pub fn answered(&self) -> Millis {
-        self.answered
-    }
-
     /// Time of its last return.
     pub fn reachable_since(&self) -> Millis {
         self.reachable_since
