--- a/crates/heathpitchd/tests/gateway_soak.rs
+++ b/crates/heathpitchd/tests/gateway_soak.rs
@@ -125,6 +125,14 @@
     run_schedule(&schedule.with_cut_sources()).await;
 }
 
+/// Nodes that stood still together with the store took it for away when it answered late, and served by the configuration
+/// from before.
+#[tokio::test(flavor = "multi_thread")]
+async fn configurations_are_in_force_in_time_after_all_nodes_stood_still() {
+    let schedule = FaultSchedule::empty(80_001, Duration::from_secs(20));
+    run_schedule(&schedule.with_config_changes().with_standstills()).await;
+}
+
 /// One bad figure in the limits, or one unreadable route, kept a configuration out of force, and all nodes refused all
 /// calls.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -39,6 +39,8 @@
     length: u64,
     /// Only configuration changes, invalid parts, refused calls on the store and sources cut off from it beside silent nodes, in a cluster of five nodes, without other faults.
     configs: bool,
+    /// With `--configs`: all nodes and the store stand still at times, in a cluster of nine nodes.
+    standstills: bool,
     /// Directory for the logs of runs that violate an invariant.
     logs: Option<PathBuf>,
 }
@@ -53,11 +55,14 @@
         let runs = batch.iter().map(|seed| {
             let binary = arguments.binary.clone();
             let schedule = match arguments.configs {
-                true => FaultSchedule::empty(*seed, length)
-                    .with_config_changes()
-                    .with_invalid_parts()
-                    .with_refused_calls()
-                    .with_cut_sources(),
+                true => {
+                    let schedule = FaultSchedule::empty(*seed, length)
+                        .with_config_changes()
+                        .with_invalid_parts()
+                        .with_refused_calls()
+                        .with_cut_sources();
+                    if arguments.standstills { schedule.with_standstills() } else { schedule }
+                }
                 false => FaultSchedule::generate(*seed, length)
                     .with_restarts()
                     .with_crashes()
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -1,6 +1,7 @@
 //! Test cluster of a run: node processes, engines and the store, with operations that inject faults.
 
 use std::collections::HashMap;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -18,7 +19,7 @@
 use crate::invariants::{DrainedEngine, EngineDisruption, History, NodeDisruption, RevokedKey};
 use crate::load::{self, CallKind, CallRecord, FATAL_PART};
 use crate::retry_limit::RetryLimit;
-use crate::schedule::{LAYERED_ENGINES, NODES, PLAIN_ENGINES};
+use crate::schedule::{LAYERED_ENGINES, NODES, PLAIN_ENGINES, STANDSTILL_NODES};
 use crate::senders::Senders;
 
 /// API key that is never revoked.
@@ -86,6 +87,8 @@
     /// Calls that crash engines.
     fatal_calls: Mutex<Vec<CallRecord>>,
     node_disruptions: Mutex<Vec<NodeDisruption>>,
+    /// Times in which all nodes and the store stood still.
+    standstills: Mutex<Vec<Range<Instant>>>,
     /// Engines whose requests may have been delayed, or that restarted.
     engine_disruptions: Mutex<Vec<EngineDisruption>>,
     /// Nodes that are cut off from all engines.
@@ -116,6 +119,7 @@
             drained: Mutex::default(),
             fatal_calls: Mutex::default(),
             node_disruptions: Mutex::default(),
+            standstills: Mutex::default(),
             engine_disruptions: Mutex::default(),
             cuts: Mutex::default(),
         };
@@ -203,9 +207,12 @@
         load::KINDS.len() - usize::from(self.node_count() <= NODES)
     }
 
-    /// Whether a node belongs to the first of the two failure domains, which has one node more.
+    /// Whether a node belongs to the first of the two failure domains, which has one node more, or all but two.
     fn is_first_domain(&self, index: usize) -> bool {
-        index < self.node_count().div_ceil(2)
+        match self.node_count() {
+            STANDSTILL_NODES => index < STANDSTILL_NODES - 2,
+            count => index < count.div_ceil(2),
+        }
     }
 
     /// Other nodes of a node's failure domain.
@@ -237,6 +244,7 @@
             pauses: self.pauses.lock().clone(),
             drained: self.drained.lock().clone(),
             node_disruptions: self.node_disruptions.lock().clone(),
+            standstills: self.standstills.lock().clone(),
             engine_disruptions: self.engine_disruptions.lock().clone(),
         }
     }
@@ -283,6 +291,25 @@
         Ok(())
     }
 
+    /// Stops all nodes and the store, and changes the configuration meanwhile; the store runs again `delay` after the nodes.
+    pub(crate) async fn stand_still(
+        &self,
+        duration: Duration,
+        delay: Duration,
+    ) -> Result<(), SoakError> {
+        let from = Instant::now();
+        let set_links =
+            |mode| (0..self.node_count()).for_each(|node| self.set_store_link(node, mode));
+        set_links(LinkMode::Blackhole);
+        let paused = (0..self.node_count()).map(|node| self.pause_node(node, duration));
+        let change = async { self.toggle_route() };
+        let (paused, ()) = tokio::join!(futures::future::try_join_all(paused), change);
+        tokio::time::sleep(delay).await;
+        set_links(LinkMode::Pass);
+        self.standstills.lock().push(from..Instant::now());
+        paused.map(drop)
+    }
+
     /// Sends a signal to a node if it is running.
     pub(crate) fn signal_node(&self, index: usize, name: &str) -> Result<(), SoakError> {
         match &*self.nodes[index].lock() {
--- a/crates/soak/src/config_history.rs
+++ b/crates/soak/src/config_history.rs
@@ -8,7 +8,7 @@
 const APPLY_BOUND: Duration = Duration::from_millis(2_000);
 
 /// Refusals by a node that has no configuration, cannot use a part of it, or has no young enough proof of it.
-const CONFIG_REFUSALS: [(&str, &str); 2] = [("unconfigured", ""), ("stale_keys", "")];
+pub(crate) const CONFIG_REFUSALS: [(&str, &str); 2] = [("unconfigured", ""), ("stale_keys", "")];
 
 /// A version of the configuration.
 #[derive(Clone, Debug)]
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -18,6 +18,9 @@
     Pause(usize, Duration),
     /// Stops all other nodes of a node's failure domain with SIGSTOP for a time.
     PausePeers(usize, Duration),
+    /// Stops all nodes and the store for the first time, as on a machine that stands still, and the store for the second one
+    /// longer; adds or removes a route as this begins.
+    StandStill(Duration, Duration),
     /// Has a node reload its settings.
     Reload(usize),
     /// Cuts all other nodes of a node's failure domain off from the store for a time; they go on answering polls.
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -1,12 +1,13 @@
 //! Invariants, checked against the recorded history of calls and of requests that reached engines.
 
 use std::collections::HashMap;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use heathpitch_standin::{ReceivedRequest, Reply};
 
 use crate::cluster::{FATAL_BODY, STREAM_EVENTS};
-use crate::config_history::{ConfigVersion, outdated_handling};
+use crate::config_history::{CONFIG_REFUSALS, ConfigVersion, outdated_handling};
 use crate::load::{CallKind, CallRecord, FATAL_PART, FATAL_PART_BODY};
 use crate::retry_limit::RetryLimit;
 use crate::senders::Senders;
@@ -106,6 +107,8 @@
     pub drained: Vec<DrainedEngine>,
     /// Disruptions of nodes.
     pub node_disruptions: Vec<NodeDisruption>,
+    /// Times in which all nodes and the store stood still.
+    pub standstills: Vec<Range<Instant>>,
     /// Limit on retries, if one is checked.
     pub retry_limit: Option<RetryLimit>,
     /// Disruptions of engines.
@@ -388,7 +391,12 @@
                 && d.until + CONTACT_BOUND >= call.sent_at
         };
         let in_touch = !self.node_disruptions.iter().any(disrupted);
-        outdated_handling(&self.versions, call, runs).filter(|_| in_touch)
+        let stood_still =
+            |s: &Range<Instant>| s.start <= end && s.end + CONTACT_BOUND >= call.sent_at;
+        // A node that cannot prove its configuration yet refuses calls, but serves none by an older one.
+        let is_refusal = call.is_refused_as(&CONFIG_REFUSALS);
+        let excused = is_refusal && self.standstills.iter().any(stood_still);
+        outdated_handling(&self.versions, call, runs).filter(|_| in_touch && !excused)
     }
 }
 
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -207,6 +207,7 @@
                 let paused = peers.map(|peer| cluster.pause_node(peer, duration));
                 futures::future::try_join_all(paused).await?;
             }
+            Fault::StandStill(duration, delay) => cluster.stand_still(duration, delay).await?,
             Fault::CutPeers(node, duration) => {
                 let set = |mode| {
                     let peers = cluster.domain_peers(node).into_iter();
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -13,6 +13,9 @@
 pub(crate) const NODES: usize = 3;
 /// Nodes in a run with configuration changes: several nodes of a failure domain can be stopped beside one that runs.
 pub(crate) const CONFIG_NODES: usize = 5;
+/// Nodes in a run in which all of them stand still at once. All but two belong to the first failure domain, in which some
+/// are no standbys of its planner.
+pub(crate) const STANDSTILL_NODES: usize = 9;
 /// Engines without layers in a run.
 pub(crate) const PLAIN_ENGINES: usize = 3;
 /// Engines that hold layers in a run: two copies of each half of the model.
@@ -81,6 +84,9 @@
 /// Likewise for sources that are cut off from the store.
 const SOURCES_SALT: u64 = 0x50c3;
 
+/// Likewise for times in which all nodes and the store stand still.
+const STANDSTILL_SALT: u64 = 0x57d1;
+
 /// Likewise for nodes that are cut off from all engines.
 const CUT_SALT: u64 = 0x0c07;
 
@@ -253,6 +259,17 @@
         })
     }
 
+    /// Adds times in which all nodes and the store stand still, in a cluster of nine nodes; the store answers a little later.
+    #[must_use]
+    pub fn with_standstills(mut self) -> Self {
+        self.nodes = STANDSTILL_NODES;
+        self.with_faults(STANDSTILL_SALT, 2_500..5_000, |rng| {
+            let time = random_millis(rng, 500..3_500);
+            let fault = Fault::StandStill(time, random_millis(rng, 0..400));
+            (fault, time + random_millis(rng, 1_500..6_000))
+        })
+    }
+
     /// Adds invalid parts of the configuration.
     #[must_use]
     pub fn with_invalid_parts(self) -> Self {
--- a/crates/soak/tests/invariants.rs
+++ b/crates/soak/tests/invariants.rs
@@ -124,6 +124,7 @@
             received: vec![run; runs],
             versions: vec![version(9_000, None, true), version(changed, Some("new"), false)],
             node_disruptions: disruptions.to_vec(),
+            standstills: Vec::new(),
             ..History::default()
         };
         evidence.check().iter().map(|b| b.invariant).collect::<Vec<_>>()
@@ -155,6 +156,7 @@
             received: vec![late.clone()],
             drained: vec![DrainedEngine { engine: "e1".to_owned(), at: ago(left) }],
             node_disruptions: disruptions.to_vec(),
+            standstills: Vec::new(),
             ..History::default()
         };
         evidence.check().len()
@@ -187,6 +189,7 @@
             received: received.to_vec(),
             engine_disruptions: stalls.to_vec(),
             node_disruptions: disruptions.to_vec(),
+            standstills: Vec::new(),
             ..History::default()
         };
         evidence.check().len()
@@ -221,6 +224,7 @@
             calls: vec![call(CallKind::Idempotent, 200, "body")],
             received: received.to_vec(),
             node_disruptions: disruptions.to_vec(),
+            standstills: Vec::new(),
             ..History::default()
         };
         let of_limit = |b: &heathpitch_soak::Violation| b.invariant.contains("limit");
