A node that has just received its configuration does not ask the store for a proof

Followers asked the store at their start although the answer that held the configuration proves it: what there is to prove was published between the two. It is published once the answer has been handled.

silent_nodes_send_only_standbys_to_the_store: 13 and 14 proofs before, none now.

--- a/crates/heathpitchd/src/gateway/control/config.rs
+++ b/crates/heathpitchd/src/gateway/control/config.rs
@@ -165,7 +165,7 @@
     }
     .log();
     control.shared.catalog.store(Some(Arc::new(catalog)));
-    control.publish_proof_basis();
+    control.proof_basis_changed.notify_one();
     control.publish();
     Adoption::InForce
 }
--- a/crates/heathpitchd/src/gateway/control/config_proof.rs
+++ b/crates/heathpitchd/src/gateway/control/config_proof.rs
@@ -28,6 +28,7 @@
                 Some(answer) => drop(spawn_local(handle(control.clone(), answer))),
                 None => return,
             },
+            () = control.proof_basis_changed.notified() => {}
             () = control.pause(PUBLISH_INTERVAL) => {}
         }
     }
--- a/crates/heathpitchd/src/gateway/control/rejected_config.rs
+++ b/crates/heathpitchd/src/gateway/control/rejected_config.rs
@@ -56,7 +56,7 @@
         }
         self.rejection.set(Some(Rejection { config, confirmed: Freshness::default() }));
         self.shared.metrics.config_rejected.set(1);
-        self.publish_proof_basis();
+        self.proof_basis_changed.notify_one();
         GatewayEvent::ConfigRejected { revision: config.revision(), error: error.to_string() }
             .log();
     }
@@ -68,7 +68,7 @@
             return;
         }
         self.rejection.set(None);
-        self.publish_proof_basis();
+        self.proof_basis_changed.notify_one();
         let rejects_parts = !in_force.rejected().errors.is_empty();
         self.shared.metrics.config_rejected.set(rejects_parts.into());
     }
--- a/crates/heathpitchd/src/gateway/control/state.rs
+++ b/crates/heathpitchd/src/gateway/control/state.rs
@@ -96,6 +96,8 @@
     pub(super) role: Cell<(bool, bool)>,
     /// Notified when this node's role, the reachability of the store or the state of the feed changes.
     pub(super) role_changed: Notify,
+    /// Notified when there is another configuration to prove.
+    pub(super) proof_basis_changed: Notify,
     /// Time at which each engine was first listed.
     pub(super) listed_since: RefCell<HashMap<Name, Millis>>,
     /// Time at which the newest engine of this failure domain was first listed.
@@ -206,6 +208,7 @@
             role: Cell::new((false, true)),
             shared,
             role_changed: Notify::new(),
+            proof_basis_changed: Notify::new(),
             listed_since: RefCell::default(),
             last_join: Cell::new(0),
             replaced: RefCell::default(),
