An answer that is not handled yet ends what excused old proofs

While the control thread has not adopted the newer configuration of an answer, evidence from before that answer could still admit calls by the older one for up to 2.4 s. The store has answered, so that evidence ends with the answer. The silence that counts follows settings that are reloaded.

an_answer_that_is_not_handled_yet_ends_the_excuse_of_an_old_proof (unit test of the rule).

--- a/crates/heathpitchd/src/gateway/prover.rs
+++ b/crates/heathpitchd/src/gateway/prover.rs
@@ -149,6 +149,11 @@
     })
 }
 
+/// Agreed time for configurations, as far as this node reaches it.
+fn apply_time(shared: &Shared) -> Millis {
+    shared.settings.load().bounds.config_apply_ms.max(MIN_APPLY_MS)
+}
+
 /// When the next attempt is due, and what those made so far show.
 struct Prover<'a> {
     shared: &'a Shared,
@@ -180,7 +185,7 @@
             shared,
             clients,
             schedule: ProofSchedule::default(),
-            attempts: ProofAttempts::new(apply_ms.max(MIN_APPLY_MS)),
+            attempts: ProofAttempts::new(apply_time(shared)),
             demanded_until: 0,
             failures: LineLimiter::default(),
         }
@@ -267,6 +272,7 @@
             GatewayEvent::ConfigProofDue { rank: basis.rank, proof_ms }.log();
             self.schedule.follower_sent(now, basis.contenders, &mut rand::rng());
         }
+        self.attempts.set_apply_time(apply_time(self.shared));
         self.attempts.sent(now, confirmed);
         self.shared.config_proofs.attempt_sent(now);
     }
--- a/crates/policy/src/proof_attempts.rs
+++ b/crates/policy/src/proof_attempts.rs
@@ -177,6 +177,11 @@
 
 /// # Recording
 impl ProofAttempts {
+    /// Sets the agreed time for configurations.
+    pub fn set_apply_time(&mut self, apply_ms: Millis) {
+        self.silence_ms = silence_ms(apply_ms);
+    }
+
     /// Records that an attempt is sent at `now`, after the proof of `proven`.
     pub fn sent(&mut self, now: Millis, proven: Option<Millis>) {
         if self.state.last.is_some_and(|last| proven.is_some_and(|proven| proven > last)) {
@@ -198,8 +203,8 @@
 
     /// Records that the store answered an attempt, and that it is not known yet what the answer proves.
     pub fn heard(&mut self) {
-        self.state.first = None;
-        self.state.refused = Failures::default();
+        let State { last, pending, failed, .. } = std::mem::take(&mut self.state);
+        self.state = State { last, pending, failed, ..State::default() };
     }
 
     /// Records that the attempt sent at `sent` had failed by `now`; `answered` is when the store last answered another call.
--- a/crates/policy/tests/proof_attempts.rs
+++ b/crates/policy/tests/proof_attempts.rs
@@ -187,3 +187,16 @@
     attempts.failed(8_350, ProofFailure::Failed, 0, 8_400);
     assert_eq!(attempts.excused_until(), 0, "one failed attempt since");
 }
+
+/// Guards against calls that are admitted by an older configuration although the store has answered with a newer one, which
+/// is not in force yet.
+#[test]
+fn an_answer_that_is_not_handled_yet_ends_the_excuse_of_an_old_proof() {
+    let mut attempts = attempts_at(&[6_550, 6_750]);
+    run(&mut attempts, 6_750, 6_550 + silence_ms(MIN_APPLY_MS) + STEP_MS);
+    assert!(admits(&attempts, 7_700));
+    attempts.heard();
+    assert!(!admits(&attempts, 7_700));
+    run(&mut attempts, 7_700, 7_700 + 2 * silence_ms(MIN_APPLY_MS));
+    assert_eq!(attempts.excused_until(), 0, "the store was not silent");
+}
