--- a/crates/heathpitchd/tests/gateway_old_proofs.rs
+++ b/crates/heathpitchd/tests/gateway_old_proofs.rs
@@ -171,6 +171,39 @@
     }
 }
 
+/// Guards against calls to an engine that drains, by a list of engines from before all nodes and the store stood still.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_stood_still_with_the_store_send_no_calls_to_an_engine_that_drains() {
+    let cluster = Cluster::new();
+    let (leaving, staying) = (cluster.engine("a", "api"), cluster.engine("b", "api"));
+    let link = Proxy::spawn(cluster.store.address()).unwrap();
+    let nodes: Vec<_> =
+        (1..=5).map(|i| cluster.start_at(link.address(), &format!("n{i}"))).collect();
+    for node in &nodes {
+        node.wait_ready().await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    link.set_mode(LinkMode::Blackhole);
+    nodes.iter().for_each(|n| n.signal("STOP").unwrap());
+    leaving.register("draining");
+    tokio::time::sleep(STANDSTILL).await;
+    let late = leaving.requests().len();
+    nodes.iter().for_each(|n| n.signal("CONT").unwrap());
+    let resumed = Instant::now();
+    let store = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        link.set_mode(LinkMode::Pass);
+    };
+    let callers = futures::future::join_all(nodes.iter().map(async |n| {
+        while resumed.elapsed() < 3 * RETURN_TIME {
+            get(n.listen).await;
+        }
+    }));
+    tokio::join!(store, callers);
+    assert_eq!(leaving.requests().len() - late, 0);
+    assert!(!staying.requests().is_empty());
+}
+
 /// Guards against calls that are refused beside a store that answers, because the thread that is to ask it is held up, and
 /// against ones that are admitted by an older configuration meanwhile.
 #[tokio::test(flavor = "multi_thread")]
