Proofs beside a rejected configuration follow its confirmation

A node without a configuration in force, which has rejected the newest one, took the store's confirmation of that for a store without any, and asked again and again. A node that had rejected one as too large and learned late that it is replaced kept reporting the rejection, as the proofs of others counted for it.

--- a/crates/heathpitchd/src/gateway/control/config_proof.rs
+++ b/crates/heathpitchd/src/gateway/control/config_proof.rs
@@ -39,13 +39,16 @@
     /// Publishes what there is to prove, and in which role.
     pub(super) fn publish_proof_basis(&self) {
         let is_loaded = self.shared.catalog.load().is_some();
-        let rejected = self.rejected_config();
+        let newest = self.rejected_config();
+        let rejected = matches!(newest, Some(RejectedConfig::Decoded(_)));
         // A node that has received no configuration has nothing to prove, unless another one feeds it: that one rejects
         // the newest configuration, which this node may be able to use.
-        let has_any = is_loaded || rejected.is_some() || self.has_feed();
+        let has_any = is_loaded || newest.is_some() || self.has_feed();
         self.shared.config_proofs.set_basis(ProofBasis {
             revision: has_any.then(|| self.received_revision()),
-            in_force: is_loaded && !matches!(rejected, Some(RejectedConfig::Decoded(_))),
+            in_force: is_loaded && !rejected,
+            rejected,
+            rejection: self.rejection.get().map(|_| self.newest_freshness()),
             reads: self.reads_store(),
             reachable: self.reachable(),
             rank: self.standby_rank(),
@@ -76,11 +79,10 @@
             if control.reads_store() {
                 engine_list::prove_at(control, at, sent);
             }
-            match basis.in_force {
-                true => Adoption::InForce,
-                // There is no configuration.
-                false if control.shared.catalog.load().is_none() => return Err(ProofError::Absent),
-                false => Adoption::Rejected,
+            match () {
+                () if basis.in_force => Adoption::InForce,
+                () if basis.rejected => Adoption::Rejected,
+                () => return Err(ProofError::Absent),
             }
         }
         Err(StoreError::Conflict(items)) => match items.first() {
--- a/crates/heathpitchd/src/gateway/control/rejected_config.rs
+++ b/crates/heathpitchd/src/gateway/control/rejected_config.rs
@@ -79,6 +79,7 @@
             rejection.confirmed.prove(sent);
             self.shared.config_proofs.confirm(sent);
             self.rejection.set(Some(rejection));
+            self.proof_basis_changed.notify_one();
         }
     }
 
--- a/crates/heathpitchd/src/gateway/prover.rs
+++ b/crates/heathpitchd/src/gateway/prover.rs
@@ -19,7 +19,8 @@
 use heathpitch_core::{Millis, Revision};
 use heathpitch_net::{Dialect, RpcError, Store, StoreError, Write};
 use heathpitch_policy::{
-    MAX_PENDING_PROOFS, MIN_APPLY_MS, ProofAttempts, ProofFailure, ProofRole, ProofSchedule,
+    Freshness, MAX_PENDING_PROOFS, MIN_APPLY_MS, ProofAttempts, ProofFailure, ProofRole,
+    ProofSchedule,
 };
 use tokio::runtime::Builder;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -41,8 +42,12 @@
 pub(crate) struct ProofBasis {
     /// Revision of the newest configuration received; none while there is nothing to prove.
     pub(crate) revision: Option<Revision>,
-    /// Whether that one is in force, rather than rejected.
+    /// Whether that one is in force.
     pub(crate) in_force: bool,
+    /// Whether it was rejected; otherwise there is none.
+    pub(crate) rejected: bool,
+    /// When the rejection of the newest configuration was last confirmed, if there is one.
+    pub(crate) rejection: Option<Freshness>,
     /// Whether this node reads the store, rather than follows others.
     pub(crate) reads: bool,
     /// Whether the store answers its calls.
@@ -67,6 +72,8 @@
         Self {
             revision: None,
             in_force: false,
+            rejected: false,
+            rejection: None,
             reads: false,
             reachable: true,
             rank: None,
@@ -231,13 +238,8 @@
     }
 
     /// When the newest configuration was last confirmed.
-    fn confirmed(&self) -> Option<Millis> {
-        self.shared.config_proofs.state().confirmed
-    }
-
-    /// Age of that at `now`.
-    fn proof_age(&self, now: Millis) -> Option<Millis> {
-        self.confirmed().map(|at| now.saturating_sub(at))
+    fn confirmed(&self, basis: ProofBasis) -> Freshness {
+        basis.rejection.unwrap_or_else(|| **self.shared.config_freshness.load())
     }
 
     /// Time of the next attempt beside so many that are `pending`, if one may be made.
@@ -254,7 +256,7 @@
 
     /// Time of the next attempt by the schedule.
     fn scheduled(&self, basis: ProofBasis) -> Millis {
-        self.schedule.due(self.confirmed(), basis.role())
+        self.schedule.due(self.confirmed(basis).at(), basis.role())
     }
 
     /// Time at which to check again, at `now`, if no attempt ends before.
@@ -265,15 +267,16 @@
 
     /// Records that an attempt is sent at `now`.
     fn sent(&mut self, basis: ProofBasis, now: Millis) {
-        let (confirmed, proof_ms) = (self.confirmed(), self.proof_age(now));
+        let confirmed = self.confirmed(basis);
         if basis.reads {
             self.schedule.reader_sent(now);
         } else {
-            GatewayEvent::ConfigProofDue { rank: basis.rank, proof_ms }.log();
+            let (rank, proof_ms) = (basis.rank, confirmed.age(now));
+            GatewayEvent::ConfigProofDue { rank, proof_ms }.log();
             self.schedule.follower_sent(now, basis.contenders, &mut rand::rng());
         }
         self.attempts.set_apply_time(apply_time(self.shared));
-        self.attempts.sent(now, confirmed);
+        self.attempts.sent(now, confirmed.at());
         self.shared.config_proofs.attempt_sent(now);
     }
 
@@ -339,7 +342,7 @@
                 reads: basis.reads,
                 ms: now.saturating_sub(sent),
                 error: error.to_string(),
-                proof_ms: self.proof_age(now),
+                proof_ms: self.confirmed(basis).age(now),
                 retry_ms: self.scheduled(basis).saturating_sub(now),
             }
             .log();
@@ -363,7 +366,7 @@
                 GatewayEvent::OldProofsExcused {
                     evidence: evidence.as_str(),
                     ms: self.attempts.first().map_or(0, |first| now.saturating_sub(first)),
-                    proof_ms: self.proof_age(now),
+                    proof_ms: self.confirmed(self.basis()).age(now),
                     attempts: proofs.attempts(),
                 }
                 .log();
