--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -7,6 +7,7 @@
         "lengths" => lengths(trouble, folder, record),
         "chunks" => chunks(trouble, folder, record),
         "rising" => rising(trouble, folder, record),
+        "versions" => versions(trouble, folder, record),
         other => cannot_run(&format!("no case {other}")),
     }
 }
@@ -344,3 +345,56 @@
     record.line(format!("24 streams on kept channels: {served} served, {closed} handed to an engine and closed without their answer"));
     closed > 3
 }
+
+/// Some requests on a route that was added ask for a version of the weights that the engines don't have.
+fn versions(trouble: bool, folder: &PathBuf, record: &Record) -> bool {
+    let store = Store::start();
+    let route = |name, prefix, service| Route {
+        name, prefix, kind: "idempotent", resumable: false, service, timeout_ms: 1_200, attempts: 2,
+    };
+    let services = ["tracker-app", "heathpitch-llm"];
+    store.put("op/config", &config(3, &[route("alert-ack", "/cufi504/", "tracker-app")], &services));
+    for number in 1..=9 {
+        let engine = Engine::start(record, &format!("i-{number:08x}"), Arc::new(|engine: &Engine, request: Request, out: &mut TcpStream| {
+            let id = request.header("x-request-id").unwrap_or("").to_owned();
+            if let Some(version) = request.header("expect-version").filter(|v| *v != "1") {
+                engine.record.line(format!("engine {} answers 421 to {id}: its weights have version 1, not {version}", engine.id));
+                return answer(out, 421, &[("X-Request-Id", &id), ("X-Instance-Id", &engine.id)], b"");
+            }
+            engine.record.line(format!("engine {} runs {id}", engine.id));
+            let headers = [("X-Request-Id", id.as_str()), ("X-Response-Stamp", "3e1b.07"), ("X-Engine-Load", "1,0,6")];
+            answer(out, 200, &headers, whole(&id, &engine.id).as_bytes())
+        }));
+        engine.list(&store, if number <= 3 { "tracker-app" } else { "heathpitch-llm" }, "ready");
+    }
+    let nodes: Vec<Node> = ["edge-1", "edge-2"].iter().map(|n| Node::start(folder, &store, n)).collect();
+    nodes.iter().for_each(Node::wait_ready);
+    thread::sleep(Duration::from_millis(500));
+    let routes = [route("alert-ack", "/cufi504/", "tracker-app"), route("embed-notes", "/ficu95/", "heathpitch-llm")];
+    store.put("op/config", &config(7, &routes, &services));
+    record.line("a configuration with one route more is in the store");
+    thread::sleep(Duration::from_millis(2_500));
+    // Received and served, on the first route and on the one added later.
+    let mut counts = [(0_u32, 0_u32); 2];
+    for number in 0..800_usize {
+        let (at, later) = (number % 2, number % 4 >= 2);
+        let asks = later && trouble && number % 40 == 2 + at;
+        let id = new_id();
+        let path = if later { "/ficu95/2f" } else { "/cufi504/fi50/2f" };
+        let more = if asks { "Expect-Version: 2\r\nContent-Length: 0\r\n" } else { "Content-Length: 0\r\n" };
+        record.line(format!("request {id} (GET {path}) to edge-{}{}", at + 1, if asks { ", Expect-Version: 2" } else { "" }));
+        let mut channel = Channel::open(nodes[at].front);
+        let _ = channel.stream.set_read_timeout(Some(Duration::from_millis(2_500)));
+        let _ = channel.stream.write_all(head("GET", path, &id, 2_500, more).as_bytes());
+        let status = channel.answer().map(|answer| answer.status).unwrap_or(0);
+        record.line(format!("request {id}: {status}"));
+        if !asks {
+            counts[usize::from(later)].0 += 1;
+            counts[usize::from(later)].1 += u32::from(status == 200);
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    let [(first, first_served), (added, added_served)] = counts;
+    record.line(format!("without the header: {first_served} of {first} served on the first route, {added_served} of {added} on the one added later"));
+    added >= 20 && f64::from(added_served) / f64::from(added) < f64::from(first_served) / f64::from(first) / 4.0
+}
