Judge the heads of responses once, where they are received

Cause: hyper framed a body by one header, is_framed looked for either of two, strip_hop_by_hop removed one, and final_answer passed the other on, which the server side trusts. No place judged the head as a whole.

Change: Framing::of, called by Connection::send and Client::send, makes a contradictory head a failed attempt that may have run, and closes its connection. ConnectionHead::take removes hop-by-hop headers before the rest is read. Answers are framed by the body in hand. Encoded successes are lost.

--- a/crates/heathpitchd/src/filters/service_run.rs
+++ b/crates/heathpitchd/src/filters/service_run.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use heathpitch_core::{Account, Attempt, Evidence, Index, Millis, Name, Outcome, Route};
-use heathpitch_net::{Body, Refusal as EngineRefusal, RpcError, full, read};
+use heathpitch_net::{Body, ConnectionHead, Refusal as EngineRefusal, RpcError, full, read};
 use heathpitch_policy::{Broken, Repeat, ServiceView, StoredAnswer};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
@@ -195,9 +195,10 @@
         RpcError::Connect(_) => Broken::Unsent,
         _ => Broken::Lost,
     })?;
-    let status = response.status();
-    let headers = response.headers().clone();
-    let body = read(response.into_body(), MAX_ANSWER_BYTES).await.map_err(|_| Broken::Lost)?;
+    let (mut parts, body) = response.into_parts();
+    ConnectionHead::take(&mut parts);
+    let (status, headers) = (parts.status, parts.headers);
+    let body = read(body, MAX_ANSWER_BYTES).await.map_err(|_| Broken::Lost)?;
     let refused = serde_json::from_slice::<EngineRefusal>(&body).is_ok_and(|body| !body.started);
     match status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS if refused => {
@@ -211,9 +212,6 @@
     let mut response = Response::new(full(answer.body));
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer.headers;
-    for hop in [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING] {
-        response.headers_mut().remove(hop);
-    }
     cx.set_headers(&mut response, Outcome::Done);
     cx.traffic.shared.metrics.requests.with_label_values(&["done"]).inc();
     response
--- a/crates/heathpitchd/src/gateway/call/forward.rs
+++ b/crates/heathpitchd/src/gateway/call/forward.rs
@@ -9,8 +9,8 @@
 
 use heathpitch_core::{Evidence, Forwarder, Millis, Name, Outcome};
 use heathpitch_net::{
-    Connection, ForwardHead, ForwardRefusal, ForwardedCall, Pool, Reuse, RpcError, SendFailure,
-    empty, full, keep_alive_timeout, read, retry_after,
+    ConnectionHead, ForwardHead, ForwardRefusal, ForwardedCall, Pool, Reuse, RpcError, SendFailure,
+    empty, full, read, retry_after,
 };
 use hyper::Request;
 
@@ -18,7 +18,7 @@
 use super::admit::Call;
 use super::pick;
 use super::refusal::RefusalKind;
-use super::send::{Answer, Failure, check};
+use super::send::{Answer, Failure, check, release_connection};
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::shared::Shared;
 
@@ -296,10 +296,11 @@
         SendFailure::Lost(why) => HopFailure::Lost(why),
     })?;
     let (mut parts, body) = answer.into_parts();
+    let hop_head = ConnectionHead::take(&mut parts);
     if let Some(refusal) = ForwardRefusal::take(&mut parts.headers) {
         let retry_after = retry_after(&parts.headers).ok().flatten();
         if read(body, MAX_REFUSAL_BYTES).await.is_ok() {
-            release(connection, &parts.headers, &traffic.pool);
+            release_connection(connection, hop_head, &traffic.pool);
         }
         return Err(HopFailure::Refused { refusal, retry_after });
     }
@@ -309,16 +310,12 @@
         return Err(HopFailure::Unsent("the node has another token".to_owned()));
     }
     let head = dialect.answer(&call.head.id, &parts);
-    check(Answer { connection, parts, head, body }).map_err(|failure| match failure {
-        Failure::Lost(why) => HopFailure::Lost(why),
-        other => HopFailure::Lost(other.to_string()),
-    })
-}
-
-fn release(connection: Connection, headers: &hyper::HeaderMap, pool: &Pool) {
-    if let Some(keep) = keep_alive_timeout(headers) {
-        pool.release(connection, keep);
-    }
+    check(Answer { connection, hop: hop_head, parts, head, body }).map_err(
+        |failure| match failure {
+            Failure::Lost(why) => HopFailure::Lost(why),
+            other => HopFailure::Lost(other.to_string()),
+        },
+    )
 }
 
 fn log_forwarded(
--- a/crates/heathpitchd/src/gateway/call/record.rs
+++ b/crates/heathpitchd/src/gateway/call/record.rs
@@ -1,7 +1,7 @@
 //! Log lines and counts that single calls and streams share.
 
 use heathpitch_core::{EngineEntry, Name, Path};
-use heathpitch_net::{Body, full_in_pieces, strip_hop_by_hop};
+use heathpitch_net::{Body, full_in_pieces};
 use hyper::{Response, StatusCode};
 
 use super::Traffic;
@@ -98,7 +98,7 @@
     sends: u32,
     answer: CompleteAnswer,
 ) -> Response<Body> {
-    let CompleteAnswer { mut parts, content, held } = answer;
+    let CompleteAnswer { parts, content, held } = answer;
     record_answered(traffic, call);
     let ms = traffic.shared.now().saturating_sub(call.received);
     traffic.shared.metrics.first.observe(ms as f64 / 1e3);
@@ -113,6 +113,5 @@
         pause_ms: 0,
     }
     .log();
-    strip_hop_by_hop(&mut parts.headers);
     Response::from_parts(parts, full_in_pieces(content, held))
 }
--- a/crates/heathpitchd/src/gateway/call/relay.rs
+++ b/crates/heathpitchd/src/gateway/call/relay.rs
@@ -4,15 +4,14 @@
 use bytes::Bytes;
 use futures::stream;
 use heathpitch_core::Millis;
-use heathpitch_net::{Body, BodyError};
+use heathpitch_net::{Body, BodyError, Framing};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
-use hyper::header::CONTENT_LENGTH;
 
 use super::flow::Flow;
 use super::record::record_answered;
-use super::send::{Answer, SLOW_ANSWER_MS, is_framed, until_way_lost};
+use super::send::{Answer, SLOW_ANSWER_MS, until_way_lost};
 use crate::gateway::event::GatewayEvent;
 
 /// Time between two attempts to move a stream.
@@ -23,9 +22,7 @@
     let now = flow.traffic.shared.now();
     let first_ms = now.saturating_sub(flow.call.received);
     flow.traffic.shared.metrics.first.observe(first_ms as f64 / 1e3);
-    let mut head = answer.parts.clone();
-    heathpitch_net::strip_hop_by_hop(&mut head.headers);
-    head.headers.remove(CONTENT_LENGTH);
+    let head = answer.parts.clone();
     let relay = Relay {
         flow,
         source: Some(answer),
@@ -134,7 +131,9 @@
             None if self.flow.events.has_partial() => {
                 ReadOutcome::Failed("the answer ended in the middle of an event".to_owned())
             }
-            None if self.flow.events.last().is_none() && !is_framed(&source.parts.headers) => {
+            None if self.flow.events.last().is_none()
+                && source.hop.framing == Framing::UntilClose =>
+            {
                 ReadOutcome::Failed("the connection ended before the first event".to_owned())
             }
             None => ReadOutcome::End,
--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -6,15 +6,15 @@
 use bytes::{Bytes, BytesMut};
 use heathpitch_core::{Millis, Name, Path};
 use heathpitch_net::{
-    BackpressureSignal, BodyError, Connection, Dispatch, Pool, ResponseHead, Reuse, RpcError,
-    SendFailure, full, keep_alive_timeout,
+    BackpressureSignal, BodyError, Connection, ConnectionHead, Dispatch, Framing, Pool,
+    ResponseHead, Reuse, RpcError, SendFailure, full,
 };
 use heathpitch_policy::{Backpressure, Suspicion};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::CONTENT_ENCODING;
 use hyper::http::response;
-use hyper::{HeaderMap, Request, StatusCode};
+use hyper::{Request, StatusCode};
 
 use super::Traffic;
 use super::admit::Call;
@@ -38,6 +38,8 @@
 /// An engine's answer whose body is still to be read.
 pub(crate) struct Answer {
     pub(crate) connection: Connection,
+    pub(crate) hop: ConnectionHead,
+    /// Its head, without what concerns the connection only.
     pub(crate) parts: response::Parts,
     pub(crate) head: ResponseHead,
     pub(crate) body: Incoming,
@@ -51,14 +53,12 @@
         shared: &Shared,
         max_bytes: usize,
     ) -> Result<CompleteAnswer, Failure> {
-        let Self { connection, parts, mut body, .. } = self;
+        let Self { connection, hop, parts, mut body, .. } = self;
         let lost = |e: &dyn std::fmt::Display| Failure::Lost(e.to_string());
         let declared = body.size_hint().lower() as usize;
         if declared > max_bytes {
             return Err(lost(&BodyError::TooLarge));
         }
-        // A body without any bytes, as that of a HEAD, has ended already.
-        let ends_with_connection = !body.is_end_stream() && !is_framed(&parts.headers);
         let mut held = HeldBytes::default();
         shared.contents.grow_answer(&mut held, declared).await;
         let mut content = BytesMut::with_capacity(declared);
@@ -73,26 +73,21 @@
             shared.contents.grow_answer(&mut held, length).await;
             content.extend_from_slice(&piece);
         }
-        if content.is_empty() && ends_with_connection {
+        if content.is_empty() && hop.framing == Framing::UntilClose {
             return Err(lost(&"the connection ended before the body"));
         }
-        release_connection(connection, &parts, &shared.pool);
+        release_connection(connection, hop, &shared.pool);
         Ok(CompleteAnswer { parts, content: content.freeze(), held })
     }
 
     /// Returns the connection to the pool after the complete answer was read.
     pub(crate) fn release(self, pool: &Pool) {
-        release_connection(self.connection, &self.parts, pool);
+        release_connection(self.connection, self.hop, pool);
     }
 }
 
-/// Whether a body has an end of its own, rather than that of its connection, which an engine that stops ends too.
-pub(super) fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
-
-fn release_connection(connection: Connection, parts: &response::Parts, pool: &Pool) {
-    if let Some(keep) = keep_alive_timeout(&parts.headers) {
+pub(super) fn release_connection(connection: Connection, hop: ConnectionHead, pool: &Pool) {
+    if let Some(keep) = hop.keep_alive {
         pool.release(connection, keep);
     }
 }
@@ -223,7 +218,9 @@
     if connection.is_new() {
         view.stats.record_contact(traffic.shared.now());
     }
-    let (parts, body) = answer.into_parts();
+    let (mut parts, body) = answer.into_parts();
+    // What is acted on is what can be passed on: a header of the connection is neither.
+    let hop = ConnectionHead::take(&mut parts);
     let head = traffic.clients.dialect.answer(&call.head.id, &parts);
     drop(admission);
     let status = parts.status.as_u16();
@@ -236,7 +233,7 @@
         view.stats.record_load(load.running + load.waiting, traffic.shared.now());
         view.stats.record_seen_queued(load.waiting, traffic.shared.now());
     }
-    Ok(Answer { connection, parts, head, body })
+    Ok(Answer { connection, hop, parts, head, body })
 }
 
 /// Connects to an engine of the call's service, and reports a connection that fails or takes long. Gives up
@@ -311,8 +308,8 @@
     }
 }
 
-/// Rejects answers that belong to another call, that have no digest, or that state that the call
-/// did not run.
+/// Rejects answers that belong to another call, that have no digest or are encoded, or that state that the call did not
+/// run.
 pub(super) fn check(answer: Answer) -> Result<Answer, Failure> {
     let status = answer.parts.status;
     match &answer.head {
@@ -323,6 +320,10 @@
         h if status.is_success() && !h.has_digest => {
             Err(Failure::Lost("a successful answer has no digest".to_owned()))
         }
+        // No caller asks for an encoding.
+        _ if status.is_success() && answer.parts.headers.contains_key(CONTENT_ENCODING) => {
+            Err(Failure::Lost("the body of a successful answer is encoded".to_owned()))
+        }
         _ => Ok(answer),
     }
 }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -9,13 +9,13 @@
 use hyper::http::response::Parts;
 use hyper::{Method, Request};
 use hyper_util::client::legacy;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use parking_lot::Mutex;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::{Body, RpcError, body};
+use crate::{Body, Framing, FramingError, RpcError, body};
 
 /// Default timeout of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -125,19 +125,30 @@
 
 /// # Calls
 impl Client {
-    /// Sends a request and waits for the response head.
+    /// Sends a request and waits for the response head, which has its [`Framing`] as an extension.
     ///
     /// With `fresh`, a new connection is opened for the request, so that [`RpcError::Connect`]
     /// proves that nothing was sent.
     ///
     /// # Errors
     ///
-    /// [`RpcError::Connect`] or [`RpcError::Lost`].
-    pub async fn send(&self, request: Request<Body>, fresh: bool) -> Result<Response, RpcError> {
+    /// [`RpcError::Connect`], [`RpcError::Lost`], or [`RpcError::Malformed`] if the head of the response is not sound.
+    pub async fn send(
+        &self,
+        mut request: Request<Body>,
+        fresh: bool,
+    ) -> Result<Response, RpcError> {
         let client = if fresh { self.unpooled.clone() } else { self.pooled.lock().clone() };
-        client.request(request).await.map_err(|e| match e.is_connect() {
+        let method = request.method().clone();
+        let connection = capture_connection(&mut request);
+        let response = client.request(request).await.map_err(|e| match e.is_connect() {
             true => RpcError::Connect(error_chain(&e)),
             false => RpcError::Lost(error_chain(&e)),
+        })?;
+        judge(&method, response).map_err(|e| {
+            // Where the response ends is unknown, and so is where the next one begins.
+            connection.connection_metadata().as_ref().inspect(|c| c.poison());
+            RpcError::Malformed(e.to_string())
         })
     }
 
@@ -213,6 +224,14 @@
     }
 }
 
+/// Adds the framing of a response to a request with this method, if its head is sound.
+pub(crate) fn judge(method: &Method, response: Response) -> Result<Response, FramingError> {
+    let (mut parts, body) = response.into_parts();
+    let framing = Framing::of(method, &parts)?;
+    parts.extensions.insert(framing);
+    Ok(Response::from_parts(parts, body))
+}
+
 /// Message of an error and all its causes.
 pub(crate) fn error_chain(error: &dyn std::error::Error) -> String {
     let causes = std::iter::successors(Some(error), |e| e.source());
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -19,6 +19,7 @@
 mod feed_retry_codec;
 mod forward;
 mod frame;
+mod framing;
 mod generated;
 mod listener;
 mod order;
@@ -54,6 +55,7 @@
 };
 pub use forward::{ForwardHead, ForwardRefusal, ForwardedCall};
 pub use frame::{Frame, GenerateCall, Hop};
+pub use framing::{ConnectionHead, Framing, FramingError, keep_alive_timeout, strip_hop_by_hop};
 pub use generated::{feed_capnp, peer_capnp};
 pub use listener::{Bounds, Listener, serve};
 pub use order::{Order, OrderError, OrderKind};
@@ -61,7 +63,7 @@
 pub use peer_update::{Demand, Packed, Update};
 pub use platform::{Lease, PlatformClient, PutError, Stored, VmList};
 pub use platform_http::HttpPlatform;
-pub use pool::{Connection, Pool, Reuse, SendFailure, keep_alive_timeout, strip_hop_by_hop};
+pub use pool::{Connection, Pool, Reuse, SendFailure};
 pub use rpc_error::RpcError;
 pub use store::{
     GetResponse, Item, ItemChange, LeaseId, ListResponse, Store, StoreError, WatchResponse, Write,
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -11,13 +11,12 @@
 
 use hyper::Request;
 use hyper::client::conn::http1;
-use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
-use crate::client::error_chain;
+use crate::client::{error_chain, judge};
 use crate::{Body, Response, RpcError};
 
 /// Timeout of a connection attempt, an order of magnitude above the latency between failure
@@ -32,17 +31,6 @@
 /// Safety margin by which an idle connection is closed before the engine closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
 
-/// Hop-by-hop headers.
-const HOP_HEADERS: [&str; 7] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Whether an idle connection may be reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reuse {
@@ -206,7 +194,7 @@
         self.new
     }
 
-    /// Sends a request and waits for the response head.
+    /// Sends a request and waits for the response head, which has its [`Framing`] as an extension.
     ///
     /// # Errors
     ///
@@ -215,41 +203,13 @@
         if let Err(e) = self.sender.ready().await {
             return Err(SendFailure::Unsent(error_chain(&e)));
         }
-        self.sender.try_send_request(request).await.map_err(|mut e| {
+        let method = request.method().clone();
+        let sent = self.sender.try_send_request(request).await;
+        let response = sent.map_err(|mut e| {
             let unsent = e.take_message().is_some();
             let why = error_chain(e.error());
             if unsent { SendFailure::Unsent(why) } else { SendFailure::Lost(why) }
-        })
-    }
-}
-
-/// Keep-alive time of a connection after a response with these headers.
-///
-/// `None` if the engine closes the connection; `Some(None)` if it states no time.
-pub fn keep_alive_timeout(headers: &HeaderMap) -> Option<Option<Duration>> {
-    let closes = |v: &HeaderValue| {
-        v.to_str().is_ok_and(|v| v.split(',').any(|w| w.trim().eq_ignore_ascii_case("close")))
-    };
-    if headers.get_all(CONNECTION).iter().any(closes) {
-        return None;
-    }
-    let stated = headers.get("keep-alive").and_then(|v| v.to_str().ok());
-    let seconds = stated.and_then(|v| {
-        v.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.parse().ok())
-    });
-    Some(seconds.map(Duration::from_secs))
-}
-
-/// Removes hop-by-hop headers, including those named by `Connection`.
-pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .map(|v| v.trim().to_ascii_lowercase())
-        .collect();
-    for hop in HOP_HEADERS.iter().copied().chain(named.iter().map(String::as_str)) {
-        headers.remove(hop);
+        })?;
+        judge(&method, response).map_err(|e| SendFailure::Lost(e.to_string()))
     }
 }
