Take memory for a growing body from the part that it is counted in

Cause: grow_body chose the part of the memory by the size held, which a step within the part for small bodies can exceed; merging permits of two semaphores panics. Change: Part::grow asks the permit which part it belongs to.

Before -> after: 81 920 bytes in chunks of 997 unanswered -> 32 of 32 combinations served.

--- a/crates/heathpitchd/src/gateway/content_budget.rs
+++ b/crates/heathpitchd/src/gateway/content_budget.rs
@@ -40,12 +40,6 @@
     pub(crate) async fn grow_body(&self, held: &mut HeldBytes, bytes: usize) {
         match bytes {
             0..LARGE_BYTES => self.small.grow(held, bytes).await,
-            // What it holds of the small part would be lacking there.
-            _ if held.bytes() < LARGE_BYTES => {
-                let mut large = HeldBytes::default();
-                self.large.grow(&mut large, bytes).await;
-                *held = large;
-            }
             _ => self.large.grow(held, bytes).await,
         }
     }
@@ -71,10 +65,11 @@
         Self { free: Arc::new(Semaphore::new(units)), units }
     }
 
-    /// Waits until `held` may have `bytes`. Content of known length asks for all of it at once; the rest grows by large
-    /// steps, so that few waits are needed. Content larger than the whole part takes all of it.
+    /// Waits until `held` may have `bytes` of this part; what it has of another one is released then. Content of known
+    /// length asks for all of it at once; the rest grows by large steps, so that few waits are needed. Content larger
+    /// than the whole part takes all of it.
     async fn grow(&self, held: &mut HeldBytes, bytes: usize) {
-        let (units, taken) = (bytes.div_ceil(UNIT_BYTES), held.units());
+        let (units, taken) = (bytes.div_ceil(UNIT_BYTES), self.taken(held));
         if units <= taken || taken == self.units {
             return;
         }
@@ -82,22 +77,18 @@
         let units = units.max(taken + step).min(self.units);
         let more = self.free.clone().acquire_many_owned((units - taken) as u32).await;
         match (&mut held.0, more) {
-            (Some(held), Ok(more)) => held.merge(more),
-            (none, more) => *none = more.ok(),
+            (Some(held), Ok(more)) if taken > 0 => held.merge(more),
+            (held, more) => *held = more.ok(),
         }
     }
+
+    /// Units of this part that `held` has.
+    fn taken(&self, held: &HeldBytes) -> usize {
+        let of_part = held.0.as_ref().filter(|permit| Arc::ptr_eq(permit.semaphore(), &self.free));
+        of_part.map_or(0, OwnedSemaphorePermit::num_permits)
+    }
 }
 
 /// Memory that a body or an answer holds, released when dropped.
 #[derive(Debug, Default)]
 pub(crate) struct HeldBytes(Option<OwnedSemaphorePermit>);
-
-impl HeldBytes {
-    fn units(&self) -> usize {
-        self.0.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
-    }
-
-    fn bytes(&self) -> usize {
-        self.units() * UNIT_BYTES
-    }
-}
--- a/crates/heathpitchd/tests/gateway_bodies.rs
+++ b/crates/heathpitchd/tests/gateway_bodies.rs
@@ -109,3 +109,50 @@
     let again = caller().call(Method::POST, "/book/x", &large).await.unwrap();
     assert_eq!((again.status, again.body.len()), (200, large.len()), "the memory is free again");
 }
+
+/// Sends a call whose body arrives in chunks of this size; returns its answer as far as it came.
+async fn send_in_chunks(node: SocketAddr, body: &[u8], chunk: usize) -> String {
+    let mut stream = TcpStream::connect(node).await.unwrap();
+    let head = format!(
+        "POST /book/x HTTP/1.1\r\nhost: desk.example\r\nx-request-id: c1\r\nconnection: close\r\n\
+         authorization: Bearer {KEY}\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    let mut bytes = head.into_bytes();
+    for piece in body.chunks(chunk) {
+        bytes.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+        bytes.extend_from_slice(piece);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    let (mut reading, mut writing) = stream.split();
+    let mut answer = Vec::new();
+    let write = async {
+        // A node that ends the connection fails the check of the answer.
+        let _ = writing.write_all(&bytes).await;
+    };
+    let read = async {
+        let _ = reading.read_to_end(&mut answer).await;
+    };
+    tokio::join!(write, read);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Guards against memory for a body that is taken from one part of the budget and counted as that of another: a body in
+/// chunks that grew past the size of a large one ended the task of its connection, and was never answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_of_any_size_in_chunks_of_any_size_are_served() {
+    let mut cluster = Cluster::new();
+    let engine = cluster.engine("a", "api");
+    engine.set_behavior(Behavior::Echo);
+    let node = cluster.node().await;
+    limit(&mut cluster, &node, [("idleTimeoutMs", 5_000), ("maxBodyBytes", 4 << 20)]).await;
+    for size in [1, 1_023, 65_535, 65_536, 81_920, 100_000, 200_000, 1_500_000] {
+        let body = vec![b'x'; size];
+        for chunk in [997, 16_000, 65_536, 1 << 20] {
+            let answer = send_in_chunks(node.listen, &body, chunk.min(size)).await;
+            let whole = answer.starts_with("HTTP/1.1 200") && answer.ends_with("x");
+            let echoed = answer.split("\r\n\r\n").nth(1).map_or(0, str::len);
+            assert!(whole && echoed == size, "{size} bytes in chunks of {chunk}: {echoed} echoed");
+        }
+    }
+}
