Bound all that a node reads of an engine's answer

A faulty engine that sent bytes without end used up the memory of the node (124 MB of 72 at 400 calls), or the thread that serves all calls.

Cause: what hyper reads ahead, heads, small answers and incomplete events were outside the budget; hyper reads interim responses one after the other within one poll. Answers that found no memory held theirs and waited.

Change: small buffers on connections to engines, all answers counted, answers that do not fit passed on as they arrive, and connections that end after 16 interim responses.

--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -6,7 +6,7 @@
 //! engine. `admission` decides which new streams are admitted when capacity runs short, and
 //! `usual_deadlines` tells how old a call is, `rank_mixes` how much of the demand is more urgent.
 //! `retry_budgets` bounds retries, `retry_schedules` sets `Retry-After` times, `pick`
-//! chooses engines, `relay` passes a stream's events on. `forward` sends a call to another node while this one
+//! chooses engines, `relay` passes a stream's events on, `held_answer` holds a single body or passes it on. `forward` sends a call to another node while this one
 //! does not reach the engines of its service. A filter ends a call with a
 //! [`Refusal`](refusal::Refusal).
 
@@ -15,6 +15,7 @@
 mod flow;
 mod flow_forward;
 mod forward;
+mod held_answer;
 mod open;
 mod pick;
 mod rank_mixes;
--- a/crates/heathpitchd/src/gateway/call/record.rs
+++ b/crates/heathpitchd/src/gateway/call/record.rs
@@ -1,12 +1,13 @@
 //! Log lines and counts that single calls and streams share.
 
 use heathpitch_core::{EngineEntry, Name, Path};
-use heathpitch_net::{Body, full_in_pieces};
+use heathpitch_net::Body;
 use hyper::{Response, StatusCode};
 
 use super::Traffic;
 use super::admit::Call;
-use super::send::{CompleteAnswer, Failure};
+use super::held_answer::HeldAnswer;
+use super::send::Failure;
 use crate::gateway::event::{CallRouted, GatewayEvent, parts};
 use crate::gateway::quarantine_snapshot::incarnation_of;
 use crate::gateway::shared::ControlMessage;
@@ -91,27 +92,15 @@
     promises && !call.route.kind.retryable()
 }
 
-/// Turns an engine's complete answer into the answer to the caller, after so many attempts.
+/// Turns an engine's answer into the answer to the caller, after so many attempts.
 pub(crate) fn final_answer(
     traffic: &Traffic,
     call: &Call,
     sends: u32,
-    answer: CompleteAnswer,
+    answer: HeldAnswer,
 ) -> Response<Body> {
-    let CompleteAnswer { parts, content, held } = answer;
     record_answered(traffic, call);
     let ms = traffic.shared.now().saturating_sub(call.received);
     traffic.shared.metrics.first.observe(ms as f64 / 1e3);
-    GatewayEvent::CallEnded {
-        request: call.head.id.to_string(),
-        status: parts.status.as_u16(),
-        complete: true,
-        attempts: sends,
-        events: 0,
-        first_ms: ms,
-        ms,
-        pause_ms: 0,
-    }
-    .log();
-    Response::from_parts(parts, full_in_pieces(content, held))
+    answer.into_response(&traffic.shared, call, sends)
 }
--- a/crates/heathpitchd/src/gateway/call/relay.rs
+++ b/crates/heathpitchd/src/gateway/call/relay.rs
@@ -12,6 +12,7 @@
 use super::flow::Flow;
 use super::record::record_answered;
 use super::send::{Answer, SLOW_ANSWER_MS, until_way_lost};
+use crate::gateway::content_budget::HeldBytes;
 use crate::gateway::event::GatewayEvent;
 
 /// Time between two attempts to move a stream.
@@ -29,6 +30,7 @@
         first_ms,
         last_event: now,
         max_pause: 0,
+        held: HeldBytes::default(),
         next_move: 0,
         ended: false,
     };
@@ -51,6 +53,8 @@
     first_ms: Millis,
     last_event: Millis,
     max_pause: Millis,
+    /// Memory taken for an incomplete event.
+    held: HeldBytes,
     /// Time before which the stream is not moved again.
     next_move: Millis,
     ended: bool,
@@ -142,7 +146,14 @@
 
     fn take(&mut self, bytes: &[u8]) -> ReadOutcome {
         let before = self.flow.events.count();
-        match self.flow.events.push(bytes) {
+        let pushed = self.flow.events.push(bytes);
+        let contents = &self.flow.traffic.shared.contents;
+        match self.flow.events.partial_len() {
+            0 => self.held = HeldBytes::default(),
+            length if contents.try_grow_answer(&mut self.held, length) => {}
+            _ => return ReadOutcome::Failed("no memory for an incomplete event".to_owned()),
+        }
+        match pushed {
             Ok(events) if events.is_empty() => ReadOutcome::Nothing,
             Ok(events) => {
                 self.record_events(self.flow.events.count() - before);
--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -3,15 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use heathpitch_core::{Millis, Name, Path};
 use heathpitch_net::{
-    BackpressureSignal, BodyError, Connection, ConnectionHead, Dispatch, Framing, Pool,
-    ResponseHead, Reuse, RpcError, SendFailure, full,
+    BackpressureSignal, Connection, ConnectionHead, Dispatch, Pool, ResponseHead, Reuse, RpcError,
+    SendFailure, full,
 };
 use heathpitch_policy::{Backpressure, Suspicion};
-use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response;
 use hyper::{Request, StatusCode};
@@ -20,7 +18,6 @@
 use super::admit::Call;
 use super::rights::{self, NoRight, SendRights};
 use crate::gateway::backpressure::ResponseInfo;
-use crate::gateway::content_budget::HeldBytes;
 use crate::gateway::engine_table::EngineView;
 use crate::gateway::quarantine_snapshot::incarnation_of;
 use crate::gateway::shared::{ControlMessage, Shared};
@@ -46,40 +43,6 @@
 }
 
 impl Answer {
-    /// Reads the complete answer, of at most `max_bytes`, and returns its connection to the pool. Waits for memory if
-    /// the answer is large.
-    pub(crate) async fn read_all(
-        self,
-        shared: &Shared,
-        max_bytes: usize,
-    ) -> Result<CompleteAnswer, Failure> {
-        let Self { connection, hop, parts, mut body, .. } = self;
-        let lost = |e: &dyn std::fmt::Display| Failure::Lost(e.to_string());
-        let declared = body.size_hint().lower() as usize;
-        if declared > max_bytes {
-            return Err(lost(&BodyError::TooLarge));
-        }
-        let mut held = HeldBytes::default();
-        shared.contents.grow_answer(&mut held, declared).await;
-        let mut content = BytesMut::with_capacity(declared);
-        while let Some(frame) = body.frame().await {
-            let Ok(piece) = frame.map_err(|_| lost(&BodyError::Truncated))?.into_data() else {
-                continue;
-            };
-            let length = content.len() + piece.len();
-            if length > max_bytes {
-                return Err(lost(&BodyError::TooLarge));
-            }
-            shared.contents.grow_answer(&mut held, length).await;
-            content.extend_from_slice(&piece);
-        }
-        if content.is_empty() && hop.framing == Framing::UntilClose {
-            return Err(lost(&"the connection ended before the body"));
-        }
-        release_connection(connection, hop, &shared.pool);
-        Ok(CompleteAnswer { parts, content: content.freeze(), held })
-    }
-
     /// Returns the connection to the pool after the complete answer was read.
     pub(crate) fn release(self, pool: &Pool) {
         release_connection(self.connection, self.hop, pool);
@@ -92,15 +55,6 @@
     }
 }
 
-/// A complete answer of an engine.
-#[derive(Debug)]
-pub(crate) struct CompleteAnswer {
-    pub(crate) parts: response::Parts,
-    pub(crate) content: Bytes,
-    /// Memory taken for it, until it is written to its caller.
-    pub(crate) held: HeldBytes,
-}
-
 /// Why an attempt got no usable answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Failure {
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -7,17 +7,18 @@
 use super::Traffic;
 use super::admit::Call;
 use super::forward::{Declined, ForwardError, Forwarding};
+use super::held_answer::HeldAnswer;
 use super::open::HeldTokens;
 use super::pick::{self, Avoid};
 use super::record::{AttemptLog, final_answer, is_false_promise, record_parts_answered};
 use super::refusal::{Refusal, RefusalKind};
 use super::retry_schedules::backpressure_refusal;
-use super::send::{CompleteAnswer, Failure, Target, send};
+use super::send::{Failure, Target, send};
 use crate::gateway::engine_table::EngineView;
 use crate::gateway::shared::{ControlMessage, LostAttempt};
 
-/// Size of the largest answer that is buffered.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Size up to which an answer is held before it is passed on.
+const MAX_HELD_BYTES: usize = 16 << 20;
 /// Attempts in which nothing could be sent to the engine.
 const MAX_UNSENT: u32 = 4;
 
@@ -30,7 +31,7 @@
     /// Attempts whose connections failed.
     unreached: u32,
     avoid: Vec<Name>,
-    last: Option<CompleteAnswer>,
+    last: Option<HeldAnswer>,
     forwarding: Forwarding,
     /// Refusal of a node that the call was forwarded to.
     declined: Option<Declined>,
@@ -90,7 +91,7 @@
     traffic: &Traffic,
     call: &Call,
     progress: &mut Progress,
-) -> Result<CompleteAnswer, RefusalKind> {
+) -> Result<HeldAnswer, RefusalKind> {
     if call.forwarded.is_some() {
         // The cut that this node is about to find may be that of the other one.
         let (reach, service) = (&traffic.shared.reach, &call.service.name);
@@ -127,11 +128,11 @@
     call: &Call,
     progress: &mut Progress,
     kind: RefusalKind,
-) -> Result<CompleteAnswer, RefusalKind> {
+) -> Result<HeldAnswer, RefusalKind> {
     let Progress { forwarding, evidence, attempts, .. } = progress;
     let state = super::forward::Progress { attempts, evidence, after: None, events: 0 };
     match forwarding.send(traffic, call, state).await {
-        Ok((answer, _hop)) => match answer.read_all(&traffic.shared, MAX_ANSWER_BYTES).await {
+        Ok((answer, _hop)) => match answer.read(&traffic.shared, MAX_HELD_BYTES).await {
             Ok(answer) => {
                 progress.evidence.started();
                 Ok(answer)
@@ -179,7 +180,7 @@
     traffic: &Traffic,
     call: &Call,
     progress: &mut Progress,
-) -> Result<CompleteAnswer, RefusalKind> {
+) -> Result<HeldAnswer, RefusalKind> {
     let mut kind = RefusalKind::NoEngine;
     let was_cut_off = is_cut_off(traffic, call);
     while progress.attempts < call.attempts() && progress.unsent < MAX_UNSENT {
@@ -298,8 +299,8 @@
     traffic: &Traffic,
     call: &Call,
     view: &EngineView,
-) -> Result<CompleteAnswer, Failure> {
+) -> Result<HeldAnswer, Failure> {
     let target = Target { view, downstream: &[], path: None, after: None };
     let answer = send(traffic, call, &target).await?;
-    answer.read_all(&traffic.shared, MAX_ANSWER_BYTES).await
+    answer.read(&traffic.shared, MAX_HELD_BYTES).await
 }
--- a/crates/heathpitchd/src/gateway/content_budget.rs
+++ b/crates/heathpitchd/src/gateway/content_budget.rs
@@ -1,18 +1,21 @@
 //! Memory for the bodies of calls and of answers that a node holds as a whole.
 //!
-//! A body is held from its arrival until its call has ended, because it may be sent again; an answer until it has been
-//! written to its caller. Whatever does not fit is not read until others have ended, in order of arrival. Small bodies
-//! have a part of their own, so that large ones do not keep them waiting.
+//! A body is held from its arrival until its call has ended, because it may be sent again. One that does not fit is not
+//! read until others have ended, in order of arrival. An answer is held until it has been written to its caller; what does
+//! not fit is passed on as it arrives, so that answers never wait for each other. Small bodies and small answers have
+//! parts of their own, so that large ones do not keep them waiting.
 
 use std::sync::Arc;
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// Part of the VM's memory for small bodies. The node itself, and what the kernel holds of connections, need what the
-/// three parts leave.
+/// Part of the VM's memory for small bodies. The node itself, the buffers of connections, and what the kernel holds of
+/// them need what the four parts leave.
 const SMALL_SHARE: f64 = 0.1;
 /// Part of it for large bodies.
 const LARGE_SHARE: f64 = 0.5;
+/// Part of it for small answers.
+const SMALL_ANSWER_SHARE: f64 = 0.05;
 /// Part of it for large answers.
 const ANSWER_SHARE: f64 = 0.15;
 /// Size from which a body or an answer is large.
@@ -26,6 +29,7 @@
 pub(crate) struct ContentBudget {
     small: Part,
     large: Part,
+    small_answers: Part,
     answers: Part,
 }
 
@@ -33,7 +37,12 @@
     /// Budget of a VM with this memory.
     pub(crate) fn new(memory_mb: f64) -> Self {
         let part = |share: f64| Part::new((memory_mb * BYTES_PER_MB * share) as usize);
-        Self { small: part(SMALL_SHARE), large: part(LARGE_SHARE), answers: part(ANSWER_SHARE) }
+        Self {
+            small: part(SMALL_SHARE),
+            large: part(LARGE_SHARE),
+            small_answers: part(SMALL_ANSWER_SHARE),
+            answers: part(ANSWER_SHARE),
+        }
     }
 
     /// Waits until a body may hold `bytes`.
@@ -44,10 +53,11 @@
         }
     }
 
-    /// Waits until an answer may hold `bytes`; small ones are not counted.
-    pub(crate) async fn grow_answer(&self, held: &mut HeldBytes, bytes: usize) {
-        if bytes >= LARGE_BYTES {
-            self.answers.grow(held, bytes).await;
+    /// Takes memory for an answer of `bytes`, if that much is free now.
+    pub(crate) fn try_grow_answer(&self, held: &mut HeldBytes, bytes: usize) -> bool {
+        match bytes {
+            0..LARGE_BYTES => self.small_answers.try_grow(held, bytes),
+            _ => self.answers.try_grow(held, bytes),
         }
     }
 }
@@ -75,10 +85,26 @@
         }
         let step = if taken == 0 { 0 } else { LARGE_BYTES / UNIT_BYTES };
         let units = units.max(taken + step).min(self.units);
-        let more = self.free.clone().acquire_many_owned((units - taken) as u32).await;
-        match (&mut held.0, more) {
-            (Some(held), Ok(more)) if taken > 0 => held.merge(more),
-            (held, more) => *held = more.ok(),
+        if let Ok(more) = self.free.clone().acquire_many_owned((units - taken) as u32).await {
+            self.add(held, more);
+        }
+    }
+
+    /// Gives `held` as many `bytes` of this part, or leaves it as it is if they are not free.
+    fn try_grow(&self, held: &mut HeldBytes, bytes: usize) -> bool {
+        let missing = bytes.div_ceil(UNIT_BYTES).saturating_sub(self.taken(held));
+        if missing == 0 {
+            return true;
+        }
+        let Ok(missing) = u32::try_from(missing) else { return false };
+        let more = self.free.clone().try_acquire_many_owned(missing).ok();
+        more.map(|more| self.add(held, more)).is_some()
+    }
+
+    fn add(&self, held: &mut HeldBytes, more: OwnedSemaphorePermit) {
+        match &mut held.0 {
+            Some(held) if Arc::ptr_eq(held.semaphore(), more.semaphore()) => held.merge(more),
+            held => *held = Some(more),
         }
     }
 
--- a/crates/heathpitchd/src/gateway/event.rs
+++ b/crates/heathpitchd/src/gateway/event.rs
@@ -158,6 +158,13 @@
         /// Response of the first engine.
         result: String,
     },
+    /// A single answer is passed on as it arrives, since it does not fit into the memory for answers.
+    AnswerRelayed {
+        /// Call.
+        request: String,
+        /// Bytes of it that were held until then.
+        held: usize,
+    },
     /// A call has ended.
     CallEnded {
         /// Call.
--- a/crates/heathpitchd/src/gateway/event_log.rs
+++ b/crates/heathpitchd/src/gateway/event_log.rs
@@ -4,7 +4,7 @@
 
 impl GatewayEvent {
     /// Names of all events; they do not change between versions.
-    pub const NAMES: [&'static str; 61] = [
+    pub const NAMES: [&'static str; 62] = [
         "gateway_started",
         "gateway_reloaded",
         "gateway_stopping",
@@ -15,6 +15,7 @@
         "call_attempt_failed",
         "call_rerouted",
         "call_ended",
+        "answer_relayed",
         "call_forwarded",
         "call_forward_failed",
         "forward_rejected",
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -15,6 +15,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::connector::Connector;
+use crate::head_guard::InterimCount;
 use crate::{Body, Framing, FramingError, RpcError, body};
 
 /// Default timeout of a connection attempt.
@@ -25,6 +27,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Estimated overhead of a call: request and response heads, with TCP and IP headers.
 const OVERHEAD_BYTES: usize = 450;
+/// Largest head of a response, and what is read ahead of its body.
+const READ_BUFFER_BYTES: usize = 64 << 10;
 /// Default size limit of a JSON response.
 const MAX_JSON_BYTES: usize = 4 << 20;
 
@@ -37,10 +41,10 @@
 /// retries a request by itself.
 #[derive(Clone, Debug)]
 pub struct Client {
-    pooled: Arc<Mutex<legacy::Client<HttpConnector, Body>>>,
+    pooled: Arc<Mutex<legacy::Client<Connector, Body>>>,
     idle_timeout: Duration,
     connect_timeout: Duration,
-    unpooled: legacy::Client<HttpConnector, Body>,
+    unpooled: legacy::Client<Connector, Body>,
     byte_count: Arc<AtomicU64>,
     max_bytes: usize,
 }
@@ -111,7 +115,7 @@
     max_idle: usize,
     idle_timeout: Duration,
     connect_timeout: Duration,
-) -> legacy::Client<HttpConnector, Body> {
+) -> legacy::Client<Connector, Body> {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(connect_timeout));
     connector.set_nodelay(true);
@@ -120,7 +124,8 @@
         .pool_idle_timeout(idle_timeout)
         .pool_timer(TokioTimer::new())
         .retry_canceled_requests(false)
-        .build(connector)
+        .http1_max_buf_size(READ_BUFFER_BYTES)
+        .build(Connector(connector))
 }
 
 /// # Calls
@@ -141,10 +146,12 @@
         let client = if fresh { self.unpooled.clone() } else { self.pooled.lock().clone() };
         let method = request.method().clone();
         let connection = capture_connection(&mut request);
+        InterimCount::watch_captured(&mut request, connection.clone());
         let response = client.request(request).await.map_err(|e| match e.is_connect() {
             true => RpcError::Connect(error_chain(&e)),
             false => RpcError::Lost(error_chain(&e)),
         })?;
+        InterimCount::reset(&connection);
         judge(&method, response).map_err(|e| {
             // Where the response ends is unknown, and so is where the next one begins.
             connection.connection_metadata().as_ref().inspect(|c| c.poison());
--- a/crates/net/src/events.rs
+++ b/crates/net/src/events.rs
@@ -57,9 +57,12 @@
     /// [`EventError`]. Events received together with the invalid one are dropped, so that a stream
     /// resumed elsewhere continues after the last event returned.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
+        // What was buffered before has no terminator.
+        let from = self.buffer.len().saturating_sub(TERMINATOR.len() - 1);
         self.buffer.extend_from_slice(bytes);
-        let whole = match self.buffer.windows(TERMINATOR.len()).rposition(|w| w == TERMINATOR) {
-            Some(at) => self.buffer.split_to(at + TERMINATOR.len()).freeze(),
+        let is_terminator = |window: &[u8]| window == TERMINATOR;
+        let whole = match self.buffer[from..].windows(TERMINATOR.len()).rposition(is_terminator) {
+            Some(at) => self.buffer.split_to(from + at + TERMINATOR.len()).freeze(),
             None if self.buffer.len() > MAX_EVENT_BYTES => return Err(EventError::TooLarge),
             None => return Ok(Bytes::new()),
         };
@@ -93,6 +96,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Bytes of an incomplete event that are buffered.
+    pub fn partial_len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Drops an incomplete event, to continue the stream with another engine.
     pub fn restart(&mut self) {
         self.buffer.clear();
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 mod backpressure;
 mod body;
 mod client;
+mod connector;
 mod deflate;
 mod dialect;
 mod engine;
@@ -21,6 +22,7 @@
 mod frame;
 mod framing;
 mod generated;
+mod head_guard;
 mod listener;
 mod order;
 mod peer;
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 
 use crate::client::{error_chain, judge};
+use crate::head_guard::{HeadGuard, InterimCount};
 use crate::{Body, Response, RpcError};
 
 /// Timeout of a connection attempt, an order of magnitude above the latency between failure
@@ -26,6 +27,8 @@
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Maximum number of idle connections per address.
 const MAX_IDLE: usize = 32;
+/// Largest head of a response, and what is read ahead of its body.
+const READ_BUFFER_BYTES: usize = 8 << 10;
 /// Upper bound of the time an idle connection is kept; also used if the engine states none.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Safety margin by which an idle connection is closed before the engine closes it.
@@ -55,6 +58,7 @@
 #[derive(Debug)]
 struct Idle {
     sender: http1::SendRequest<Body>,
+    interim: InterimCount,
     incarnation: u64,
     expires: Instant,
 }
@@ -63,6 +67,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Body>,
+    interim: InterimCount,
     address: SocketAddr,
     incarnation: u64,
     new: bool,
@@ -104,7 +109,9 @@
         reuse: Reuse,
     ) -> Result<Connection, RpcError> {
         match self.take_idle(address, incarnation, reuse) {
-            Some(sender) => Ok(Connection { sender, address, incarnation, new: false }),
+            Some(Idle { sender, interim, .. }) => {
+                Ok(Connection { sender, interim, address, incarnation, new: false })
+            }
             None => self.open(address, incarnation).await,
         }
     }
@@ -121,6 +128,7 @@
         if kept.len() < MAX_IDLE && !time.is_zero() && !connection.sender.is_closed() {
             kept.push(Idle {
                 sender: connection.sender,
+                interim: connection.interim,
                 incarnation: connection.incarnation,
                 expires,
             });
@@ -137,12 +145,7 @@
         self.inner.idle.lock().clear();
     }
 
-    fn take_idle(
-        &self,
-        address: SocketAddr,
-        incarnation: u64,
-        reuse: Reuse,
-    ) -> Option<http1::SendRequest<Body>> {
+    fn take_idle(&self, address: SocketAddr, incarnation: u64, reuse: Reuse) -> Option<Idle> {
         if reuse == Reuse::Never {
             return None;
         }
@@ -150,9 +153,9 @@
         let kept = idle.get_mut(&address)?;
         let now = Instant::now();
         kept.retain(|i| i.incarnation == incarnation);
-        while let Some(Idle { sender, expires, .. }) = kept.pop() {
-            if sender.is_ready() && expires > now {
-                return Some(sender);
+        while let Some(idle) = kept.pop() {
+            if idle.sender.is_ready() && idle.expires > now {
+                return Some(idle);
             }
         }
         None
@@ -171,14 +174,18 @@
         if let Err(e) = socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT)) {
             log::debug!("cannot set TCP_USER_TIMEOUT: {e}");
         }
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let interim = InterimCount::default();
+        let stream = HeadGuard::new(TokioIo::new(stream), interim.clone());
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(READ_BUFFER_BYTES).max_header_size(READ_BUFFER_BYTES);
+        let handshake = builder.handshake(stream).await;
         let (sender, connection) = handshake.map_err(|e| refused(&e))?;
         tokio::spawn(async move {
             if let Err(e) = connection.await {
                 log::debug!("connection to {address} ended: {e}");
             }
         });
-        Ok(Connection { sender, address, incarnation, new: true })
+        Ok(Connection { sender, interim, address, incarnation, new: true })
     }
 }
 
@@ -199,11 +206,12 @@
     /// # Errors
     ///
     /// [`SendFailure`], which says whether the request may have been received.
-    pub async fn send(&mut self, request: Request<Body>) -> Result<Response, SendFailure> {
+    pub async fn send(&mut self, mut request: Request<Body>) -> Result<Response, SendFailure> {
         if let Err(e) = self.sender.ready().await {
             return Err(SendFailure::Unsent(error_chain(&e)));
         }
         let method = request.method().clone();
+        self.interim.watch(&mut request);
         let sent = self.sender.try_send_request(request).await;
         let response = sent.map_err(|mut e| {
             let unsent = e.take_message().is_some();
