Answer all calls before a stopping node ends

In a planned stop, calls that came late or whose bodies were slow were passed on, ran, and were cut without an answer at the end of the grace period, among them calls that may not be repeated.

Cause: nothing asked whether a call that is about to be sent can end in time, and what was left got no answer.

Change: a stop has a deadline that all calls share. Calls that usually take longer are refused before they are sent, engines get no time beyond it, and what has not ended by then is answered with 504.

--- a/crates/heathpitchd/src/gateway/call/admit.rs
+++ b/crates/heathpitchd/src/gateway/call/admit.rs
@@ -60,6 +60,16 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// Time until this node gives it up: its deadline, or the end of a stop.
+    pub(crate) fn time_left(&self, shared: &Shared) -> Millis {
+        self.deadline.min(shared.stop.at()).saturating_sub(shared.now())
+    }
+
+    /// Why it is given up now.
+    pub(crate) fn expiry(&self, shared: &Shared) -> RefusalKind {
+        RefusalKind::expiry(shared, self.deadline)
+    }
+
     /// Most engines that this node may send it to.
     pub(crate) fn attempts(&self) -> u32 {
         let left = self.forwarded.map_or(u32::MAX, |f| f.attempts);
@@ -161,8 +171,13 @@
     };
     let reading = read_body(body, catalog.limits, memory, &id);
     let Some(content) = shared.run_until(deadline, reading).await else {
-        let detail = "the body did not arrive before the call's deadline";
-        return Err(of_caller(Refusal::unsent(RefusalKind::Expired, &id, detail)));
+        let (kind, detail) = match RefusalKind::expiry(shared, deadline) {
+            RefusalKind::Stopping => {
+                (RefusalKind::Stopping, "the body did not arrive before this node stops")
+            }
+            kind => (kind, "the body did not arrive before the call's deadline"),
+        };
+        return Err(of_caller(Refusal::unsent(kind, &id, detail)));
     };
     let (content, held) = content.map_err(of_caller)?;
     let target = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
--- a/crates/heathpitchd/src/gateway/call/forward.rs
+++ b/crates/heathpitchd/src/gateway/call/forward.rs
@@ -276,7 +276,8 @@
         target.map_err(|_| HopFailure::Unsent("the path is not valid".to_owned()))?;
     let sent = traffic.shared.now();
     let dialect = &traffic.clients.dialect;
-    *request.headers_mut() = dialect.forwarded(&call.body.headers, call.remaining(sent), after);
+    let remaining = call.time_left(&traffic.shared);
+    *request.headers_mut() = dialect.forwarded(&call.body.headers, remaining, after);
     let forwarded = ForwardedCall {
         attempts: call.attempts().saturating_sub(attempts),
         is_retry: attempts > 0,
@@ -332,7 +333,7 @@
         service: call.service.name.clone(),
         attempts,
         after,
-        remaining_ms: call.remaining(traffic.shared.now()),
+        remaining_ms: call.time_left(&traffic.shared),
     }
     .log();
 }
--- a/crates/heathpitchd/src/gateway/call/held_answer.rs
+++ b/crates/heathpitchd/src/gateway/call/held_answer.rs
@@ -173,8 +173,11 @@
                     self.end.log(&self.shared, true);
                     return None;
                 }
-                Some(Some(Err(_))) | None => {
+                cut @ (Some(Some(Err(_))) | None) => {
                     self.rest = None;
+                    if cut.is_none() && self.shared.now() < self.deadline {
+                        self.shared.stop.record_cut();
+                    }
                     self.end.log(&self.shared, false);
                     return Some(Err(BodyError::Truncated));
                 }
--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -4,7 +4,7 @@
 //! enough. `single` and `stream` run the call; `flow` is a stream over all its attempts, `send` one
 //! attempt at one engine, `record` its log lines. `rights` are needed to send to a rate-limited
 //! engine. `admission` decides which new streams are admitted when capacity runs short, and
-//! `usual_deadlines` tells how old a call is, `rank_mixes` how much of the demand is more urgent.
+//! `usual_deadlines` tells how old a call is, `usual_durations` how long it is likely to take, `rank_mixes` how much of the demand is more urgent.
 //! `retry_budgets` bounds retries, `retry_schedules` sets `Retry-After` times, `pick`
 //! chooses engines, `relay` passes a stream's events on, `held_answer` holds a single body or passes it on. `forward` sends a call to another node while this one
 //! does not reach the engines of its service. A filter ends a call with a
@@ -29,10 +29,12 @@
 mod single;
 mod stream;
 mod usual_deadlines;
+mod usual_durations;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 
+use heathpitch_core::Millis;
 use heathpitch_net::{Body, ForwardedCall, Pool};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -41,6 +43,7 @@
 pub(crate) use retry_budgets::{RetryBudgets, agreed_limit};
 pub(crate) use retry_schedules::RetrySchedules;
 pub(crate) use usual_deadlines::UsualDeadlines;
+pub(crate) use usual_durations::UsualDurations;
 
 use super::shared::{Clients, Shared};
 use open::OpenCall;
@@ -54,9 +57,22 @@
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) retry_schedules: RetrySchedules,
     pub(crate) usual_deadlines: UsualDeadlines,
+    pub(crate) usual_durations: UsualDurations,
     pub(crate) rank_mixes: RankMixes,
 }
 
+impl Traffic {
+    /// Whether a call that is sent now is likely to end before this node stops, with an answer or by its own deadline.
+    pub(crate) fn may_finish(&self, call: &admit::Call) -> bool {
+        let by = self.shared.stop.at();
+        if by == Millis::MAX {
+            return true;
+        }
+        let usual = self.usual_durations.estimate(&call.route.name).unwrap_or_default();
+        call.deadline.min(self.shared.now() + usual) < by
+    }
+}
+
 /// Who sent a call to this node.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Origin {
--- a/crates/heathpitchd/src/gateway/call/record.rs
+++ b/crates/heathpitchd/src/gateway/call/record.rs
@@ -35,7 +35,7 @@
             engine: self.engine.clone(),
             parts: parts(path),
             after,
-            remaining_ms: self.call.remaining(now),
+            remaining_ms: self.call.time_left(&self.traffic.shared),
             config: self.call.catalog.version,
             proof_ms: self.traffic.shared.config_freshness.load().age(now),
             list_ms: self.traffic.shared.list_freshness.load().age(now),
--- a/crates/heathpitchd/src/gateway/call/refusal.rs
+++ b/crates/heathpitchd/src/gateway/call/refusal.rs
@@ -47,11 +47,13 @@
     Broken,
     /// The deadline has passed.
     Expired,
+    /// It cannot end before this node stops, or has not.
+    Stopping,
 }
 
 impl RefusalKind {
     /// All kinds.
-    const ALL: [Self; 17] = [
+    const ALL: [Self; 18] = [
         Self::Unconfigured,
         Self::NoRoute,
         Self::BadKey,
@@ -69,6 +71,7 @@
         Self::EnginesRefused,
         Self::Broken,
         Self::Expired,
+        Self::Stopping,
     ];
 
     /// Name in answers, logs and metrics.
@@ -91,6 +94,7 @@
             Self::EnginesRefused => "engines_refused",
             Self::Broken => "broken",
             Self::Expired => "expired",
+            Self::Stopping => "stopping",
         }
     }
 
@@ -99,6 +103,14 @@
         Self::ALL.into_iter().find(|kind| kind.as_str() == name)
     }
 
+    /// Why a call with this deadline is given up now.
+    pub(crate) fn expiry(shared: &Shared, deadline: Millis) -> Self {
+        match shared.now() < deadline && shared.now() >= shared.stop.at() {
+            true => Self::Stopping,
+            false => Self::Expired,
+        }
+    }
+
     /// Whether it depends on the node, so that another one may take the call.
     pub(crate) fn is_local(self) -> bool {
         match self {
@@ -111,7 +123,8 @@
             | Self::CutBody
             | Self::NoMemory
             | Self::NoEngine
-            | Self::NoRetry => true,
+            | Self::NoRetry
+            | Self::Stopping => true,
             Self::Overloaded
             | Self::Paused
             | Self::Limited
@@ -130,6 +143,8 @@
             Self::NoEngine | Self::Overloaded => Some(1_500),
             Self::EnginesRefused | Self::NoMemory => Some(400),
             Self::Expired | Self::Broken => Some(300),
+            // Callers retry on a new connection, which leads to another node.
+            Self::Stopping => Some(50),
             _ => None,
         }
     }
@@ -197,7 +212,7 @@
     ) -> Self {
         let status = match (evidence.not_run(), kind) {
             (Some(_), _) => StatusCode::SERVICE_UNAVAILABLE,
-            (None, RefusalKind::Expired) => StatusCode::GATEWAY_TIMEOUT,
+            (None, RefusalKind::Expired | RefusalKind::Stopping) => StatusCode::GATEWAY_TIMEOUT,
             (None, _) => StatusCode::BAD_GATEWAY,
         };
         let (detail, request) = (detail.into(), request.to_owned());
--- a/crates/heathpitchd/src/gateway/call/relay.rs
+++ b/crates/heathpitchd/src/gateway/call/relay.rs
@@ -11,6 +11,7 @@
 
 use super::flow::Flow;
 use super::record::record_answered;
+use super::refusal::RefusalKind;
 use super::send::{Answer, SLOW_ANSWER_MS, until_way_lost};
 use crate::gateway::content_budget::HeldBytes;
 use crate::gateway::event::GatewayEvent;
@@ -82,6 +83,10 @@
                     return None;
                 }
                 ReadOutcome::Expired => {
+                    let shared = &self.flow.traffic.shared;
+                    if self.flow.call.expiry(shared) == RefusalKind::Stopping {
+                        shared.stop.record_cut();
+                    }
                     self.finish(false);
                     return Some(Err(BodyError::Truncated));
                 }
@@ -124,7 +129,7 @@
             frame = source.body.frame() => frame,
             () = abandoned => return ReadOutcome::Abandoned,
             () = way_lost => return ReadOutcome::Abandoned,
-            () = shared.sleep_until(deadline) => return ReadOutcome::Expired,
+            () = shared.sleep_until_due(deadline) => return ReadOutcome::Expired,
         };
         match frame {
             Some(Ok(frame)) => match frame.into_data() {
@@ -220,6 +225,9 @@
             // An answer without a length also ends where its engine exits.
             if self.flow.events.count() > 0 {
                 self.flow.record_complete();
+                let (traffic, call) = (&self.flow.traffic, &self.flow.call);
+                let taken = traffic.shared.now().saturating_sub(call.received);
+                traffic.usual_durations.record(&call.route.name, taken);
             }
         }
         self.log(complete);
--- a/crates/heathpitchd/src/gateway/call/send.rs
+++ b/crates/heathpitchd/src/gateway/call/send.rs
@@ -134,7 +134,7 @@
     }
     let dispatch = Dispatch {
         engine: &view.entry.id,
-        remaining: call.remaining(traffic.shared.now()),
+        remaining: call.time_left(&traffic.shared),
         account: call.holder.as_ref().map(|h| &h.account),
         rank: call.rank(),
         after,
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -42,6 +42,10 @@
 /// Runs the call until its final answer or its deadline.
 pub(crate) async fn run(traffic: &Traffic, call: &Call) -> Result<Response<Body>, Refusal> {
     let mut progress = Progress::default();
+    if !traffic.may_finish(call) {
+        let detail = "calls of this route usually take longer than this node still runs";
+        return Err(Refusal::unsent(RefusalKind::Stopping, &call.head.id, detail));
+    }
     let work = traffic.shared.run_until(call.deadline, answer(traffic, call, &mut progress)).await;
     let id = &call.head.id;
     let kind = match work {
@@ -60,7 +64,9 @@
         Some(Err(kind)) => kind,
         None => {
             progress.evidence.lost();
-            RefusalKind::Expired
+            let taken = traffic.shared.now().saturating_sub(call.received);
+            traffic.usual_durations.record(&call.route.name, taken);
+            call.expiry(&traffic.shared)
         }
     };
     if let Some(Declined { kind, retry_after, detail }) = progress.declined {
@@ -75,6 +81,7 @@
     }
     let detail = match kind {
         RefusalKind::Expired => "no answer before the call's deadline".to_owned(),
+        RefusalKind::Stopping => "no answer before this node stops".to_owned(),
         RefusalKind::NoEngine => {
             let (table, now) = (traffic.shared.table.load(), traffic.shared.now());
             let reach = table.reach(&call.service.name, now);
@@ -129,6 +136,9 @@
     progress: &mut Progress,
     kind: RefusalKind,
 ) -> Result<HeldAnswer, RefusalKind> {
+    if !traffic.may_finish(call) {
+        return Err(kind);
+    }
     let Progress { forwarding, evidence, attempts, .. } = progress;
     let state = super::forward::Progress { attempts, evidence, after: None, events: 0 };
     match forwarding.send(traffic, call, state).await {
@@ -193,6 +203,9 @@
             return Err(kind);
         }
         let is_retry = progress.attempts > 0;
+        if is_retry && !traffic.may_finish(call) {
+            return Err(kind);
+        }
         let table = traffic.shared.table.load();
         let now = traffic.shared.now();
         let domain = traffic.shared.settings.load().domain.clone();
@@ -218,6 +231,7 @@
                 progress.evidence.started();
                 let done = traffic.shared.now();
                 view.stats.record_latency(done.saturating_sub(now), done);
+                traffic.usual_durations.record(&call.route.name, done.saturating_sub(now));
                 if answer.parts.status.is_success() {
                     record_parts_answered(traffic, call, &view.entry);
                 }
--- a/crates/heathpitchd/src/gateway/call/stream.rs
+++ b/crates/heathpitchd/src/gateway/call/stream.rs
@@ -31,6 +31,10 @@
     open: OpenCall,
 ) -> Result<Response<Body>, Refusal> {
     let (shared, deadline) = (traffic.shared.clone(), call.deadline);
+    if call.head.after.is_none() && !traffic.may_finish(&call) {
+        let detail = "streams of this route usually take longer than this node still runs";
+        return Err(Refusal::unsent(RefusalKind::Stopping, &call.head.id, detail));
+    }
     let mut flow = Flow::new(traffic, call, open);
     let opened = shared.run_until(deadline, flow.dispatch()).await;
     let id = flow.call.head.id.clone();
@@ -94,7 +98,12 @@
         }
         None => {
             flow.evidence.lost();
-            (RefusalKind::Expired, "no answer before the call's deadline".to_owned())
+            match flow.call.expiry(&shared) {
+                RefusalKind::Stopping => {
+                    (RefusalKind::Stopping, "no answer before this node stops".to_owned())
+                }
+                kind => (kind, "no answer before the call's deadline".to_owned()),
+            }
         }
     };
     Err(Refusal::given_up(kind, &flow.evidence, &id, detail).with_load(flow.load))
--- a/crates/heathpitchd/src/gateway/mod.rs
+++ b/crates/heathpitchd/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod quarantine_snapshot;
 mod reach;
 mod shared;
+mod stop_deadline;
 mod thread_monitor;
 
 use std::io;
@@ -36,14 +37,16 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime};
 
-use heathpitch_core::GatewaySettings;
+use heathpitch_core::{GatewaySettings, Millis};
 use heathpitch_net::{Bounds, Listener, serve};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
 use crate::StartError;
-use call::{Origin, RankMixes, RetryBudgets, RetrySchedules, Traffic, UsualDeadlines};
+use call::{
+    Origin, RankMixes, RetryBudgets, RetrySchedules, Traffic, UsualDeadlines, UsualDurations,
+};
 use control::Listeners;
 pub use event::{CallRefused, CallRouted, GatewayEvent, SharesChanged};
 pub use metrics::GATEWAY_METRICS;
@@ -64,6 +67,8 @@
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
 /// Part of the grace period that is left unused, so that the process exits before it is killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Part of it before that in which the last answers are written.
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 /// Interval of checks of the settings file, which may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -136,6 +141,7 @@
             retry_budgets: RetryBudgets::new(shared.clone()),
             retry_schedules: RetrySchedules::new(shared.clone()),
             usual_deadlines: UsualDeadlines::default(),
+            usual_durations: UsualDurations::default(),
             rank_mixes: RankMixes::default(),
             pool: shared.pool.clone(),
             shared: shared.clone(),
@@ -182,13 +188,15 @@
     }
 
     /// Shuts down: reports at once that it is not ready, accepts connections until the load
-    /// balancer has removed the node, then lets calls finish within the grace period. Returns the
-    /// number of calls cut off.
+    /// balancer has removed the node, then lets calls finish within the grace period. Calls that cannot
+    /// are refused, or given up before its end. Returns the number of calls cut off.
     pub fn stop(self) -> usize {
         let shared = self.shared.clone();
         shared.stopping.store(true, Relaxed);
         GatewayEvent::GatewayStopping { open: shared.open_calls.load(Relaxed) }.log();
         let grace = Duration::from_secs_f64(shared.settings.load().bounds.grace_s);
+        let answering = grace.saturating_sub(GRACE_MARGIN + ANSWER_MARGIN);
+        shared.stop.begin(shared.now() + answering.as_millis() as Millis);
         let cut = self.runtime.block_on(async {
             tokio::time::sleep(DEREGISTRATION_DELAY).await;
             self.stop_traffic.send_replace(true);
@@ -198,7 +206,7 @@
             if tokio::time::timeout(remaining, written).await.is_err() {
                 log::warn!("connections were still open at the end of the grace period");
             }
-            shared.open_calls.load(Relaxed)
+            shared.open_calls.load(Relaxed) + shared.stop.cut()
         });
         self.stop_control.send_replace(true);
         match self.control.join() {
--- a/crates/heathpitchd/src/gateway/shared.rs
+++ b/crates/heathpitchd/src/gateway/shared.rs
@@ -26,6 +26,7 @@
 use super::old_proof_calls::OldProofCalls;
 use super::quarantine_snapshot::QuarantineSnapshot;
 use super::reach::Reach;
+use super::stop_deadline::StopDeadline;
 use crate::clock::Clock;
 
 /// Capacity of the channel to the control thread.
@@ -202,6 +203,7 @@
     /// for microseconds.
     pub(crate) retry_book: Mutex<RetryBook>,
     pub(crate) stopping: AtomicBool,
+    pub(crate) stop: StopDeadline,
     pub(crate) open_calls: AtomicUsize,
     /// Open calls that other nodes forwarded to this one.
     pub(crate) open_forwarded: AtomicUsize,
@@ -244,6 +246,7 @@
             retry_book: Mutex::new(RetryBook::new(rand::random())),
             informed: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            stop: StopDeadline::default(),
             open_calls: AtomicUsize::new(0),
             open_forwarded: AtomicUsize::new(0),
             resumed: watch::Sender::new(0),
@@ -285,7 +288,20 @@
         }
     }
 
-    /// Runs a future until a time of the node's clock; none if it has not finished by then.
+    /// Sleeps until a time of the node's clock, or until a stopping node has to have answered its calls.
+    pub(crate) async fn sleep_until_due(&self, at: Millis) {
+        let mut stop = self.stop.subscribe();
+        loop {
+            let due = at.min(*stop.borrow_and_update());
+            tokio::select! {
+                () = self.sleep_until(due) => return,
+                Ok(()) = stop.changed() => {}
+            }
+        }
+    }
+
+    /// Runs a future of a call until a time of the node's clock, or until a stopping node has to have answered it;
+    /// none if it has not finished by then.
     pub(crate) async fn run_until<T>(
         &self,
         at: Millis,
@@ -294,7 +310,7 @@
         tokio::select! {
             biased;
             done = work => Some(done),
-            () = self.sleep_until(at) => None,
+            () = self.sleep_until_due(at) => None,
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -99,6 +99,7 @@
 mod ticket;
 mod trend;
 mod usual_deadline;
+mod usual_duration;
 mod water_level;
 
 pub use account_limiter::{AccountLimiter, LimitExceeded};
@@ -199,3 +200,4 @@
 pub use ticket::{Ticket, TicketError};
 pub use trend::Trend;
 pub use usual_deadline::UsualDeadline;
+pub use usual_duration::UsualDuration;
