--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -201,7 +201,7 @@
         self.new
     }
 
-    /// Sends a request and waits for the response head, which has its [`Framing`] as an extension.
+    /// Sends a request and waits for the response head, which has its [`Framing`](crate::Framing) as an extension.
     ///
     /// # Errors
     ///
