--- a/crates/heathpitchd/src/gateway/call/held_answer.rs
+++ b/crates/heathpitchd/src/gateway/call/held_answer.rs
@@ -1,8 +1,8 @@
 //! An engine's answer that is a single body.
 //!
 //! It is held as a whole, so that one that is cut off can be replaced by that of another engine. What the memory for
-//! answers does not hold, or what exceeds the limit on one, is passed on as it arrives: no answer waits for others, and one
-//! without end holds no more than the buffers of its connections.
+//! answers does not hold is passed on as it arrives: no answer waits for others, and one without end holds no more than the
+//! buffers of its connections, until it exceeds the limit on the size of one.
 
 use std::sync::Arc;
 
@@ -39,23 +39,26 @@
     connection: Connection,
     hop: ConnectionHead,
     body: Incoming,
+    /// Largest size that it may have, bytes.
+    max_bytes: usize,
 }
 
 impl Answer {
-    /// Reads the answer, as far as there is memory for it and at most `max_held` bytes, and returns its connection to the
-    /// pool after the end.
+    /// Reads the answer, of at most `max_bytes`, as far as there is memory for it, and returns its connection to the pool
+    /// after the end.
     pub(crate) async fn read(
         self,
         shared: &Shared,
-        max_held: usize,
+        max_bytes: usize,
     ) -> Result<HeldAnswer, Failure> {
         let Self { connection, hop, parts, mut body, .. } = self;
         let lost = |why: &dyn std::fmt::Display| Failure::Lost(why.to_string());
         let mut held = HeldBytes::default();
-        let mut fits = |length: usize| {
-            length <= max_held && shared.contents.try_grow_answer(&mut held, length)
-        };
+        let mut fits = |length: usize| shared.contents.try_grow_answer(&mut held, length);
         let declared = body.size_hint().lower() as usize;
+        if declared > max_bytes {
+            return Err(lost(&BodyError::TooLarge));
+        }
         let mut is_held = fits(declared);
         let mut content = BytesMut::with_capacity(if is_held { declared } else { 0 });
         while is_held {
@@ -69,10 +72,14 @@
             let Ok(piece) = frame.map_err(|_| lost(&BodyError::Truncated))?.into_data() else {
                 continue;
             };
-            is_held = fits(content.len() + piece.len());
+            let length = content.len() + piece.len();
+            if length > max_bytes {
+                return Err(lost(&BodyError::TooLarge));
+            }
+            is_held = fits(length);
             content.extend_from_slice(&piece);
         }
-        let rest = Some(Rest { connection, hop, body });
+        let rest = Some(Rest { connection, hop, body, max_bytes: max_bytes - content.len() });
         Ok(HeldAnswer { parts, content: content.freeze(), held, rest })
     }
 }
@@ -164,7 +171,11 @@
             let rest = self.rest.as_mut()?;
             match self.shared.run_until(self.deadline, rest.body.frame()).await {
                 Some(Some(Ok(frame))) => match frame.into_data() {
-                    Ok(piece) => return Some(Ok(piece)),
+                    Ok(piece) if piece.len() > rest.max_bytes => return Some(self.cut()),
+                    Ok(piece) => {
+                        rest.max_bytes -= piece.len();
+                        return Some(Ok(piece));
+                    }
                     Err(_trailers) => {}
                 },
                 Some(None) => {
@@ -173,17 +184,23 @@
                     self.end.log(&self.shared, true);
                     return None;
                 }
-                cut @ (Some(Some(Err(_))) | None) => {
-                    self.rest = None;
-                    if cut.is_none() && self.shared.now() < self.deadline {
+                Some(Some(Err(_))) => return Some(self.cut()),
+                None => {
+                    if self.shared.now() < self.deadline {
                         self.shared.stop.record_cut();
                     }
-                    self.end.log(&self.shared, false);
-                    return Some(Err(BodyError::Truncated));
+                    return Some(self.cut());
                 }
             }
         }
     }
+
+    /// Ends the answer so that its caller sees that it is not complete.
+    fn cut(&mut self) -> Result<Bytes, BodyError> {
+        self.rest = None;
+        self.end.log(&self.shared, false);
+        Err(BodyError::Truncated)
+    }
 }
 
 impl Drop for Tail {
--- a/crates/heathpitchd/src/gateway/call/single.rs
+++ b/crates/heathpitchd/src/gateway/call/single.rs
@@ -17,8 +17,8 @@
 use crate::gateway::engine_table::EngineView;
 use crate::gateway::shared::{ControlMessage, LostAttempt};
 
-/// Size up to which an answer is held before it is passed on.
-const MAX_HELD_BYTES: usize = 16 << 20;
+/// Size of the largest answer.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Attempts in which nothing could be sent to the engine.
 const MAX_UNSENT: u32 = 4;
 
@@ -142,7 +142,7 @@
     let Progress { forwarding, evidence, attempts, .. } = progress;
     let state = super::forward::Progress { attempts, evidence, after: None, events: 0 };
     match forwarding.send(traffic, call, state).await {
-        Ok((answer, _hop)) => match answer.read(&traffic.shared, MAX_HELD_BYTES).await {
+        Ok((answer, _hop)) => match answer.read(&traffic.shared, MAX_ANSWER_BYTES).await {
             Ok(answer) => {
                 progress.evidence.started();
                 Ok(answer)
@@ -316,5 +316,5 @@
 ) -> Result<HeldAnswer, Failure> {
     let target = Target { view, downstream: &[], path: None, after: None };
     let answer = send(traffic, call, &target).await?;
-    answer.read(&traffic.shared, MAX_HELD_BYTES).await
+    answer.read(&traffic.shared, MAX_ANSWER_BYTES).await
 }
--- a/crates/heathpitchd/src/gateway/call/stream.rs
+++ b/crates/heathpitchd/src/gateway/call/stream.rs
@@ -20,8 +20,8 @@
 use super::relay::relay;
 use super::retry_schedules::{backpressure_refusal, promised_refusal};
 
-/// Size up to which an answer that is not a stream is held before it is passed on.
-const MAX_HELD_BYTES: usize = 1 << 20;
+/// Size of the largest answer that is not a stream.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
 
 /// Runs the stream until the head of its answer; its events are relayed as the caller reads the
 /// body.
@@ -42,7 +42,7 @@
         Some(Ok(answer)) => return Ok(relay(flow, answer)),
         // An engine's error response is passed on unchanged.
         Some(Err(DispatchError::Failed(answer))) => {
-            match shared.run_until(deadline, answer.read(&shared, MAX_HELD_BYTES)).await {
+            match shared.run_until(deadline, answer.read(&shared, MAX_ANSWER_BYTES)).await {
                 Some(Ok(answer)) if is_false_promise(&flow.call, answer.parts.status) => {
                     let status = answer.parts.status;
                     (
--- a/crates/heathpitchd/tests/gateway_bodies.rs
+++ b/crates/heathpitchd/tests/gateway_bodies.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use gateway::{Cluster, KEY, wait_until};
-use heathpitch_standin::{Behavior, Caller, GatewayProcess};
+use heathpitch_standin::{Behavior, Caller, GatewayProcess, RawEngine};
 use hyper::Method;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -156,3 +156,36 @@
         }
     }
 }
+
+/// Guards against answers that each hold a part of the memory and wait for more: answers in chunks that filled it together
+/// all waited until their deadlines.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_beyond_the_memory_of_a_node_do_not_wait_for_each_other() {
+    const ANSWER_BYTES: usize = 1_500_000;
+    const CALLS: usize = 12;
+    let cluster = Cluster::new();
+    let engine = RawEngine::spawn(|id| {
+        let head = RawEngine::response_head(id, "200 OK");
+        let chunk = format!("{:x}\r\n{}\r\n", ANSWER_BYTES / 100, "x".repeat(ANSWER_BYTES / 100));
+        let chunks = chunk.repeat(100);
+        format!("{head}transfer-encoding: chunked\r\n\r\n{chunks}0\r\n\r\n").into_bytes()
+    });
+    cluster.store.register_engine("a", "api", "mem", engine.await.unwrap().address);
+    let binary = Path::new(env!("CARGO_BIN_EXE_heathpitchd"));
+    // 15 % of it are for large answers: 4.8 MB.
+    let settings = json!({ "vm": { "memory_mb": 32 } });
+    let store = cluster.store.address();
+    let node = GatewayProcess::spawn_with(binary, store, "n1", "mem", settings).unwrap();
+    node.wait_ready().await.unwrap();
+    let calls = (0..CALLS).map(|_| async {
+        let caller = Caller::new(node.listen).key(KEY);
+        let reply = caller.call(Method::POST, "/book/x", "").await.unwrap();
+        (reply.status, reply.complete, reply.body.len())
+    });
+    let replies = futures::future::join_all(calls).await;
+    assert_eq!(replies, vec![(200, true, ANSWER_BYTES); CALLS]);
+    wait_until("the log tells which did not fit", async || {
+        !node.events("answer_relayed").is_empty()
+    })
+    .await;
+}
--- a/crates/heathpitchd/tests/gateway_endless_answers.rs
+++ b/crates/heathpitchd/tests/gateway_endless_answers.rs
@@ -23,6 +23,8 @@
 const MEMORY_MB: u64 = 72;
 /// Calls that are open at once in tests of memory.
 const CALLS: usize = 400;
+/// Calls that are open at once in tests of the thread that serves all calls; one was enough to hold it up.
+const BUSY_CALLS: usize = 40;
 /// Bytes that an engine sends for each call; what is not read is not sent.
 const SENT_BYTES: usize = 1 << 20;
 /// Time within which other calls are to be served.
@@ -114,15 +116,23 @@
     longest
 }
 
-/// Opens many calls to an engine, and checks the node's memory and its other calls.
+/// Opens many calls to an engine, and checks the node's memory while it serves others.
 async fn stays_within_memory(engine: SocketAddr) {
     let (_cluster, node) = node_beside(engine).await;
     let before = peak_mb(&node);
     let calls = open_calls(node.listen, CALLS).await;
-    let longest = serve_others(&node).await;
+    serve_others(&node).await;
     let peak = peak_mb(&node);
     drop(calls);
     assert!(peak <= MEMORY_MB, "{peak} MB of {MEMORY_MB}, {before} MB before");
+}
+
+/// Opens calls to an engine, and checks that the node serves others soon.
+async fn holds_up_no_other(engine: SocketAddr) {
+    let (_cluster, node) = node_beside(engine).await;
+    let calls = open_calls(node.listen, BUSY_CALLS).await;
+    let longest = serve_others(&node).await;
+    drop(calls);
     assert!(longest <= SOON, "a sound call took {longest:?}");
 }
 
@@ -149,7 +159,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn failures_and_answers_without_a_length_stay_within_memory() {
     for status in ["500 Internal Server Error", "200 OK"] {
-        let start = move |id: &str| head(id, status, "\r\n");
+        let start = move |id: &str| head(id, status, "connection: close\r\n\r\n");
         stays_within_memory(endless(start, vec![b'x'; 16 << 10]).await).await;
     }
 }
@@ -160,12 +170,12 @@
 async fn interim_responses_without_end_hold_up_no_other_call() {
     let start = |_: &str| String::new();
     let piece = b"HTTP/1.1 103 Early Hints\r\n\r\n".repeat(2_000);
-    stays_within_memory(endless(start, piece).await).await;
+    holds_up_no_other(endless(start, piece).await).await;
 }
 
 /// The same for blank lines before a status.
 #[tokio::test(flavor = "multi_thread")]
 async fn blank_lines_without_end_hold_up_no_other_call() {
     let engine = endless(|_| String::new(), b"\r\n".repeat(8 << 10)).await;
-    stays_within_memory(engine).await;
+    holds_up_no_other(engine).await;
 }
