Refuse streams in a stop only where every second one would be cut

Streams of one route differ in length. Refusing all once one in ten exceeds what is left of the grace period turns away many that would have ended; a refusal costs a caller about as much as every second cut. Other calls keep the stricter rule, since one that may not be repeated must not be cut.

--- a/crates/heathpitchd/src/gateway/call/mod.rs
+++ b/crates/heathpitchd/src/gateway/call/mod.rs
@@ -49,6 +49,11 @@
 use open::OpenCall;
 use refusal::{Refusal, RefusalKind};
 
+/// One call in this many may take longer than a stopping node still runs.
+const LONGER_CALLS: usize = 10;
+/// The same for streams, whose lengths differ: a refusal costs a caller about as much as every second cut.
+const LONGER_STREAMS: usize = 2;
+
 /// State of the traffic thread.
 pub(crate) struct Traffic {
     pub(crate) shared: Arc<Shared>,
@@ -68,7 +73,8 @@
         if by == Millis::MAX {
             return true;
         }
-        let usual = self.usual_durations.estimate(&call.route.name).unwrap_or_default();
+        let longer = if call.route.kind.streams() { LONGER_STREAMS } else { LONGER_CALLS };
+        let usual = self.usual_durations.estimate(&call.route.name, longer).unwrap_or_default();
         call.deadline.min(self.shared.now() + usual) < by
     }
 }
--- a/crates/heathpitchd/src/gateway/call/usual_durations.rs
+++ b/crates/heathpitchd/src/gateway/call/usual_durations.rs
@@ -33,8 +33,8 @@
         }
     }
 
-    /// Time within which most calls of a route end.
-    pub(crate) fn estimate(&self, route: &Name) -> Option<Millis> {
-        self.routes.lock().get(route)?.estimate()
+    /// Time that no more than one call in `longer` of a route exceeds.
+    pub(crate) fn estimate(&self, route: &Name, longer: usize) -> Option<Millis> {
+        self.routes.lock().get(route)?.estimate(longer)
     }
 }
--- a/crates/policy/src/usual_duration.rs
+++ b/crates/policy/src/usual_duration.rs
@@ -4,8 +4,6 @@
 
 /// Durations that are kept.
 const SAMPLES: usize = 32;
-/// One in this many calls may take longer than the estimate.
-const LONGER_FRACTION: usize = 10;
 
 /// The latest durations of calls.
 ///
@@ -15,11 +13,12 @@
 /// use heathpitch_policy::UsualDuration;
 ///
 /// let mut usual = UsualDuration::default();
-/// assert_eq!(usual.estimate(), None);
+/// assert_eq!(usual.estimate(10), None);
 /// usual.record(400);
-/// assert_eq!(usual.estimate(), Some(400));
+/// assert_eq!(usual.estimate(10), Some(400));
 /// (0..32).for_each(|call| usual.record(if call == 7 { 9_000 } else { 100 + call }));
-/// assert_eq!(usual.estimate(), Some(129), "one call that took long does not count");
+/// assert_eq!(usual.estimate(10), Some(129), "one call that took long does not count");
+/// assert_eq!(usual.estimate(2), Some(116));
 /// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UsualDuration {
@@ -35,11 +34,11 @@
         self.count += 1;
     }
 
-    /// Time within which nine calls of ten end, milliseconds; none before the first one.
-    pub fn estimate(&self) -> Option<Millis> {
+    /// Time that no more than one call in `longer` exceeds, milliseconds; none before the first one.
+    pub fn estimate(&self, longer: usize) -> Option<Millis> {
         let known = self.count.min(SAMPLES);
         let mut samples = self.samples;
         samples[..known].sort_unstable();
-        samples[..known].get(known.checked_sub(1 + known / LONGER_FRACTION)?).map(|ms| (*ms).into())
+        samples[..known].get(known.checked_sub(1 + known / longer.max(1))?).map(|ms| (*ms).into())
     }
 }
