Judge the messages that have queued together

Change: what messages change is recorded at once; what is held back is recomputed once for up to 64 of them, and other tasks run in between.

--- a/crates/heathpitchd/src/gateway/control/mod.rs
+++ b/crates/heathpitchd/src/gateway/control/mod.rs
@@ -80,10 +80,13 @@
 use super::prover::ProofAnswer;
 use super::shared::{Clients, ControlMessage, Shared};
 use super::thread_monitor::ThreadMonitor;
+use quarantine::HeldChange;
 use state::Control;
 
 /// Concurrent connections for the load balancer's health checks and for metrics scrapes.
 const PROBE_CONNECTIONS: usize = 32;
+/// Messages of the traffic thread that are handled together.
+const MESSAGE_BATCH: usize = 64;
 
 /// Listeners served by the control thread.
 pub(super) struct Listeners {
@@ -167,30 +170,43 @@
     }
 }
 
-/// Dispatches messages from the traffic thread.
+/// Dispatches messages from the traffic thread, and recomputes what is held back once for all that have queued.
 async fn receive(control: Rc<Control>, mut inbox: mpsc::Receiver<ControlMessage>) {
-    while let Some(message) = inbox.recv().await {
-        match message {
-            ControlMessage::Stream(live) => recovery::track(&control, &live),
-            ControlMessage::Replaced(engine) => engines::mark_replaced(&control, &engine),
-            ControlMessage::LayerMismatch(engine) => engines::refresh_layers(&control, &engine),
-            ControlMessage::Refused(engine) => reachability::check_refusal(&control, &engine),
-            ControlMessage::ConnectionLost(lost) => engine_exits::record_lost(&control, lost),
-            ControlMessage::Answered(fingerprint) => control.clear_request(fingerprint),
-            ControlMessage::PartsAnswered(parts, engine) => {
-                control.record_part_answers(&parts, &engine);
-            }
-            ControlMessage::EngineAlive(incarnation) => control.engine_alive(&incarnation),
-            ControlMessage::Draining(incarnation) => control.engine_draining(&incarnation),
-            ControlMessage::HeldBack(fingerprint) => control.renew_request(fingerprint),
-            ControlMessage::PartHeldBack(part) => control.renew_part(part),
-            ControlMessage::Limited(incarnation) => control.record_limit(&incarnation),
-            ControlMessage::Demand(key, admitted) => control.record_demand(key, admitted),
-            ControlMessage::ReachSuspected(suspicion) => control.check_reach(&suspicion),
-            ControlMessage::RightsWanted(wanted) => rights::spawn_request(&control, wanted),
-            ControlMessage::RetryWanted(wanted) => retries::spawn_request(&control, wanted),
+    let mut batch = Vec::with_capacity(MESSAGE_BATCH);
+    while inbox.recv_many(&mut batch, MESSAGE_BATCH).await > 0 {
+        let changes: Vec<_> =
+            batch.drain(..).filter_map(|message| dispatch(&control, message)).collect();
+        if let Some(HeldChange(why)) = changes.first() {
+            control.update_held(why);
+        }
+        // Other tasks of the thread run between two batches, however many messages there are.
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Handles a message; returns why what is held back has to be recomputed, if it has.
+fn dispatch(control: &Rc<Control>, message: ControlMessage) -> Option<HeldChange> {
+    match message {
+        ControlMessage::Answered(fingerprint) => return control.clear_request(fingerprint),
+        ControlMessage::PartsAnswered(parts, engine) => {
+            return control.record_part_answers(&parts, &engine);
         }
+        ControlMessage::EngineAlive(incarnation) => return control.engine_alive(&incarnation),
+        ControlMessage::HeldBack(fingerprint) => return control.renew_request(fingerprint),
+        ControlMessage::PartHeldBack(part) => return control.renew_part(part),
+        ControlMessage::Stream(live) => recovery::track(control, &live),
+        ControlMessage::Replaced(engine) => engines::mark_replaced(control, &engine),
+        ControlMessage::LayerMismatch(engine) => engines::refresh_layers(control, &engine),
+        ControlMessage::Refused(engine) => reachability::check_refusal(control, &engine),
+        ControlMessage::ConnectionLost(lost) => engine_exits::record_lost(control, lost),
+        ControlMessage::Draining(incarnation) => control.engine_draining(&incarnation),
+        ControlMessage::Limited(incarnation) => control.record_limit(&incarnation),
+        ControlMessage::Demand(key, admitted) => control.record_demand(key, admitted),
+        ControlMessage::ReachSuspected(suspicion) => control.check_reach(&suspicion),
+        ControlMessage::RightsWanted(wanted) => rights::spawn_request(control, wanted),
+        ControlMessage::RetryWanted(wanted) => retries::spawn_request(control, wanted),
     }
+    None
 }
 
 /// Serves the load balancer's health check and the metrics.
--- a/crates/heathpitchd/src/gateway/control/part_quarantine.rs
+++ b/crates/heathpitchd/src/gateway/control/part_quarantine.rs
@@ -13,6 +13,7 @@
     PartQuarantine, just_started,
 };
 
+use super::quarantine::HeldChange;
 use super::state::Control;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::part_snapshot::PartSnapshot;
@@ -60,16 +61,18 @@
     }
 
     /// Records that an engine got past the start of an answer to a request with these parts.
-    pub(super) fn record_part_answers(&self, parts: &[PartKey], engine: &EngineIncarnation) {
+    pub(super) fn record_part_answers(
+        &self,
+        parts: &[PartKey],
+        engine: &EngineIncarnation,
+    ) -> Option<HeldChange> {
         let now = self.now();
         let mut new = false;
         for key in parts {
             let answer = PartAnswer::new(*key, engine.digest(), self.incarnation, now);
             new |= self.part_quarantine.borrow_mut().learn_answer(answer, 0, now);
         }
-        if new {
-            self.update_held("the part was answered");
-        }
+        new.then_some(HeldChange("the part was answered"))
     }
 
     /// Records that requests without a part were answered since engines exited under it; returns whether that is new.
@@ -78,10 +81,9 @@
     }
 
     /// Extends the quarantine of a part that was received again.
-    pub(super) fn renew_part(&self, key: PartKey) {
-        if self.part_quarantine.borrow_mut().renew(key, self.now()) {
-            self.update_held("the part was received again");
-        }
+    pub(super) fn renew_part(&self, key: PartKey) -> Option<HeldChange> {
+        let is_new = self.part_quarantine.borrow_mut().renew(key, self.now());
+        is_new.then_some(HeldChange("the part was received again"))
     }
 
     /// Recomputes which parts are held back, and returns what traffic has to know of them.
--- a/crates/heathpitchd/src/gateway/control/quarantine.rs
+++ b/crates/heathpitchd/src/gateway/control/quarantine.rs
@@ -35,6 +35,11 @@
 /// Interval between checks for expired requests and for entries to write to the store.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Why what is held back has to be recomputed, which takes long beside many exits: once for many changes.
+#[derive(Clone, Copy, Debug)]
+#[must_use]
+pub(super) struct HeldChange(pub(super) &'static str);
+
 /// # Local observations
 impl Control {
     /// Records that an engine exited while it ran calls of this node.
@@ -59,26 +64,22 @@
     }
 
     /// Clears a suspected request after a complete response.
-    pub(super) fn clear_request(&self, fingerprint: RequestFingerprint) {
-        if self.quarantine.borrow_mut().clear_request(fingerprint) {
-            self.update_held("the request was answered");
-        }
+    pub(super) fn clear_request(&self, fingerprint: RequestFingerprint) -> Option<HeldChange> {
+        let is_new = self.quarantine.borrow_mut().clear_request(fingerprint);
+        is_new.then_some(HeldChange("the request was answered"))
     }
 
     /// Withdraws a reported exit of an engine that has responded since.
-    pub(super) fn engine_alive(&self, incarnation: &EngineIncarnation) {
+    pub(super) fn engine_alive(&self, incarnation: &EngineIncarnation) -> Option<HeldChange> {
         let requests = self.quarantine.borrow_mut().engine_alive(incarnation);
         let parts = self.part_quarantine.borrow_mut().engine_alive(incarnation);
-        if requests || parts {
-            self.update_held("an engine reported as exited responds");
-        }
+        (requests || parts).then_some(HeldChange("an engine reported as exited responds"))
     }
 
     /// Extends the quarantine of a request that was received again.
-    pub(super) fn renew_request(&self, fingerprint: RequestFingerprint) {
-        if self.quarantine.borrow_mut().renew(fingerprint, self.now()) {
-            self.update_held("the request was received again");
-        }
+    pub(super) fn renew_request(&self, fingerprint: RequestFingerprint) -> Option<HeldChange> {
+        let is_new = self.quarantine.borrow_mut().renew(fingerprint, self.now());
+        is_new.then_some(HeldChange("the request was received again"))
     }
 
     /// Avoids an engine that has exited, if it is still listed.
@@ -146,6 +147,7 @@
     /// Recomputes which requests and parts of prompts are held back, and publishes them.
     pub(super) fn update_held(&self, why: &'static str) {
         let now = self.now();
+        self.shared.metrics.held_updates.inc();
         let parts = self.update_held_parts(why, now);
         let mut quarantine = self.quarantine.borrow_mut();
         let (new, released) = quarantine.decide_beside(&self.part_quarantine.borrow());
--- a/crates/heathpitchd/src/gateway/metrics.rs
+++ b/crates/heathpitchd/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 /// Name and help of every metric of a gateway.
-pub const GATEWAY_METRICS: [(&str, &str); 36] = [
+pub const GATEWAY_METRICS: [(&str, &str); 37] = [
     ("heathpitch_calls_total", "Calls answered, by status"),
     ("heathpitch_call_refusals_total", "Calls refused or given up, by kind"),
     ("heathpitch_call_attempts_total", "Sends of calls to engines that failed"),
@@ -59,6 +59,7 @@
     ("heathpitch_config_age_seconds", "Age of the proof that the configuration is the newest"),
     ("heathpitch_settings_rejected", "1 while the settings file cannot be used"),
     ("heathpitch_engines_rejected", "Entries of engines that cannot be used"),
+    ("heathpitch_held_updates_total", "Times that what is held back was recomputed"),
 ];
 
 /// Bucket bounds for the time to the head of an answer, seconds.
@@ -92,6 +93,7 @@
     pub(crate) engines_rejected: IntGauge,
     pub(crate) held: IntGauge,
     pub(crate) held_parts: IntGauge,
+    pub(crate) held_updates: IntCounter,
     pub(crate) era: IntGauge,
     pub(crate) backpressure: IntCounterVec,
     pub(crate) rights: IntCounterVec,
@@ -158,6 +160,7 @@
             config_age: Gauge::with_opts(opts(33))?,
             settings_rejected: IntGauge::with_opts(opts(34))?,
             engines_rejected: IntGauge::with_opts(opts(35))?,
+            held_updates: IntCounter::with_opts(opts(36))?,
             registry,
         };
         for collector in metrics.collectors() {
@@ -190,6 +193,7 @@
             Box::new(self.engines_rejected.clone()),
             Box::new(self.held.clone()),
             Box::new(self.held_parts.clone()),
+            Box::new(self.held_updates.clone()),
             Box::new(self.era.clone()),
             Box::new(self.backpressure.clone()),
             Box::new(self.rights.clone()),
--- a/crates/heathpitchd/tests/gateway_prompt_parts.rs
+++ b/crates/heathpitchd/tests/gateway_prompt_parts.rs
@@ -320,3 +320,50 @@
     assert!(bodies.iter().all(|body| body.contains("held_back")), "{bodies:?}");
     assert_eq!(exited(&engines), exits);
 }
+
+/// How often a node recomputed what is held back.
+async fn held_updates(node: &GatewayProcess) -> u64 {
+    let text = node.metrics().await.unwrap();
+    let line = text.lines().find_map(|l| l.strip_prefix("heathpitch_held_updates_total "));
+    line.unwrap().parse().unwrap()
+}
+
+/// Guards against verdicts that are recomputed with each message: beside many exits that held up the control thread for
+/// seconds at a time, so that exits were told late.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_that_queue_are_judged_together() {
+    const PARTS: usize = 24;
+    const MAX_UPDATES: u64 = 6;
+    let cluster = Cluster::new();
+    let engine = |i: usize| {
+        let engine = cluster.engine(&format!("e{i}"), "one");
+        engine.set_behavior(Behavior::Stream(2, Duration::from_millis(5)));
+        engine.exit_on_part(FATAL_PART);
+        engine
+    };
+    let engines: Vec<Engine> = (0..6).map(engine).collect();
+    let node = cluster.node().await;
+    let caller = |parts: &str| Caller::new(node.listen).key(KEY).prompt_parts(parts);
+    let part = |i: usize| format!("b{i:x}:10");
+    let all: Vec<_> = (0..PARTS).map(part).collect();
+    let fatal = caller(&format!("{},{FATAL_PART}:100", all.join(",")));
+    fatal.call(Method::POST, "/whole/x", "fatal").await.unwrap();
+    wait_until("the exit is known", async || {
+        exited(&engines) > 0 && !node.events("engine_ended").is_empty()
+    })
+    .await;
+    // The control thread is held up, so that what engines answer meanwhile queues; it also tells the metrics.
+    let before = held_updates(&node).await;
+    node.signal("USR1").unwrap();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let calls = (0..PARTS).map(|i| {
+        let caller = caller(&part(i));
+        async move { caller.call(Method::POST, "/whole/x", &format!("sound {i}")).await }
+    });
+    let replies = futures::future::join_all(calls).await;
+    assert!(replies.iter().all(|r| r.as_ref().is_ok_and(|r| r.status == 200)));
+    wait_until("the answers are counted", async || held_updates(&node).await > before).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let updates = held_updates(&node).await - before;
+    assert!(updates <= MAX_UPDATES, "{updates} updates for {PARTS} answers");
+}
