--- a/crates/heathpitchd/tests/gateway_spoilt_heads.rs
+++ b/crates/heathpitchd/tests/gateway_spoilt_heads.rs
@@ -216,3 +216,23 @@
     assert!(faults.is_empty(), "{} faults:\n{}", faults.len(), faults.join("\n"));
     assert!(!nodes[0].events("call_forwarded").is_empty());
 }
+
+/// Guards against a length that is dropped, or taken for that of an empty body, where the body is not sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_length_of_a_body_that_is_not_sent_is_passed_on_once() {
+    let cluster = Cluster::new();
+    let engine = RawEngine::spawn(|id| match id.is_empty() {
+        true => RawEngine::report((0, 8)),
+        false => {
+            let head = RawEngine::response_head(id, "200 OK");
+            format!("{head}content-length: 34, 34\r\n\r\n").into_bytes()
+        }
+    });
+    cluster.store.register_engine("a", "api", "mem", engine.await.unwrap().address);
+    let node = cluster.node().await;
+    let bytes = call(node.listen, "HEAD", "/get/x", "h1").await;
+    let text = String::from_utf8_lossy(&bytes).to_ascii_lowercase();
+    assert!(text.starts_with("http/1.1 200"), "{text}");
+    assert_eq!(text.matches("content-length: 34\r\n").count(), 1, "{text}");
+    assert!(text.ends_with("\r\n\r\n"), "no body: {text}");
+}
